--- /dev/null
+++ b/crates/coursestand-consensus/src/config.rs
@@ -0,0 +1,67 @@
+//! Settings of a replica.
+
+use crate::types::{Millis, ReplicaId};
+
+/// Settings of a replica. All replicas of a group have the same times.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Identity of this replica.
+    pub replica: ReplicaId,
+    /// Shortest time without a leader after which a replica campaigns; the
+    /// longest is twice that. In this time no replica helps to replace a leader
+    /// that it heard from.
+    pub election_timeout: Millis,
+    /// Time between two messages of a leader to a follower.
+    pub heartbeat: Millis,
+    /// One part in this many is the most by which two clocks differ in rate.
+    pub clock_drift: Millis,
+    /// Entries in one message at most.
+    pub max_batch: usize,
+    /// Bytes of a snapshot in one message.
+    pub snapshot_chunk: usize,
+    /// Seed of the random election timeouts.
+    pub seed: u64,
+    /// Mechanisms that tests switch off to show that their checks can fail.
+    pub mechanisms: Mechanisms,
+}
+
+impl Config {
+    /// The usual settings.
+    pub fn new(replica: ReplicaId, seed: u64) -> Config {
+        Config {
+            replica,
+            election_timeout: 600,
+            heartbeat: 100,
+            clock_drift: 50,
+            max_batch: 256,
+            snapshot_chunk: 256 * 1024,
+            seed,
+            mechanisms: Mechanisms::default(),
+        }
+    }
+}
+
+/// Mechanisms that carry a promise. All are on, except in tests that show what
+/// breaks without one.
+#[derive(Clone, Copy, Debug)]
+pub struct Mechanisms {
+    /// A replica that hears from a leader helps nobody to replace it.
+    pub loyal_to_leader: bool,
+    /// A leader commits only entries of its own term by counting.
+    pub commit_own_term_only: bool,
+    /// Only a candidate whose log is as new gets a vote.
+    pub compare_logs: bool,
+    /// A vote is remembered, so there is one in each term.
+    pub one_vote_a_term: bool,
+}
+
+impl Default for Mechanisms {
+    fn default() -> Self {
+        Mechanisms {
+            loyal_to_leader: true,
+            commit_own_term_only: true,
+            compare_logs: true,
+            one_vote_a_term: true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/coursestand-consensus/src/ready.rs
@@ -0,0 +1,33 @@
+//! What the caller has to do after it changed a replica.
+
+use crate::message::Message;
+use crate::types::{Entry, HardState, LogIndex, ReplicaId, Snapshot};
+
+/// Work for the caller, in this order: send `messages`; save `hard_state`,
+/// `snapshot` and `entries` and sync them; call `Replica::persisted`; send
+/// `messages_after_sync`; restore the state machine from `snapshot`; apply
+/// `committed`.
+#[derive(Clone, Debug, Default)]
+pub struct Ready {
+    /// Messages that may leave before anything is synced.
+    pub messages: Vec<(ReplicaId, Message)>,
+    /// To be synced, when it changed.
+    pub hard_state: Option<HardState>,
+    /// To be synced in place of the whole log.
+    pub snapshot: Option<Snapshot>,
+    /// To be synced; an entry replaces those from its index on.
+    pub entries: Vec<Entry>,
+    /// Messages that promise what is only true once it is synced.
+    pub messages_after_sync: Vec<(ReplicaId, Message)>,
+    /// To be applied, in order.
+    pub committed: Vec<Entry>,
+    /// Last index of the log when this was made.
+    pub(crate) last_index: LogIndex,
+}
+
+impl Ready {
+    /// Whether anything has to be synced.
+    pub fn needs_sync(&self) -> bool {
+        self.hard_state.is_some() || self.snapshot.is_some() || !self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/coursestand-consensus/tests/simulation.rs
@@ -0,0 +1,606 @@
+//! The group under seeded faults, against one naive copy: a plain list of the
+//! commands that were acknowledged.
+//!
+//! Faults: messages lost, late, twice and out of order; cuts, also in one
+//! direction; frozen replicas; crashes before and after a sync; lost disks with
+//! replacement under a new identity; clocks that differ. After every step:
+//! one leader a term, equal committed logs, nothing acknowledged lost, and a
+//! replica that holds the lease knows everything that is committed.
+#![allow(missing_docs)]
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use coursestand_consensus::config::Mechanisms;
+use coursestand_consensus::{
+    Batch, Config, Entry, HardState, Member, Membership, MemoryStorage, Message, Payload, Replica,
+    ReplicaId, Restored, Snapshot, Storage,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{Config as ProptestConfig, TestCaseError, TestRunner};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+
+const STEP_MS: u64 = 10;
+const FIRST_REPLICAS: u64 = 3;
+/// Time after the last fault in which the group has to work again.
+const RECOVERY_MS: u64 = 20_000;
+const SEEDED_RUNS: u32 = 4_000;
+
+#[derive(Clone, Debug)]
+enum Fault {
+    Pass { steps: u8 },
+    Propose { node: u8 },
+    Cut { from: u8, to: u8 },
+    Isolate { node: u8 },
+    Heal,
+    Crash { node: u8, before_sync: bool },
+    Restart { node: u8 },
+    Freeze { node: u8 },
+    Thaw { node: u8 },
+    Compact { node: u8 },
+    LoseDisk { node: u8 },
+    Transfer { node: u8 },
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let node = 0..6_u8;
+    prop_oneof![
+        8 => (1..80_u8).prop_map(|steps| Fault::Pass { steps }),
+        6 => node.clone().prop_map(|node| Fault::Propose { node }),
+        1 => (node.clone(), node.clone()).prop_map(|(from, to)| Fault::Cut { from, to }),
+        1 => node.clone().prop_map(|node| Fault::Isolate { node }),
+        2 => Just(Fault::Heal),
+        2 => (node.clone(), any::<bool>())
+            .prop_map(|(node, before_sync)| Fault::Crash { node, before_sync }),
+        3 => node.clone().prop_map(|node| Fault::Restart { node }),
+        1 => node.clone().prop_map(|node| Fault::Freeze { node }),
+        2 => node.clone().prop_map(|node| Fault::Thaw { node }),
+        1 => node.clone().prop_map(|node| Fault::Compact { node }),
+        1 => node.clone().prop_map(|node| Fault::LoseDisk { node }),
+        1 => node.prop_map(|node| Fault::Transfer { node }),
+    ]
+}
+
+struct Node {
+    replica: Option<Replica>,
+    storage: MemoryStorage,
+    applied: Vec<Entry>,
+    frozen: bool,
+    crash_before_sync: bool,
+    clock_offset: u64,
+    clock_per_mille: u64,
+}
+
+struct Envelope {
+    due: u64,
+    from: ReplicaId,
+    to: ReplicaId,
+    message: Message,
+}
+
+struct Group {
+    mechanisms: Mechanisms,
+    nodes: BTreeMap<ReplicaId, Node>,
+    network: Vec<Envelope>,
+    cuts: BTreeSet<(ReplicaId, ReplicaId)>,
+    now: u64,
+    random: StdRng,
+    faults: bool,
+    next_identity: ReplicaId,
+    /// A replica whose disk was lost, and the one that takes its place.
+    replacing: Option<(ReplicaId, ReplicaId)>,
+    leaders: BTreeMap<u64, ReplicaId>,
+    /// The naive copy: every entry that some replica applied, in order.
+    committed: Vec<Entry>,
+    acknowledged: BTreeSet<u64>,
+    next_command: u64,
+}
+
+impl Node {
+    fn clock(&self, now: u64) -> u64 {
+        1_000 + self.clock_offset + now * self.clock_per_mille / 1_000
+    }
+}
+
+impl Group {
+    fn new(seed: u64, mechanisms: Mechanisms) -> Group {
+        let mut group = Group {
+            mechanisms,
+            nodes: BTreeMap::new(),
+            network: Vec::new(),
+            cuts: BTreeSet::new(),
+            now: 0,
+            random: StdRng::seed_from_u64(seed),
+            faults: true,
+            next_identity: FIRST_REPLICAS + 1,
+            replacing: None,
+            leaders: BTreeMap::new(),
+            committed: Vec::new(),
+            acknowledged: BTreeSet::new(),
+            next_command: 0,
+        };
+        let voters = (1..=FIRST_REPLICAS).map(|replica| (replica, String::new()));
+        let first = Snapshot {
+            membership: Membership::of_voters(voters),
+            ..Snapshot::default()
+        };
+        for replica in 1..=FIRST_REPLICAS {
+            let mut storage = MemoryStorage::default();
+            storage
+                .compact(&first, HardState::default(), &[])
+                .expect("memory");
+            group.add(replica, storage);
+            group.start(replica);
+        }
+        group
+    }
+
+    fn add(&mut self, replica: ReplicaId, storage: MemoryStorage) {
+        let node = Node {
+            replica: None,
+            storage,
+            applied: Vec::new(),
+            frozen: false,
+            crash_before_sync: false,
+            clock_offset: self.random.random_range(0..100_000),
+            clock_per_mille: self.random.random_range(995..=1_005),
+        };
+        self.nodes.insert(replica, node);
+    }
+
+    fn start(&mut self, id: ReplicaId) {
+        let seed = self.random.random();
+        let now = self.now;
+        let committed = &self.committed;
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        if node.replica.is_some() {
+            return;
+        }
+        let restored: Restored = node.storage.restored();
+        node.applied = committed[..restored.snapshot.index as usize].to_vec();
+        let mut config = Config::new(id, seed);
+        config.mechanisms = self.mechanisms;
+        config.max_batch = 4;
+        config.snapshot_chunk = 3;
+        node.frozen = false;
+        node.crash_before_sync = false;
+        node.replica = Some(Replica::new(config, restored, node.clock(now)));
+    }
+
+    fn id_of(&self, node: u8) -> ReplicaId {
+        let ids: Vec<ReplicaId> = self.nodes.keys().copied().collect();
+        ids[usize::from(node) % ids.len()]
+    }
+
+    fn apply(&mut self, fault: &Fault) -> Result<(), TestCaseError> {
+        match fault {
+            Fault::Pass { steps } => {
+                for _ in 0..*steps {
+                    self.step()?;
+                }
+            }
+            Fault::Propose { node } => self.propose(self.id_of(*node)),
+            Fault::Cut { from, to } => {
+                let cut = (self.id_of(*from), self.id_of(*to));
+                self.cuts.insert(cut);
+            }
+            Fault::Isolate { node } => {
+                let id = self.id_of(*node);
+                for other in self.nodes.keys().copied().filter(|other| *other != id) {
+                    self.cuts.extend([(id, other), (other, id)]);
+                }
+            }
+            Fault::Heal => self.cuts.clear(),
+            Fault::Crash { node, before_sync } => {
+                let id = self.id_of(*node);
+                if let Some(node) = self.nodes.get_mut(&id) {
+                    if *before_sync {
+                        node.crash_before_sync = true;
+                    } else {
+                        node.replica = None;
+                    }
+                }
+            }
+            Fault::Restart { node } => self.start(self.id_of(*node)),
+            Fault::Freeze { node } => self.set_frozen(*node, true),
+            Fault::Thaw { node } => self.set_frozen(*node, false),
+            Fault::Compact { node } => self.compact(self.id_of(*node)),
+            Fault::LoseDisk { node } => self.lose_disk(self.id_of(*node)),
+            Fault::Transfer { node } => self.transfer(self.id_of(*node)),
+        }
+        self.check()
+    }
+
+    fn set_frozen(&mut self, node: u8, frozen: bool) {
+        let id = self.id_of(node);
+        if let Some(node) = self.nodes.get_mut(&id) {
+            node.frozen = frozen;
+        }
+    }
+
+    fn propose(&mut self, id: ReplicaId) {
+        let now = self.now;
+        let command = self.next_command;
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        let clock = node.clock(now);
+        if let Some(replica) = node.replica.as_mut().filter(|_| !node.frozen) {
+            let payload = Payload::Command(command.to_le_bytes().to_vec());
+            if replica.propose(clock, payload).is_ok() {
+                self.next_command += 1;
+            }
+        }
+    }
+
+    fn transfer(&mut self, to: ReplicaId) {
+        let now = self.now;
+        for node in self.nodes.values_mut().filter(|node| !node.frozen) {
+            let clock = node.clock(now);
+            if let Some(replica) = &mut node.replica {
+                // Only a leader takes it.
+                let _ = replica.transfer_to(clock, to);
+            }
+        }
+    }
+
+    fn compact(&mut self, id: ReplicaId) {
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        let Some(replica) = node.replica.as_mut().filter(|_| !node.frozen) else {
+            return;
+        };
+        let Some(last) = node.applied.last() else {
+            return;
+        };
+        let data = last.index.to_le_bytes().to_vec();
+        if let Some((snapshot, hard_state, rest)) = replica.compact(last.index, data) {
+            node.storage
+                .compact(&snapshot, hard_state, &rest)
+                .expect("memory");
+        }
+    }
+
+    /// One disk at a time: the next may go as soon as the replacement is done.
+    fn lose_disk(&mut self, id: ReplicaId) {
+        if self.replacing.is_some() {
+            return;
+        }
+        self.nodes.remove(&id);
+        let replacement = self.next_identity;
+        self.next_identity += 1;
+        self.add(replacement, MemoryStorage::default());
+        self.start(replacement);
+        self.replacing = Some((id, replacement));
+    }
+
+    /// What `control replace` does, step by step, at the current leader.
+    fn continue_replacement(&mut self) {
+        let Some((lost, replacement)) = self.replacing else {
+            return;
+        };
+        let now = self.now;
+        for node in self.nodes.values_mut().filter(|node| !node.frozen) {
+            let clock = node.clock(now);
+            let Some(replica) = node.replica.as_mut().filter(|replica| replica.is_leader()) else {
+                continue;
+            };
+            let mut next = replica.membership().clone();
+            let has_lost = next.members.contains_key(&lost);
+            match next.members.get(&replacement).map(|member| member.is_voter) {
+                None => {
+                    let member = Member {
+                        address: String::new(),
+                        is_voter: false,
+                    };
+                    next.members.insert(replacement, member);
+                }
+                Some(false) => {
+                    let matched = replica
+                        .progress()
+                        .and_then(|progress| progress.get(&replacement))
+                        .map_or(0, |progress| progress.matched);
+                    if matched < replica.commit_index() {
+                        continue;
+                    }
+                    if let Some(member) = next.members.get_mut(&replacement) {
+                        member.is_voter = true;
+                    }
+                }
+                Some(true) if has_lost => {
+                    next.members.remove(&lost);
+                }
+                Some(true) => {
+                    let (index, _) = replica.log().membership_up_to(u64::MAX);
+                    if replica.commit_index() >= index {
+                        self.replacing = None;
+                    }
+                    return;
+                }
+            }
+            let _ = replica.propose(clock, Payload::Membership(next));
+        }
+    }
+
+    fn step(&mut self) -> Result<(), TestCaseError> {
+        self.now += STEP_MS;
+        self.continue_replacement();
+        let (due, later) = std::mem::take(&mut self.network)
+            .into_iter()
+            .partition(|envelope| envelope.due <= self.now);
+        self.network = later;
+        for envelope in due {
+            self.deliver(envelope);
+        }
+        let ids: Vec<ReplicaId> = self.nodes.keys().copied().collect();
+        for id in ids {
+            let now = self.now;
+            if let Some(node) = self.nodes.get_mut(&id).filter(|node| !node.frozen) {
+                let clock = node.clock(now);
+                if let Some(replica) = &mut node.replica {
+                    replica.tick(clock);
+                }
+            }
+            self.pump(id)?;
+        }
+        self.check()
+    }
+
+    fn deliver(&mut self, envelope: Envelope) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&envelope.to) else {
+            return;
+        };
+        if node.frozen {
+            // Waits in the socket of the frozen process.
+            self.network.push(envelope);
+            return;
+        }
+        let clock = node.clock(now);
+        if let Some(replica) = &mut node.replica {
+            replica.step(clock, envelope.from, envelope.message);
+        }
+    }
+
+    /// Does what the replica asks for; a crash may come before the sync.
+    fn pump(&mut self, id: ReplicaId) -> Result<(), TestCaseError> {
+        loop {
+            let now = self.now;
+            let Some(node) = self.nodes.get_mut(&id).filter(|node| !node.frozen) else {
+                return Ok(());
+            };
+            let clock = node.clock(now);
+            let Some(replica) = &mut node.replica else {
+                return Ok(());
+            };
+            let ready = replica.ready();
+            if ready.needs_sync() && node.crash_before_sync {
+                node.replica = None;
+                self.send(id, ready.messages);
+                return Ok(());
+            }
+            let batch = Batch {
+                hard_state: ready.hard_state,
+                snapshot: ready.snapshot.clone(),
+                entries: ready.entries.clone(),
+            };
+            node.storage.save(&batch).expect("memory");
+            replica.persisted(clock, &ready);
+            if let Some(snapshot) = &ready.snapshot {
+                node.applied = self.committed[..snapshot.index as usize].to_vec();
+            }
+            let idle = !ready.needs_sync() && ready.committed.is_empty();
+            node.applied.extend(ready.committed.iter().cloned());
+            self.send(id, ready.messages);
+            self.send(id, ready.messages_after_sync);
+            for entry in ready.committed {
+                self.note_committed(id, entry)?;
+            }
+            if idle {
+                return Ok(());
+            }
+        }
+    }
+
+    fn send(&mut self, from: ReplicaId, messages: Vec<(ReplicaId, Message)>) {
+        for (to, message) in messages {
+            if self.cuts.contains(&(from, to)) {
+                continue;
+            }
+            let lost = self.faults && self.random.random_bool(0.05);
+            let twice = self.faults && self.random.random_bool(0.05);
+            let copies = if lost { 0 } else { 1 + usize::from(twice) };
+            for _ in 0..copies {
+                let delay = if self.random.random_bool(0.05) {
+                    400
+                } else {
+                    40
+                };
+                let due = self.now + self.random.random_range(0..delay);
+                self.network.push(Envelope {
+                    due,
+                    from,
+                    to,
+                    message: message.clone(),
+                });
+            }
+        }
+    }
+
+    /// The applied log of every replica is a start of the one naive copy.
+    fn note_committed(&mut self, id: ReplicaId, entry: Entry) -> Result<(), TestCaseError> {
+        let position = entry.index as usize - 1;
+        if let Some(known) = self.committed.get(position) {
+            prop_assert_eq!(known, &entry, "replica {} applied another log", id);
+            return Ok(());
+        }
+        prop_assert_eq!(position, self.committed.len(), "an entry was passed over");
+        if let Payload::Command(command) = &entry.payload {
+            let mut bytes = [0; 8];
+            bytes.copy_from_slice(command);
+            self.acknowledged.insert(u64::from_le_bytes(bytes));
+        }
+        self.committed.push(entry);
+        Ok(())
+    }
+
+    fn check(&mut self) -> Result<(), TestCaseError> {
+        for (id, node) in &self.nodes {
+            let Some(replica) = &node.replica else {
+                continue;
+            };
+            if !replica.is_leader() {
+                continue;
+            }
+            let first = *self.leaders.entry(replica.term()).or_insert(*id);
+            prop_assert_eq!(first, *id, "two leaders in term {}", replica.term());
+            if replica.holds_lease(node.clock(self.now)) {
+                prop_assert!(
+                    replica.commit_index() >= self.committed.len() as u64,
+                    "replica {} holds the lease and misses committed entries",
+                    id
+                );
+            }
+        }
+        Ok(())
+    }
+
+    /// Ends all faults; the group has to accept commands again and agree.
+    fn recover(&mut self) -> Result<(), TestCaseError> {
+        self.faults = false;
+        self.cuts.clear();
+        let ids: Vec<ReplicaId> = self.nodes.keys().copied().collect();
+        for id in &ids {
+            if let Some(node) = self.nodes.get_mut(id) {
+                node.frozen = false;
+                node.crash_before_sync = false;
+            }
+            self.start(*id);
+        }
+        let before = self.acknowledged.len();
+        let end = self.now + RECOVERY_MS;
+        while self.now < end {
+            for id in &ids {
+                self.propose(*id);
+            }
+            self.step()?;
+            let agreed = self.nodes.values().all(|node| {
+                node.applied.len() + 4 >= self.committed.len() && node.replica.is_some()
+            });
+            let replaced = self.replacing.is_none();
+            if self.acknowledged.len() > before + 5 && agreed && replaced {
+                return Ok(());
+            }
+        }
+        Err(TestCaseError::fail("the group did not recover"))
+    }
+}
+
+fn run(seed: u64, faults: &[Fault], mechanisms: Mechanisms) -> Result<(), TestCaseError> {
+    let mut group = Group::new(seed, mechanisms);
+    for fault in faults {
+        group.apply(fault)?;
+    }
+    group.recover()
+}
+
+fn runner(cases: u32) -> TestRunner {
+    let config = ProptestConfig {
+        cases,
+        failure_persistence: None,
+        max_shrink_iters: 2_000,
+        ..ProptestConfig::default()
+    };
+    TestRunner::new_with_rng(
+        config,
+        proptest::test_runner::TestRng::deterministic_rng(
+            proptest::test_runner::RngAlgorithm::ChaCha,
+        ),
+    )
+}
+
+fn runs() -> impl Strategy<Value = (u64, Vec<Fault>)> {
+    let faults = prop_oneof![
+        4 => prop::collection::vec(fault(), 5..60),
+        1 => one_way_loss(),
+    ];
+    (any::<u64>(), faults)
+}
+
+/// One replica no longer hears another, campaigns, and then that other one is
+/// cut off: the moment in which an old and a new leader could both serve.
+fn one_way_loss() -> impl Strategy<Value = Vec<Fault>> {
+    (0..3_u8, 0..3_u8, 50..150_u8).prop_map(|(from, to, steps)| {
+        vec![
+            Fault::Pass { steps: 250 },
+            Fault::Cut { from, to },
+            Fault::Pass { steps },
+            Fault::Isolate { node: from },
+            Fault::Pass { steps: 60 },
+        ]
+    })
+}
+
+#[test]
+fn group_equals_the_naive_copy_under_faults() {
+    let cases = std::env::var("COURSESTAND_RUNS")
+        .ok()
+        .and_then(|runs| runs.parse().ok())
+        .unwrap_or(SEEDED_RUNS);
+    let result = runner(cases).run(&runs(), |(seed, faults)| {
+        run(seed, &faults, Mechanisms::default())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+/// The checks find a fault, told by one of `signs`, once the mechanism is off.
+fn fails_without(mechanisms: Mechanisms, signs: &[&str]) {
+    let mut runner = runner(4 * SEEDED_RUNS);
+    let result = runner.run(&runs(), |(seed, faults)| run(seed, &faults, mechanisms));
+    let Err(error) = result else {
+        panic!("no check failed without the mechanism");
+    };
+    let text = error.to_string();
+    assert!(
+        signs.iter().any(|sign| text.contains(sign)),
+        "another failure: {text}"
+    );
+}
+
+const OTHER_LOG: &str = "applied another log";
+const TWO_LEADERS: &str = "two leaders in term";
+const STALE_LEASE: &str = "misses committed entries";
+/// The core's own assertion, which stops it before a check sees the damage.
+const TRUNCATED: &str = "committed entries stay";
+
+#[test]
+fn checks_fail_without_loyalty_to_the_leader() {
+    let mechanisms = Mechanisms {
+        loyal_to_leader: false,
+        ..Mechanisms::default()
+    };
+    fails_without(mechanisms, &[STALE_LEASE]);
+}
+
+#[test]
+fn checks_fail_without_comparing_logs() {
+    let mechanisms = Mechanisms {
+        compare_logs: false,
+        ..Mechanisms::default()
+    };
+    fails_without(mechanisms, &[OTHER_LOG, STALE_LEASE, TRUNCATED]);
+}
+
+#[test]
+fn checks_fail_without_one_vote_a_term() {
+    let mechanisms = Mechanisms {
+        one_vote_a_term: false,
+        ..Mechanisms::default()
+    };
+    fails_without(mechanisms, &[TWO_LEADERS]);
+}
--- /dev/null
+++ b/crates/coursestand-consensus/tests/wal.rs
@@ -0,0 +1,226 @@
+//! The write-ahead log against storage in memory, and against damage.
+#![allow(missing_docs)]
+
+use std::fs::OpenOptions;
+use std::io::{Seek, SeekFrom, Write};
+use std::path::{Path, PathBuf};
+
+use coursestand_consensus::wal::WriteAheadLog;
+use coursestand_consensus::{
+    Batch, Entry, HardState, MemoryStorage, Payload, Restored, Snapshot, Storage, StorageError,
+};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+fn entry(term: u64, index: u64) -> Entry {
+    Entry {
+        term,
+        index,
+        payload: Payload::Command(vec![index as u8; 20]),
+    }
+}
+
+fn entries(term: u64, from: u64, to: u64) -> Batch {
+    Batch {
+        hard_state: Some(HardState {
+            term,
+            voted_for: Some(1),
+        }),
+        snapshot: None,
+        entries: (from..=to).map(|index| entry(term, index)).collect(),
+    }
+}
+
+fn reopen(folder: &Path) -> Restored {
+    WriteAheadLog::open(folder).expect("the log opens").1
+}
+
+fn newest_segment(folder: &Path) -> PathBuf {
+    let mut segments: Vec<PathBuf> = std::fs::read_dir(folder)
+        .expect("the folder is there")
+        .map(|entry| entry.expect("an entry").path())
+        .filter(|path| path.extension().is_some_and(|suffix| suffix == "wal"))
+        .collect();
+    segments.sort();
+    segments.pop().expect("a segment is there")
+}
+
+/// A step of the differential test.
+#[derive(Clone, Debug)]
+enum Step {
+    Append { count: u64 },
+    Overwrite { back: u64 },
+    Compact { back: u64 },
+    Install { ahead: u64 },
+    Reopen,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (1..5_u64).prop_map(|count| Step::Append { count }),
+        1 => (0..4_u64).prop_map(|back| Step::Overwrite { back }),
+        1 => (0..4_u64).prop_map(|back| Step::Compact { back }),
+        1 => (1..9_u64).prop_map(|ahead| Step::Install { ahead }),
+        2 => Just(Step::Reopen),
+    ]
+}
+
+fn snapshot(index: u64, term: u64) -> Snapshot {
+    Snapshot {
+        index,
+        term,
+        data: vec![7; 30].into(),
+        ..Snapshot::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+
+    #[test]
+    fn log_on_disk_restores_what_memory_holds(steps in prop::collection::vec(step(), 1..30)) {
+        let folder = tempfile::tempdir().expect("a folder");
+        let mut naive = MemoryStorage::default();
+        let (mut log, _) = WriteAheadLog::open(folder.path()).expect("the log opens");
+        for (number, step) in steps.into_iter().enumerate() {
+            let term = number as u64 + 1;
+            let held = naive.restored();
+            let base = held.snapshot.index;
+            let last = base + held.entries.len() as u64;
+            match step {
+                Step::Append { count } => {
+                    let batch = entries(term, last + 1, last + count);
+                    naive.save(&batch).expect("memory");
+                    log.save(&batch).expect("disk");
+                }
+                Step::Overwrite { back } => {
+                    let first = last.saturating_sub(back).max(base + 1);
+                    let batch = entries(term, first, first + 1);
+                    naive.save(&batch).expect("memory");
+                    log.save(&batch).expect("disk");
+                }
+                Step::Compact { back } => {
+                    let index = last.saturating_sub(back).max(base);
+                    if index > base {
+                        let rest = held.entries[(index - base) as usize..].to_vec();
+                        let covered = &held.entries[(index - base - 1) as usize];
+                        let snapshot = snapshot(index, covered.term);
+                        naive.compact(&snapshot, held.hard_state, &rest).expect("memory");
+                        log.compact(&snapshot, held.hard_state, &rest).expect("disk");
+                    }
+                }
+                Step::Install { ahead } => {
+                    let batch = Batch {
+                        snapshot: Some(snapshot(last + ahead, term)),
+                        ..Batch::default()
+                    };
+                    naive.save(&batch).expect("memory");
+                    log.save(&batch).expect("disk");
+                }
+                Step::Reopen => {
+                    drop(log);
+                    let (again, restored) = WriteAheadLog::open(folder.path()).expect("reopens");
+                    prop_assert_eq!(&restored, &naive.restored());
+                    log = again;
+                }
+            }
+        }
+        drop(log);
+        prop_assert_eq!(reopen(folder.path()), naive.restored());
+    }
+
+    #[test]
+    fn a_frame_cut_off_at_the_end_is_dropped_whole(cut in 1..200_u64) {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (mut log, _) = WriteAheadLog::open(folder.path()).expect("the log opens");
+        log.save(&entries(1, 1, 3)).expect("saved");
+        let segment = newest_segment(folder.path());
+        let whole = std::fs::metadata(&segment).expect("metadata").len();
+        log.save(&entries(1, 4, 9)).expect("saved");
+        drop(log);
+        let longer = std::fs::metadata(&segment).expect("metadata").len();
+        let length = longer.saturating_sub(cut).max(whole);
+        let file = OpenOptions::new().write(true).open(&segment).expect("opens");
+        file.set_len(length).expect("cut");
+        prop_assert_eq!(reopen(folder.path()).entries.len(), 3);
+    }
+}
+
+fn overwrite(path: &Path, offset: u64, bytes: &[u8]) {
+    let mut file = OpenOptions::new().write(true).open(path).expect("opens");
+    file.seek(SeekFrom::Start(offset)).expect("seeks");
+    file.write_all(bytes).expect("writes");
+}
+
+fn log_with_two_frames(folder: &Path) -> (PathBuf, u64) {
+    let (mut log, _) = WriteAheadLog::open(folder).expect("the log opens");
+    let segment = newest_segment(folder);
+    let first = std::fs::metadata(&segment).expect("metadata").len();
+    log.save(&entries(1, 1, 3)).expect("saved");
+    log.save(&entries(1, 4, 9)).expect("saved");
+    (segment, first)
+}
+
+#[gtest]
+fn damage_in_the_middle_is_refused_with_file_and_offset() {
+    for (position, what) in [(2, "header"), (20, "record")] {
+        let folder = tempfile::tempdir().expect("a folder");
+        let (segment, frame) = log_with_two_frames(folder.path());
+        overwrite(&segment, frame + position, &[0xff, 0x5a]);
+        let error = WriteAheadLog::open(folder.path())
+            .err()
+            .expect("the damage is refused");
+        expect_that!(error.to_string(), contains_substring(what));
+        let StorageError::Damaged { path, offset, .. } = error else {
+            panic!("another error: {error}");
+        };
+        expect_that!(path, eq(&segment));
+        expect_that!(offset, eq(frame));
+    }
+}
+
+#[gtest]
+fn a_segment_that_is_not_the_newest_may_not_end_early() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (segment, _) = log_with_two_frames(folder.path());
+    let length = std::fs::metadata(&segment).expect("metadata").len();
+    std::fs::copy(&segment, folder.path().join("00000000000000000009.wal")).expect("copied");
+    let file = OpenOptions::new()
+        .write(true)
+        .open(&segment)
+        .expect("opens");
+    file.set_len(length - 3).expect("cut");
+    let error = WriteAheadLog::open(folder.path()).err().expect("refused");
+    expect_that!(error.to_string(), contains_substring("ends early"));
+}
+
+#[gtest]
+fn zeros_after_the_end_are_a_write_that_was_cut_off() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (segment, _) = log_with_two_frames(folder.path());
+    let length = std::fs::metadata(&segment).expect("metadata").len();
+    overwrite(&segment, length, &[0; 400]);
+    expect_that!(reopen(folder.path()).entries.len(), eq(9));
+}
+
+#[gtest]
+fn a_damaged_snapshot_is_refused() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut log, _) = WriteAheadLog::open(folder.path()).expect("the log opens");
+    log.save(&entries(1, 1, 3)).expect("saved");
+    log.compact(&snapshot(2, 1), HardState::default(), &[entry(1, 3)])
+        .expect("compacted");
+    drop(log);
+    let path = folder.path().join("00000000000000000002.snapshot");
+    overwrite(&path, 15, &[0xff]);
+    let error = WriteAheadLog::open(folder.path()).err().expect("refused");
+    expect_that!(error.to_string(), contains_substring("snapshot"));
+}
+
+#[gtest]
+fn a_folder_in_use_is_refused() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let _open = WriteAheadLog::open(folder.path()).expect("the log opens");
+    let error = WriteAheadLog::open(folder.path()).err().expect("refused");
+    expect_that!(error.to_string(), contains_substring("another process"));
+}
--- /dev/null
+++ b/crates/coursestand-coordination/src/lib.rs
@@ -0,0 +1,24 @@
+//! Coordination parts of coursestand, free of I/O: the replicated control state
+//! with its bundles, shift ledger, slot leases and once ledger; the registry of
+//! follower leases; and the planners that propose the next change.
+//!
+//! Time and messages are arguments, so that the same code runs in the daemon and
+//! under a seeded simulator.
+
+pub mod allocator;
+pub mod bundles;
+pub mod command;
+pub mod followers;
+pub mod once;
+pub mod planner;
+pub mod shares;
+pub mod shift_ledger;
+pub mod signing;
+pub mod slots;
+pub mod state;
+pub mod tables;
+pub mod wire;
+
+pub use command::{Command, CommandAnswer};
+pub use state::ControlState;
+pub use tables::{ControlVersion, Delta, Tables};
--- /dev/null
+++ b/crates/coursestand-coordination/src/planner.rs
@@ -0,0 +1,166 @@
+//! Proposes the next step of the traffic shares towards what the policies want,
+//! within the shift caps. Pure: the leader calls it with what it knows.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use coursestand_model::bundle::{Bundle, Policy, Service};
+use coursestand_model::platform::BackendState;
+use coursestand_model::{BackendId, ServiceId, ZoneId};
+
+use crate::shares::{ShareKey, ShareVector};
+use crate::state::ControlState;
+use crate::tables::{BackendRecord, DrainTarget, Tables};
+
+/// Whether a back end may get new work: live and not drained.
+pub fn takes_work(
+    tables: &Tables,
+    bundle: &Bundle,
+    id: &BackendId,
+    record: &BackendRecord,
+) -> bool {
+    if record.state != BackendState::Live {
+        return false;
+    }
+    let region = bundle.region_of(&record.zone).map(|region| &region.id);
+    let region_drained =
+        region.is_some_and(|region| tables.is_drained(&DrainTarget::Region(region.clone())));
+    !region_drained
+        && !tables.is_drained(&DrainTarget::Zone(record.zone.clone()))
+        && !tables.is_drained(&DrainTarget::Backend(id.clone()))
+}
+
+/// Slots that can get new work, by service and zone.
+#[derive(Debug, Default)]
+pub struct UsableSlots(BTreeMap<ServiceId, BTreeMap<ZoneId, u64>>);
+
+impl UsableSlots {
+    /// Sums the slots of back ends that take work and are not `down`.
+    pub fn of(tables: &Tables, bundle: &Bundle, down: &BTreeSet<BackendId>) -> UsableSlots {
+        let mut usable = UsableSlots::default();
+        for (id, record) in tables.backends.iter() {
+            if down.contains(id) || !takes_work(tables, bundle, id, record) {
+                continue;
+            }
+            let zones = usable.0.entry(record.service.clone()).or_default();
+            *zones.entry(record.zone.clone()).or_default() += u64::from(record.slots);
+        }
+        usable
+    }
+
+    fn zones_of(&self, service: &ServiceId) -> Option<&BTreeMap<ZoneId, u64>> {
+        self.0.get(service).filter(|zones| !zones.is_empty())
+    }
+}
+
+/// The shares that a policy wants, or `None` when no zone has a usable slot.
+pub fn wanted_shares(
+    bundle: &Bundle,
+    service: &Service,
+    origin: &ZoneId,
+    usable: &UsableSlots,
+) -> Option<ShareVector> {
+    let zones = usable.zones_of(&service.id)?;
+    let weights = match &service.policy {
+        Policy::Nearest {} => nearest_zones(bundle, origin, zones),
+        Policy::Headroom {} => nearest_region(bundle, origin, zones),
+        Policy::Weighted { weights } => weighted_zones(weights, zones),
+    };
+    ShareVector::in_proportion(&weights)
+}
+
+/// The zones with the lowest latency; equally near ones by their slots.
+fn nearest_zones(
+    bundle: &Bundle,
+    origin: &ZoneId,
+    zones: &BTreeMap<ZoneId, u64>,
+) -> BTreeMap<ZoneId, u64> {
+    let lowest = zones
+        .keys()
+        .map(|zone| bundle.latency_between(origin, zone))
+        .fold(f64::INFINITY, f64::min);
+    zones
+        .iter()
+        .filter(|(zone, _)| bundle.latency_between(origin, zone) <= lowest)
+        .map(|(zone, slots)| (zone.clone(), *slots))
+        .collect()
+}
+
+/// The usable zones of the client's region, or of all regions when it has none.
+fn nearest_region(
+    bundle: &Bundle,
+    origin: &ZoneId,
+    zones: &BTreeMap<ZoneId, u64>,
+) -> BTreeMap<ZoneId, u64> {
+    let region = bundle.region_of(origin);
+    let own: BTreeMap<ZoneId, u64> = zones
+        .iter()
+        .filter(|(zone, _)| region.is_some_and(|region| region.zones.contains(zone)))
+        .map(|(zone, slots)| (zone.clone(), *slots))
+        .collect();
+    if own.is_empty() { zones.clone() } else { own }
+}
+
+/// The fixed weights of usable zones; all usable zones when none has a weight.
+fn weighted_zones(
+    weights: &BTreeMap<ZoneId, u32>,
+    zones: &BTreeMap<ZoneId, u64>,
+) -> BTreeMap<ZoneId, u64> {
+    let named: BTreeMap<ZoneId, u64> = zones
+        .keys()
+        .map(|zone| {
+            (
+                zone.clone(),
+                u64::from(weights.get(zone).copied().unwrap_or(0)),
+            )
+        })
+        .filter(|(_, weight)| *weight > 0)
+        .collect();
+    if named.is_empty() {
+        zones.clone()
+    } else {
+        named
+    }
+}
+
+/// The next steps towards what the policies want, each within its shift cap.
+pub fn plan_steps(
+    state: &ControlState,
+    down: &BTreeSet<BackendId>,
+) -> Vec<(ShareKey, ShareVector)> {
+    let Some(bundle) = state.bundle() else {
+        return Vec::new();
+    };
+    let usable = UsableSlots::of(state.tables(), bundle, down);
+    let mut steps = Vec::new();
+    for service in &bundle.services {
+        for origin in bundle.zones() {
+            let Some(target) = wanted_shares(bundle, service, origin, &usable) else {
+                continue;
+            };
+            let key = ShareKey {
+                service: service.id.clone(),
+                origin: origin.clone(),
+            };
+            if let Some(next) = next_shares(state, service, &key, target) {
+                steps.push((key, next));
+            }
+        }
+    }
+    steps
+}
+
+fn next_shares(
+    state: &ControlState,
+    service: &Service,
+    key: &ShareKey,
+    target: ShareVector,
+) -> Option<ShareVector> {
+    let Some(held) = state.tables().shares.get(key) else {
+        return Some(target);
+    };
+    let budget = state
+        .shift_ledger()
+        .budget(key, service.shift_cap, state.clock());
+    let next = held.step_towards(&target, budget);
+    (next != *held).then_some(next)
+}
--- /dev/null
+++ b/crates/coursestand-coordination/src/state.rs
@@ -0,0 +1,356 @@
+//! The replicated control state: a deterministic function of the commands in the
+//! log.
+
+use coursestand_model::bundle::{Bundle, MAX_SHIFT_WINDOW_MS, Once};
+use coursestand_model::platform::PlatformBackend;
+use coursestand_model::{DaemonId, Millis};
+use serde::{Deserialize, Serialize};
+
+use crate::bundles::{AcceptedChange, BundleHistory, OrderAction, SubmitAnswer};
+use crate::command::{BackendEpoch, Command, CommandAnswer, StampedCommand};
+use crate::once::OnceLedger;
+use crate::shares::{ShareKey, ShareVector};
+use crate::shift_ledger::ShiftLedger;
+use crate::signing::SignoffPolicy;
+use crate::slots::{self, Release, SlotChange};
+use crate::tables::{BackendRecord, BundleInForce, ControlVersion, Member, Tables};
+
+/// Rules for idempotency keys while no bundle is in force: every key is refused.
+const NO_ONCE_RULES: Once = Once {
+    retention_ms: 0,
+    clock_skew_ms: 0,
+};
+
+/// The replicated control state.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ControlState {
+    tables: Tables,
+    clock: Millis,
+    signoff: SignoffPolicy,
+    initialized: bool,
+    history: BundleHistory,
+    ledger: ShiftLedger,
+    releases: Vec<Release>,
+    once: OnceLedger,
+    /// The bundle in force, parsed from its text in `tables`.
+    #[serde(skip)]
+    bundle: Option<Bundle>,
+}
+
+impl PartialEq for ControlState {
+    fn eq(&self, other: &Self) -> bool {
+        self.tables == other.tables
+            && self.clock == other.clock
+            && self.signoff == other.signoff
+            && self.history == other.history
+            && self.ledger == other.ledger
+            && self.releases == other.releases
+            && self.once == other.once
+    }
+}
+
+impl ControlState {
+    /// Applies the command at log position `index`.
+    pub fn apply(&mut self, index: ControlVersion, stamped: &StampedCommand) -> CommandAnswer {
+        self.clock = self.clock.max(stamped.clock);
+        let rules = self.once_rules();
+        self.once.advance(stamped.wall_ms, rules);
+        self.ledger.forget_before(MAX_SHIFT_WINDOW_MS, self.clock);
+        match &stamped.command {
+            Command::Initialize(policy) => self.initialize(policy),
+            Command::SubmitBundle {
+                bundle,
+                expected_revision,
+                submission,
+            } => {
+                let before = self.history.current();
+                let answer = self.history.submit_bundle(
+                    bundle,
+                    *expected_revision,
+                    submission,
+                    &self.signoff,
+                );
+                self.put_in_force(before, answer, index)
+            }
+            Command::SubmitOrder { order, submission } => {
+                let before = self.history.current();
+                let answer = self.history.submit_order(order, submission, &self.signoff);
+                self.put_in_force(before, answer, index)
+            }
+            Command::UpdateBackends(rows) => self.update_backends(rows, index),
+            Command::MarkLeaving(backends) => self.mark_leaving(backends, index),
+            Command::UpdateMembers(members) => self.update_members(members, index),
+            Command::AdvanceShares(steps) => self.advance_shares(steps, index),
+            Command::AdjustSlots(changes) => self.adjust_slots(changes, index),
+            Command::Confirm { all, daemons } => self.confirm(*all, daemons),
+            Command::ForgetDaemons(daemons) => self.forget_daemons(daemons),
+            Command::Claim { key, claim } => {
+                CommandAnswer::Claim(self.once.claim(key.clone(), claim.clone(), rules))
+            }
+            Command::Complete { key, claim, answer } => {
+                self.once.complete(key, claim, answer.clone());
+                CommandAnswer::Done
+            }
+            Command::Release { key, claim } => {
+                self.once.release(key.clone(), claim.clone());
+                CommandAnswer::Done
+            }
+        }
+    }
+
+    /// Restores what is derived from the tables after a snapshot was read.
+    pub fn restore_derived(&mut self) {
+        self.bundle = self
+            .tables
+            .bundle_in_force()
+            .and_then(|in_force| serde_json::from_str(&in_force.content).ok());
+    }
+
+    /// The rows that followers hold.
+    pub fn tables(&self) -> &Tables {
+        &self.tables
+    }
+
+    /// The replicated clock in milliseconds.
+    pub fn clock(&self) -> Millis {
+        self.clock
+    }
+
+    /// The bundle in force.
+    pub fn bundle(&self) -> Option<&Bundle> {
+        self.bundle.as_ref()
+    }
+
+    /// Accepted changes.
+    pub fn history(&self) -> &BundleHistory {
+        &self.history
+    }
+
+    /// What moved and still counts.
+    pub fn shift_ledger(&self) -> &ShiftLedger {
+        &self.ledger
+    }
+
+    /// Slots that were taken away and may still be in use.
+    pub fn releases(&self) -> &[Release] {
+        &self.releases
+    }
+
+    /// Claims of requests that run at most once.
+    pub fn once(&self) -> &OnceLedger {
+        &self.once
+    }
+
+    /// Whether the sign-off policy is set.
+    pub fn is_initialized(&self) -> bool {
+        self.initialized
+    }
+
+    fn once_rules(&self) -> Once {
+        self.bundle
+            .as_ref()
+            .map_or(NO_ONCE_RULES, |bundle| bundle.once)
+    }
+
+    fn initialize(&mut self, policy: &SignoffPolicy) -> CommandAnswer {
+        if self.initialized {
+            return CommandAnswer::Refused("the sign-off policy is set already".to_owned());
+        }
+        self.initialized = true;
+        self.signoff = policy.clone();
+        CommandAnswer::Done
+    }
+
+    /// Carries out a submit that took a new revision after `before`.
+    fn put_in_force(
+        &mut self,
+        before: u64,
+        answer: SubmitAnswer,
+        index: ControlVersion,
+    ) -> CommandAnswer {
+        let current = self.history.current();
+        if current == before {
+            return CommandAnswer::Submit(answer);
+        }
+        let content = match self.history.content_of(current) {
+            Some(content) => Some(content.to_owned()),
+            None => self
+                .tables
+                .bundle_in_force()
+                .map(|in_force| in_force.content.clone()),
+        };
+        if let Some(content) = content {
+            let in_force = BundleInForce {
+                revision: current,
+                content,
+            };
+            self.tables.bundle.set((), in_force, index);
+        }
+        self.apply_drain_order(current, index);
+        self.tables.version = index;
+        self.restore_derived();
+        CommandAnswer::Submit(answer)
+    }
+
+    fn apply_drain_order(&mut self, revision: u64, index: ControlVersion) {
+        let change = self.history.revision(revision).map(|one| &one.change);
+        let (target, drained) = match change {
+            Some(AcceptedChange::Order(OrderAction::Drain { target })) => (target.clone(), true),
+            Some(AcceptedChange::Order(OrderAction::Restore { target })) => (target.clone(), false),
+            _ => return,
+        };
+        self.tables.drains.set(target, drained, index);
+    }
+
+    fn update_backends(
+        &mut self,
+        rows: &[PlatformBackend],
+        index: ControlVersion,
+    ) -> CommandAnswer {
+        let mut changed = false;
+        for row in rows {
+            let mut state = row.state;
+            if let Some(known) = self.tables.backends.get(&row.id) {
+                // The platform list lags: an older epoch tells nothing new, and
+                // within one epoch "leaving" never turns back to "live".
+                if row.epoch < known.epoch {
+                    continue;
+                }
+                if row.epoch == known.epoch {
+                    state = state.max(known.state);
+                }
+            }
+            let record = BackendRecord {
+                service: row.service.clone(),
+                zone: row.zone.clone(),
+                address: row.address.clone(),
+                slots: row.slots,
+                connections: row.connections,
+                epoch: row.epoch,
+                state,
+            };
+            changed |= self.tables.backends.set(row.id.clone(), record, index);
+        }
+        self.note_change(changed, index)
+    }
+
+    fn mark_leaving(&mut self, backends: &[BackendEpoch], index: ControlVersion) -> CommandAnswer {
+        let mut changed = false;
+        for news in backends {
+            let Some(known) = self.tables.backends.get(&news.backend) else {
+                continue;
+            };
+            if known.epoch != news.epoch {
+                continue;
+            }
+            let record = BackendRecord {
+                state: coursestand_model::platform::BackendState::Leaving,
+                ..known.clone()
+            };
+            changed |= self
+                .tables
+                .backends
+                .set(news.backend.clone(), record, index);
+        }
+        self.note_change(changed, index)
+    }
+
+    fn update_members(
+        &mut self,
+        members: &[(String, Member)],
+        index: ControlVersion,
+    ) -> CommandAnswer {
+        let mut changed = false;
+        for (name, member) in members {
+            if let Some(known) = self.tables.members.get(name) {
+                // News of an older run, or a step back of the same run, is late.
+                let late = member.incarnation < known.incarnation
+                    || (member.incarnation == known.incarnation && member.phase < known.phase);
+                if late {
+                    continue;
+                }
+            }
+            changed |= self.tables.members.set(name.clone(), member.clone(), index);
+        }
+        self.note_change(changed, index)
+    }
+
+    fn advance_shares(
+        &mut self,
+        steps: &[(ShareKey, ShareVector)],
+        index: ControlVersion,
+    ) -> CommandAnswer {
+        let Some(bundle) = &self.bundle else {
+            return CommandAnswer::Refused("no bundle is in force".to_owned());
+        };
+        let mut moves = Vec::new();
+        for (key, next) in steps {
+            let Some(service) = bundle.service(&key.service) else {
+                return CommandAnswer::Refused(format!("service {} is not known", key.service));
+            };
+            if !next.is_complete() {
+                return CommandAnswer::Refused("the shares don't sum to the whole".to_owned());
+            }
+            let Some(held) = self.tables.shares.get(key) else {
+                continue;
+            };
+            let moved = held.moved_to(next);
+            let budget = self.ledger.budget(key, service.shift_cap, self.clock);
+            // The shift cap holds here, whatever a leader proposes.
+            if moved > budget {
+                return CommandAnswer::Refused(format!(
+                    "{} basis points of {} from {} would move, {budget} may",
+                    moved, key.service, key.origin
+                ));
+            }
+            moves.push((key.clone(), moved));
+        }
+        let mut changed = false;
+        for (key, next) in steps {
+            changed |= self.tables.shares.set(key.clone(), next.clone(), index);
+        }
+        for (key, moved) in moves.into_iter().filter(|(_, moved)| *moved > 0) {
+            self.ledger.record(key, moved, index);
+        }
+        self.note_change(changed, index)
+    }
+
+    fn adjust_slots(&mut self, changes: &[SlotChange], index: ControlVersion) -> CommandAnswer {
+        let Some(bundle) = &self.bundle else {
+            return CommandAnswer::Refused("no bundle is in force".to_owned());
+        };
+        let result = slots::adjust(&mut self.tables, &mut self.releases, bundle, changes, index);
+        match result {
+            Ok(()) => self.note_change(true, index),
+            Err(error) => CommandAnswer::Refused(error.to_string()),
+        }
+    }
+
+    fn confirm(
+        &mut self,
+        all: ControlVersion,
+        daemons: &[(DaemonId, ControlVersion)],
+    ) -> CommandAnswer {
+        self.ledger.confirm(all, self.clock);
+        for (daemon, version) in daemons {
+            self.releases
+                .retain(|release| release.daemon != *daemon || release.version > *version);
+        }
+        CommandAnswer::Done
+    }
+
+    fn forget_daemons(&mut self, daemons: &[DaemonId]) -> CommandAnswer {
+        for daemon in daemons {
+            self.tables.slots.forget(daemon);
+            self.releases.retain(|release| release.daemon != *daemon);
+        }
+        CommandAnswer::Done
+    }
+
+    fn note_change(&mut self, changed: bool, index: ControlVersion) -> CommandAnswer {
+        if changed {
+            self.tables.version = index;
+        }
+        CommandAnswer::Done
+    }
+}
--- /dev/null
+++ b/crates/coursestand-coordination/src/tables.rs
@@ -0,0 +1,256 @@
+//! The part of the control state that followers hold. Every row carries the
+//! version that last changed it, so the difference between any two versions is
+//! found without a history: catch-up costs the size of the changed rows, not the
+//! number of changes that were missed.
+
+use std::collections::BTreeMap;
+
+use coursestand_model::platform::BackendState;
+use coursestand_model::{BackendId, DaemonId, RegionId, ServiceId, ZoneId};
+use serde::{Deserialize, Serialize};
+
+use crate::shares::{ShareKey, ShareVector};
+
+/// Position in the replicated log of the last change that followers can see.
+pub type ControlVersion = u64;
+
+/// Slots that a daemon holds, by back end.
+pub type SlotMap = BTreeMap<BackendId, u32>;
+
+/// A value and the version that last changed it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row<V> {
+    /// Version that last changed the value.
+    pub changed_at: ControlVersion,
+    /// The value.
+    pub value: V,
+}
+
+/// A map whose rows carry the version that last changed them.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionedTable<K: Ord, V> {
+    rows: BTreeMap<K, Row<V>>,
+}
+
+impl<K: Ord, V> Default for VersionedTable<K, V> {
+    fn default() -> Self {
+        VersionedTable {
+            rows: BTreeMap::new(),
+        }
+    }
+}
+
+impl<K: Ord + Clone, V: Clone + PartialEq> VersionedTable<K, V> {
+    /// The value of `key`.
+    pub fn get(&self, key: &K) -> Option<&V> {
+        self.rows.get(key).map(|row| &row.value)
+    }
+
+    /// Sets a value; returns whether it differs from the one before.
+    pub fn set(&mut self, key: K, value: V, changed_at: ControlVersion) -> bool {
+        if self.get(&key) == Some(&value) {
+            return false;
+        }
+        self.rows.insert(key, Row { changed_at, value });
+        true
+    }
+
+    /// Removes a row without telling followers: only for rows that no live
+    /// follower reads.
+    pub fn forget(&mut self, key: &K) -> Option<V> {
+        self.rows.remove(key).map(|row| row.value)
+    }
+
+    /// All rows in key order.
+    pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
+        self.rows.iter().map(|(key, row)| (key, &row.value))
+    }
+
+    /// Number of rows.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether there is no row.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Rows that changed after `since`.
+    pub fn changed_since(&self, since: ControlVersion) -> Vec<(K, Row<V>)> {
+        self.rows
+            .iter()
+            .filter(|(_, row)| row.changed_at > since)
+            .map(|(key, row)| (key.clone(), row.clone()))
+            .collect()
+    }
+
+    /// Takes over rows that are newer than the ones held.
+    pub fn merge(&mut self, rows: Vec<(K, Row<V>)>) {
+        for (key, row) in rows {
+            let newer = self
+                .rows
+                .get(&key)
+                .is_none_or(|held| held.changed_at < row.changed_at);
+            if newer {
+                self.rows.insert(key, row);
+            }
+        }
+    }
+}
+
+/// The bundle in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BundleInForce {
+    /// Revision, which grows with each accepted change.
+    pub revision: u64,
+    /// JSON text of the bundle.
+    pub content: String,
+}
+
+/// A back end as the control group knows it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BackendRecord {
+    /// Service that it implements.
+    pub service: ServiceId,
+    /// Zone in which it runs.
+    pub zone: ZoneId,
+    /// `IP:port`.
+    pub address: String,
+    /// Requests that it runs at the same time.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Grows with each start of the back end.
+    pub epoch: u64,
+    /// Whether it takes new work.
+    pub state: BackendState,
+}
+
+/// Whether callers should be sent to a daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum MemberPhase {
+    /// Serves callers.
+    Serving,
+    /// Announced that it stops.
+    Leaving,
+    /// Its lease ended.
+    Gone,
+}
+
+/// A daemon as look-ups see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Run of the daemon that this row tells of.
+    pub incarnation: u64,
+    /// Zone in which it runs.
+    pub zone: ZoneId,
+    /// `IP:port` that callers use; `None` when it is no entry daemon.
+    pub address: Option<String>,
+    /// Whether callers should be sent to it.
+    pub phase: MemberPhase,
+}
+
+/// What an operator can drain.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DrainTarget {
+    /// All zones of a region.
+    Region(RegionId),
+    /// One zone.
+    Zone(ZoneId),
+    /// One back end.
+    Backend(BackendId),
+}
+
+/// All rows that followers hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tables {
+    /// Version up to which the rows are complete.
+    pub version: ControlVersion,
+    /// The bundle in force; one row at most.
+    pub bundle: VersionedTable<(), BundleInForce>,
+    /// Back ends by name.
+    pub backends: VersionedTable<BackendId, BackendRecord>,
+    /// Shares of traffic by service and client zone.
+    pub shares: VersionedTable<ShareKey, ShareVector>,
+    /// Slots by daemon.
+    pub slots: VersionedTable<DaemonId, SlotMap>,
+    /// Daemons by name.
+    pub members: VersionedTable<String, Member>,
+    /// Drains that are in force.
+    pub drains: VersionedTable<DrainTarget, bool>,
+}
+
+/// The rows that changed between two versions, as one follower needs them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// Version that the follower has after applying this.
+    pub version: ControlVersion,
+    bundle: Vec<((), Row<BundleInForce>)>,
+    backends: Vec<(BackendId, Row<BackendRecord>)>,
+    shares: Vec<(ShareKey, Row<ShareVector>)>,
+    slots: Vec<(DaemonId, Row<SlotMap>)>,
+    members: Vec<(String, Row<Member>)>,
+    drains: Vec<(DrainTarget, Row<bool>)>,
+}
+
+/// Whose slots a delta carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotScope<'a> {
+    /// Only those of one daemon.
+    Daemon(&'a DaemonId),
+    /// Those of every daemon, for a relay.
+    All,
+}
+
+impl Tables {
+    /// The rows that changed after `since`.
+    pub fn delta(&self, since: ControlVersion, scope: SlotScope<'_>) -> Delta {
+        if since >= self.version {
+            return Delta {
+                version: self.version,
+                ..Delta::default()
+            };
+        }
+        let mut slots = self.slots.changed_since(since);
+        if let SlotScope::Daemon(daemon) = scope {
+            slots.retain(|(holder, _)| holder == daemon);
+        }
+        Delta {
+            version: self.version,
+            bundle: self.bundle.changed_since(since),
+            backends: self.backends.changed_since(since),
+            shares: self.shares.changed_since(since),
+            slots,
+            members: self.members.changed_since(since),
+            drains: self.drains.changed_since(since),
+        }
+    }
+
+    /// Applies a delta. An older one changes nothing: the version held by a
+    /// follower never falls. Returns whether the version grew.
+    pub fn apply(&mut self, delta: Delta) -> bool {
+        if delta.version <= self.version {
+            return false;
+        }
+        self.version = delta.version;
+        self.bundle.merge(delta.bundle);
+        self.backends.merge(delta.backends);
+        self.shares.merge(delta.shares);
+        self.slots.merge(delta.slots);
+        self.members.merge(delta.members);
+        self.drains.merge(delta.drains);
+        true
+    }
+
+    /// The bundle in force.
+    pub fn bundle_in_force(&self) -> Option<&BundleInForce> {
+        self.bundle.get(&())
+    }
+
+    /// Whether an operator drains this target.
+    pub fn is_drained(&self, target: &DrainTarget) -> bool {
+        self.drains.get(target).copied().unwrap_or(false)
+    }
+}
--- /dev/null
+++ b/crates/coursestand-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/coursestand-gateway/src/gateway.rs
@@ -0,0 +1,605 @@
+//! The path of a request: check, admit, claim, dispatch, answer; and again on
+//! another back end where the outcome allows it.
+
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use coursestand_coordination::once::{
+    ClaimAnswer, ClaimId, MAX_RECORDED_BYTES, OnceKey, RecordedAnswer,
+};
+use coursestand_model::platform::BackendState;
+use coursestand_model::{DaemonId, Outcome, ServiceId, ZoneId, headers};
+use coursestand_steering::backends::{BackendIndex, PoolIndex};
+use coursestand_steering::{Admission, Steering, Ticket};
+use futures::StreamExt;
+use poem::http::{HeaderMap, StatusCode};
+use poem::{Body, Request, Response};
+use tokio::sync::Notify;
+
+use crate::answer::{Answer, Content, Reason};
+use crate::backend_edge::{
+    BackendAnswer, BackendEdge, ByteStream, Dispatch, DispatchError, RequestBody,
+};
+use crate::lease::DecisionLease;
+use crate::metrics::GatewayMetrics;
+use crate::once_edge::OnceEdge;
+use crate::request::{BUFFERED_BYTES, Call, WaitLimits, check, strip_connection_headers};
+use crate::retry_budget::RetryBudget;
+use crate::slot_guard::SlotGuard;
+
+/// Dispatches of one request at most.
+const MAX_ATTEMPTS: usize = 3;
+
+/// What the gateway shares with the other services of its daemon.
+pub struct Shared {
+    /// The decisions.
+    steering: Mutex<Steering>,
+    /// Wakes requests that wait for a slot of a pool.
+    free_slots: Mutex<HashMap<PoolIndex, Arc<Notify>>>,
+    /// Wakes the reporter early: demand or health changed for the worse.
+    pub report_now: Notify,
+    /// The lease under which this daemon decides.
+    pub lease: Arc<DecisionLease>,
+    /// The edge towards back ends.
+    pub backends: Arc<dyn BackendEdge>,
+}
+
+impl Shared {
+    /// State of a daemon that decides on nothing yet.
+    pub fn new(
+        daemon: DaemonId,
+        lease: Arc<DecisionLease>,
+        backends: Arc<dyn BackendEdge>,
+    ) -> Shared {
+        Shared {
+            steering: Mutex::new(Steering::new(daemon)),
+            free_slots: Mutex::default(),
+            report_now: Notify::new(),
+            lease,
+            backends,
+        }
+    }
+
+    /// The decisions, locked; never held across a wait.
+    pub fn steering(&self) -> MutexGuard<'_, Steering> {
+        self.steering.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Gives a slot back and wakes one request that waits for it.
+    pub fn free_slot(&self, ticket: &Ticket) {
+        self.steering().give_back(ticket);
+        self.notify_of(ticket.pool).notify_one();
+    }
+
+    /// Wakes all requests that wait: slots may have been granted.
+    pub fn wake_waiting(&self) {
+        let notifies = self
+            .free_slots
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for notify in notifies.values() {
+            notify.notify_waiters();
+        }
+    }
+
+    fn notify_of(&self, pool: PoolIndex) -> Arc<Notify> {
+        let mut notifies = self
+            .free_slots
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        Arc::clone(notifies.entry(pool).or_default())
+    }
+}
+
+/// Counts a request as waiting for as long as it lives.
+struct Waiting<'a> {
+    shared: &'a Shared,
+    pool: PoolIndex,
+}
+
+impl<'a> Waiting<'a> {
+    fn start(shared: &'a Shared, pool: PoolIndex) -> Waiting<'a> {
+        shared.steering().start_waiting(pool);
+        Waiting { shared, pool }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.shared.steering().stop_waiting(self.pool);
+    }
+}
+
+/// A claim that is given up unless the request was dispatched under it.
+struct Claim<'a> {
+    once: &'a Arc<dyn OnceEdge>,
+    key: OnceKey,
+    id: ClaimId,
+    dispatched: bool,
+}
+
+impl Drop for Claim<'_> {
+    fn drop(&mut self) {
+        if !self.dispatched {
+            self.once.release(self.key.clone(), self.id.clone());
+        }
+    }
+}
+
+/// Serves callers' requests.
+pub struct Gateway {
+    daemon: DaemonId,
+    zone: ZoneId,
+    shared: Arc<Shared>,
+    once: Arc<dyn OnceEdge>,
+    retries: RetryBudget,
+    metrics: GatewayMetrics,
+    sequence: AtomicU64,
+}
+
+/// How one attempt ended.
+enum Attempt {
+    Answered(Answer),
+    Failed(DispatchError),
+}
+
+impl Gateway {
+    /// A gateway of `daemon` in `zone`.
+    pub fn new(
+        daemon: DaemonId,
+        zone: ZoneId,
+        shared: Arc<Shared>,
+        once: Arc<dyn OnceEdge>,
+        metrics: GatewayMetrics,
+    ) -> Gateway {
+        Gateway {
+            daemon,
+            zone,
+            shared,
+            once,
+            retries: RetryBudget::default(),
+            metrics,
+            sequence: AtomicU64::new(0),
+        }
+    }
+
+    /// What the gateway shares with the other services of its daemon.
+    pub fn shared(&self) -> &Arc<Shared> {
+        &self.shared
+    }
+
+    /// Metrics of the gateway.
+    pub fn metrics(&self) -> &GatewayMetrics {
+        &self.metrics
+    }
+
+    /// Zone of this daemon.
+    pub fn zone(&self) -> &ZoneId {
+        &self.zone
+    }
+
+    /// Serves one request for `service`.
+    pub async fn serve(&self, service: &str, request: &Request, body: Body) -> Response {
+        let timer = self.metrics.duration.start_timer();
+        let rules = self.shared.steering().rules();
+        let revision = rules.as_ref().map(|rules| rules.revision);
+        let answer = match rules {
+            Some(rules) if self.shared.lease.is_valid() => {
+                match check(&rules, &self.zone, service, request, body).await {
+                    Ok(call) => self.carry_out(call).await,
+                    Err(reason) => Answer::not_run(reason),
+                }
+            }
+            _ => Answer::not_run(Reason::NoLease),
+        };
+        timer.observe_duration();
+        self.metrics.count(answer.outcome);
+        answer.into_response(revision)
+    }
+
+    async fn carry_out(&self, call: Call) -> Answer {
+        self.retries.earn();
+        let slot = match self
+            .admit(&call.service, &call.origin, call.wait_limits())
+            .await
+        {
+            Ok(slot) => slot,
+            Err(answer) => return answer,
+        };
+        let Some(key) = call.key.clone() else {
+            return self.attempt_in_turn(call, slot).await;
+        };
+        let mut claim = match self.claim(key, call.deadline).await {
+            Ok(claim) => claim,
+            Err(answer) => return answer,
+        };
+        self.attempt_once(call, slot, &mut claim).await
+    }
+
+    /// Chooses a zone and takes a slot there, waiting for one if allowed.
+    async fn admit(
+        &self,
+        service: &ServiceId,
+        origin: &ZoneId,
+        limits: WaitLimits,
+    ) -> Result<SlotGuard, Answer> {
+        let admission = self.shared.steering().admit(service, origin);
+        self.wait_for_slot(admission, None, limits).await
+    }
+
+    async fn wait_for_slot(
+        &self,
+        mut admission: Admission,
+        excluded: Option<BackendIndex>,
+        limits: WaitLimits,
+    ) -> Result<SlotGuard, Answer> {
+        let give_up = limits.deadline.min(Instant::now() + limits.queue);
+        let mut waiting = None;
+        loop {
+            let pool = match admission {
+                Admission::Dispatch(ticket) => {
+                    return Ok(SlotGuard::new(Arc::clone(&self.shared), ticket));
+                }
+                Admission::Full => return Err(self.refuse(Reason::NoSlot)),
+                Admission::Nowhere => return Err(self.refuse(Reason::NoZone)),
+                Admission::Wait(pool) => pool,
+            };
+            if waiting.is_none() {
+                waiting = Some(Waiting::start(&self.shared, pool));
+            }
+            let notify = self.shared.notify_of(pool);
+            let freed = notify.notified();
+            tokio::pin!(freed);
+            // Registered before looking again, so that no wake-up is missed.
+            freed.as_mut().enable();
+            admission = self.shared.steering().take(pool, excluded);
+            if matches!(admission, Admission::Dispatch(_)) {
+                continue;
+            }
+            if tokio::time::timeout_at(give_up.into(), freed)
+                .await
+                .is_err()
+            {
+                return Err(self.refuse(Reason::NoSlot));
+            }
+            admission = self.shared.steering().take(pool, excluded);
+            if matches!(admission, Admission::Full) {
+                admission = Admission::Wait(pool);
+            }
+        }
+    }
+
+    /// A refusal for lack of capacity makes the daemon report its demand soon.
+    fn refuse(&self, reason: Reason) -> Answer {
+        self.shared.report_now.notify_one();
+        Answer::not_run(reason)
+    }
+
+    async fn claim(&self, key: OnceKey, deadline: Instant) -> Result<Claim<'_>, Answer> {
+        let id = ClaimId {
+            daemon: self.daemon.clone(),
+            sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
+        };
+        let claim = Claim {
+            once: &self.once,
+            key,
+            id,
+            dispatched: false,
+        };
+        let remaining = deadline.saturating_duration_since(Instant::now());
+        let answer = self.once.claim(&claim.key, &claim.id, remaining).await;
+        let refused = match answer {
+            Ok(ClaimAnswer::Granted) => return Ok(claim),
+            Ok(ClaimAnswer::Taken) => Answer::unknown(Reason::KeyTaken),
+            Ok(ClaimAnswer::Completed(recorded)) => recorded_answer(recorded),
+            Ok(ClaimAnswer::TooOld) => {
+                // It may have run in the past and been forgotten since.
+                Answer::unknown(Reason::KeyRefused("the key is too old".to_owned()))
+            }
+            Ok(ClaimAnswer::FromFuture) => {
+                let text = "the key was issued in the future".to_owned();
+                Answer::not_run(Reason::KeyRefused(text))
+            }
+            // Not dispatched by this attempt; an earlier one may have run.
+            Ok(ClaimAnswer::GivenUp) | Err(_) => Answer::unknown(Reason::NoLedger),
+        };
+        Err(refused)
+    }
+
+    /// Dispatches a claimed request. Only a proof that it was not run allows
+    /// another attempt.
+    async fn attempt_once(
+        &self,
+        mut call: Call,
+        mut slot: SlotGuard,
+        claim: &mut Claim<'_>,
+    ) -> Answer {
+        for attempt in 1.. {
+            let excluded = slot.ticket().clone();
+            match self.attempt(&mut call, slot, Some(claim)).await {
+                Attempt::Answered(answer) => return answer,
+                Attempt::Failed(DispatchError::NotRun { reason }) => {
+                    claim.dispatched = false;
+                    if !self.may_retry(Outcome::NotRun, attempt, &call) {
+                        return Answer::not_run(Reason::BackEnd(reason));
+                    }
+                    slot = match self.other_slot(&excluded, call.wait_limits()).await {
+                        Ok(slot) => slot,
+                        Err(answer) => return answer,
+                    };
+                }
+                Attempt::Failed(error) => return unknown_answer(error),
+            }
+        }
+        unreachable!("attempts are limited")
+    }
+
+    /// Dispatches a repeatable request, on another back end after a failure.
+    async fn attempt_in_turn(&self, mut call: Call, mut slot: SlotGuard) -> Answer {
+        let mut may_have_run = false;
+        for attempt in 1.. {
+            let excluded = slot.ticket().clone();
+            let error = match self.attempt(&mut call, slot, None).await {
+                Attempt::Answered(answer) => return answer.after_attempts(may_have_run),
+                Attempt::Failed(error) => error,
+            };
+            let outcome = match error {
+                DispatchError::NotRun { .. } => Outcome::NotRun,
+                _ => Outcome::Unknown,
+            };
+            may_have_run |= outcome == Outcome::Unknown;
+            let next = if self.may_retry(outcome, attempt, &call) {
+                self.other_slot(&excluded, call.wait_limits()).await.ok()
+            } else {
+                None
+            };
+            let Some(next) = next else {
+                return final_answer(error, may_have_run);
+            };
+            slot = next;
+        }
+        unreachable!("attempts are limited")
+    }
+
+    fn may_retry(&self, outcome: Outcome, attempt: usize, call: &Call) -> bool {
+        let allowed = outcome.allows_retry(call.repeatable)
+            && attempt < MAX_ATTEMPTS
+            && matches!(call.body, RequestBody::Buffered(_))
+            && Instant::now() < call.deadline
+            && self.retries.spend();
+        if allowed {
+            self.metrics.retries.inc();
+        }
+        allowed
+    }
+
+    async fn other_slot(&self, failed: &Ticket, limits: WaitLimits) -> Result<SlotGuard, Answer> {
+        let excluded = Some(failed.backend);
+        let admission = self.shared.steering().take(failed.pool, excluded);
+        self.wait_for_slot(admission, excluded, limits).await
+    }
+
+    async fn attempt(
+        &self,
+        call: &mut Call,
+        mut slot: SlotGuard,
+        claim: Option<&mut Claim<'_>>,
+    ) -> Attempt {
+        let remaining = call.deadline.saturating_duration_since(Instant::now());
+        if remaining.is_zero() {
+            return Attempt::Answered(Answer::not_run(Reason::Deadline));
+        }
+        let index = slot.ticket().backend;
+        let (address, backend) = {
+            let steering = self.shared.steering();
+            let backend = steering.backends().get(index);
+            (backend.address.to_string(), backend.id.0.clone())
+        };
+        let dispatch = self.dispatch_of(call, address, remaining);
+        // A process that was frozen since it was admitted must not send.
+        if !self.shared.lease.is_valid() {
+            return Attempt::Answered(Answer::not_run(Reason::NoLease));
+        }
+        slot.sent(&dispatch.address, &dispatch.request_id, call.deadline);
+        let claimed = claim.map(|claim| {
+            claim.dispatched = true;
+            (claim.key.clone(), claim.id.clone())
+        });
+        let started = Instant::now();
+        match self.shared.backends.dispatch(dispatch).await {
+            Ok(answer) => {
+                self.note_answer(index, &answer.headers, started.elapsed());
+                let answer = self
+                    .receive(call.deadline, answer, slot, claimed, backend)
+                    .await;
+                Attempt::Answered(answer)
+            }
+            Err(error) => {
+                self.note_failure(index);
+                if matches!(error, DispatchError::NotRun { .. }) {
+                    slot.finish();
+                }
+                Attempt::Failed(error)
+            }
+        }
+    }
+
+    fn dispatch_of(&self, call: &mut Call, address: String, remaining: Duration) -> Dispatch {
+        let sequence = self.sequence.fetch_add(1, Ordering::Relaxed);
+        let mut headers = call.headers.clone();
+        for (name, zone) in [
+            (headers::ENTRY_ZONE, &self.zone),
+            (headers::ORIGIN_ZONE, &call.origin),
+        ] {
+            if let Ok(value) = zone.0.parse() {
+                headers.insert(name, value);
+            }
+        }
+        let body = match &mut call.body {
+            RequestBody::Buffered(bytes) => RequestBody::Buffered(bytes.clone()),
+            RequestBody::Streamed(stream) => {
+                // Sent once: `may_retry` refuses a second attempt.
+                let stream = std::mem::replace(stream, futures::stream::empty().boxed());
+                RequestBody::Streamed(stream)
+            }
+        };
+        Dispatch {
+            address,
+            request_id: format!("{}-{sequence}", self.daemon),
+            method: call.method.clone(),
+            path: call.path.clone(),
+            headers,
+            body,
+            deadline: remaining,
+        }
+    }
+
+    fn note_answer(&self, index: BackendIndex, headers: &HeaderMap, elapsed: Duration) {
+        let leaving = headers
+            .get(headers::BACKEND_STATE)
+            .is_some_and(|state| state.as_bytes() == b"leaving");
+        let mut steering = self.shared.steering();
+        let backends = steering.backends_mut();
+        backends.note_answer(index, elapsed.as_secs_f64() * 1000.0);
+        if leaving {
+            let backend = backends.get(index);
+            let (id, epoch) = (backend.id.clone(), backend.epoch);
+            if backend.state == BackendState::Live {
+                backends.note_leaving(&id, epoch);
+                self.shared.report_now.notify_one();
+            }
+        }
+    }
+
+    fn note_failure(&self, index: BackendIndex) {
+        self.shared.steering().backends_mut().note_failure(index);
+        self.shared.report_now.notify_one();
+    }
+
+    /// Takes the answer in: a short one whole, so that a broken one is told as
+    /// such; a long one piece by piece.
+    async fn receive(
+        &self,
+        deadline: Instant,
+        answer: BackendAnswer,
+        slot: SlotGuard,
+        claimed: Option<(OnceKey, ClaimId)>,
+        backend: String,
+    ) -> Answer {
+        let mut headers = answer.headers;
+        strip_connection_headers(&mut headers);
+        let status = answer.status;
+        let short = answer.length.is_some_and(|length| length <= BUFFERED_BYTES);
+        let body = if short {
+            let whole = read_whole(answer.body, deadline).await;
+            let Ok(bytes) = whole else {
+                return unknown_answer(DispatchError::Unknown {
+                    reason: "the answer broke off".to_owned(),
+                });
+            };
+            slot.finish();
+            self.record(claimed, status, Some(&bytes));
+            Body::from(bytes)
+        } else {
+            self.record(claimed, status, None);
+            Body::from_bytes_stream(guarded(answer.body, slot, deadline))
+        };
+        Answer {
+            outcome: Outcome::Completed,
+            content: Content::FromBackend {
+                status,
+                headers,
+                body,
+            },
+            backend: Some(backend),
+        }
+    }
+
+    fn record(
+        &self,
+        claimed: Option<(OnceKey, ClaimId)>,
+        status: StatusCode,
+        body: Option<&Bytes>,
+    ) {
+        let Some((key, claim)) = claimed else {
+            return;
+        };
+        let body = body
+            .filter(|body| body.len() <= MAX_RECORDED_BYTES)
+            .map(|body| body.to_vec());
+        let answer = RecordedAnswer {
+            status: status.as_u16(),
+            body,
+        };
+        self.once.complete(key, claim, answer);
+    }
+}
+
+fn recorded_answer(recorded: RecordedAnswer) -> Answer {
+    let status = StatusCode::from_u16(recorded.status).unwrap_or(StatusCode::OK);
+    let content = match recorded.body {
+        Some(body) => Content::FromBackend {
+            status,
+            headers: HeaderMap::new(),
+            body: Body::from(body),
+        },
+        None => Content::FromDaemon(Reason::AnswerNotKept),
+    };
+    Answer {
+        outcome: Outcome::Completed,
+        content,
+        backend: None,
+    }
+}
+
+fn unknown_answer(error: DispatchError) -> Answer {
+    match error {
+        DispatchError::Deadline => Answer::unknown(Reason::Deadline),
+        other => Answer::unknown(Reason::BackEnd(other.to_string())),
+    }
+}
+
+/// The request was not run only if no attempt may have run it.
+fn final_answer(error: DispatchError, may_have_run: bool) -> Answer {
+    match error {
+        DispatchError::NotRun { reason } if !may_have_run => {
+            Answer::not_run(Reason::BackEnd(reason))
+        }
+        other => unknown_answer(other),
+    }
+}
+
+async fn read_whole(mut body: ByteStream, deadline: Instant) -> Result<Bytes, std::io::Error> {
+    let read = async {
+        let mut whole = Vec::new();
+        while let Some(piece) = body.next().await {
+            whole.extend_from_slice(&piece?);
+        }
+        Ok(Bytes::from(whole))
+    };
+    tokio::time::timeout_at(deadline.into(), read)
+        .await
+        .map_err(std::io::Error::other)?
+}
+
+/// Passes a body on; the slot is freed when the body has ended whole, and counts
+/// as abandoned when the caller goes away or the body breaks off.
+fn guarded(body: ByteStream, slot: SlotGuard, deadline: Instant) -> ByteStream {
+    let state = Some((body, slot));
+    futures::stream::unfold(state, move |state| async move {
+        let (mut body, slot) = state?;
+        match tokio::time::timeout_at(deadline.into(), body.next()).await {
+            Ok(Some(Ok(piece))) => Some((Ok(piece), Some((body, slot)))),
+            Ok(Some(Err(error))) => Some((Err(error), None)),
+            Ok(None) => {
+                slot.finish();
+                None
+            }
+            Err(expired) => Some((Err(std::io::Error::other(expired)), None)),
+        }
+    })
+    .boxed()
+}
--- /dev/null
+++ b/crates/coursestand-gateway/src/lib.rs
@@ -0,0 +1,16 @@
+//! The HTTP edges of an entry daemon: look-ups and requests from callers, and
+//! dispatch to back ends.
+
+pub mod answer;
+pub mod backend_edge;
+pub mod callers;
+pub mod gateway;
+pub mod http_backend;
+pub mod lease;
+pub mod metrics;
+pub mod once_edge;
+pub mod request;
+pub mod retry_budget;
+pub mod slot_guard;
+
+pub use gateway::Gateway;
--- /dev/null
+++ b/crates/coursestand-gateway/src/once_edge.rs
@@ -0,0 +1,35 @@
+//! The edge towards the once ledger.
+
+use std::time::Duration;
+
+use async_trait::async_trait;
+use coursestand_coordination::once::{ClaimAnswer, ClaimId, OnceKey, RecordedAnswer};
+use snafu::Snafu;
+
+/// The ledger could not be asked, or its answer was lost.
+#[derive(Debug, Snafu)]
+#[snafu(display("the once ledger gave no answer: {reason}"))]
+pub struct OnceError {
+    /// What went wrong, turned into text by the layer below.
+    pub reason: String,
+}
+
+/// Claims, completes and releases idempotency keys.
+#[async_trait]
+pub trait OnceEdge: Send + Sync {
+    /// Claims a key for one dispatch. After an error the claim may be in force.
+    async fn claim(
+        &self,
+        key: &OnceKey,
+        claim: &ClaimId,
+        deadline: Duration,
+    ) -> Result<ClaimAnswer, OnceError>;
+
+    /// Records the answer of the request that ran under the claim; tries again
+    /// by itself.
+    fn complete(&self, key: OnceKey, claim: ClaimId, answer: RecordedAnswer);
+
+    /// Gives up a claim whose request was never dispatched; tries again by
+    /// itself.
+    fn release(&self, key: OnceKey, claim: ClaimId);
+}
--- /dev/null
+++ b/crates/coursestand-kernel/src/admin.rs
@@ -0,0 +1,82 @@
+//! The admin interface: `GET /state` (dump), `/metrics` and `/health`.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use poem::http::StatusCode;
+use poem::web::Json;
+use poem::{Endpoint, EndpointExt, IntoResponse, Response, Route, get, handler, web::Data};
+use prometheus::TextEncoder;
+use serde_json::{Map, Value, json};
+
+use crate::http::{HttpError, HttpServer};
+use crate::kernel::Kernel;
+use crate::service::Health;
+
+/// Requests on the admin interface get this long once the process stops.
+const GRACE: Duration = Duration::from_secs(1);
+
+/// The admin interface of one process.
+pub struct Admin {
+    server: HttpServer,
+}
+
+impl Admin {
+    /// Serves the state of `kernel` on `address`.
+    pub async fn start(address: SocketAddr, kernel: Kernel) -> Result<Admin, HttpError> {
+        let server = HttpServer::start(address, routes(Arc::new(kernel)), GRACE).await?;
+        Ok(Admin { server })
+    }
+
+    /// The address on which it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Ends the interface.
+    pub async fn stop(&self) {
+        self.server.drain().await;
+    }
+}
+
+fn routes(kernel: Arc<Kernel>) -> impl Endpoint {
+    Route::new()
+        .at("/state", get(state))
+        .at("/metrics", get(metrics))
+        .at("/health", get(health))
+        .data(kernel)
+}
+
+#[handler]
+fn state(kernel: Data<&Arc<Kernel>>) -> Json<Value> {
+    Json(kernel.dump())
+}
+
+#[handler]
+fn metrics(kernel: Data<&Arc<Kernel>>) -> Response {
+    let families = kernel.registry().metrics().gather();
+    match TextEncoder::new().encode_to_string(&families) {
+        Ok(text) => text.into_response(),
+        Err(error) => Response::builder()
+            .status(StatusCode::INTERNAL_SERVER_ERROR)
+            .body(error.to_string()),
+    }
+}
+
+#[handler]
+fn health(kernel: Data<&Arc<Kernel>>) -> Response {
+    let health = kernel.health();
+    let ready = health.iter().all(|(_, health)| *health == Health::Ready);
+    let services: Map<String, Value> = health
+        .into_iter()
+        .map(|(name, health)| (name.to_owned(), json!(health)))
+        .collect();
+    let status = if ready {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    };
+    let body = Json(json!({ "ready": ready, "services": services }));
+    body.with_status(status).into_response()
+}
--- /dev/null
+++ b/crates/coursestand-kernel/src/http.rs
@@ -0,0 +1,105 @@
+//! Runs an HTTP server on a listener until it is told to stop.
+
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::time::Duration;
+
+use poem::listener::{Acceptor, TcpAcceptor};
+use snafu::{ResultExt, Snafu};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// Why a server could not start.
+#[derive(Debug, Snafu)]
+pub enum HttpError {
+    /// The address can't be listened on.
+    #[snafu(display("cannot listen on {address}: {source}"))]
+    Listen {
+        /// Address from the settings.
+        address: SocketAddr,
+        /// Cause.
+        source: std::io::Error,
+    },
+}
+
+/// A running HTTP server.
+pub struct HttpServer {
+    address: SocketAddr,
+    shutdown: watch::Sender<bool>,
+    task: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl HttpServer {
+    /// Listens on `address` and serves `endpoint`. Once told to stop, requests
+    /// in flight get up to `grace` to finish.
+    pub async fn start<E>(
+        address: SocketAddr,
+        endpoint: E,
+        grace: Duration,
+    ) -> Result<HttpServer, HttpError>
+    where
+        E: poem::IntoEndpoint,
+        E::Endpoint: 'static,
+    {
+        let listener = TcpListener::bind(address)
+            .await
+            .context(ListenSnafu { address })?;
+        let address = listener.local_addr().context(ListenSnafu { address })?;
+        let acceptor = TcpAcceptor::from_tokio(listener).context(ListenSnafu { address })?;
+        let (shutdown, signal) = watch::channel(false);
+        let endpoint = endpoint.into_endpoint();
+        let task = tokio::spawn(serve(acceptor, endpoint, signal, grace));
+        Ok(HttpServer {
+            address,
+            shutdown,
+            task: Mutex::new(Some(task)),
+        })
+    }
+
+    /// The address on which the server listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting and waits for requests in flight.
+    pub async fn drain(&self) {
+        self.shutdown.send_replace(true);
+        let task = self.take_task();
+        if let Some(task) = task {
+            // A server task that panicked has nothing in flight any more.
+            let _ = task.await;
+        }
+    }
+
+    /// Ends the server and every request in flight.
+    pub fn abort(&self) {
+        if let Some(task) = self.take_task() {
+            task.abort();
+        }
+    }
+
+    fn take_task(&self) -> Option<JoinHandle<()>> {
+        self.task
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+            .take()
+    }
+}
+
+async fn serve<A, E>(acceptor: A, endpoint: E, mut signal: watch::Receiver<bool>, grace: Duration)
+where
+    A: Acceptor + 'static,
+    E: poem::Endpoint + 'static,
+{
+    let stop = async move {
+        // The sender is dropped only with the server itself.
+        let _ = signal.wait_for(|stop| *stop).await;
+    };
+    let result = poem::Server::new_with_acceptor(acceptor)
+        .run_with_graceful_shutdown(endpoint, stop, Some(grace))
+        .await;
+    if let Err(error) = result {
+        log::error!(target: "kernel", "an HTTP server ended: {error}");
+    }
+}
--- /dev/null
+++ b/crates/coursestand-transport/src/lib.rs
@@ -0,0 +1,13 @@
+//! Typed request and reply between coursestand processes, over `nng` (TCP).
+//!
+//! Every exchange has a deadline and a size limit, and every frame starts with
+//! the protocol version, so that processes of different versions refuse each
+//! other with a clear error instead of misreading messages.
+
+pub mod client;
+pub mod frame;
+pub mod server;
+
+pub use client::Client;
+pub use frame::{MAX_FRAME_BYTES, PROTOCOL_VERSION, TransportError};
+pub use server::{Handler, Server};
--- /dev/null
+++ b/crates/coursestand-transport/src/server.rs
@@ -0,0 +1,139 @@
+//! The answering side of an exchange.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use log::{debug, warn};
+use nng::options::{Options, RecvMaxSize};
+use nng::{Aio, AioResult, Context, Message, Protocol, Socket};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use snafu::ResultExt;
+use tokio::runtime::Handle;
+
+use crate::frame::{MAX_FRAME_BYTES, MessagingSnafu, TransportError, decode, encode};
+
+const LOG: &str = "transport";
+
+/// Answers requests of one type.
+pub trait Handler<Request, Reply>: Send + Sync + 'static {
+    /// Answers one request.
+    fn handle(&self, request: Request) -> impl Future<Output = Reply> + Send;
+}
+
+/// A listening socket with a fixed number of exchanges at the same time.
+pub struct Server {
+    socket: Socket,
+    address: SocketAddr,
+}
+
+impl Server {
+    /// Listens on `address` and answers with `handler`, up to `exchanges` at the
+    /// same time; more wait in the socket. Call it inside a tokio runtime.
+    pub fn start<Request, Reply, H>(
+        address: SocketAddr,
+        exchanges: usize,
+        handler: Arc<H>,
+    ) -> Result<Server, TransportError>
+    where
+        Request: DeserializeOwned + Send + 'static,
+        Reply: Serialize + Send + 'static,
+        H: Handler<Request, Reply>,
+    {
+        let context = MessagingSnafu { address };
+        let socket = Socket::new(Protocol::Rep0).context(context)?;
+        socket
+            .set_opt::<RecvMaxSize>(MAX_FRAME_BYTES)
+            .context(context)?;
+        let runtime = Handle::current();
+        for _ in 0..exchanges {
+            start_exchange(&socket, Arc::clone(&handler), runtime.clone()).context(context)?;
+        }
+        socket
+            .listen(&format!("tcp://{address}"))
+            .context(context)?;
+        Ok(Server { socket, address })
+    }
+
+    /// The address on which it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops listening; exchanges under way get no reply.
+    pub fn stop(&self) {
+        self.socket.close();
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+fn start_exchange<Request, Reply, H>(
+    socket: &Socket,
+    handler: Arc<H>,
+    runtime: Handle,
+) -> Result<(), nng::Error>
+where
+    Request: DeserializeOwned + Send + 'static,
+    Reply: Serialize + Send + 'static,
+    H: Handler<Request, Reply>,
+{
+    let context = Context::new(socket)?;
+    let for_callback = context.clone();
+    let aio = Aio::new(move |aio, result| match result {
+        AioResult::Recv(Ok(message)) => {
+            let handler = Arc::clone(&handler);
+            let context = for_callback.clone();
+            runtime.spawn(async move { answer(handler, context, aio, message).await });
+        }
+        AioResult::Recv(Err(nng::Error::Closed))
+        | AioResult::Send(Err((_, nng::Error::Closed))) => {}
+        AioResult::Recv(Err(_)) | AioResult::Send(_) | AioResult::Sleep(_) => {
+            receive_next(&for_callback, &aio);
+        }
+    })?;
+    context.recv(&aio)?;
+    Ok(())
+}
+
+async fn answer<Request, Reply, H>(handler: Arc<H>, context: Context, aio: Aio, message: Message)
+where
+    Request: DeserializeOwned + Send + 'static,
+    Reply: Serialize + Send + 'static,
+    H: Handler<Request, Reply>,
+{
+    let request: Request = match decode(message.as_slice()) {
+        Ok(request) => request,
+        Err(error) => {
+            // The asker sees no reply and reports its deadline.
+            warn!(target: LOG, "a request was refused: {error}");
+            receive_next(&context, &aio);
+            return;
+        }
+    };
+    let reply = handler.handle(request).await;
+    match encode(&reply) {
+        Ok(frame) => {
+            if let Err((_, error)) = context.send(&aio, Message::from(frame.as_slice())) {
+                debug!(target: LOG, "a reply was not sent: {error}");
+            }
+        }
+        Err(error) => {
+            warn!(target: LOG, "a reply was not encoded: {error}");
+            receive_next(&context, &aio);
+        }
+    }
+}
+
+fn receive_next(context: &Context, aio: &Aio) {
+    if let Err(error) = context.recv(aio)
+        && error != nng::Error::Closed
+    {
+        warn!(target: LOG, "an exchange ended: {error}");
+    }
+}
