--- /dev/null
+++ b/crates/coursestand-cli/src/arguments.rs
@@ -0,0 +1,335 @@
+//! The command line.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use gumdrop::Options;
+
+/// Arguments of the tool.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(command)]
+    pub command: Option<Command>,
+}
+
+/// Commands.
+#[derive(Debug, Options)]
+pub enum Command {
+    #[options(help = "run a whole deployment in this process for a while")]
+    Demo(DemoOptions),
+    #[options(help = "check, sign, submit and follow policy bundles")]
+    Bundle(BundleOptions),
+    #[options(help = "form the control group, replace a replica, show its status")]
+    Control(ControlOptions),
+    #[options(help = "move traffic away from region:NAME, zone:NAME or backend:NAME")]
+    Drain(DrainOptions),
+    #[options(help = "end a drain")]
+    Restore(DrainOptions),
+    #[options(help = "print the state of a process")]
+    Dump(DumpOptions),
+    #[options(help = "ask an entry daemon which daemons to use")]
+    Lookup(LookupOptions),
+    #[options(help = "make an operator's key")]
+    Key(KeyOptions),
+    #[options(help = "run the emulated world and load of the testbed")]
+    Lab(LabOptions),
+    #[options(help = "print the JSON schema of settings, bundle or deployment files")]
+    Schema(SchemaOptions),
+}
+
+#[derive(Debug, Options)]
+pub struct DemoOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(help = "hut or coop", default = "hut", meta = "NAME")]
+    pub deployment: String,
+    #[options(help = "how long requests start", default = "15", meta = "N")]
+    pub seconds: u64,
+    #[options(help = "requests a second", default = "300", meta = "N")]
+    pub rate: f64,
+    #[options(help = "print the figures as JSON")]
+    pub json: bool,
+}
+
+#[derive(Debug, Options)]
+pub struct BundleOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(command)]
+    pub command: Option<BundleCommand>,
+}
+
+#[derive(Debug, Options)]
+pub enum BundleCommand {
+    #[options(help = "check a bundle file")]
+    Lint(FileOptions),
+    #[options(help = "sign a bundle file; add sign-offs to a signed one")]
+    Sign(SignOptions),
+    #[options(help = "submit a signed bundle")]
+    Submit(SubmitOptions),
+    #[options(help = "show which daemons are behind")]
+    Status(OperatorOptions),
+    #[options(help = "show the accepted changes")]
+    History(OperatorOptions),
+    #[options(help = "put the bundle of an earlier revision in force again")]
+    Roll(RollOptions),
+}
+
+#[derive(Debug, Options)]
+pub struct FileOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "the file")]
+    pub file: PathBuf,
+}
+
+#[derive(Debug, Options)]
+pub struct SignOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "bundle file, or signed bundle to add to")]
+    pub file: PathBuf,
+    #[options(help = "operator's key file", required, meta = "FILE")]
+    pub key: PathBuf,
+    #[options(help = "file for the signed bundle", required, meta = "FILE")]
+    pub output: PathBuf,
+}
+
+#[derive(Debug, Options)]
+pub struct SubmitOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "signed bundle file")]
+    pub file: PathBuf,
+    #[options(
+        help = "operators' addresses of the control replicas",
+        meta = "IP:PORT"
+    )]
+    pub control: Vec<SocketAddr>,
+    #[options(
+        help = "revision against which the bundle was made",
+        required,
+        meta = "N"
+    )]
+    pub expected: u64,
+    #[options(
+        help = "name of this submit; the same again gives the same answer",
+        meta = "TEXT"
+    )]
+    pub submission: Option<String>,
+}
+
+#[derive(Debug, Options)]
+pub struct OperatorOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(
+        help = "operators' addresses of the control replicas",
+        meta = "IP:PORT"
+    )]
+    pub control: Vec<SocketAddr>,
+    #[options(help = "print JSON")]
+    pub json: bool,
+}
+
+#[derive(Debug, Options)]
+pub struct RollOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "the earlier revision")]
+    pub revision: u64,
+    #[options(
+        help = "operators' addresses of the control replicas",
+        meta = "IP:PORT"
+    )]
+    pub control: Vec<SocketAddr>,
+    #[options(help = "operator's key file", required, meta = "FILE")]
+    pub key: PathBuf,
+    #[options(help = "current revision", required, meta = "N")]
+    pub expected: u64,
+}
+
+#[derive(Debug, Options)]
+pub struct ControlOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(command)]
+    pub command: Option<ControlCommand>,
+}
+
+#[derive(Debug, Options)]
+pub enum ControlCommand {
+    #[options(help = "form a control group of blank replicas")]
+    Init(InitOptions),
+    #[options(help = "put a blank replica in the place of a lost one")]
+    Replace(ReplaceOptions),
+    #[options(help = "show every replica")]
+    Status(OperatorOptions),
+}
+
+#[derive(Debug, Options)]
+pub struct InitOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(help = "operators' addresses of the blank replicas", meta = "IP:PORT")]
+    pub control: Vec<SocketAddr>,
+    #[options(help = "key files of the operators who may sign", meta = "FILE")]
+    pub key: Vec<PathBuf>,
+    #[options(help = "sign-offs that a change needs", default = "1", meta = "N")]
+    pub required: usize,
+    #[options(
+        help = "number of the group, to go on with a call that was cut off",
+        meta = "N"
+    )]
+    pub cluster: Option<u64>,
+}
+
+#[derive(Debug, Options)]
+pub struct ReplaceOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(
+        help = "operators' addresses of the control replicas",
+        meta = "IP:PORT"
+    )]
+    pub control: Vec<SocketAddr>,
+    #[options(help = "identity of the lost replica", required, meta = "N")]
+    pub lost: u64,
+    #[options(
+        help = "operators' address of the blank replica",
+        required,
+        meta = "IP:PORT"
+    )]
+    pub with: Option<SocketAddr>,
+}
+
+#[derive(Debug, Options)]
+pub struct DrainOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "region:NAME, zone:NAME or backend:NAME")]
+    pub target: String,
+    #[options(
+        help = "operators' addresses of the control replicas",
+        meta = "IP:PORT"
+    )]
+    pub control: Vec<SocketAddr>,
+    #[options(help = "operator's key file", required, meta = "FILE")]
+    pub key: PathBuf,
+}
+
+#[derive(Debug, Options)]
+pub struct DumpOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "admin address of the process")]
+    pub address: String,
+}
+
+#[derive(Debug, Options)]
+pub struct LookupOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "address of an entry daemon")]
+    pub address: String,
+    #[options(help = "service", required, meta = "NAME")]
+    pub service: String,
+    #[options(help = "address or zone of the client", required, meta = "TEXT")]
+    pub client: String,
+}
+
+#[derive(Debug, Options)]
+pub struct KeyOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "file for the key; it must not be there")]
+    pub file: PathBuf,
+    #[options(help = "name of the operator", required, meta = "NAME")]
+    pub operator: String,
+}
+
+#[derive(Debug, Options)]
+pub struct LabOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(command)]
+    pub command: Option<LabCommand>,
+}
+
+#[derive(Debug, Options)]
+pub enum LabCommand {
+    #[options(help = "write the deployment and settings files of hut or coop")]
+    Prepare(PrepareOptions),
+    #[options(help = "run the back ends and the platform list of a deployment")]
+    World(WorldOptions),
+    #[options(help = "make load and check what the back ends recorded")]
+    Load(LoadOptions),
+    #[options(help = "measure the control group with hollow daemons")]
+    Scale(ScaleOptions),
+}
+
+#[derive(Debug, Options)]
+pub struct PrepareOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "hut or coop")]
+    pub deployment: String,
+    #[options(help = "folder for the files", required, meta = "DIR")]
+    pub folder: PathBuf,
+    #[options(help = "data folder that the settings name", required, meta = "DIR")]
+    pub data: PathBuf,
+    #[options(help = "first port on 127.0.0.1", default = "21000", meta = "N")]
+    pub port: u16,
+}
+
+#[derive(Debug, Options)]
+pub struct WorldOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "deployment file")]
+    pub deployment: PathBuf,
+}
+
+#[derive(Debug, Options)]
+pub struct LoadOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "deployment file")]
+    pub deployment: PathBuf,
+    #[options(help = "addresses of entry daemons", meta = "IP:PORT")]
+    pub entry: Vec<SocketAddr>,
+    #[options(help = "how long requests start", default = "15", meta = "N")]
+    pub seconds: u64,
+    #[options(help = "requests a second", default = "200", meta = "N")]
+    pub rate: f64,
+    #[options(help = "seed of the choices", default = "1", meta = "N")]
+    pub seed: u64,
+    #[options(help = "print the figures as JSON")]
+    pub json: bool,
+}
+
+#[derive(Debug, Options)]
+pub struct ScaleOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(
+        help = "hollow daemons, one number a step",
+        default = "10,100,1000",
+        meta = "N,N"
+    )]
+    pub steps: String,
+    #[options(help = "changes in each step", default = "40", meta = "N")]
+    pub changes: u64,
+    #[options(help = "print JSON")]
+    pub json: bool,
+}
+
+#[derive(Debug, Options)]
+pub struct SchemaOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "settings, bundle or signed-bundle")]
+    pub kind: String,
+}
--- /dev/null
+++ b/crates/coursestand-cli/src/commands/lab.rs
@@ -0,0 +1,96 @@
+//! `coursestand lab …`.
+
+use std::path::Path;
+use std::sync::Arc;
+
+use coursestand_lab::Deployment;
+use coursestand_lab::address::AddressBook;
+use coursestand_lab::callers::Caller;
+use coursestand_lab::demo::World;
+use coursestand_lab::load::run_load;
+use coursestand_lab::places::Latencies;
+use coursestand_lab::records::Record;
+use coursestand_lab::report::figures;
+use coursestand_model::load::load;
+use serde::Serialize;
+use snafu::{ResultExt, ensure};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::arguments::{LabCommand, LabOptions, LoadOptions, PrepareOptions, WorldOptions};
+use crate::commands::bundle::usage;
+use crate::commands::demo::{conclude, deployment_of, plan_of};
+use crate::commands::scale;
+use crate::error::{DemoSnafu, FileSnafu, HttpSnafu, JsonSnafu, LoadSnafu, ToolError, UsageSnafu};
+
+/// Runs a lab command.
+pub async fn run(options: LabOptions) -> Result<(), ToolError> {
+    match options.command {
+        Some(LabCommand::Prepare(options)) => prepare(&options),
+        Some(LabCommand::World(options)) => world(&options).await,
+        Some(LabCommand::Load(options)) => make_load(options).await,
+        Some(LabCommand::Scale(options)) => scale::run(options).await,
+        None => usage("lab needs a command: prepare, world, load, scale"),
+    }
+}
+
+fn prepare(options: &PrepareOptions) -> Result<(), ToolError> {
+    let make = deployment_of(&options.deployment)?;
+    let mut addresses = AddressBook::fixed(options.port);
+    let deployment = make(&mut addresses);
+    let folder = &options.folder;
+    std::fs::create_dir_all(folder).context(FileSnafu { path: folder })?;
+    for settings in deployment.daemon_settings(&mut addresses, &options.data) {
+        write(&folder.join(format!("{}.json", settings.name)), &settings)?;
+    }
+    write(&folder.join("bundle.json"), &deployment.bundle)?;
+    write(&folder.join("deployment.json"), &deployment)
+}
+
+fn write<T: Serialize>(path: &Path, value: &T) -> Result<(), ToolError> {
+    let mut text = serde_json::to_string_pretty(value).context(JsonSnafu)?;
+    text.push('\n');
+    std::fs::write(path, text).context(FileSnafu { path })
+}
+
+/// Runs until it is told to end.
+async fn world(options: &WorldOptions) -> Result<(), ToolError> {
+    let deployment: Deployment = load(&options.deployment).context(LoadSnafu)?;
+    let world = World::start(deployment).await.context(DemoSnafu)?;
+    println!(
+        "{} back ends; platform list at {}",
+        world.backends.len(),
+        world.platform.url()
+    );
+    let path = &options.deployment;
+    let mut terminate = signal(SignalKind::terminate()).context(FileSnafu { path })?;
+    let mut interrupt = signal(SignalKind::interrupt()).context(FileSnafu { path })?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
+
+async fn make_load(options: LoadOptions) -> Result<(), ToolError> {
+    let deployment: Deployment = load(&options.deployment).context(LoadSnafu)?;
+    ensure!(
+        !options.entry.is_empty(),
+        UsageSnafu {
+            reason: "--entry is needed: addresses of entry daemons",
+        }
+    );
+    let run = format!("load-{}", rand::random::<u32>());
+    let plan = plan_of(&run, options.seconds, options.rate, options.seed)?;
+    let entry_points = options.entry.iter().map(ToString::to_string).collect();
+    let latency = Latencies::new(deployment.bundle.clone()).to_client();
+    let caller = Arc::new(Caller::new(entry_points, latency));
+    let finished = run_load(&deployment, caller, &plan, |_| {}).await;
+    let url = format!("http://{}/lab/records", deployment.platform);
+    let answer = reqwest::get(url).await.context(HttpSnafu)?;
+    let records: Vec<Record> = answer.json().await.context(HttpSnafu)?;
+    let own: Vec<Record> = records
+        .into_iter()
+        .filter(|record| record.token.starts_with(&run))
+        .collect();
+    conclude(&figures(&deployment.bundle, &finished, &own), options.json)
+}
--- /dev/null
+++ b/crates/coursestand-cli/src/commands/mod.rs
@@ -0,0 +1,11 @@
+//! One module for each group of commands.
+
+pub mod bundle;
+pub mod control;
+pub mod demo;
+pub mod drain;
+pub mod inspect;
+pub mod key;
+pub mod lab;
+pub mod scale;
+pub mod schema;
--- a/crates/coursestand-consensus/src/replica.rs
+++ b/crates/coursestand-consensus/src/replica.rs
@@ -167,6 +167,11 @@
         self.commit
     }
 
+    /// Highest index handed out in `Ready::committed`.
+    pub fn applied_index(&self) -> LogIndex {
+        self.applied
+    }
+
     /// The log.
     pub fn log(&self) -> &Log {
         &self.log
@@ -186,15 +191,23 @@
     }
 
     /// Whether nobody else can have committed anything until `now`, so that
-    /// the state applied here up to the commit index is the newest there is.
-    /// Check it again after every wait.
+    /// the state applied here is the newest there is. Check it again after
+    /// every wait.
     pub fn holds_lease(&self, now: Millis) -> bool {
+        self.lease_end(now).is_some_and(|end| now < end)
+    }
+
+    /// Until when nobody else can commit anything, on this replica's clock.
+    /// `None` while this replica doesn't lead, or hasn't applied what leaders
+    /// before it committed.
+    pub fn lease_end(&self, now: Millis) -> Option<Millis> {
         let Role::Leader(leader) = &self.role else {
-            return false;
+            return None;
         };
-        !leader.lease_given_up
-            && self.commit >= leader.first_of_term
-            && now < self.lease_until(leader, now)
+        if leader.lease_given_up || self.applied < leader.first_of_term {
+            return None;
+        }
+        Some(self.lease_until(leader, now))
     }
 
     /// A majority was loyal from these points on for an election timeout, less
--- a/crates/coursestand-coordination/src/shift_ledger.rs
+++ b/crates/coursestand-coordination/src/shift_ledger.rs
@@ -70,14 +70,14 @@
         }
     }
 
-    /// The newest version that waits for confirmation.
-    pub fn unconfirmed(&self) -> Option<ControlVersion> {
+    /// The oldest version that waits for confirmation.
+    pub fn oldest_unconfirmed(&self) -> Option<ControlVersion> {
         self.moves
             .values()
             .flatten()
             .filter(|one| one.confirmed_at.is_none())
             .map(|one| one.version)
-            .max()
+            .min()
     }
 
     /// Drops moves that are older than the longest window any bundle may state,
--- a/crates/coursestand-coordination/src/state.rs
+++ b/crates/coursestand-coordination/src/state.rs
@@ -262,13 +262,10 @@
     ) -> CommandAnswer {
         let mut changed = false;
         for (name, member) in members {
-            if let Some(known) = self.tables.members.get(name) {
-                // News of an older run, or a step back of the same run, is late.
-                let late = member.incarnation < known.incarnation
-                    || (member.incarnation == known.incarnation && member.phase < known.phase);
-                if late {
-                    continue;
-                }
+            let known = self.tables.members.get(name);
+            let late = known.is_some_and(|known| !known.is_followed_by(member));
+            if late {
+                continue;
             }
             changed |= self.tables.members.set(name.clone(), member.clone(), index);
         }
--- a/crates/coursestand-coordination/src/tables.rs
+++ b/crates/coursestand-coordination/src/tables.rs
@@ -128,16 +128,30 @@
 }
 
 /// Whether callers should be sent to a daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberPhase {
     /// Serves callers.
     Serving,
+    /// Its lease ended; it may come back.
+    Silent,
     /// Announced that it stops.
     Leaving,
-    /// Its lease ended.
+    /// Announced that it has stopped.
     Gone,
 }
 
+impl MemberPhase {
+    /// Whether one run of a daemon may go from this phase to `next`: what it
+    /// announced itself is never taken back.
+    pub fn may_become(self, next: MemberPhase) -> bool {
+        match self {
+            MemberPhase::Serving | MemberPhase::Silent => true,
+            MemberPhase::Leaving => matches!(next, MemberPhase::Leaving | MemberPhase::Gone),
+            MemberPhase::Gone => next == MemberPhase::Gone,
+        }
+    }
+}
+
 /// A daemon as look-ups see it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
@@ -151,6 +165,17 @@
     pub phase: MemberPhase,
 }
 
+impl Member {
+    /// Whether `next` tells of a later run, or of a later phase of this one.
+    pub fn is_followed_by(&self, next: &Member) -> bool {
+        match next.incarnation.cmp(&self.incarnation) {
+            std::cmp::Ordering::Less => false,
+            std::cmp::Ordering::Equal => self.phase.may_become(next.phase),
+            std::cmp::Ordering::Greater => true,
+        }
+    }
+}
+
 /// What an operator can drain.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
--- a/crates/coursestand-coordination/src/wire.rs
+++ b/crates/coursestand-coordination/src/wire.rs
@@ -86,28 +86,6 @@
     },
     /// A message of the consensus group, encoded by it.
     Consensus(Vec<u8>),
-    /// Forms or joins a control group; see the operators' pages.
-    Join(JoinRequest),
-}
-
-/// Makes a blank replica a member of a control group.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct JoinRequest {
-    /// The control group.
-    pub cluster: u64,
-    /// Identity that the replica takes for good.
-    pub replica: u64,
-    /// All first voters; empty when the replica joins as a learner.
-    pub voters: Vec<ReplicaAddress>,
-}
-
-/// Where a replica is reached.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct ReplicaAddress {
-    /// Its identity.
-    pub replica: u64,
-    /// Its address.
-    pub address: SocketAddr,
 }
 
 /// Answer of a control replica.
--- /dev/null
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -0,0 +1,510 @@
+//! Drives the consensus core of one replica on a thread of its own: takes
+//! messages and proposals, syncs, sends, applies.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::mpsc::{Receiver, RecvTimeoutError};
+use std::time::Duration;
+
+use coursestand_consensus::wal::WriteAheadLog;
+use coursestand_consensus::{
+    Batch, Config, Entry, HardState, Membership, Message, Payload, Ready, Replica, ReplicaId,
+    Restored, Role, Snapshot, Storage,
+};
+use coursestand_coordination::command::StampedCommand;
+use coursestand_coordination::{Command, CommandAnswer, ControlState};
+use coursestand_kernel::clock::wall_ms;
+use coursestand_model::Millis;
+use log::{error, info, warn};
+use snafu::ResultExt;
+use tokio::sync::oneshot;
+
+use crate::control::error::{ControlError, LogSnafu, ProposeSnafu};
+use crate::control::identity::{self, Identity};
+use crate::control::peers::Peers;
+use crate::control::shared::{ControlShared, MemberStatus, ReplicaStatus};
+
+const LOG: &str = "consensus";
+/// Time between two looks at the clock.
+const TICK: Duration = Duration::from_millis(10);
+/// Events taken in before the next sync: they share it.
+const MAX_EVENTS_PER_SYNC: usize = 1024;
+/// Entries after which the state machine is saved and the log is shortened.
+const ENTRIES_PER_SNAPSHOT: u64 = 20_000;
+
+/// Reply to a proposal.
+pub type Proposed = oneshot::Sender<Result<CommandAnswer, ControlError>>;
+
+/// What a driver is asked to do.
+pub enum Event {
+    /// A message of another replica.
+    Message {
+        /// The sender.
+        from: ReplicaId,
+        /// What it says.
+        message: Message,
+    },
+    /// A command for the state machine.
+    Propose {
+        /// The command.
+        command: Box<Command>,
+        /// Gets the answer once it is committed and applied.
+        reply: Proposed,
+    },
+    /// A change of the group.
+    ChangeMembers {
+        /// The new members.
+        next: Membership,
+        /// Gets `Done` once it is committed.
+        reply: Proposed,
+    },
+    /// Makes a blank replica a member.
+    Join {
+        /// Its identity.
+        identity: Identity,
+        /// The first voters; none for a learner.
+        voters: Vec<(ReplicaId, String)>,
+        /// Gets the result.
+        reply: oneshot::Sender<Result<(), ControlError>>,
+    },
+    /// Hands the leadership to another voter, for a planned stop.
+    HandOver,
+    /// Ends the driver.
+    Stop,
+}
+
+/// The driver of one replica.
+pub struct Driver {
+    shared: Arc<ControlShared>,
+    peers: Peers,
+    folder: PathBuf,
+    address: String,
+    group: Option<Group>,
+}
+
+/// The replica once it has joined a group.
+struct Group {
+    identity: Identity,
+    replica: Replica,
+    log: WriteAheadLog,
+    /// Proposals that are not committed yet, by index, with their term.
+    waiting: BTreeMap<u64, (u64, Proposed)>,
+    /// The replicated clock and our own when this replica began to lead.
+    clock_base: Option<(Millis, Millis)>,
+}
+
+/// Whether the driver goes on.
+enum Next {
+    GoOn,
+    Stop,
+}
+
+impl Driver {
+    /// A driver with its data in `folder`; joins its group again when it was a
+    /// member before.
+    pub fn open(
+        shared: Arc<ControlShared>,
+        peers: Peers,
+        folder: PathBuf,
+        address: String,
+    ) -> Result<Driver, ControlError> {
+        let mut driver = Driver {
+            shared,
+            peers,
+            folder,
+            address,
+            group: None,
+        };
+        let found = identity::read(&driver.folder)?;
+        if let Some(identity) = found {
+            let (log, restored) = WriteAheadLog::open(&driver.folder).context(LogSnafu)?;
+            driver.begin(identity, log, restored);
+        } else {
+            info!(target: LOG, "this replica is blank and waits to join a group");
+        }
+        driver.publish();
+        Ok(driver)
+    }
+
+    fn begin(&mut self, identity: Identity, log: WriteAheadLog, restored: Restored) {
+        let now = self.shared.clock.now();
+        if restored.snapshot.index > 0 {
+            self.restore(&restored.snapshot);
+        }
+        info!(
+            target: LOG,
+            "replica {} begins in term {} with {} entries",
+            identity.replica, restored.hard_state.term, restored.entries.len()
+        );
+        let config = Config::new(identity.replica, rand::random());
+        self.group = Some(Group {
+            identity,
+            replica: Replica::new(config, restored, now),
+            log,
+            waiting: BTreeMap::new(),
+            clock_base: None,
+        });
+    }
+
+    /// Runs until it is told to stop, or until storage fails.
+    pub fn run(mut self, events: &Receiver<Event>) {
+        loop {
+            match self.turn(events) {
+                Ok(Next::GoOn) => {}
+                Ok(Next::Stop) => break,
+                Err(failure) => {
+                    // What is on disk is no longer known: this replica must not
+                    // promise anything further.
+                    error!(target: LOG, "this replica stops: {failure}");
+                    self.fail(&failure);
+                    break;
+                }
+            }
+        }
+        self.shared.set_lease(0, None);
+    }
+
+    fn turn(&mut self, events: &Receiver<Event>) -> Result<Next, ControlError> {
+        let mut next = match events.recv_timeout(TICK) {
+            Ok(event) => Some(event),
+            Err(RecvTimeoutError::Timeout) => None,
+            Err(RecvTimeoutError::Disconnected) => return Ok(Next::Stop),
+        };
+        let mut taken = 0;
+        while let Some(event) = next {
+            if matches!(event, Event::Stop) {
+                return Ok(Next::Stop);
+            }
+            self.take(event)?;
+            taken += 1;
+            next = if taken < MAX_EVENTS_PER_SYNC {
+                events.try_recv().ok()
+            } else {
+                None
+            };
+        }
+        if let Some(group) = &mut self.group {
+            group.replica.tick(self.shared.clock.now());
+        }
+        while self.carry_out()? {}
+        self.shorten_log()?;
+        self.publish();
+        Ok(Next::GoOn)
+    }
+
+    fn take(&mut self, event: Event) -> Result<(), ControlError> {
+        match event {
+            Event::Message { from, message } => {
+                let now = self.shared.clock.now();
+                if let Some(group) = &mut self.group {
+                    group.replica.step(now, from, message);
+                }
+            }
+            Event::Propose { command, reply } => self.propose_command(*command, reply),
+            Event::ChangeMembers { next, reply } => {
+                self.propose(Payload::Membership(next), reply);
+            }
+            Event::Join {
+                identity,
+                voters,
+                reply,
+            } => {
+                // The asker may have gone; the result stands all the same.
+                let _ = reply.send(self.join(identity, voters));
+            }
+            Event::HandOver => self.hand_over(),
+            Event::Stop => {}
+        }
+        Ok(())
+    }
+
+    fn join(
+        &mut self,
+        identity: Identity,
+        voters: Vec<(ReplicaId, String)>,
+    ) -> Result<(), ControlError> {
+        if let Some(group) = &self.group {
+            if group.identity == identity {
+                return Ok(());
+            }
+            return Err(ControlError::Joined {
+                cluster: group.identity.cluster,
+                replica: group.identity.replica,
+            });
+        }
+        let (mut log, _) = WriteAheadLog::open(&self.folder).context(LogSnafu)?;
+        let snapshot = Snapshot {
+            membership: Membership::of_voters(voters),
+            ..Snapshot::default()
+        };
+        let hard_state = HardState::default();
+        log.compact(&snapshot, hard_state, &[]).context(LogSnafu)?;
+        // The identity comes last: with it, the replica is a member.
+        identity::write(&self.folder, identity)?;
+        let restored = Restored {
+            snapshot,
+            ..Restored::default()
+        };
+        self.begin(identity, log, restored);
+        Ok(())
+    }
+
+    /// Stamps a command with the leader's clocks and proposes it.
+    fn propose_command(&mut self, command: Command, reply: Proposed) {
+        let now = self.shared.clock.now();
+        let base = self.group.as_ref().and_then(|group| group.clock_base);
+        let Some((replicated, own)) = base else {
+            let _ = reply.send(Err(ControlError::NotLeader));
+            return;
+        };
+        let stamped = StampedCommand {
+            clock: replicated + now.saturating_sub(own),
+            wall_ms: wall_ms(),
+            command,
+        };
+        match postcard::to_stdvec(&stamped) {
+            Ok(bytes) => self.propose(Payload::Command(bytes), reply),
+            Err(failure) => {
+                let answer = CommandAnswer::Refused(failure.to_string());
+                let _ = reply.send(Ok(answer));
+            }
+        }
+    }
+
+    fn propose(&mut self, payload: Payload, reply: Proposed) {
+        let now = self.shared.clock.now();
+        let Some(group) = &mut self.group else {
+            let _ = reply.send(Err(ControlError::NotJoined));
+            return;
+        };
+        match group.replica.propose(now, payload).context(ProposeSnafu) {
+            Ok(index) => {
+                let term = group.replica.term();
+                group.waiting.insert(index, (term, reply));
+            }
+            Err(failure) => {
+                let _ = reply.send(Err(failure));
+            }
+        }
+    }
+
+    fn hand_over(&mut self) {
+        let now = self.shared.clock.now();
+        let Some(group) = &mut self.group else {
+            return;
+        };
+        let newest = group.replica.progress().and_then(|progress| {
+            let membership = group.replica.membership();
+            progress
+                .iter()
+                .filter(|(replica, _)| membership.is_voter(**replica))
+                .max_by_key(|(_, progress)| progress.matched)
+                .map(|(replica, _)| *replica)
+        });
+        if let Some(to) = newest
+            && let Err(failure) = group.replica.transfer_to(now, to)
+        {
+            warn!(target: LOG, "the leadership was not handed over: {failure}");
+        }
+    }
+
+    /// Does what the replica asks for. Returns whether there was anything.
+    fn carry_out(&mut self) -> Result<bool, ControlError> {
+        let Some(group) = &mut self.group else {
+            return Ok(false);
+        };
+        let mut ready = group.replica.ready();
+        let cluster = group.identity.cluster;
+        let own = group.identity.replica;
+        let membership = group.replica.membership().clone();
+        let messages = std::mem::take(&mut ready.messages);
+        let mut busy = !messages.is_empty();
+        self.peers.send(cluster, own, &membership, messages);
+        let needs_sync = ready.needs_sync();
+        if needs_sync {
+            save(&mut group.log, &mut ready)?;
+        }
+        group.replica.persisted(self.shared.clock.now(), &ready);
+        let messages = std::mem::take(&mut ready.messages_after_sync);
+        busy |= needs_sync || !messages.is_empty() || !ready.committed.is_empty();
+        self.peers.send(cluster, own, &membership, messages);
+        if let Some(snapshot) = &ready.snapshot {
+            self.restore(snapshot);
+        }
+        self.apply(ready.committed);
+        Ok(busy)
+    }
+
+    fn restore(&self, snapshot: &Snapshot) {
+        if snapshot.data.is_empty() {
+            return;
+        }
+        match postcard::from_bytes::<ControlState>(&snapshot.data) {
+            Ok(mut state) => {
+                state.restore_derived();
+                let version = state.tables().version;
+                *self.shared.state_mut() = state;
+                self.shared.announce_version(version);
+            }
+            Err(failure) => error!(target: LOG, "a snapshot can't be decoded: {failure}"),
+        }
+    }
+
+    fn apply(&mut self, committed: Vec<Entry>) {
+        if committed.is_empty() {
+            return;
+        }
+        let Some(group) = &mut self.group else {
+            return;
+        };
+        let mut state = self.shared.state_mut();
+        let mut answers = Vec::new();
+        for entry in committed {
+            let answer = match &entry.payload {
+                Payload::Empty | Payload::Membership(_) => CommandAnswer::Done,
+                Payload::Command(bytes) => match postcard::from_bytes(bytes) {
+                    Ok(stamped) => state.apply(entry.index, &stamped),
+                    Err(failure) => CommandAnswer::Refused(failure.to_string()),
+                },
+            };
+            if let Some((term, reply)) = group.waiting.remove(&entry.index) {
+                // Another entry at this place: ours was lost with our leadership.
+                let result = if term == entry.term {
+                    Ok(answer)
+                } else {
+                    Err(ControlError::Lost)
+                };
+                answers.push((reply, result));
+            }
+        }
+        let version = state.tables().version;
+        drop(state);
+        self.shared.announce_version(version);
+        for (reply, result) in answers {
+            let _ = reply.send(result);
+        }
+    }
+
+    fn shorten_log(&mut self) -> Result<(), ControlError> {
+        let Some(group) = &mut self.group else {
+            return Ok(());
+        };
+        let log = group.replica.log();
+        let covered = log.snapshot().index;
+        let applied = group.replica.applied_index();
+        if applied < covered + ENTRIES_PER_SNAPSHOT {
+            return Ok(());
+        }
+        let encoded = postcard::to_stdvec(&*self.shared.state());
+        let data = match encoded {
+            Ok(data) => data,
+            Err(failure) => {
+                error!(target: LOG, "the state can't be encoded: {failure}");
+                return Ok(());
+            }
+        };
+        if let Some((snapshot, hard_state, rest)) = group.replica.compact(applied, data) {
+            group
+                .log
+                .compact(&snapshot, hard_state, &rest)
+                .context(LogSnafu)?;
+            info!(target: LOG, "the log was shortened up to entry {applied}");
+        }
+        Ok(())
+    }
+
+    /// Makes the newest role, lease and membership known.
+    fn publish(&mut self) {
+        let now = self.shared.clock.now();
+        let Some(group) = &mut self.group else {
+            self.shared.set_status(ReplicaStatus {
+                role: "blank",
+                ..ReplicaStatus::default()
+            });
+            return;
+        };
+        let lease_end = group.replica.lease_end(now);
+        match (lease_end, group.clock_base) {
+            (Some(_), None) => {
+                let replicated = self.shared.state().clock();
+                group.clock_base = Some((replicated, now));
+                info!(target: LOG, "this replica leads in term {}", group.replica.term());
+            }
+            (None, Some(_)) => {
+                group.clock_base = None;
+                info!(target: LOG, "this replica no longer leads");
+            }
+            _ => {}
+        }
+        if !group.replica.is_leader() {
+            for (_, (_, reply)) in std::mem::take(&mut group.waiting) {
+                let _ = reply.send(Err(ControlError::Lost));
+            }
+        }
+        self.shared.set_lease(group.replica.term(), lease_end);
+        self.shared
+            .set_membership(group.replica.membership().clone());
+        self.shared.set_status(status_of(group, now));
+    }
+
+    fn fail(&mut self, failure: &ControlError) {
+        self.group = None;
+        self.shared.set_lease(0, None);
+        self.shared.set_status(ReplicaStatus {
+            role: "failed",
+            failure: Some(failure.to_string()),
+            ..ReplicaStatus::default()
+        });
+    }
+
+    /// Address under which peers reach this replica.
+    pub fn address(&self) -> &str {
+        &self.address
+    }
+}
+
+fn save(log: &mut WriteAheadLog, ready: &mut Ready) -> Result<(), ControlError> {
+    let batch = Batch {
+        hard_state: ready.hard_state,
+        snapshot: ready.snapshot.clone(),
+        entries: std::mem::take(&mut ready.entries),
+    };
+    log.save(&batch).context(LogSnafu)
+}
+
+fn status_of(group: &Group, now: Millis) -> ReplicaStatus {
+    let replica = &group.replica;
+    let role = match replica.role() {
+        Role::Leader(_) => "leader",
+        Role::Follower { .. } => "follower",
+        Role::PreCandidate { .. } | Role::Candidate { .. } => "candidate",
+    };
+    let progress = replica.progress();
+    let members = replica
+        .membership()
+        .members
+        .iter()
+        .map(|(id, member)| {
+            let known = progress.and_then(|progress| progress.get(id));
+            MemberStatus {
+                replica: *id,
+                address: member.address.clone(),
+                voter: member.is_voter,
+                matched: known.map(|known| known.matched),
+                silent_ms: known.map(|known| now.saturating_sub(known.heard_at)),
+            }
+        })
+        .collect();
+    ReplicaStatus {
+        identity: Some(group.identity.into()),
+        term: replica.term(),
+        role,
+        leader: replica.leader(),
+        commit: replica.commit_index(),
+        last: replica.log().last_index(),
+        snapshot: replica.log().snapshot().index,
+        members,
+        failure: None,
+    }
+}
--- /dev/null
+++ b/crates/coursestand-daemon/src/control/exchange.rs
@@ -0,0 +1,179 @@
+//! Answers daemons and other replicas.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coursestand_coordination::followers::HOLD_MS;
+use coursestand_coordination::tables::{MemberPhase, SlotScope};
+use coursestand_coordination::wire::{ControlReply, ControlRequest, FollowRequest, ReportRequest};
+use coursestand_coordination::{Command, CommandAnswer};
+use coursestand_transport::Handler;
+
+use crate::control::driver::Event;
+use crate::control::error::ControlError;
+use crate::control::peers::Envelope;
+use crate::control::replica::ControlHandle;
+
+/// Answers requests with the state of one replica.
+pub struct ControlExchange {
+    control: Arc<ControlHandle>,
+}
+
+impl ControlExchange {
+    /// Answers for this replica.
+    pub fn new(control: Arc<ControlHandle>) -> ControlExchange {
+        ControlExchange { control }
+    }
+
+    /// Where the leader may be.
+    fn not_leader(&self) -> ControlReply {
+        let leader = self.control.shared.status().leader;
+        let address = leader.and_then(|leader| {
+            let membership = self.control.shared.membership();
+            let member = membership.members.get(&leader)?;
+            member.address.parse().ok()
+        });
+        ControlReply::NotLeader(address)
+    }
+
+    async fn follow(&self, request: FollowRequest) -> ControlReply {
+        let mut versions = self.control.shared.versions();
+        let hold = tokio::time::sleep(Duration::from_millis(HOLD_MS));
+        tokio::pin!(hold);
+        if self.waits_for_news_of(&request) {
+            self.control.duties.notify_one();
+        }
+        if request.phase == MemberPhase::Gone {
+            return self.end_follower(&request);
+        }
+        loop {
+            if self.control.shared.leading_term().is_none() {
+                return self.not_leader();
+            }
+            let version = *versions.borrow_and_update();
+            if version > request.have {
+                break;
+            }
+            tokio::select! {
+                () = &mut hold => break,
+                changed = versions.changed() => {
+                    if changed.is_err() {
+                        return self.not_leader();
+                    }
+                }
+            }
+        }
+        self.answer_follower(&request)
+    }
+
+    /// Whether the leader's duties can go on with what this request says.
+    fn waits_for_news_of(&self, request: &FollowRequest) -> bool {
+        let state = self.control.shared.state();
+        let known = state
+            .tables()
+            .members
+            .get(&request.daemon.name)
+            .is_some_and(|member| {
+                member.incarnation == request.daemon.incarnation && member.phase == request.phase
+            });
+        let confirms =
+            state.shift_ledger().oldest_unconfirmed().is_some() || !state.releases().is_empty();
+        !known || confirms
+    }
+
+    fn end_follower(&self, request: &FollowRequest) -> ControlReply {
+        let Some((mut guard, _)) = self.control.tenure() else {
+            return self.not_leader();
+        };
+        if let Some(tenure) = guard.as_mut() {
+            tenure.note_follower(request);
+        }
+        drop(guard);
+        self.control.duties.notify_one();
+        ControlReply::Done
+    }
+
+    fn answer_follower(&self, request: &FollowRequest) -> ControlReply {
+        let Some((mut guard, now)) = self.control.tenure() else {
+            return self.not_leader();
+        };
+        let Some(tenure) = guard.as_mut() else {
+            return self.not_leader();
+        };
+        if tenure.has_stopped(&request.daemon) {
+            return ControlReply::Done;
+        }
+        let delta = self
+            .control
+            .shared
+            .state()
+            .tables()
+            .delta(request.have, SlotScope::Daemon(&request.daemon));
+        tenure.note_follower(request);
+        tenure
+            .registry
+            .grant(now, &request.daemon, request.progress, delta.version);
+        ControlReply::Follow(delta)
+    }
+
+    fn report(&self, request: ReportRequest) -> ControlReply {
+        let Some((mut guard, now)) = self.control.tenure() else {
+            return self.not_leader();
+        };
+        if let Some(tenure) = guard.as_mut() {
+            tenure.note_report(now, request);
+        }
+        drop(guard);
+        self.control.duties.notify_one();
+        ControlReply::Done
+    }
+
+    async fn propose(&self, command: Command) -> ControlReply {
+        match self.control.propose(command).await {
+            Ok(CommandAnswer::Claim(answer)) => ControlReply::Claim(answer),
+            Ok(CommandAnswer::Refused(reason)) => ControlReply::Refused(reason),
+            Ok(_) => ControlReply::Done,
+            Err(ControlError::Lost) => ControlReply::Refused(ControlError::Lost.to_string()),
+            Err(_) => self.not_leader(),
+        }
+    }
+
+    fn consensus(&self, bytes: &[u8]) -> ControlReply {
+        let Ok(envelope) = postcard::from_bytes::<Envelope>(bytes) else {
+            return ControlReply::Refused("a consensus message can't be decoded".to_owned());
+        };
+        let own = self.control.shared.status().identity;
+        let is_for_us =
+            own.is_some_and(|own| own.cluster == envelope.cluster && own.replica == envelope.to);
+        if !is_for_us {
+            return ControlReply::Refused("the message is for another replica".to_owned());
+        }
+        let delivered = self.control.deliver(Event::Message {
+            from: envelope.from,
+            message: envelope.message,
+        });
+        match delivered {
+            Ok(()) => ControlReply::Done,
+            Err(error) => ControlReply::Refused(error.to_string()),
+        }
+    }
+}
+
+impl Handler<ControlRequest, ControlReply> for ControlExchange {
+    async fn handle(&self, request: ControlRequest) -> ControlReply {
+        match request {
+            ControlRequest::Follow(request) => self.follow(request).await,
+            ControlRequest::Report(request) => self.report(request),
+            ControlRequest::Claim { key, claim } => {
+                self.propose(Command::Claim { key, claim }).await
+            }
+            ControlRequest::Complete { key, claim, answer } => {
+                self.propose(Command::Complete { key, claim, answer }).await
+            }
+            ControlRequest::Release { key, claim } => {
+                self.propose(Command::Release { key, claim }).await
+            }
+            ControlRequest::Consensus(bytes) => self.consensus(&bytes),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coursestand-daemon/src/control/leader.rs
@@ -0,0 +1,247 @@
+//! The duties of the leader: membership, the platform list, confirmations,
+//! traffic shares and slots. Every replica runs this; only the one that leads
+//! with a lease does anything, and the state machine checks what it proposes.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use coursestand_coordination::allocator::plan_slots;
+use coursestand_coordination::planner::plan_steps;
+use coursestand_coordination::{Command, CommandAnswer};
+use coursestand_kernel::{Registry, Service, ServiceError};
+use coursestand_model::platform::{BackendState, PlatformBackend};
+use coursestand_model::settings::ControlSettings;
+use log::{debug, warn};
+use serde_json::{Value, json};
+use tokio::task::JoinHandle;
+
+use crate::control::platform::PlatformClient;
+use crate::control::replica::ControlHandle;
+use crate::names;
+
+const LOG: &str = "control";
+/// Time between two rounds of duties, when nothing asks for one earlier.
+const ROUND: Duration = Duration::from_millis(100);
+/// Time between two rounds at least.
+const PAUSE: Duration = Duration::from_millis(10);
+
+/// Runs the leader's duties.
+pub struct Leader {
+    settings: ControlSettings,
+    tasks: Mutex<Vec<JoinHandle<()>>>,
+}
+
+impl Leader {
+    /// Duties with these settings.
+    pub fn new(settings: ControlSettings) -> Leader {
+        Leader {
+            settings,
+            tasks: Mutex::default(),
+        }
+    }
+}
+
+#[async_trait]
+impl Service for Leader {
+    fn name(&self) -> &'static str {
+        names::LEADER
+    }
+
+    async fn start(&self, registry: &Arc<Registry>) -> Result<(), ServiceError> {
+        let failed = |error: &dyn std::fmt::Display| ServiceError::new(names::LEADER, error);
+        let control = registry
+            .find::<ControlHandle>(names::CONTROL)
+            .map_err(|error| failed(&error))?;
+        let mut tasks = vec![tokio::spawn(run_duties(Arc::clone(&control)))];
+        if let Some(url) = &self.settings.platform_list {
+            let client = PlatformClient::new(url).map_err(|error| failed(&error))?;
+            let pause = Duration::from_millis(self.settings.platform_poll_ms);
+            tasks.push(tokio::spawn(watch_platform(control, client, pause)));
+        }
+        *self.tasks.lock().unwrap_or_else(PoisonError::into_inner) = tasks;
+        Ok(())
+    }
+
+    async fn stop(&self) {
+        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
+        for task in tasks.drain(..) {
+            task.abort();
+        }
+    }
+
+    fn dump(&self) -> Value {
+        json!({ "platform_list": self.settings.platform_list })
+    }
+}
+
+async fn watch_platform(control: Arc<ControlHandle>, client: PlatformClient, pause: Duration) {
+    let mut failing = false;
+    loop {
+        tokio::time::sleep(pause).await;
+        if control.shared.leading_term().is_none() {
+            continue;
+        }
+        match client.read().await {
+            Ok(list) => {
+                failing = false;
+                let news = platform_news(&control, list.backends);
+                if !news.is_empty() {
+                    propose(&control, Command::UpdateBackends(news)).await;
+                    control.duties.notify_one();
+                }
+            }
+            Err(error) if !failing => {
+                failing = true;
+                warn!(target: LOG, "{error}");
+            }
+            Err(_) => {}
+        }
+    }
+}
+
+/// Rows that tell something new.
+fn platform_news(control: &ControlHandle, rows: Vec<PlatformBackend>) -> Vec<PlatformBackend> {
+    let state = control.shared.state();
+    rows.into_iter()
+        .filter(|row| {
+            let Some(known) = state.tables().backends.get(&row.id) else {
+                return true;
+            };
+            let newer = row.epoch > known.epoch;
+            let leaves = row.epoch == known.epoch && row.state > known.state;
+            let moved = row.epoch == known.epoch
+                && (row.address != known.address || row.slots != known.slots);
+            newer || leaves || moved
+        })
+        .collect()
+}
+
+async fn run_duties(control: Arc<ControlHandle>) {
+    loop {
+        // A notification or the end of the pause: either way a round follows.
+        let _ = tokio::time::timeout(ROUND, control.duties.notified()).await;
+        let started = Instant::now();
+        if control.shared.leading_term().is_some() {
+            round(&control).await;
+        }
+        let spent = started.elapsed();
+        tokio::time::sleep(PAUSE.saturating_sub(spent)).await;
+    }
+}
+
+async fn round(control: &ControlHandle) {
+    for make in [
+        member_news,
+        leaving_news,
+        confirmations,
+        ended_daemons,
+        next_shares,
+        next_slots,
+    ] {
+        if let Some(command) = make(control) {
+            propose(control, command).await;
+        }
+    }
+}
+
+async fn propose(control: &ControlHandle, command: Command) {
+    match control.propose(command).await {
+        Ok(CommandAnswer::Refused(reason)) => {
+            warn!(target: LOG, "the state machine refused a change: {reason}");
+        }
+        Ok(_) => {}
+        Err(error) => debug!(target: LOG, "a change was not committed: {error}"),
+    }
+}
+
+fn member_news(control: &ControlHandle) -> Option<Command> {
+    let (guard, now) = control.tenure()?;
+    let state = control.shared.state();
+    let news = guard.as_ref()?.member_news(now, state.tables());
+    (!news.is_empty()).then_some(Command::UpdateMembers(news))
+}
+
+fn leaving_news(control: &ControlHandle) -> Option<Command> {
+    let leaving = {
+        let (guard, now) = control.tenure()?;
+        guard.as_ref()?.leaving(now)
+    };
+    let state = control.shared.state();
+    let news: Vec<_> = leaving
+        .into_iter()
+        .filter(|news| {
+            state
+                .tables()
+                .backends
+                .get(&news.backend)
+                .is_some_and(|known| known.epoch == news.epoch && known.state == BackendState::Live)
+        })
+        .collect();
+    (!news.is_empty()).then_some(Command::MarkLeaving(news))
+}
+
+/// Confirms what waits for it: moves that every daemon follows, and slots that
+/// their daemons no longer use.
+fn confirmations(control: &ControlHandle) -> Option<Command> {
+    let (guard, now) = control.tenure()?;
+    let tenure = guard.as_ref()?;
+    let state = control.shared.state();
+    let version = state.tables().version;
+    let all = tenure.registry.confirmed_by_all(now, version).unwrap_or(0);
+    let mut daemons: Vec<_> = state
+        .releases()
+        .iter()
+        .filter_map(|release| {
+            let settled = tenure.registry.settled_by(&release.daemon)?;
+            (settled >= release.version).then(|| (release.daemon.clone(), settled))
+        })
+        .collect();
+    daemons.sort();
+    daemons.dedup();
+    let confirms_moves = state
+        .shift_ledger()
+        .oldest_unconfirmed()
+        .is_some_and(|oldest| oldest <= all);
+    (confirms_moves || !daemons.is_empty()).then_some(Command::Confirm { all, daemons })
+}
+
+/// Daemons that hold slots though their leases and requests have ended.
+fn ended_daemons(control: &ControlHandle) -> Option<Command> {
+    let (mut guard, now) = control.tenure()?;
+    let tenure = guard.as_mut()?;
+    let state = control.shared.state();
+    let grace = state
+        .bundle()
+        .map_or(0, |bundle| bundle.longest_deadline_ms());
+    let holders = state.tables().slots.iter().map(|(daemon, _)| daemon);
+    let releasing = state.releases().iter().map(|release| &release.daemon);
+    let mut ended: Vec<_> = holders
+        .chain(releasing)
+        .filter(|daemon| tenure.is_over(now, daemon, grace))
+        .cloned()
+        .collect();
+    ended.sort();
+    ended.dedup();
+    tenure.forget_ended(now, grace);
+    (!ended.is_empty()).then_some(Command::ForgetDaemons(ended))
+}
+
+fn next_shares(control: &ControlHandle) -> Option<Command> {
+    let down = {
+        let (guard, now) = control.tenure()?;
+        guard.as_ref()?.down(now)
+    };
+    let steps = plan_steps(&control.shared.state(), &down);
+    (!steps.is_empty()).then_some(Command::AdvanceShares(steps))
+}
+
+fn next_slots(control: &ControlHandle) -> Option<Command> {
+    let (demand, down) = {
+        let (guard, now) = control.tenure()?;
+        let tenure = guard.as_ref()?;
+        (tenure.demand(now), tenure.down(now))
+    };
+    let changes = plan_slots(&control.shared.state(), &demand, &down);
+    (!changes.is_empty()).then_some(Command::AdjustSlots(changes))
+}
--- /dev/null
+++ b/crates/coursestand-daemon/src/control/mod.rs
@@ -0,0 +1,13 @@
+//! The control role: a replica of the control group, and the leader's duties.
+
+pub mod driver;
+pub mod error;
+pub mod exchange;
+pub mod identity;
+pub mod leader;
+pub mod operators;
+pub mod peers;
+pub mod platform;
+pub mod replica;
+pub mod shared;
+pub mod tenure;
--- /dev/null
+++ b/crates/coursestand-daemon/src/control/peers.rs
@@ -0,0 +1,112 @@
+//! Sends consensus messages to the other replicas.
+
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coursestand_consensus::{Membership, Message, ReplicaId};
+use coursestand_coordination::wire::{ControlReply, ControlRequest};
+use coursestand_transport::Client;
+use log::{debug, warn};
+use serde::{Deserialize, Serialize};
+use tokio::runtime::Handle;
+use tokio::sync::Semaphore;
+
+const LOG: &str = "consensus";
+/// Messages to one replica under way at the same time; more are dropped, which
+/// the consensus core makes good like any other loss.
+const MAX_UNDER_WAY: usize = 64;
+const DEADLINE: Duration = Duration::from_secs(2);
+
+/// A consensus message with its group, sender and receiver. A replica that took
+/// the address of another one drops what is not for it.
+#[derive(Serialize, Deserialize)]
+pub struct Envelope {
+    /// The control group.
+    pub cluster: u64,
+    /// The sender.
+    pub from: ReplicaId,
+    /// The receiver.
+    pub to: ReplicaId,
+    /// The message.
+    pub message: Message,
+}
+
+struct Peer {
+    client: Arc<Client<ControlRequest, ControlReply>>,
+    under_way: Arc<Semaphore>,
+}
+
+/// Connections to the other replicas, made when first needed.
+pub struct Peers {
+    runtime: Handle,
+    peers: BTreeMap<SocketAddr, Peer>,
+}
+
+impl Peers {
+    /// No connections yet; sends on `runtime`.
+    pub fn new(runtime: Handle) -> Peers {
+        Peers {
+            runtime,
+            peers: BTreeMap::new(),
+        }
+    }
+
+    /// Sends messages without waiting.
+    pub fn send(
+        &mut self,
+        cluster: u64,
+        from: ReplicaId,
+        membership: &Membership,
+        messages: Vec<(ReplicaId, Message)>,
+    ) {
+        for (to, message) in messages {
+            let address = membership
+                .members
+                .get(&to)
+                .and_then(|member| member.address.parse().ok());
+            let Some(address) = address else {
+                continue;
+            };
+            let envelope = Envelope {
+                cluster,
+                from,
+                to,
+                message,
+            };
+            match postcard::to_stdvec(&envelope) {
+                Ok(bytes) => self.send_one(address, bytes),
+                Err(error) => warn!(target: LOG, "a message can't be encoded: {error}"),
+            }
+        }
+    }
+
+    fn send_one(&mut self, address: SocketAddr, bytes: Vec<u8>) {
+        let peer = match self.peers.entry(address) {
+            Entry::Occupied(known) => known.into_mut(),
+            Entry::Vacant(place) => match Client::new(address) {
+                Ok(client) => place.insert(Peer {
+                    client: Arc::new(client),
+                    under_way: Arc::new(Semaphore::new(MAX_UNDER_WAY)),
+                }),
+                Err(error) => {
+                    warn!(target: LOG, "no connection to {address}: {error}");
+                    return;
+                }
+            },
+        };
+        let Ok(permit) = Arc::clone(&peer.under_way).try_acquire_owned() else {
+            return;
+        };
+        let client = Arc::clone(&peer.client);
+        self.runtime.spawn(async move {
+            let request = ControlRequest::Consensus(bytes);
+            if let Err(error) = client.exchange(&request, DEADLINE).await {
+                debug!(target: LOG, "a message was lost: {error}");
+            }
+            drop(permit);
+        });
+    }
+}
--- /dev/null
+++ b/crates/coursestand-daemon/src/control/replica.rs
@@ -0,0 +1,241 @@
+//! The control service: opens the log, runs the driver and listens for daemons
+//! and other replicas.
+
+use std::sync::mpsc::{Sender, channel};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread::JoinHandle;
+
+use async_trait::async_trait;
+use coursestand_consensus::Membership;
+use coursestand_coordination::{Command, CommandAnswer};
+use coursestand_kernel::{Health, MonotonicClock, Registry, Service, ServiceError};
+use coursestand_model::settings::ControlSettings;
+use coursestand_transport::Server;
+use serde_json::{Value, json};
+use tokio::runtime::Handle;
+use tokio::sync::{Notify, oneshot};
+
+use crate::control::driver::{Driver, Event};
+use crate::control::error::ControlError;
+use crate::control::exchange::ControlExchange;
+use crate::control::identity::Identity;
+use crate::control::peers::Peers;
+use crate::control::shared::ControlShared;
+use crate::control::tenure::Tenure;
+use crate::names;
+
+/// Exchanges at the same time: each follower holds one.
+const EXCHANGES: usize = 512;
+
+/// Handle of the control replica for the other services.
+pub struct ControlHandle {
+    /// What the parts of the replica share.
+    pub shared: Arc<ControlShared>,
+    /// Wakes the leader's duties.
+    pub duties: Notify,
+    events: Sender<Event>,
+    tenure: Mutex<Option<Tenure>>,
+}
+
+impl ControlHandle {
+    /// Sends a message of another replica to the driver.
+    pub fn deliver(&self, event: Event) -> Result<(), ControlError> {
+        self.events.send(event).map_err(|_| ControlError::Stopped)
+    }
+
+    /// Proposes a command; returns once it is committed and applied here.
+    pub async fn propose(&self, command: Command) -> Result<CommandAnswer, ControlError> {
+        if self.shared.leading_term().is_none() {
+            return Err(ControlError::NotLeader);
+        }
+        let (reply, answer) = oneshot::channel();
+        self.deliver(Event::Propose {
+            command: Box::new(command),
+            reply,
+        })?;
+        answer.await.map_err(|_| ControlError::Stopped)?
+    }
+
+    /// Proposes new members; returns once the change is committed.
+    pub async fn change_members(&self, next: Membership) -> Result<CommandAnswer, ControlError> {
+        let (reply, answer) = oneshot::channel();
+        self.deliver(Event::ChangeMembers { next, reply })?;
+        answer.await.map_err(|_| ControlError::Stopped)?
+    }
+
+    /// Makes this blank replica a member of a group.
+    pub async fn join(
+        &self,
+        identity: Identity,
+        voters: Vec<(u64, String)>,
+    ) -> Result<(), ControlError> {
+        let (reply, answer) = oneshot::channel();
+        self.deliver(Event::Join {
+            identity,
+            voters,
+            reply,
+        })?;
+        answer.await.map_err(|_| ControlError::Stopped)?
+    }
+
+    /// The tenure of the term in which this replica leads with a lease now, and
+    /// the time on its clock. A tenure of an earlier term is dropped.
+    pub fn tenure(&self) -> Option<(MutexGuard<'_, Option<Tenure>>, u64)> {
+        let mut guard = self.tenure.lock().unwrap_or_else(PoisonError::into_inner);
+        // Time and lease are read under the lock, in this order: whatever is
+        // granted at this time is granted under this lease.
+        let now = self.shared.clock.now();
+        let term = self.shared.leading_term()?;
+        let known = guard.as_ref().map(|tenure| tenure.term);
+        if known != Some(term) {
+            *guard = Some(Tenure::new(term, now));
+        }
+        Some((guard, now))
+    }
+}
+
+/// Runs a replica of the control group.
+pub struct ControlReplica {
+    settings: ControlSettings,
+    clock: MonotonicClock,
+    running: Mutex<Option<Running>>,
+    handle: Mutex<Option<Arc<ControlHandle>>>,
+}
+
+struct Running {
+    server: Server,
+    driver: JoinHandle<()>,
+}
+
+impl ControlReplica {
+    /// A replica with these settings.
+    pub fn new(settings: ControlSettings, clock: MonotonicClock) -> ControlReplica {
+        ControlReplica {
+            settings,
+            clock,
+            running: Mutex::new(None),
+            handle: Mutex::new(None),
+        }
+    }
+
+    fn handle(&self) -> Option<Arc<ControlHandle>> {
+        self.handle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+}
+
+#[async_trait]
+impl Service for ControlReplica {
+    fn name(&self) -> &'static str {
+        names::CONTROL
+    }
+
+    async fn start(&self, registry: &Arc<Registry>) -> Result<(), ServiceError> {
+        let failed = |error: &dyn std::fmt::Display| ServiceError::new(names::CONTROL, error);
+        let shared = Arc::new(ControlShared::new(self.clock));
+        let (events, incoming) = channel();
+        let handle = Arc::new(ControlHandle {
+            shared: Arc::clone(&shared),
+            duties: Notify::new(),
+            events,
+            tenure: Mutex::new(None),
+        });
+        let driver = Driver::open(
+            shared,
+            Peers::new(Handle::current()),
+            self.settings.data_folder.clone(),
+            self.settings.listen.to_string(),
+        )
+        .map_err(|error| failed(&error))?;
+        let thread = std::thread::Builder::new()
+            .name("consensus".to_owned())
+            .spawn(move || driver.run(&incoming))
+            .map_err(|error| failed(&error))?;
+        let exchange = Arc::new(ControlExchange::new(Arc::clone(&handle)));
+        let server = Server::start(self.settings.listen, EXCHANGES, exchange)
+            .map_err(|error| failed(&error))?;
+        registry.publish(names::CONTROL, Arc::clone(&handle));
+        *self.handle.lock().unwrap_or_else(PoisonError::into_inner) = Some(handle);
+        *self.running.lock().unwrap_or_else(PoisonError::into_inner) = Some(Running {
+            server,
+            driver: thread,
+        });
+        Ok(())
+    }
+
+    /// A leader hands its leadership over before it stops.
+    async fn drain(&self) {
+        const LONGEST: std::time::Duration = std::time::Duration::from_secs(2);
+        const LOOK: std::time::Duration = std::time::Duration::from_millis(20);
+        let Some(handle) = self.handle() else {
+            return;
+        };
+        let started = std::time::Instant::now();
+        if handle.shared.leading_term().is_some() && handle.deliver(Event::HandOver).is_ok() {
+            while handle.shared.status().role == "leader" && started.elapsed() < LONGEST {
+                tokio::time::sleep(LOOK).await;
+            }
+        }
+    }
+
+    async fn stop(&self) {
+        let running = self
+            .running
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        let Some(running) = running else {
+            return;
+        };
+        running.server.stop();
+        if let Some(handle) = self.handle() {
+            // A driver that stopped by itself takes no events.
+            let _ = handle.deliver(Event::Stop);
+        }
+        let joined = tokio::task::spawn_blocking(move || running.driver.join());
+        let _ = joined.await;
+    }
+
+    fn dump(&self) -> Value {
+        let Some(handle) = self.handle() else {
+            return Value::Null;
+        };
+        let state = handle.shared.state();
+        json!({
+            "replica": handle.shared.status(),
+            "leading_term": handle.shared.leading_term(),
+            "version": state.tables().version,
+            "revision": state.history().current(),
+            "clock_ms": state.clock(),
+            "once_keys": state.once().len(),
+            "backends": state.tables().backends.len(),
+            "members": state.tables().members.iter().map(|(name, member)| json!({
+                "name": name,
+                "incarnation": member.incarnation,
+                "zone": member.zone,
+                "phase": format!("{:?}", member.phase),
+            })).collect::<Vec<_>>(),
+            "releases": state.releases().len(),
+        })
+    }
+
+    fn health(&self) -> Health {
+        let Some(handle) = self.handle() else {
+            return Health::NotReady {
+                reason: "not started".to_owned(),
+            };
+        };
+        let status = handle.shared.status();
+        let reason = match (status.role, status.leader) {
+            ("blank", _) => "has not joined a control group",
+            ("failed", _) => "its storage failed",
+            (_, None) => "knows no leader: it may be cut off",
+            _ => return Health::Ready,
+        };
+        Health::NotReady {
+            reason: reason.to_owned(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coursestand-daemon/src/control/shared.rs
@@ -0,0 +1,161 @@
+//! What the parts of a control replica share.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+
+use coursestand_consensus::Membership;
+use coursestand_coordination::{ControlState, ControlVersion};
+use coursestand_kernel::MonotonicClock;
+use coursestand_model::Millis;
+use serde::Serialize;
+use tokio::sync::watch;
+
+use crate::control::identity::Identity;
+
+/// What a replica says of itself.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct ReplicaStatus {
+    /// Its identity, once it joined.
+    pub identity: Option<IdentityText>,
+    /// Current term.
+    pub term: u64,
+    /// `leader`, `follower`, `candidate`, `blank` or `failed`.
+    pub role: &'static str,
+    /// The leader as far as this replica knows.
+    pub leader: Option<u64>,
+    /// Highest committed index.
+    pub commit: u64,
+    /// Last index of the log.
+    pub last: u64,
+    /// Index that the newest snapshot covers.
+    pub snapshot: u64,
+    /// Members of the group.
+    pub members: Vec<MemberStatus>,
+    /// Why the replica stopped, if it did.
+    pub failure: Option<String>,
+}
+
+/// An identity for people.
+#[derive(Clone, Debug, Serialize, serde::Deserialize)]
+pub struct IdentityText {
+    /// The control group.
+    pub cluster: u64,
+    /// The replica.
+    pub replica: u64,
+}
+
+impl From<Identity> for IdentityText {
+    fn from(identity: Identity) -> Self {
+        IdentityText {
+            cluster: identity.cluster,
+            replica: identity.replica,
+        }
+    }
+}
+
+/// A member of the group as a leader sees it.
+#[derive(Clone, Debug, Serialize)]
+pub struct MemberStatus {
+    /// Its identity.
+    pub replica: u64,
+    /// Its address.
+    pub address: String,
+    /// Whether it votes.
+    pub voter: bool,
+    /// Last index known to be there; only a leader knows.
+    pub matched: Option<u64>,
+    /// Milliseconds since it was heard; only a leader knows.
+    pub silent_ms: Option<u64>,
+}
+
+/// State shared by the parts of a control replica.
+pub struct ControlShared {
+    /// Clock of the process.
+    pub clock: MonotonicClock,
+    state: RwLock<ControlState>,
+    status: RwLock<ReplicaStatus>,
+    membership: RwLock<Membership>,
+    lease_end: AtomicU64,
+    term: AtomicU64,
+    version: watch::Sender<ControlVersion>,
+}
+
+impl ControlShared {
+    /// State of a replica that knows nothing yet.
+    pub fn new(clock: MonotonicClock) -> ControlShared {
+        ControlShared {
+            clock,
+            state: RwLock::default(),
+            status: RwLock::default(),
+            membership: RwLock::default(),
+            lease_end: AtomicU64::new(0),
+            term: AtomicU64::new(0),
+            version: watch::Sender::new(0),
+        }
+    }
+
+    /// The applied control state.
+    pub fn state(&self) -> RwLockReadGuard<'_, ControlState> {
+        self.state.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn state_mut(&self) -> RwLockWriteGuard<'_, ControlState> {
+        self.state.write().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What the replica says of itself.
+    pub fn status(&self) -> ReplicaStatus {
+        self.status
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    pub(crate) fn set_status(&self, status: ReplicaStatus) {
+        *self.status.write().unwrap_or_else(PoisonError::into_inner) = status;
+    }
+
+    /// Members of the group.
+    pub fn membership(&self) -> Membership {
+        self.membership
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    pub(crate) fn set_membership(&self, membership: Membership) {
+        *self
+            .membership
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = membership;
+    }
+
+    /// Publishes the leader lease: the term first, so that whoever sees the
+    /// lease sees its term or a later one.
+    pub(crate) fn set_lease(&self, term: u64, end: Option<Millis>) {
+        self.term.store(term, Ordering::SeqCst);
+        self.lease_end.store(end.unwrap_or(0), Ordering::SeqCst);
+    }
+
+    /// The term in which this replica leads with a lease at this moment. The
+    /// lease is read on the clock, so a process that was frozen sees that it has
+    /// ended, whatever was published before.
+    pub fn leading_term(&self) -> Option<u64> {
+        let end = self.lease_end.load(Ordering::SeqCst);
+        let term = self.term.load(Ordering::SeqCst);
+        (self.clock.now() < end).then_some(term)
+    }
+
+    /// Tells of new versions of the followers' tables.
+    pub fn versions(&self) -> watch::Receiver<ControlVersion> {
+        self.version.subscribe()
+    }
+
+    pub(crate) fn announce_version(&self, version: ControlVersion) {
+        self.version.send_if_modified(|known| {
+            let changed = *known != version;
+            *known = version;
+            changed
+        });
+    }
+}
--- /dev/null
+++ b/crates/coursestand-daemon/src/entry/gateway_service.rs
@@ -0,0 +1,126 @@
+//! Serves callers, and stops in an order that cuts no request off.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use async_trait::async_trait;
+use coursestand_gateway::callers::routes;
+use coursestand_gateway::{Gateway, gateway::Shared};
+use coursestand_kernel::http::HttpServer;
+use coursestand_kernel::{Registry, Service, ServiceError};
+use coursestand_model::Outcome;
+use log::info;
+use serde_json::{Value, json};
+
+use crate::entry::follower::FollowerHandle;
+use crate::names;
+
+const LOG: &str = "gateway";
+/// Time between two looks at what is in flight.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// The caller interface of an entry daemon.
+pub struct GatewayService {
+    address: SocketAddr,
+    gateway: Arc<Gateway>,
+    stop_within: Duration,
+    server: Mutex<Option<Arc<HttpServer>>>,
+    registry: Mutex<Option<Arc<Registry>>>,
+}
+
+impl GatewayService {
+    /// Serves on `address`; a planned stop waits up to `stop_within` for
+    /// requests in flight.
+    pub fn new(address: SocketAddr, gateway: Arc<Gateway>, stop_within: Duration) -> Self {
+        GatewayService {
+            address,
+            gateway,
+            stop_within,
+            server: Mutex::new(None),
+            registry: Mutex::new(None),
+        }
+    }
+
+    fn server(&self) -> Option<Arc<HttpServer>> {
+        self.server
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn follower(&self) -> Option<Arc<FollowerHandle>> {
+        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        registry.as_ref()?.find(names::FOLLOWER).ok()
+    }
+
+    fn lookup_lifetime(&self) -> Duration {
+        let rules = self.gateway.shared().steering().rules();
+        rules.map_or(Duration::ZERO, |rules| {
+            Duration::from_millis(rules.bundle.lookup.lifetime_ms)
+        })
+    }
+}
+
+fn in_flight(shared: &Shared) -> u32 {
+    shared
+        .steering()
+        .backends()
+        .iter()
+        .map(|backend| backend.in_use)
+        .sum()
+}
+
+#[async_trait]
+impl Service for GatewayService {
+    fn name(&self) -> &'static str {
+        names::GATEWAY
+    }
+
+    async fn start(&self, registry: &Arc<Registry>) -> Result<(), ServiceError> {
+        *self.registry.lock().unwrap_or_else(PoisonError::into_inner) = Some(Arc::clone(registry));
+        let routes = routes(Arc::clone(&self.gateway));
+        let server = HttpServer::start(self.address, routes, self.stop_within)
+            .await
+            .map_err(|error| ServiceError::new(names::GATEWAY, error))?;
+        *self.server.lock().unwrap_or_else(PoisonError::into_inner) = Some(Arc::new(server));
+        Ok(())
+    }
+
+    /// Look-ups stop naming this daemon first. Callers may have cached an answer
+    /// that names it, so it serves for the lifetime of those answers. Then it
+    /// stops accepting and finishes what is in flight.
+    async fn drain(&self) {
+        if let Some(follower) = self.follower() {
+            follower.announce_leaving().await;
+        }
+        tokio::time::sleep(self.lookup_lifetime()).await;
+        if let Some(server) = self.server() {
+            server.drain().await;
+        }
+        let give_up = Instant::now() + self.stop_within;
+        while in_flight(self.gateway.shared()) > 0 && Instant::now() < give_up {
+            tokio::time::sleep(LOOK).await;
+        }
+        info!(target: LOG, "no request is in flight any more");
+    }
+
+    async fn stop(&self) {
+        if let Some(server) = self.server() {
+            server.abort();
+        }
+    }
+
+    fn dump(&self) -> Value {
+        let metrics = self.gateway.metrics();
+        json!({
+            "listen": self.address,
+            "in_flight": in_flight(self.gateway.shared()),
+            "completed": metrics.counted(Outcome::Completed),
+            "not_run": metrics.counted(Outcome::NotRun),
+            "unknown": metrics.counted(Outcome::Unknown),
+            "lookups": metrics.lookups.get(),
+            "retries": metrics.retries.get(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/coursestand-daemon/src/entry/prober.rs
@@ -0,0 +1,124 @@
+//! Probes the back ends on which this daemon holds slots: nobody else sends them
+//! work from here, and each back end is probed by a few daemons only.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use coursestand_gateway::gateway::Shared;
+use coursestand_kernel::{Registry, Service, ServiceError};
+use coursestand_model::BackendId;
+use coursestand_model::platform::BackendState;
+use futures::future::join_all;
+use log::info;
+use serde_json::{Value, json};
+use tokio::task::JoinHandle;
+
+use crate::names;
+
+const LOG: &str = "prober";
+
+/// Probes back ends.
+pub struct Prober {
+    shared: Arc<Shared>,
+    pause: Duration,
+    task: Mutex<Option<JoinHandle<()>>>,
+}
+
+impl Prober {
+    /// Probes once every `pause`.
+    pub fn new(shared: Arc<Shared>, pause: Duration) -> Prober {
+        Prober {
+            shared,
+            pause,
+            task: Mutex::new(None),
+        }
+    }
+}
+
+#[async_trait]
+impl Service for Prober {
+    fn name(&self) -> &'static str {
+        names::PROBER
+    }
+
+    async fn start(&self, _registry: &Arc<Registry>) -> Result<(), ServiceError> {
+        let task = tokio::spawn(run(Arc::clone(&self.shared), self.pause));
+        *self.task.lock().unwrap_or_else(PoisonError::into_inner) = Some(task);
+        Ok(())
+    }
+
+    async fn stop(&self) {
+        let task = self
+            .task
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        if let Some(task) = task {
+            task.abort();
+        }
+    }
+
+    fn dump(&self) -> Value {
+        let steering = self.shared.steering();
+        let backends: Vec<Value> = steering
+            .backends()
+            .iter()
+            .filter(|backend| backend.slots > 0 || backend.in_use > 0)
+            .map(|backend| {
+                json!({
+                    "backend": backend.id,
+                    "slots": backend.slots,
+                    "in_use": backend.in_use,
+                    "state": backend.state,
+                    "failures": backend.failures,
+                    "latency_ms": backend.latency_ms,
+                })
+            })
+            .collect();
+        json!({ "backends": backends })
+    }
+}
+
+async fn run(shared: Arc<Shared>, pause: Duration) {
+    loop {
+        tokio::time::sleep(pause).await;
+        let targets: Vec<(BackendId, String)> = shared
+            .steering()
+            .backends()
+            .iter()
+            .filter(|backend| backend.slots > 0 && backend.state == BackendState::Live)
+            .map(|backend| (backend.id.clone(), backend.address.to_string()))
+            .collect();
+        join_all(
+            targets
+                .into_iter()
+                .map(|(id, address)| probe(&shared, id, address)),
+        )
+        .await;
+    }
+}
+
+async fn probe(shared: &Shared, id: BackendId, address: String) {
+    let answer = shared.backends.probe(&address).await;
+    let mut steering = shared.steering();
+    let backends = steering.backends_mut();
+    let was_usable = backends
+        .find(&id)
+        .is_some_and(|backend| backend.is_usable());
+    backends.note_probe(&id, answer.is_some());
+    let mut is_news = backends
+        .find(&id)
+        .is_some_and(|backend| backend.is_usable() != was_usable);
+    if let Some(answer) = answer
+        && answer.state == BackendState::Leaving
+        && backends.note_leaving(&id, answer.epoch)
+    {
+        info!(target: LOG, "back end {id} is leaving");
+        is_news = true;
+    }
+    drop(steering);
+    if is_news {
+        shared.report_now.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/coursestand-lab/src/counted.rs
@@ -0,0 +1,104 @@
+//! Counts the open connections of an emulated back end and refuses those above
+//! its limit.
+
+use std::io::{IoSlice, Result};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::task::{Context, Poll};
+
+use poem::http::uri::Scheme;
+use poem::listener::{Acceptor, TcpAcceptor};
+use poem::web::{LocalAddr, RemoteAddr};
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// Open connections.
+pub type ConnectionCount = Arc<AtomicU32>;
+
+/// Accepts up to `limit` connections at the same time; closes others at once.
+pub struct CountedAcceptor {
+    inner: TcpAcceptor,
+    open: ConnectionCount,
+    limit: u32,
+}
+
+impl CountedAcceptor {
+    /// Counts the connections of `inner` in `open`.
+    pub fn new(inner: TcpAcceptor, open: ConnectionCount, limit: u32) -> CountedAcceptor {
+        CountedAcceptor { inner, open, limit }
+    }
+}
+
+impl Acceptor for CountedAcceptor {
+    type Io = CountedStream;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        self.inner.local_addr()
+    }
+
+    async fn accept(&mut self) -> Result<(Self::Io, LocalAddr, RemoteAddr, Scheme)> {
+        loop {
+            let (stream, local, remote, scheme) = self.inner.accept().await?;
+            if self.open.fetch_add(1, Ordering::SeqCst) >= self.limit {
+                self.open.fetch_sub(1, Ordering::SeqCst);
+                continue;
+            }
+            let open = Arc::clone(&self.open);
+            let counted = CountedStream { stream, open };
+            return Ok((counted, local, remote, scheme));
+        }
+    }
+}
+
+/// A connection that is counted while it is open.
+pub struct CountedStream {
+    stream: TcpStream,
+    open: ConnectionCount,
+}
+
+impl Drop for CountedStream {
+    fn drop(&mut self) {
+        self.open.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl AsyncRead for CountedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_read(context, buffer)
+    }
+}
+
+impl AsyncWrite for CountedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[IoSlice<'_>],
+    ) -> Poll<Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/coursestand-lab/src/lib.rs
+++ b/crates/coursestand-lab/src/lib.rs
@@ -1,1 +1,20 @@
-//! Placeholder.
+//! The testbed: emulated back ends, links and platform list, callers that make
+//! load, deployments to run, and the checks of what the back ends recorded.
+
+pub mod address;
+pub mod backend;
+pub mod callers;
+pub mod counted;
+pub mod demo;
+pub mod deployment;
+pub mod load;
+pub mod operator;
+pub mod places;
+pub mod platform;
+pub mod process;
+pub mod records;
+pub mod report;
+pub mod scale;
+pub mod verdict;
+
+pub use deployment::Deployment;
--- a/crates/coursestand-steering/src/backends.rs
+++ b/crates/coursestand-steering/src/backends.rs
@@ -183,6 +183,14 @@
             .map(|((service, zone), pool)| (service, zone, *pool))
     }
 
+    /// Starts a new period of demand in every pool.
+    pub fn start_demand_period(&mut self) {
+        for pool in 0..self.pools.len() {
+            let (_, used) = self.pool_slots(pool);
+            self.pools[pool].demand.start_period(used);
+        }
+    }
+
     /// All back ends.
     pub fn iter(&self) -> impl Iterator<Item = &Backend> {
         self.backends.iter()
--- a/crates/coursestand-steering/src/steering.rs
+++ b/crates/coursestand-steering/src/steering.rs
@@ -205,28 +205,22 @@
         self.backends.give_back(ticket.backend);
     }
 
-    /// Demand for slots since the last two calls, and a new period.
-    pub fn take_demand(&mut self) -> Vec<DemandRow> {
-        let pools: Vec<(ServiceId, ZoneId, PoolIndex)> = self
-            .backends
+    /// Demand for slots over the last one to two periods.
+    pub fn demand(&self) -> Vec<DemandRow> {
+        self.backends
             .pools()
-            .map(|(service, zone, pool)| (service.clone(), zone.clone(), pool))
-            .collect();
-        let mut rows = Vec::new();
-        for (service, zone, pool) in pools {
-            let (_, used) = self.backends.pool_slots(pool);
-            let demand = &mut self.backends.pool_mut(pool).demand;
-            let wanted = demand.peak();
-            demand.start_period(used);
-            if wanted > 0 {
-                rows.push(DemandRow {
-                    service,
-                    zone,
-                    wanted,
-                });
-            }
-        }
-        rows
+            .map(|(service, zone, pool)| DemandRow {
+                service: service.clone(),
+                zone: zone.clone(),
+                wanted: self.backends.pool(pool).demand.peak(),
+            })
+            .filter(|row| row.wanted > 0)
+            .collect()
+    }
+
+    /// Starts a new period of demand.
+    pub fn start_demand_period(&mut self) {
+        self.backends.start_demand_period();
     }
 }
 
--- a/crates/coursestand-transport/src/client.rs
+++ b/crates/coursestand-transport/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::marker::PhantomData;
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use nng::options::protocol::reqrep::ResendTime;
@@ -13,6 +13,7 @@
 use snafu::ResultExt;
 use tokio::sync::oneshot;
 
+use crate::close::close_aside;
 use crate::frame::{MAX_FRAME_BYTES, MessagingSnafu, TransportError, decode, encode};
 
 /// The library would resend a request by itself after this time; longer than any
@@ -21,38 +22,32 @@
 const RECONNECT_MIN: Duration = Duration::from_millis(50);
 const RECONNECT_MAX: Duration = Duration::from_millis(500);
 
+type Answer = Result<Message, nng::Error>;
+type Waiting = Arc<Mutex<Option<oneshot::Sender<Answer>>>>;
+
+/// A context of the socket with its operation; carries one exchange at a time.
+struct Lane {
+    context: Context,
+    operation: Aio,
+    waiting: Waiting,
+}
+
 /// Sends requests of one type to one address.
 pub struct Client<Request, Reply> {
     address: SocketAddr,
-    socket: Socket,
+    socket: Option<Socket>,
+    idle: Mutex<Vec<Lane>>,
     types: PhantomData<fn(Request) -> Reply>,
 }
 
-type Answer = Result<Message, nng::Error>;
-
 impl<Request: Serialize, Reply: DeserializeOwned> Client<Request, Reply> {
     /// A client for `address`; it connects in the background and reconnects.
     pub fn new(address: SocketAddr) -> Result<Self, TransportError> {
-        let context = MessagingSnafu { address };
-        let socket = Socket::new(Protocol::Req0).context(context)?;
-        socket
-            .set_opt::<ResendTime>(Some(NEVER_RESEND))
-            .context(context)?;
-        socket
-            .set_opt::<ReconnectMinTime>(Some(RECONNECT_MIN))
-            .context(context)?;
-        socket
-            .set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX))
-            .context(context)?;
-        socket
-            .set_opt::<RecvMaxSize>(MAX_FRAME_BYTES)
-            .context(context)?;
-        socket
-            .dial_async(&format!("tcp://{address}"))
-            .context(context)?;
+        let socket = connect(address).context(MessagingSnafu { address })?;
         Ok(Client {
             address,
-            socket,
+            socket: Some(socket),
+            idle: Mutex::default(),
             types: PhantomData,
         })
     }
@@ -70,63 +65,90 @@
         deadline: Duration,
     ) -> Result<Reply, TransportError> {
         let frame = encode(request)?;
-        let context = Context::new(&self.socket).context(MessagingSnafu {
-            address: self.address,
-        })?;
-        let (aio, answer) = self.receive_into(&context)?;
-        context
-            .send(&aio, Message::from(frame.as_slice()))
+        let address = self.address;
+        let lane = self.take_lane()?;
+        let (sender, answer) = oneshot::channel();
+        *locked(&lane.waiting) = Some(sender);
+        lane.context
+            .send(&lane.operation, Message::from(frame.as_slice()))
             .map_err(|(_, source)| source)
-            .context(MessagingSnafu {
-                address: self.address,
-            })?;
-        let expired = || TransportError::Deadline {
-            address: self.address,
+            .context(MessagingSnafu { address })?;
+        let expired = TransportError::Deadline {
+            address,
             deadline_ms: deadline.as_millis(),
         };
-        let result = tokio::time::timeout(deadline, answer).await;
-        // Closing the context cancels what is outstanding, so that a late reply
-        // is dropped and never taken for that of another request.
-        context.close();
-        let message = result
-            .map_err(|_| expired())?
-            .map_err(|_| expired())?
-            .context(MessagingSnafu {
-                address: self.address,
-            })?;
+        // A lane that still waits is dropped and closed, so that a late reply
+        // is never taken for that of another request.
+        let Ok(Ok(answer)) = tokio::time::timeout(deadline, answer).await else {
+            return Err(expired);
+        };
+        let message = answer.context(MessagingSnafu { address })?;
+        locked(&self.idle).push(lane);
         decode(message.as_slice())
     }
 
-    fn receive_into(
-        &self,
-        context: &Context,
-    ) -> Result<(Aio, oneshot::Receiver<Answer>), TransportError> {
-        let (sender, receiver) = oneshot::channel();
-        let sender = Mutex::new(Some(sender));
-        let context = context.clone();
-        let deliver = move |answer: Answer| {
-            let sender = sender
-                .lock()
-                .unwrap_or_else(std::sync::PoisonError::into_inner)
-                .take();
-            if let Some(sender) = sender {
-                // The asker may have given up.
-                let _ = sender.send(answer);
-            }
+    fn take_lane(&self) -> Result<Lane, TransportError> {
+        if let Some(lane) = locked(&self.idle).pop() {
+            return Ok(lane);
+        }
+        let address = self.address;
+        let Some(socket) = &self.socket else {
+            let source = nng::Error::Closed;
+            return Err(TransportError::Messaging { address, source });
         };
-        let aio = Aio::new(move |aio, result| match result {
-            AioResult::Send(Ok(())) => {
-                if let Err(error) = context.recv(&aio) {
-                    deliver(Err(error));
-                }
-            }
-            AioResult::Send(Err((_, error))) => deliver(Err(error)),
-            AioResult::Recv(answer) => deliver(answer),
-            AioResult::Sleep(_) => {}
-        })
-        .context(MessagingSnafu {
-            address: self.address,
-        })?;
-        Ok((aio, receiver))
+        new_lane(socket).context(MessagingSnafu { address })
+    }
+}
+
+impl<Request, Reply> Drop for Client<Request, Reply> {
+    fn drop(&mut self) {
+        let lanes = std::mem::take(&mut *locked(&self.idle));
+        let socket = self.socket.take();
+        close_aside(move || {
+            drop(lanes);
+            drop(socket);
+        });
     }
 }
+
+fn connect(address: SocketAddr) -> Result<Socket, nng::Error> {
+    let socket = Socket::new(Protocol::Req0)?;
+    socket.set_opt::<ResendTime>(Some(NEVER_RESEND))?;
+    socket.set_opt::<ReconnectMinTime>(Some(RECONNECT_MIN))?;
+    socket.set_opt::<ReconnectMaxTime>(Some(RECONNECT_MAX))?;
+    socket.set_opt::<RecvMaxSize>(MAX_FRAME_BYTES)?;
+    socket.dial_async(&format!("tcp://{address}"))?;
+    Ok(socket)
+}
+
+fn new_lane(socket: &Socket) -> Result<Lane, nng::Error> {
+    let context = Context::new(socket)?;
+    let waiting = Waiting::default();
+    let to = Arc::clone(&waiting);
+    let deliver = move |answer: Answer| {
+        if let Some(sender) = locked(&to).take() {
+            // The asker may have given up.
+            let _ = sender.send(answer);
+        }
+    };
+    let for_callback = context.clone();
+    let operation = Aio::new(move |operation, result| match result {
+        AioResult::Send(Ok(())) => {
+            if let Err(error) = for_callback.recv(&operation) {
+                deliver(Err(error));
+            }
+        }
+        AioResult::Send(Err((_, error))) => deliver(Err(error)),
+        AioResult::Recv(answer) => deliver(answer),
+        AioResult::Sleep(_) => {}
+    })?;
+    Ok(Lane {
+        context,
+        operation,
+        waiting,
+    })
+}
+
+fn locked<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/coursestand-transport/src/lib.rs
+++ b/crates/coursestand-transport/src/lib.rs
@@ -5,6 +5,7 @@
 //! other with a clear error instead of misreading messages.
 
 pub mod client;
+mod close;
 pub mod frame;
 pub mod server;
 
--- a/crates/coursestand-transport/src/server.rs
+++ b/crates/coursestand-transport/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 
 use log::{debug, warn};
 use nng::options::{Options, RecvMaxSize};
@@ -12,6 +12,7 @@
 use snafu::ResultExt;
 use tokio::runtime::Handle;
 
+use crate::close::close_aside;
 use crate::frame::{MAX_FRAME_BYTES, MessagingSnafu, TransportError, decode, encode};
 
 const LOG: &str = "transport";
@@ -24,8 +25,15 @@
 
 /// A listening socket with a fixed number of exchanges at the same time.
 pub struct Server {
-    socket: Socket,
     address: SocketAddr,
+    open: Mutex<Option<Open>>,
+}
+
+struct Open {
+    socket: Socket,
+    contexts: Vec<Context>,
+    /// An operation ends when its handle is dropped.
+    operations: Vec<Aio>,
 }
 
 impl Server {
@@ -47,13 +55,23 @@
             .set_opt::<RecvMaxSize>(MAX_FRAME_BYTES)
             .context(context)?;
         let runtime = Handle::current();
-        for _ in 0..exchanges {
-            start_exchange(&socket, Arc::clone(&handler), runtime.clone()).context(context)?;
-        }
+        let started = (0..exchanges)
+            .map(|_| start_exchange(&socket, Arc::clone(&handler), runtime.clone()))
+            .collect::<Result<Vec<_>, nng::Error>>()
+            .context(context)?;
+        let (contexts, operations) = started.into_iter().unzip();
         socket
             .listen(&format!("tcp://{address}"))
             .context(context)?;
-        Ok(Server { socket, address })
+        let open = Open {
+            socket,
+            contexts,
+            operations,
+        };
+        Ok(Server {
+            address,
+            open: Mutex::new(Some(open)),
+        })
     }
 
     /// The address on which it listens.
@@ -63,7 +81,22 @@
 
     /// Stops listening; exchanges under way get no reply.
     pub fn stop(&self) {
-        self.socket.close();
+        let open = self
+            .open
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .take();
+        let Some(open) = open else {
+            return;
+        };
+        close_aside(move || {
+            // Contexts first: the socket waits for those that are open.
+            for context in &open.contexts {
+                context.close();
+            }
+            open.socket.close();
+            drop(open.operations);
+        });
     }
 }
 
@@ -77,7 +110,7 @@
     socket: &Socket,
     handler: Arc<H>,
     runtime: Handle,
-) -> Result<(), nng::Error>
+) -> Result<(Context, Aio), nng::Error>
 where
     Request: DeserializeOwned + Send + 'static,
     Reply: Serialize + Send + 'static,
@@ -98,7 +131,7 @@
         }
     })?;
     context.recv(&aio)?;
-    Ok(())
+    Ok((context, aio))
 }
 
 async fn answer<Request, Reply, H>(handler: Arc<H>, context: Context, aio: Aio, message: Message)
--- /dev/null
+++ b/crates/coursestand-transport/tests/exchange.rs
@@ -0,0 +1,99 @@
+//! Exchanges between a client and a server over loopback.
+#![allow(missing_docs)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coursestand_transport::frame::{decode, encode};
+use coursestand_transport::{Client, Handler, Server, TransportError};
+use googletest::prelude::*;
+
+const LONG: Duration = Duration::from_secs(20);
+
+/// Doubles numbers; sleeps on request.
+struct Doubler;
+
+impl Handler<(u64, u64), u64> for Doubler {
+    async fn handle(&self, (number, sleep_ms): (u64, u64)) -> u64 {
+        tokio::time::sleep(Duration::from_millis(sleep_ms)).await;
+        number * 2
+    }
+}
+
+fn address() -> SocketAddr {
+    let listener = std::net::TcpListener::bind("127.77.3.1:0").expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn every_caller_gets_its_own_answer() {
+    let address = address();
+    let _server = Server::start(address, 16, Arc::new(Doubler)).expect("listens");
+    let client = Arc::new(Client::<(u64, u64), u64>::new(address).expect("a client"));
+    let exchanges = (0..200_u64).map(|number| {
+        let client = Arc::clone(&client);
+        async move { (number, client.exchange(&(number, number % 7), LONG).await) }
+    });
+    for (number, answer) in futures_join(exchanges).await {
+        expect_that!(answer.expect("an answer"), eq(number * 2));
+    }
+}
+
+async fn futures_join<F: Future + Send + 'static>(all: impl Iterator<Item = F>) -> Vec<F::Output>
+where
+    F::Output: Send,
+{
+    let tasks: Vec<_> = all.map(tokio::spawn).collect();
+    let mut results = Vec::new();
+    for task in tasks {
+        results.push(task.await.expect("the task ends"));
+    }
+    results
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_late_answer_is_never_given_to_another_request() {
+    let address = address();
+    let _server = Server::start(address, 4, Arc::new(Doubler)).expect("listens");
+    let client = Client::<(u64, u64), u64>::new(address).expect("a client");
+    let warm_up = client.exchange(&(1, 0), LONG).await;
+    expect_that!(warm_up.expect("an answer"), eq(2));
+    let late = client.exchange(&(5, 300), Duration::from_millis(50)).await;
+    expect_that!(late.is_err(), eq(true));
+    for number in 10..40 {
+        let answer = client.exchange(&(number, 10), LONG).await;
+        expect_that!(answer.expect("an answer"), eq(number * 2));
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_server_that_comes_back_is_found_again() {
+    let address = address();
+    let client = Client::<(u64, u64), u64>::new(address).expect("a client");
+    let nobody = client.exchange(&(1, 0), Duration::from_millis(100)).await;
+    expect_that!(nobody.is_err(), eq(true));
+    let _server = Server::start(address, 4, Arc::new(Doubler)).expect("listens");
+    let answer = client.exchange(&(4, 0), LONG).await;
+    expect_that!(answer.expect("an answer"), eq(8));
+}
+
+#[gtest]
+fn frames_of_another_version_and_broken_frames_are_refused() {
+    let mut frame = encode(&7_u64).expect("encoded");
+    expect_that!(decode::<u64>(&frame).expect("decoded"), eq(7));
+    expect_that!(
+        decode::<u64>(&frame[..1]).unwrap_err().to_string(),
+        contains_substring("too short")
+    );
+    expect_that!(
+        decode::<String>(&[1, 0, 200]).unwrap_err().to_string(),
+        contains_substring("can't be read")
+    );
+    frame[0] = 9;
+    let error = decode::<u64>(&frame).unwrap_err();
+    assert!(matches!(error, TransportError::Version { found: 9 }));
+}
