--- a/crates/coursestand-consensus/tests/wal.rs
+++ b/crates/coursestand-consensus/tests/wal.rs
@@ -11,6 +11,7 @@
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 fn entry(term: u64, index: u64) -> Entry {
     Entry {
@@ -75,7 +76,12 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig {
+        cases: 64,
+        rng_seed: RngSeed::Fixed(1),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
 
     #[test]
     fn log_on_disk_restores_what_memory_holds(steps in prop::collection::vec(step(), 1..30)) {
--- /dev/null
+++ b/crates/coursestand-coordination/tests/slots.rs
@@ -0,0 +1,219 @@
+//! Slots: whatever is proposed, what daemons may use at the same time never
+//! exceeds a back end, a region or a link; and the allocator serves demand.
+#![allow(missing_docs)]
+
+mod common;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use common::{LINK_CAPACITY, Machine, REGION_CAPACITY, SLOTS, daemon, fixed, zone};
+use coursestand_coordination::allocator::{Demand, fair_shares, plan_slots};
+use coursestand_coordination::slots::SlotChange;
+use coursestand_coordination::tables::SlotMap;
+use coursestand_coordination::{Command, CommandAnswer};
+use coursestand_model::BackendId;
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+const BACKENDS: usize = 8;
+const DAEMONS: usize = 5;
+
+/// A daemon that may be behind: it uses what it last heard of.
+#[derive(Clone, Debug, Default)]
+struct Naive {
+    heard: SlotMap,
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Set {
+        daemon: usize,
+        backend: usize,
+        count: u32,
+    },
+    Hear {
+        daemon: usize,
+    },
+    Confirm {
+        daemon: usize,
+    },
+    Plan {
+        wanted: Vec<u32>,
+    },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (0..DAEMONS, 0..BACKENDS, 0..6_u32)
+            .prop_map(|(daemon, backend, count)| Step::Set { daemon, backend, count }),
+        3 => (0..DAEMONS).prop_map(|daemon| Step::Hear { daemon }),
+        3 => (0..DAEMONS).prop_map(|daemon| Step::Confirm { daemon }),
+        2 => prop::collection::vec(0..12_u32, DAEMONS).prop_map(|wanted| Step::Plan { wanted }),
+    ]
+}
+
+/// Every daemon uses all that it last heard of, or all that it holds now,
+/// whichever is more: the worst that can happen at the back ends.
+fn check_worst_case(machine: &Machine, naive: &[Naive]) -> Result<(), TestCaseError> {
+    let tables = machine.state.tables();
+    let mut by_backend: BTreeMap<BackendId, u32> = BTreeMap::new();
+    let mut by_region = BTreeMap::from([("east", 0), ("west", 0)]);
+    let mut east_to_west = 0;
+    for (index, one) in naive.iter().enumerate() {
+        let held = tables
+            .slots
+            .get(&daemon(index))
+            .cloned()
+            .unwrap_or_default();
+        let backends: BTreeSet<&BackendId> = held.keys().chain(one.heard.keys()).collect();
+        for backend in backends {
+            let used = held
+                .get(backend)
+                .max(one.heard.get(backend))
+                .copied()
+                .unwrap_or(0);
+            *by_backend.entry(backend.clone()).or_default() += used;
+            let record = tables.backends.get(backend).expect("known");
+            let region = if record.zone == zone(0) || record.zone == zone(1) {
+                "east"
+            } else {
+                "west"
+            };
+            *by_region.entry(region).or_default() += used;
+            let from_east = index % 4 < 2;
+            if from_east && region == "west" {
+                east_to_west += used;
+            }
+        }
+    }
+    prop_assert!(
+        by_backend.values().all(|used| *used <= SLOTS),
+        "back end: {:?}",
+        by_backend
+    );
+    prop_assert!(
+        by_region.values().all(|used| *used <= REGION_CAPACITY),
+        "region: {:?}",
+        by_region
+    );
+    prop_assert!(east_to_west <= LINK_CAPACITY, "link: {}", east_to_west);
+    Ok(())
+}
+
+fn demand_of(wanted: &[u32]) -> Demand {
+    let mut demand = Demand::new();
+    for (index, wanted) in wanted.iter().enumerate() {
+        demand.insert((daemon(index), "desk".into(), zone(index % 4)), *wanted);
+    }
+    demand
+}
+
+proptest! {
+    #![proptest_config(fixed(500))]
+
+    #[test]
+    fn worst_case_use_stays_within_every_limit(steps in prop::collection::vec(step(), 1..60)) {
+        let mut machine = Machine::started(BACKENDS, DAEMONS);
+        let mut naive = vec![Naive::default(); DAEMONS];
+        for step in steps {
+            match step {
+                Step::Set { daemon: index, backend, count } => {
+                    machine.apply(Command::AdjustSlots(vec![SlotChange {
+                        daemon: daemon(index),
+                        backend: format!("backend-{backend}").as_str().into(),
+                        count,
+                    }]));
+                }
+                Step::Hear { daemon: index } => {
+                    let held = machine.state.tables().slots.get(&daemon(index));
+                    naive[index].heard = held.cloned().unwrap_or_default();
+                }
+                Step::Confirm { daemon: index } => {
+                    // A daemon confirms only what it has heard.
+                    let held = machine.state.tables().slots.get(&daemon(index));
+                    naive[index].heard = held.cloned().unwrap_or_default();
+                    let version = machine.state.tables().version;
+                    let daemons = vec![(daemon(index), version)];
+                    machine.apply(Command::Confirm { all: 0, daemons });
+                }
+                Step::Plan { wanted } => {
+                    let changes = plan_slots(&machine.state, &demand_of(&wanted), &BTreeSet::new());
+                    if !changes.is_empty() {
+                        // A plan is always allowed.
+                        let answer = machine.apply(Command::AdjustSlots(changes));
+                        prop_assert_eq!(answer, CommandAnswer::Done);
+                    }
+                }
+            }
+            check_worst_case(&machine, &naive)?;
+        }
+    }
+
+    #[test]
+    fn fair_shares_are_fair(wants in prop::collection::vec(0..20_u32, 1..12), total in 0..60_u32) {
+        let shares = fair_shares(&wants, total);
+        let wanted: u32 = wants.iter().sum();
+        prop_assert_eq!(shares.iter().sum::<u32>(), wanted.min(total));
+        for (index, share) in shares.iter().enumerate() {
+            prop_assert!(*share <= wants[index]);
+            let lacks = *share < wants[index];
+            let most = shares.iter().max().copied().unwrap_or(0);
+            prop_assert!(!lacks || share + 1 >= most, "{:?} of {:?}", shares, wants);
+        }
+    }
+}
+
+#[gtest]
+fn without_waiting_for_confirmation_a_back_end_gets_too_much() {
+    let mut machine = Machine::started(BACKENDS, DAEMONS);
+    let set = |daemon_index: usize, count| {
+        Command::AdjustSlots(vec![SlotChange {
+            daemon: daemon(daemon_index),
+            backend: "backend-0".into(),
+            count,
+        }])
+    };
+    machine.apply(set(0, SLOTS));
+    let naive = [Naive {
+        heard: SlotMap::from([("backend-0".into(), SLOTS)]),
+    }];
+    machine.apply(set(0, 0));
+    let refused = machine.apply(set(1, SLOTS));
+    expect_that!(refused, matches_pattern!(CommandAnswer::Refused(_)));
+    // The mechanism switched off: the slots count as free at once.
+    let version = machine.state.tables().version;
+    machine.apply(Command::Confirm {
+        all: 0,
+        daemons: vec![(daemon(0), version)],
+    });
+    expect_that!(machine.apply(set(1, SLOTS)), eq(&CommandAnswer::Done));
+    expect_that!(
+        check_worst_case(&machine, &[naive.to_vec(), vec![Naive::default()]].concat()).is_err(),
+        eq(true)
+    );
+}
+
+#[gtest]
+fn demand_is_served_once_slots_are_confirmed() {
+    let mut machine = Machine::started(BACKENDS, DAEMONS);
+    let demand = demand_of(&[3, 0, 2, 0, 0]);
+    let changes = plan_slots(&machine.state, &demand, &BTreeSet::new());
+    machine.apply(Command::AdjustSlots(changes));
+    for (index, wanted) in [(0, 3), (2, 2)] {
+        let held = machine
+            .state
+            .tables()
+            .slots
+            .get(&daemon(index))
+            .expect("slots");
+        let own_zone: u32 = held
+            .iter()
+            .filter(|(backend, _)| {
+                let record = machine.state.tables().backends.get(backend);
+                record.is_some_and(|record| record.zone == zone(index))
+            })
+            .map(|(_, count)| *count)
+            .sum();
+        expect_that!(own_zone, ge(wanted));
+    }
+}
--- a/crates/coursestand-gateway/src/gateway.rs
+++ b/crates/coursestand-gateway/src/gateway.rs
@@ -4,7 +4,7 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use coursestand_coordination::once::{
@@ -18,6 +18,7 @@
 use poem::http::{HeaderMap, StatusCode};
 use poem::{Body, Request, Response};
 use tokio::sync::Notify;
+use tokio::time::Instant;
 
 use crate::answer::{Answer, Content, Reason};
 use crate::backend_edge::{
@@ -118,12 +119,13 @@
     once: &'a Arc<dyn OnceEdge>,
     key: OnceKey,
     id: ClaimId,
-    dispatched: bool,
+    /// The claim is or may be ours, and nothing was dispatched under it.
+    needs_release: bool,
 }
 
 impl Drop for Claim<'_> {
     fn drop(&mut self) {
-        if !self.dispatched {
+        if self.needs_release {
             self.once.release(self.key.clone(), self.id.clone());
         }
     }
@@ -259,10 +261,7 @@
             if matches!(admission, Admission::Dispatch(_)) {
                 continue;
             }
-            if tokio::time::timeout_at(give_up.into(), freed)
-                .await
-                .is_err()
-            {
+            if tokio::time::timeout_at(give_up, freed).await.is_err() {
                 return Err(self.refuse(Reason::NoSlot));
             }
             admission = self.shared.steering().take(pool, excluded);
@@ -283,14 +282,15 @@
             daemon: self.daemon.clone(),
             sequence: self.sequence.fetch_add(1, Ordering::Relaxed),
         };
-        let claim = Claim {
+        let mut claim = Claim {
             once: &self.once,
             key,
             id,
-            dispatched: false,
+            needs_release: true,
         };
         let remaining = deadline.saturating_duration_since(Instant::now());
         let answer = self.once.claim(&claim.key, &claim.id, remaining).await;
+        claim.needs_release = matches!(answer, Ok(ClaimAnswer::Granted) | Err(_));
         let refused = match answer {
             Ok(ClaimAnswer::Granted) => return Ok(claim),
             Ok(ClaimAnswer::Taken) => Answer::unknown(Reason::KeyTaken),
@@ -322,7 +322,7 @@
             match self.attempt(&mut call, slot, Some(claim)).await {
                 Attempt::Answered(answer) => return answer,
                 Attempt::Failed(DispatchError::NotRun { reason }) => {
-                    claim.dispatched = false;
+                    claim.needs_release = true;
                     if !self.may_retry(Outcome::NotRun, attempt, &call) {
                         return Answer::not_run(Reason::BackEnd(reason));
                     }
@@ -405,7 +405,7 @@
         }
         slot.sent(&dispatch.address, &dispatch.request_id, call.deadline);
         let claimed = claim.map(|claim| {
-            claim.dispatched = true;
+            claim.needs_release = false;
             (claim.key.clone(), claim.id.clone())
         });
         let started = Instant::now();
@@ -580,7 +580,7 @@
         }
         Ok(Bytes::from(whole))
     };
-    tokio::time::timeout_at(deadline.into(), read)
+    tokio::time::timeout_at(deadline, read)
         .await
         .map_err(std::io::Error::other)?
 }
@@ -591,7 +591,7 @@
     let state = Some((body, slot));
     futures::stream::unfold(state, move |state| async move {
         let (mut body, slot) = state?;
-        match tokio::time::timeout_at(deadline.into(), body.next()).await {
+        match tokio::time::timeout_at(deadline, body.next()).await {
             Ok(Some(Ok(piece))) => Some((Ok(piece), Some((body, slot)))),
             Ok(Some(Err(error))) => Some((Err(error), None)),
             Ok(None) => {
--- a/crates/coursestand-gateway/src/request.rs
+++ b/crates/coursestand-gateway/src/request.rs
@@ -1,6 +1,6 @@
 //! A caller's request, checked.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::Bytes;
 use coursestand_coordination::once::OnceKey;
@@ -10,6 +10,7 @@
 use futures::{StreamExt, TryStreamExt};
 use poem::http::{HeaderMap, HeaderName, Method, Uri, header};
 use poem::{Body, Request};
+use tokio::time::Instant;
 
 use crate::answer::Reason;
 use crate::backend_edge::{ByteStream, RequestBody};
--- a/crates/coursestand-gateway/src/slot_guard.rs
+++ b/crates/coursestand-gateway/src/slot_guard.rs
@@ -1,9 +1,9 @@
 //! Holds a slot for exactly as long as a back end may run the request.
 
 use std::sync::Arc;
-use std::time::Instant;
 
 use coursestand_steering::Ticket;
+use tokio::time::Instant;
 
 use crate::gateway::Shared;
 
@@ -70,7 +70,7 @@
                     .cancel(&sent.address, &sent.request_id)
                     .await;
                 if !cancelled {
-                    tokio::time::sleep_until(sent.deadline.into()).await;
+                    tokio::time::sleep_until(sent.deadline).await;
                 }
                 shared.free_slot(&ticket);
             });
--- /dev/null
+++ b/crates/coursestand-gateway/tests/outcomes.rs
@@ -0,0 +1,254 @@
+//! The outcome told to callers, against what really happened to each dispatch.
+#![allow(missing_docs)]
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use common::{NaiveOnce, Script, ScriptedBackends, bench, outcome_of, request, tables};
+use coursestand_model::Outcome;
+use googletest::prelude::*;
+use poem::http::StatusCode;
+use poem::{Body, Response};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const TWO: [&str; 2] = ["127.0.0.1:1", "127.0.0.1:2"];
+
+fn script() -> impl Strategy<Value = Script> {
+    prop_oneof![
+        Just(Script::Answer),
+        Just(Script::BrokenAnswer),
+        Just(Script::NotRun),
+        Just(Script::LostAfterRun),
+        Just(Script::LostBeforeRun),
+    ]
+}
+
+async fn text(response: Response) -> String {
+    response.into_body().into_string().await.unwrap_or_default()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn what_is_told_is_what_happened(
+        scripts in prop::collection::vec(script(), 0..6),
+        once in any::<bool>(),
+        resends in 0..3_usize,
+    ) {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .start_paused(true)
+            .build()
+            .expect("a runtime");
+        runtime.block_on(async {
+            let backends = Arc::new(ScriptedBackends {
+                script: std::sync::Mutex::new(scripts.into()),
+                cancel_works: true,
+                ..ScriptedBackends::default()
+            });
+            let bench = bench(backends.clone(), NaiveOnce::default(), &tables(&TWO, 4));
+            let (service, key) = if once { ("pay", Some("1000-k")) } else { ("page", None) };
+            let mut all = Vec::new();
+            for _ in 0..=resends {
+                let before = backends.dispatched.lock().expect("lock").len();
+                let response = bench.serve(service, key).await;
+                let outcome = outcome_of(&response);
+                let body = text(response).await;
+                let dispatched = backends.dispatched.lock().expect("lock").clone();
+                let own = &dispatched[before..];
+                match outcome {
+                    Outcome::NotRun => {
+                        prop_assert!(own.iter().all(|(script, _)| !script.runs()));
+                        prop_assert!(own.iter().all(|(script, _)| *script == Script::NotRun));
+                    }
+                    Outcome::Completed => {
+                        let whole = dispatched
+                            .iter()
+                            .any(|(script, id)| *script == Script::Answer && *id == body);
+                        prop_assert!(whole, "the answer {:?} is of no dispatch", body);
+                        if !once {
+                            prop_assert_eq!(&own.last().expect("dispatched").1, &body);
+                        }
+                    }
+                    Outcome::Unknown => {}
+                }
+                all.push(outcome);
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+            let dispatched = backends.dispatched.lock().expect("lock").clone();
+            let may_have_run = dispatched.iter().filter(|(script, _)| *script != Script::NotRun);
+            if once {
+                prop_assert!(may_have_run.count() <= 1, "{:?} told {:?}", dispatched, all);
+            }
+            tokio::time::sleep(Duration::from_secs(10)).await;
+            prop_assert_eq!(bench.in_use(), 0, "every slot is given back");
+            Ok(())
+        })?;
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn without_a_lease_nothing_is_dispatched() {
+    let backends = Arc::new(ScriptedBackends::default());
+    let bench = bench(backends.clone(), NaiveOnce::default(), &tables(&TWO, 4));
+    let fresh = coursestand_gateway::lease::DecisionLease::new(bench.clock);
+    expect_that!(fresh.is_valid(), eq(false));
+    // A gateway whose lease was never granted.
+    let shared = Arc::new(coursestand_gateway::gateway::Shared::new(
+        common::daemon(),
+        Arc::new(fresh),
+        backends.clone(),
+    ));
+    shared.steering().apply(&tables(&TWO, 4)).expect("valid");
+    let metrics = coursestand_gateway::metrics::GatewayMetrics::new(&prometheus::Registry::new())
+        .expect("metrics");
+    let once = Arc::new(NaiveOnce::default());
+    let gateway =
+        coursestand_gateway::Gateway::new(common::daemon(), "z".into(), shared, once, metrics);
+    let response = gateway
+        .serve("page", &request("page", None), Body::empty())
+        .await;
+    expect_that!(outcome_of(&response), eq(Outcome::NotRun));
+    expect_that!(response.status(), eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(response.headers().contains_key("retry-after"), eq(true));
+    expect_that!(backends.dispatched.lock().expect("lock").len(), eq(0));
+}
+
+/// A daemon that is frozen between its claim and its dispatch checks its lease
+/// after waking: here the claim takes longer than what is left of the lease.
+#[gtest]
+#[tokio::test]
+async fn a_lease_that_ends_during_the_claim_stops_the_dispatch() {
+    let backends = Arc::new(ScriptedBackends::default());
+    let once = NaiveOnce {
+        delay: Duration::from_millis(120),
+        ..NaiveOnce::default()
+    };
+    let clock = coursestand_kernel::MonotonicClock::default();
+    let lease = Arc::new(coursestand_gateway::lease::DecisionLease::new(clock));
+    lease.extend(clock.now() + 60);
+    let shared = Arc::new(coursestand_gateway::gateway::Shared::new(
+        common::daemon(),
+        lease,
+        backends.clone(),
+    ));
+    shared.steering().apply(&tables(&TWO, 4)).expect("valid");
+    let metrics = coursestand_gateway::metrics::GatewayMetrics::new(&prometheus::Registry::new())
+        .expect("metrics");
+    let once = Arc::new(once);
+    let gateway = coursestand_gateway::Gateway::new(
+        common::daemon(),
+        "z".into(),
+        shared,
+        once.clone(),
+        metrics,
+    );
+    let request = request("pay", Some("1000-k"));
+    let response = gateway.serve("pay", &request, Body::empty()).await;
+    expect_that!(outcome_of(&response), eq(Outcome::NotRun));
+    expect_that!(backends.dispatched.lock().expect("lock").len(), eq(0));
+    expect_that!(once.released.lock().expect("lock").len(), eq(1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_ledger_that_is_cut_off_dispatches_nothing() {
+    let backends = Arc::new(ScriptedBackends::default());
+    let once = NaiveOnce {
+        unreachable: true,
+        ..NaiveOnce::default()
+    };
+    let bench = bench(backends.clone(), once, &tables(&TWO, 4));
+    let response = bench.serve("pay", Some("1000-k")).await;
+    expect_that!(outcome_of(&response), eq(Outcome::Unknown));
+    expect_that!(backends.dispatched.lock().expect("lock").len(), eq(0));
+    expect_that!(bench.once.released.lock().expect("lock").len(), eq(1));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn an_abandoned_slot_stays_taken_until_the_back_end_confirms() {
+    for (cancel_works, held_until_deadline) in [(true, false), (false, true)] {
+        let backends = Arc::new(ScriptedBackends {
+            script: std::sync::Mutex::new([Script::LostAfterRun; 3].into()),
+            cancel_works,
+            ..ScriptedBackends::default()
+        });
+        let bench = bench(backends, NaiveOnce::default(), &tables(&TWO[..1], 1));
+        let response = bench.serve("pay", Some("1000-k")).await;
+        expect_that!(outcome_of(&response), eq(Outcome::Unknown));
+        tokio::time::sleep(Duration::from_millis(common::DEADLINE_MS / 2)).await;
+        let held = bench.in_use() == 1;
+        expect_that!(held, eq(held_until_deadline));
+        tokio::time::sleep(Duration::from_millis(common::DEADLINE_MS)).await;
+        expect_that!(bench.in_use(), eq(0));
+    }
+}
+
+#[gtest]
+#[tokio::test]
+async fn bad_requests_get_a_clear_answer() {
+    let backends = Arc::new(ScriptedBackends::default());
+    let bench = bench(backends.clone(), NaiveOnce::default(), &tables(&TWO, 4));
+    let with = |service: &str, name: &str, value: &str| {
+        let mut request = request(service, Some("1000-k"));
+        request.headers_mut().insert(
+            poem::http::HeaderName::try_from(name).expect("a name"),
+            value.parse().expect("a value"),
+        );
+        request
+    };
+    let long = 300_000.to_string();
+    for (service, request, status, sign) in [
+        (
+            "none",
+            request("none", None),
+            404,
+            "service none is not known",
+        ),
+        (
+            "pay",
+            with("pay", "x-deadline-ms", "soon"),
+            400,
+            "x-deadline-ms",
+        ),
+        ("pay", with("pay", "x-deadline-ms", "0"), 504, "deadline"),
+        (
+            "pay",
+            with("pay", "idempotency-key", "k"),
+            400,
+            "idempotency-key",
+        ),
+        ("pay", with("pay", "content-length", &long), 413, "longer"),
+    ] {
+        let response = bench.gateway.serve(service, &request, Body::empty()).await;
+        expect_that!(response.status().as_u16(), eq(status));
+        expect_that!(outcome_of(&response), eq(Outcome::NotRun));
+        expect_that!(text(response).await, contains_substring(sign));
+    }
+    expect_that!(backends.dispatched.lock().expect("lock").len(), eq(0));
+}
+
+#[gtest]
+#[tokio::test(start_paused = true)]
+async fn a_request_without_room_is_refused_soon_with_when_to_come_back() {
+    let backends = Arc::new(ScriptedBackends::default());
+    let bench = bench(backends, NaiveOnce::default(), &tables(&TWO, 0));
+    let began = tokio::time::Instant::now();
+    let response = bench.serve("page", None).await;
+    expect_that!(outcome_of(&response), eq(Outcome::NotRun));
+    expect_that!(response.status(), eq(StatusCode::SERVICE_UNAVAILABLE));
+    expect_that!(response.headers().contains_key("retry-after"), eq(true));
+    // The queue's 50 ms, and nowhere near the deadline.
+    expect_that!(began.elapsed().as_millis(), lt(100));
+}
