--- a/crates/coursestand-coordination/src/tables.rs
+++ b/crates/coursestand-coordination/src/tables.rs
@@ -46,6 +46,11 @@
         self.rows.get(key).map(|row| &row.value)
     }
 
+    /// The value of `key` with the version that last changed it.
+    pub fn row(&self, key: &K) -> Option<&Row<V>> {
+        self.rows.get(key)
+    }
+
     /// Sets a value; returns whether it differs from the one before.
     pub fn set(&mut self, key: K, value: V, changed_at: ControlVersion) -> bool {
         if self.get(&key) == Some(&value) {
@@ -220,6 +225,16 @@
     drains: Vec<(DrainTarget, Row<bool>)>,
 }
 
+impl Delta {
+    /// This delta with the slots of one daemon.
+    pub fn with_slots(&self, slots: Vec<(DaemonId, Row<SlotMap>)>) -> Delta {
+        Delta {
+            slots,
+            ..self.clone()
+        }
+    }
+}
+
 /// Whose slots a delta carries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SlotScope<'a> {
@@ -232,27 +247,47 @@
 impl Tables {
     /// The rows that changed after `since`.
     pub fn delta(&self, since: ControlVersion, scope: SlotScope<'_>) -> Delta {
+        let mut delta = self.common_delta(since);
+        delta.slots = match scope {
+            SlotScope::Daemon(daemon) => self.slots_delta(since, daemon),
+            SlotScope::All => self.slots.changed_since(since),
+        };
+        delta
+    }
+
+    /// The part of a delta that is the same for every daemon.
+    pub fn common_delta(&self, since: ControlVersion) -> Delta {
         if since >= self.version {
             return Delta {
                 version: self.version,
                 ..Delta::default()
             };
         }
-        let mut slots = self.slots.changed_since(since);
-        if let SlotScope::Daemon(daemon) = scope {
-            slots.retain(|(holder, _)| holder == daemon);
-        }
         Delta {
             version: self.version,
             bundle: self.bundle.changed_since(since),
             backends: self.backends.changed_since(since),
             shares: self.shares.changed_since(since),
-            slots,
+            slots: Vec::new(),
             members: self.members.changed_since(since),
             drains: self.drains.changed_since(since),
         }
     }
 
+    /// The slots of one daemon, if they changed after `since`.
+    pub fn slots_delta(
+        &self,
+        since: ControlVersion,
+        daemon: &DaemonId,
+    ) -> Vec<(DaemonId, Row<SlotMap>)> {
+        self.slots
+            .row(daemon)
+            .filter(|row| row.changed_at > since)
+            .map(|row| (daemon.clone(), row.clone()))
+            .into_iter()
+            .collect()
+    }
+
     /// Applies a delta. An older one changes nothing: the version held by a
     /// follower never falls. Returns whether the version grew.
     pub fn apply(&mut self, delta: Delta) -> bool {
--- a/crates/coursestand-daemon/src/control/exchange.rs
+++ b/crates/coursestand-daemon/src/control/exchange.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use coursestand_coordination::followers::HOLD_MS;
-use coursestand_coordination::tables::{MemberPhase, SlotScope};
+use coursestand_coordination::tables::MemberPhase;
 use coursestand_coordination::wire::{ControlReply, ControlRequest, FollowRequest, ReportRequest};
 use coursestand_coordination::{Command, CommandAnswer};
 use coursestand_transport::Handler;
@@ -103,12 +103,7 @@
         if tenure.has_stopped(&request.daemon) {
             return ControlReply::Done;
         }
-        let delta = self
-            .control
-            .shared
-            .state()
-            .tables()
-            .delta(request.have, SlotScope::Daemon(&request.daemon));
+        let delta = self.control.shared.delta(request.have, &request.daemon);
         tenure.note_follower(request);
         tenure
             .registry
@@ -120,11 +115,13 @@
         let Some((mut guard, now)) = self.control.tenure() else {
             return self.not_leader();
         };
-        if let Some(tenure) = guard.as_mut() {
-            tenure.note_report(now, request);
-        }
+        let is_news = guard
+            .as_mut()
+            .is_some_and(|tenure| tenure.note_report(now, request));
         drop(guard);
-        self.control.duties.notify_one();
+        if is_news {
+            self.control.duties.notify_one();
+        }
         ControlReply::Done
     }
 
--- a/crates/coursestand-daemon/src/control/shared.rs
+++ b/crates/coursestand-daemon/src/control/shared.rs
@@ -1,12 +1,13 @@
 //! What the parts of a control replica share.
 
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
+use std::sync::{Arc, Mutex, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
 use coursestand_consensus::Membership;
-use coursestand_coordination::{ControlState, ControlVersion};
+use coursestand_coordination::{ControlState, ControlVersion, Delta};
 use coursestand_kernel::MonotonicClock;
-use coursestand_model::Millis;
+use coursestand_model::{DaemonId, Millis};
 use serde::Serialize;
 use tokio::sync::watch;
 
@@ -78,6 +79,9 @@
     lease_end: AtomicU64,
     term: AtomicU64,
     version: watch::Sender<ControlVersion>,
+    /// The newest delta for each version that followers asked from. Nearly all
+    /// ask from the same one, and the driver must not wait for each to read.
+    deltas: Mutex<HashMap<ControlVersion, Arc<Delta>>>,
 }
 
 impl ControlShared {
@@ -91,6 +95,7 @@
             lease_end: AtomicU64::new(0),
             term: AtomicU64::new(0),
             version: watch::Sender::new(0),
+            deltas: Mutex::default(),
         }
     }
 
@@ -146,6 +151,25 @@
         (self.clock.now() < end).then_some(term)
     }
 
+    /// The rows that changed after `since`, as `daemon` needs them.
+    pub fn delta(&self, since: ControlVersion, daemon: &DaemonId) -> Delta {
+        let mut deltas = self.deltas.lock().unwrap_or_else(PoisonError::into_inner);
+        let state = self.state();
+        let tables = state.tables();
+        let slots = tables.slots_delta(since, daemon);
+        let known = deltas.get(&since).cloned();
+        let common = known.filter(|delta| delta.version == tables.version);
+        let common = common.unwrap_or_else(|| {
+            let fresh = Arc::new(tables.common_delta(since));
+            deltas.retain(|_, delta| delta.version == fresh.version);
+            deltas.insert(since, Arc::clone(&fresh));
+            fresh
+        });
+        drop(state);
+        drop(deltas);
+        common.with_slots(slots)
+    }
+
     /// Tells of new versions of the followers' tables.
     pub fn versions(&self) -> watch::Receiver<ControlVersion> {
         self.version.subscribe()
--- a/crates/coursestand-daemon/src/control/tenure.rs
+++ b/crates/coursestand-daemon/src/control/tenure.rs
@@ -66,10 +66,13 @@
         self.stopped.contains(daemon)
     }
 
-    /// Notes a daemon's report.
-    pub fn note_report(&mut self, now: Millis, request: ReportRequest) {
+    /// Notes a daemon's report. Returns whether it says anything new.
+    pub fn note_report(&mut self, now: Millis, request: ReportRequest) -> bool {
+        let known = self.reports.get(&request.daemon);
+        let is_news = known.is_none_or(|known| known.request != request);
         let report = Report { at: now, request };
         self.reports.insert(report.request.daemon.clone(), report);
+        is_news
     }
 
     /// What is new about daemons against the tables: those that appeared or
--- a/crates/coursestand-lab/src/scale.rs
+++ b/crates/coursestand-lab/src/scale.rs
@@ -122,7 +122,9 @@
     let mut points = Vec::new();
     for count in &plan.steps {
         let control = &settings[0].control;
-        points.push(run_step(&operator, &deployment, control, *count, plan.changes).await?);
+        let point = run_step(&operator, &deployment, control, *count, plan.changes).await?;
+        eprintln!("{point}");
+        points.push(point);
     }
     for daemon in &daemons {
         daemon.stop().await;
