--- a/crates/coursestand-coordination/src/allocator.rs
+++ b/crates/coursestand-coordination/src/allocator.rs
@@ -18,6 +18,11 @@
 /// A daemon keeps this many slots above its demand while nobody lacks them.
 const KEPT_ABOVE_DEMAND: u32 = 2;
 
+/// Slots above its demand that a daemon gets at least, if any are left over.
+const MIN_SLACK: u32 = 1;
+/// One part in this many of a pool's slots stays free for new demand.
+const FREE_PART: u32 = 4;
+
 /// Slots that a daemon would use, by daemon, service and zone.
 pub type Demand = BTreeMap<(DaemonId, ServiceId, ZoneId), u32>;
 
@@ -127,7 +132,7 @@
             .filter_map(|backend| self.tables.backends.get(backend))
             .map(|record| record.slots)
             .sum();
-        let fair = fair_shares(&wants, total);
+        let fair = shares_with_slack(&wants, total);
         let held: Vec<u32> = self
             .serving
             .iter()
@@ -262,6 +267,24 @@
     }
 }
 
+/// Fair shares of the demand, and then up to twice the demand from what is left
+/// over: a burst should not have to wait for a grant. A part stays free for
+/// daemons whose demand is new.
+pub fn shares_with_slack(wants: &[u32], total: u32) -> Vec<u32> {
+    let fair = fair_shares(wants, total);
+    let given: u32 = fair.iter().sum();
+    let reserve = total / FREE_PART;
+    let slack: Vec<u32> = wants
+        .iter()
+        .map(|want| if *want > 0 { want + MIN_SLACK } else { 0 })
+        .collect();
+    let more = fair_shares(&slack, (total - given).saturating_sub(reserve));
+    fair.iter()
+        .zip(more)
+        .map(|(fair, more)| fair + more)
+        .collect()
+}
+
 /// Max-min fair shares: nobody gets more than wanted, and nobody gets less than
 /// another one unless wanting less.
 pub fn fair_shares(wants: &[u32], total: u32) -> Vec<u32> {
--- a/crates/coursestand-daemon/src/control/replica.rs
+++ b/crates/coursestand-daemon/src/control/replica.rs
@@ -24,8 +24,8 @@
 use crate::control::tenure::Tenure;
 use crate::names;
 
-/// Exchanges at the same time: each follower holds one. An idle one costs 6 KB
-/// (measured, see `docs/CAPACITY.md`).
+/// Exchanges at the same time: each follower holds one. A replica with this many
+/// is 3 MB larger than a daemon without the role (see `docs/CAPACITY.md`).
 const EXCHANGES: usize = 2_048;
 
 /// Handle of the control replica for the other services.
