Test the programs as operators call them; one place for ledger commands and tasks

Cause: bad files, wrong calls, a port in use and an unreachable control group had no test; ledger commands stood twice (wire and log), task handling four times. Ruled out: nothing.

--- a/crates/coursestand-coordination/src/command.rs
+++ b/crates/coursestand-coordination/src/command.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::bundles::{SignedOrder, SubmitAnswer};
-use crate::once::{ClaimAnswer, ClaimId, OnceKey, RecordedAnswer};
+use crate::once::{ClaimAnswer, OnceCommand};
 use crate::shares::{ShareKey, ShareVector};
 use crate::signing::SignoffPolicy;
 use crate::slots::SlotChange;
@@ -64,29 +64,8 @@
     },
     /// Frees the slots of daemons whose leases and requests have ended.
     ForgetDaemons(Vec<DaemonId>),
-    /// Claims a key before dispatch.
-    Claim {
-        /// The key.
-        key: OnceKey,
-        /// The attempt.
-        claim: ClaimId,
-    },
-    /// Records the answer of a request that ran.
-    Complete {
-        /// The key.
-        key: OnceKey,
-        /// The attempt that ran it.
-        claim: ClaimId,
-        /// Its answer.
-        answer: RecordedAnswer,
-    },
-    /// Gives up a claim that was never dispatched.
-    Release {
-        /// The key.
-        key: OnceKey,
-        /// The attempt.
-        claim: ClaimId,
-    },
+    /// A command for the once ledger.
+    Once(OnceCommand),
 }
 
 /// One start of a back end.
--- a/crates/coursestand-coordination/src/once.rs
+++ b/crates/coursestand-coordination/src/once.rs
@@ -64,6 +64,34 @@
     pub body: Option<Vec<u8>>,
 }
 
+/// What a daemon asks of the ledger.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OnceCommand {
+    /// Claims a key before dispatch.
+    Claim {
+        /// The key.
+        key: OnceKey,
+        /// The attempt.
+        claim: ClaimId,
+    },
+    /// Records the answer of a request that ran.
+    Complete {
+        /// The key.
+        key: OnceKey,
+        /// The attempt that ran it.
+        claim: ClaimId,
+        /// Its answer.
+        answer: RecordedAnswer,
+    },
+    /// Gives up a claim that was never dispatched.
+    Release {
+        /// The key.
+        key: OnceKey,
+        /// The attempt.
+        claim: ClaimId,
+    },
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 enum ClaimRecord {
     /// Dispatched or about to be.
--- a/crates/coursestand-coordination/src/state.rs
+++ b/crates/coursestand-coordination/src/state.rs
@@ -8,7 +8,7 @@
 
 use crate::bundles::{AcceptedChange, BundleHistory, OrderAction, SubmitAnswer};
 use crate::command::{BackendEpoch, Command, CommandAnswer, StampedCommand};
-use crate::once::OnceLedger;
+use crate::once::{OnceCommand, OnceLedger};
 use crate::shares::{ShareKey, ShareVector};
 use crate::shift_ledger::ShiftLedger;
 use crate::signing::SignoffPolicy;
@@ -84,14 +84,20 @@
             Command::AdjustSlots(changes) => self.adjust_slots(changes, index),
             Command::Confirm { all, daemons } => self.confirm(*all, daemons),
             Command::ForgetDaemons(daemons) => self.forget_daemons(daemons),
-            Command::Claim { key, claim } => {
+            Command::Once(command) => self.apply_once(command, rules),
+        }
+    }
+
+    fn apply_once(&mut self, command: &OnceCommand, rules: Once) -> CommandAnswer {
+        match command {
+            OnceCommand::Claim { key, claim } => {
                 CommandAnswer::Claim(self.once.claim(key.clone(), claim.clone(), rules))
             }
-            Command::Complete { key, claim, answer } => {
+            OnceCommand::Complete { key, claim, answer } => {
                 self.once.complete(key, claim, answer.clone());
                 CommandAnswer::Done
             }
-            Command::Release { key, claim } => {
+            OnceCommand::Release { key, claim } => {
                 self.once.release(key.clone(), claim.clone());
                 CommandAnswer::Done
             }
--- a/crates/coursestand-coordination/src/wire.rs
+++ b/crates/coursestand-coordination/src/wire.rs
@@ -7,7 +7,7 @@
 
 use crate::command::BackendEpoch;
 use crate::followers::Progress;
-use crate::once::{ClaimAnswer, ClaimId, OnceKey, RecordedAnswer};
+use crate::once::{ClaimAnswer, OnceCommand};
 use crate::tables::{ControlVersion, Delta, MemberPhase};
 
 /// A daemon asks for news and for its lease. The source may hold the request
@@ -61,29 +61,8 @@
     Follow(FollowRequest),
     /// Reports demand and the health of back ends.
     Report(ReportRequest),
-    /// Claims an idempotency key.
-    Claim {
-        /// The key.
-        key: OnceKey,
-        /// The attempt.
-        claim: ClaimId,
-    },
-    /// Records the answer of a request that ran.
-    Complete {
-        /// The key.
-        key: OnceKey,
-        /// The attempt.
-        claim: ClaimId,
-        /// Its answer.
-        answer: RecordedAnswer,
-    },
-    /// Gives up a claim that was never dispatched.
-    Release {
-        /// The key.
-        key: OnceKey,
-        /// The attempt.
-        claim: ClaimId,
-    },
+    /// A command for the once ledger.
+    Once(OnceCommand),
     /// A message of the consensus group, encoded by it.
     Consensus(Vec<u8>),
 }
--- a/crates/coursestand-daemon/src/control/exchange.rs
+++ b/crates/coursestand-daemon/src/control/exchange.rs
@@ -161,15 +161,7 @@
         match request {
             ControlRequest::Follow(request) => self.follow(request).await,
             ControlRequest::Report(request) => self.report(request),
-            ControlRequest::Claim { key, claim } => {
-                self.propose(Command::Claim { key, claim }).await
-            }
-            ControlRequest::Complete { key, claim, answer } => {
-                self.propose(Command::Complete { key, claim, answer }).await
-            }
-            ControlRequest::Release { key, claim } => {
-                self.propose(Command::Release { key, claim }).await
-            }
+            ControlRequest::Once(command) => self.propose(Command::Once(command)).await,
             ControlRequest::Consensus(bytes) => self.consensus(&bytes),
         }
     }
--- a/crates/coursestand-daemon/src/control/leader.rs
+++ b/crates/coursestand-daemon/src/control/leader.rs
@@ -2,19 +2,18 @@
 //! traffic shares and slots. Every replica runs this; only the one that leads
 //! with a lease does anything, and the state machine checks what it proposes.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use coursestand_coordination::allocator::plan_slots;
 use coursestand_coordination::planner::plan_steps;
 use coursestand_coordination::{Command, CommandAnswer};
-use coursestand_kernel::{Registry, Service, ServiceError};
+use coursestand_kernel::{Registry, Service, ServiceError, Tasks};
 use coursestand_model::platform::{BackendState, PlatformBackend};
 use coursestand_model::settings::ControlSettings;
 use log::{debug, warn};
 use serde_json::{Value, json};
-use tokio::task::JoinHandle;
 
 use crate::control::platform::PlatformClient;
 use crate::control::replica::ControlHandle;
@@ -29,7 +28,7 @@
 /// Runs the leader's duties.
 pub struct Leader {
     settings: ControlSettings,
-    tasks: Mutex<Vec<JoinHandle<()>>>,
+    tasks: Tasks,
 }
 
 impl Leader {
@@ -37,7 +36,7 @@
     pub fn new(settings: ControlSettings) -> Leader {
         Leader {
             settings,
-            tasks: Mutex::default(),
+            tasks: Tasks::default(),
         }
     }
 }
@@ -53,21 +52,17 @@
         let control = registry
             .find::<ControlHandle>(names::CONTROL)
             .map_err(|error| failed(&error))?;
-        let mut tasks = vec![tokio::spawn(run_duties(Arc::clone(&control)))];
+        self.tasks.start(run_duties(Arc::clone(&control)));
         if let Some(url) = &self.settings.platform_list {
             let client = PlatformClient::new(url).map_err(|error| failed(&error))?;
             let pause = Duration::from_millis(self.settings.platform_poll_ms);
-            tasks.push(tokio::spawn(watch_platform(control, client, pause)));
+            self.tasks.start(watch_platform(control, client, pause));
         }
-        *self.tasks.lock().unwrap_or_else(PoisonError::into_inner) = tasks;
         Ok(())
     }
 
     async fn stop(&self) {
-        let mut tasks = self.tasks.lock().unwrap_or_else(PoisonError::into_inner);
-        for task in tasks.drain(..) {
-            task.abort();
-        }
+        self.tasks.abort();
     }
 
     fn dump(&self) -> Value {
--- a/crates/coursestand-daemon/src/entry/control_client.rs
+++ b/crates/coursestand-daemon/src/entry/control_client.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
-use coursestand_coordination::once::{ClaimAnswer, ClaimId, OnceKey, RecordedAnswer};
+use coursestand_coordination::once::{ClaimAnswer, ClaimId, OnceCommand, OnceKey, RecordedAnswer};
 use coursestand_coordination::wire::{ControlReply, ControlRequest};
 use coursestand_gateway::once_edge::{OnceEdge, OnceError};
 use coursestand_transport::{Client, TransportError};
@@ -139,7 +139,8 @@
         OnceClient { control }
     }
 
-    fn in_background(&self, request: ControlRequest) {
+    fn in_background(&self, command: OnceCommand) {
+        let request = ControlRequest::Once(command);
         let control = Arc::clone(&self.control);
         tokio::spawn(async move {
             if let Err(error) = control.ask(&request, ATTEMPT, BACKGROUND).await {
@@ -157,10 +158,10 @@
         claim: &ClaimId,
         deadline: Duration,
     ) -> Result<ClaimAnswer, OnceError> {
-        let request = ControlRequest::Claim {
+        let request = ControlRequest::Once(OnceCommand::Claim {
             key: key.clone(),
             claim: claim.clone(),
-        };
+        });
         match self.control.ask(&request, ATTEMPT, deadline).await {
             Ok(ControlReply::Claim(answer)) => Ok(answer),
             Ok(_) => Err(OnceError {
@@ -173,10 +174,10 @@
     }
 
     fn complete(&self, key: OnceKey, claim: ClaimId, answer: RecordedAnswer) {
-        self.in_background(ControlRequest::Complete { key, claim, answer });
+        self.in_background(OnceCommand::Complete { key, claim, answer });
     }
 
     fn release(&self, key: OnceKey, claim: ClaimId) {
-        self.in_background(ControlRequest::Release { key, claim });
+        self.in_background(OnceCommand::Release { key, claim });
     }
 }
--- a/crates/coursestand-daemon/src/entry/follower.rs
+++ b/crates/coursestand-daemon/src/entry/follower.rs
@@ -9,12 +9,11 @@
 use coursestand_coordination::tables::MemberPhase;
 use coursestand_coordination::wire::{ControlReply, ControlRequest, FollowRequest};
 use coursestand_gateway::gateway::Shared;
-use coursestand_kernel::{Health, MonotonicClock, Registry, Service, ServiceError};
+use coursestand_kernel::{Health, MonotonicClock, Registry, Service, ServiceError, Tasks};
 use coursestand_model::{DaemonId, Millis, ZoneId};
 use log::{error, info, warn};
 use serde_json::{Value, json};
 use tokio::sync::Notify;
-use tokio::task::JoinHandle;
 
 use crate::entry::control_client::ControlClient;
 use crate::names;
@@ -43,7 +42,7 @@
 /// Follows the control group.
 pub struct Follower {
     inner: Arc<Inner>,
-    task: Mutex<Option<JoinHandle<()>>>,
+    tasks: Tasks,
 }
 
 struct Inner {
@@ -74,16 +73,9 @@
                 phase: Mutex::new(MemberPhase::Serving),
                 phase_changed: Notify::new(),
             }),
-            task: Mutex::new(None),
+            tasks: Tasks::default(),
         }
     }
-
-    fn take_task(&self) -> Option<JoinHandle<()>> {
-        self.task
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take()
-    }
 }
 
 /// What other services ask of the follower.
@@ -111,17 +103,14 @@
             inner: Arc::clone(&self.inner),
         };
         registry.publish(names::FOLLOWER, Arc::new(handle));
-        let task = tokio::spawn(run(Arc::clone(&self.inner)));
-        *self.task.lock().unwrap_or_else(PoisonError::into_inner) = Some(task);
+        self.tasks.start(run(Arc::clone(&self.inner)));
         Ok(())
     }
 
     /// Nothing of this daemon is in flight any more: gives its lease and slots
     /// back at once.
     async fn drain(&self) {
-        if let Some(task) = self.take_task() {
-            task.abort();
-        }
+        self.tasks.abort();
         self.inner.set_phase(MemberPhase::Gone);
         let request = ControlRequest::Follow(self.inner.request());
         let told = self.inner.control.ask(&request, FAREWELL, FAREWELL).await;
@@ -131,9 +120,7 @@
     }
 
     async fn stop(&self) {
-        if let Some(task) = self.take_task() {
-            task.abort();
-        }
+        self.tasks.abort();
     }
 
     fn dump(&self) -> Value {
--- a/crates/coursestand-daemon/src/entry/prober.rs
+++ b/crates/coursestand-daemon/src/entry/prober.rs
@@ -1,18 +1,17 @@
 //! Probes the back ends on which this daemon holds slots: nobody else sends them
 //! work from here, and each back end is probed by a few daemons only.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_trait::async_trait;
 use coursestand_gateway::gateway::Shared;
-use coursestand_kernel::{Registry, Service, ServiceError};
+use coursestand_kernel::{Registry, Service, ServiceError, Tasks};
 use coursestand_model::BackendId;
 use coursestand_model::platform::BackendState;
 use futures::future::join_all;
 use log::info;
 use serde_json::{Value, json};
-use tokio::task::JoinHandle;
 
 use crate::names;
 
@@ -22,7 +21,7 @@
 pub struct Prober {
     shared: Arc<Shared>,
     pause: Duration,
-    task: Mutex<Option<JoinHandle<()>>>,
+    tasks: Tasks,
 }
 
 impl Prober {
@@ -31,7 +30,7 @@
         Prober {
             shared,
             pause,
-            task: Mutex::new(None),
+            tasks: Tasks::default(),
         }
     }
 }
@@ -43,20 +42,12 @@
     }
 
     async fn start(&self, _registry: &Arc<Registry>) -> Result<(), ServiceError> {
-        let task = tokio::spawn(run(Arc::clone(&self.shared), self.pause));
-        *self.task.lock().unwrap_or_else(PoisonError::into_inner) = Some(task);
+        self.tasks.start(run(Arc::clone(&self.shared), self.pause));
         Ok(())
     }
 
     async fn stop(&self) {
-        let task = self
-            .task
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take();
-        if let Some(task) = task {
-            task.abort();
-        }
+        self.tasks.abort();
     }
 
     fn dump(&self) -> Value {
--- a/crates/coursestand-daemon/src/entry/reporter.rs
+++ b/crates/coursestand-daemon/src/entry/reporter.rs
@@ -1,17 +1,16 @@
 //! Reports demand and the health of back ends to the control group.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use async_trait::async_trait;
 use coursestand_coordination::command::BackendEpoch;
 use coursestand_coordination::wire::{ControlRequest, ReportRequest};
 use coursestand_gateway::gateway::Shared;
-use coursestand_kernel::{Registry, Service, ServiceError};
+use coursestand_kernel::{Registry, Service, ServiceError, Tasks};
 use coursestand_model::DaemonId;
 use coursestand_model::platform::BackendState;
 use serde_json::{Value, json};
-use tokio::task::JoinHandle;
 
 use crate::entry::control_client::ControlClient;
 use crate::names;
@@ -29,7 +28,7 @@
     daemon: DaemonId,
     shared: Arc<Shared>,
     control: Arc<ControlClient>,
-    task: Mutex<Option<JoinHandle<()>>>,
+    tasks: Tasks,
 }
 
 impl Reporter {
@@ -39,7 +38,7 @@
             daemon,
             shared,
             control,
-            task: Mutex::new(None),
+            tasks: Tasks::default(),
         }
     }
 }
@@ -51,24 +50,16 @@
     }
 
     async fn start(&self, _registry: &Arc<Registry>) -> Result<(), ServiceError> {
-        let task = tokio::spawn(run(
+        self.tasks.start(run(
             self.daemon.clone(),
             Arc::clone(&self.shared),
             Arc::clone(&self.control),
         ));
-        *self.task.lock().unwrap_or_else(PoisonError::into_inner) = Some(task);
         Ok(())
     }
 
     async fn stop(&self) {
-        let task = self
-            .task
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .take();
-        if let Some(task) = task {
-            task.abort();
-        }
+        self.tasks.abort();
     }
 
     fn dump(&self) -> Value {
--- /dev/null
+++ b/crates/coursestand-daemon/tests/program.rs
@@ -0,0 +1,80 @@
+//! The daemon as a program: checked settings and clear failures to start.
+#![allow(missing_docs)]
+
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::{Command, Output};
+
+use googletest::prelude::*;
+
+const BAD_SETTINGS: i32 = 2;
+const NOT_STARTED: i32 = 1;
+
+fn daemon(arguments: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_coursestandd"))
+        .args(arguments)
+        .output()
+        .expect("the daemon runs")
+}
+
+fn example() -> String {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/hut/hut-05.json");
+    std::fs::read_to_string(file).expect("read")
+}
+
+#[gtest]
+fn settings_are_checked_with_file_field_found_and_allowed() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("settings.json").display().to_string();
+    std::fs::write(&file, example()).expect("written");
+    expect_that!(
+        daemon(&["--settings", &file, "--check"]).status.code(),
+        eq(Some(0))
+    );
+    for (from, to, signs) in [
+        ("\"info\"", "\"loud\"", ["log_level", "found loud"]),
+        (
+            "\"stop_ms\"",
+            "\"stop_msec\"",
+            ["stop_msec", "expected one of"],
+        ),
+        (
+            "\"probe_ms\": 500",
+            "\"probe_ms\": 0",
+            ["entry_role.probe_ms", "found 0"],
+        ),
+        (
+            "\"127.0.0.1:",
+            "\"localhost:",
+            ["admin_listen", "invalid socket address"],
+        ),
+    ] {
+        std::fs::write(&file, example().replacen(from, to, 1)).expect("written");
+        let output = daemon(&["--settings", &file, "--check"]);
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        expect_that!(output.status.code(), eq(Some(BAD_SETTINGS)));
+        expect_that!(text, contains_substring(file.as_str()));
+        for sign in signs {
+            expect_that!(text, contains_substring(sign));
+        }
+    }
+}
+
+#[gtest]
+fn a_port_in_use_is_told_and_nothing_starts() {
+    let taken = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("an address").to_string();
+    let mut settings: serde_json::Value = serde_json::from_str(&example()).expect("JSON");
+    settings["entry_role"]["listen"] = address.clone().into();
+    settings["admin_listen"] = "127.0.0.1:0".into();
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("settings.json").display().to_string();
+    std::fs::write(&file, settings.to_string()).expect("written");
+    let output = daemon(&["--settings", &file]);
+    expect_that!(output.status.code(), eq(Some(NOT_STARTED)));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    expect_that!(
+        text,
+        contains_substring(format!("cannot listen on {address}"))
+    );
+}
--- a/crates/coursestand-kernel/src/lib.rs
+++ b/crates/coursestand-kernel/src/lib.rs
@@ -9,8 +9,10 @@
 pub mod logging;
 pub mod registry;
 pub mod service;
+pub mod tasks;
 
 pub use clock::MonotonicClock;
 pub use kernel::Kernel;
 pub use registry::Registry;
 pub use service::{Health, Service, ServiceError};
+pub use tasks::Tasks;
--- /dev/null
+++ b/crates/coursestand-kernel/src/tasks.rs
@@ -0,0 +1,30 @@
+//! The background tasks of a service.
+
+use std::future::Future;
+use std::sync::{Mutex, PoisonError};
+
+use tokio::task::JoinHandle;
+
+/// Tasks that run until their service ends them.
+#[derive(Default)]
+pub struct Tasks {
+    running: Mutex<Vec<JoinHandle<()>>>,
+}
+
+impl Tasks {
+    /// Starts a task.
+    pub fn start(&self, task: impl Future<Output = ()> + Send + 'static) {
+        self.running
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(tokio::spawn(task));
+    }
+
+    /// Ends all tasks at their next wait.
+    pub fn abort(&self) {
+        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        for task in running.drain(..) {
+            task.abort();
+        }
+    }
+}
