Split the consensus core and the gateway into small modules; keep the longest deadline

Ruled out: taking the grace from the bundle in force (that was the fault). The process tests check the bound on connections to a back end. Conclusion: behaviour unchanged but for the grace.

--- /dev/null
+++ b/crates/coursestand-consensus/src/replica/election.rs
@@ -0,0 +1,242 @@
+//! Elections: pre-vote, votes, loyalty to a leader, and handing leadership over.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use rand::RngExt;
+
+use super::{LeaderState, ProposeError, Replica, Role, Transfer};
+use crate::message::{Body, LogPosition, Message};
+use crate::types::{HardState, Millis, Payload, ReplicaId, Term};
+
+impl Replica {
+    /// Check-quorum: a leader that does not hear a majority steps down.
+    pub(super) fn hears_quorum(&self, now: Millis) -> bool {
+        let Role::Leader(leader) = &self.role else {
+            return false;
+        };
+        let own = self.id();
+        let heard = self.membership().reached_by_quorum(|replica| {
+            if replica == own {
+                return now;
+            }
+            leader
+                .progress
+                .get(&replica)
+                .map_or(0, |progress| progress.heard_at.max(leader.elected_at))
+        });
+        now < heard + 2 * self.config.election_timeout
+    }
+
+    /// Hands the leadership over to a voter, for a planned stop.
+    pub fn transfer_to(&mut self, now: Millis, to: ReplicaId) -> Result<(), ProposeError> {
+        let known_leader = self.leader();
+        let give_up_at = now + self.config.election_timeout;
+        let is_voter = self.membership().is_voter(to);
+        let Role::Leader(leader) = &mut self.role else {
+            return Err(ProposeError::NotLeader {
+                leader: known_leader,
+            });
+        };
+        if !is_voter || to == self.config.replica {
+            return Err(ProposeError::NotOneChange);
+        }
+        leader.transfer = Some(Transfer { to, give_up_at });
+        self.continue_transfer(now, to);
+        Ok(())
+    }
+
+    /// Once the receiver has the whole log it may start its election.
+    pub(super) fn continue_transfer(&mut self, now: Millis, from: ReplicaId) {
+        let last = self.log.last_index();
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(transfer) = leader.transfer else {
+            return;
+        };
+        let caught_up = leader
+            .progress
+            .get(&transfer.to)
+            .is_some_and(|progress| progress.matched == last);
+        if transfer.to != from {
+            return;
+        }
+        if caught_up {
+            leader.lease_given_up = true;
+            self.send(transfer.to, Body::TimeoutNow);
+        } else {
+            self.send_append(now, transfer.to);
+        }
+    }
+
+    pub(super) fn is_loyal(&self, now: Millis) -> bool {
+        if !self.config.mechanisms.loyal_to_leader {
+            return false;
+        }
+        self.is_leader() || now < self.heard_from_leader_at + self.config.election_timeout
+    }
+
+    pub(super) fn reset_election_timer(&mut self, now: Millis) {
+        let timeout = self.config.election_timeout;
+        self.election_due = now + timeout + self.random.random_range(0..timeout);
+    }
+
+    pub(super) fn start_pre_vote(&mut self, now: Millis) {
+        self.reset_election_timer(now);
+        let own = self.id();
+        if !self.membership().is_voter(own) {
+            return;
+        }
+        self.role = Role::PreCandidate {
+            granted: BTreeSet::from([own]),
+        };
+        if self.membership().quorum() == 1 {
+            return self.start_election(now, false);
+        }
+        let message = Message {
+            term: self.hard_state.term + 1,
+            body: Body::PreVote(self.log.last()),
+        };
+        self.send_to_voters(&message);
+    }
+
+    pub(super) fn answer_pre_vote(
+        &mut self,
+        now: Millis,
+        from: ReplicaId,
+        term: Term,
+        last: LogPosition,
+    ) {
+        let granted = term > self.hard_state.term && !self.is_loyal(now) && self.is_as_new(last);
+        // A refusal carries our term, so that a replica left behind catches up.
+        let answer_term = if granted { term } else { self.hard_state.term };
+        let message = Message {
+            term: answer_term,
+            body: Body::PreVoteAnswer { granted },
+        };
+        self.messages_after_sync.push((from, message));
+    }
+
+    pub(super) fn take_pre_vote(
+        &mut self,
+        now: Millis,
+        from: ReplicaId,
+        term: Term,
+        granted: bool,
+    ) {
+        if !granted {
+            if term > self.hard_state.term {
+                self.become_follower(term, None, now);
+            }
+            return;
+        }
+        let expected = self.hard_state.term + 1;
+        let quorum = self.membership().quorum();
+        let is_voter = self.membership().is_voter(from);
+        let Role::PreCandidate { granted } = &mut self.role else {
+            return;
+        };
+        if term != expected || !is_voter {
+            return;
+        }
+        granted.insert(from);
+        if granted.len() >= quorum {
+            self.start_election(now, false);
+        }
+    }
+
+    pub(super) fn start_election(&mut self, now: Millis, is_transfer: bool) {
+        let own = self.id();
+        self.hard_state = HardState {
+            term: self.hard_state.term + 1,
+            voted_for: Some(own),
+        };
+        self.role = Role::Candidate {
+            granted: BTreeSet::from([own]),
+        };
+        self.reset_election_timer(now);
+        if self.membership().quorum() == 1 {
+            return self.become_leader(now);
+        }
+        let message = Message {
+            term: self.hard_state.term,
+            body: Body::Vote {
+                last: self.log.last(),
+                is_transfer,
+            },
+        };
+        self.send_to_voters(&message);
+    }
+
+    /// The candidate's own vote counts once it is synced, so its requests leave
+    /// after the sync.
+    pub(super) fn send_to_voters(&mut self, message: &Message) {
+        let own = self.id();
+        let voters: Vec<ReplicaId> = self
+            .membership()
+            .voters()
+            .filter(|voter| *voter != own)
+            .collect();
+        for voter in voters {
+            self.messages_after_sync.push((voter, message.clone()));
+        }
+    }
+
+    pub(super) fn is_as_new(&self, last: LogPosition) -> bool {
+        !self.config.mechanisms.compare_logs || last >= self.log.last()
+    }
+
+    pub(super) fn answer_vote(&mut self, now: Millis, from: ReplicaId, last: LogPosition) {
+        let free = match self.hard_state.voted_for {
+            None => true,
+            Some(candidate) => candidate == from || !self.config.mechanisms.one_vote_a_term,
+        };
+        let granted = free && self.is_as_new(last) && !self.is_leader();
+        if granted {
+            self.hard_state.voted_for = Some(from);
+            self.reset_election_timer(now);
+        }
+        self.send_after_sync(from, Body::VoteAnswer { granted });
+    }
+
+    pub(super) fn take_vote(&mut self, now: Millis, from: ReplicaId, granted: bool) {
+        let quorum = self.membership().quorum();
+        let is_voter = self.membership().is_voter(from);
+        let Role::Candidate {
+            granted: supporters,
+        } = &mut self.role
+        else {
+            return;
+        };
+        if !granted || !is_voter {
+            return;
+        }
+        supporters.insert(from);
+        if supporters.len() >= quorum {
+            self.become_leader(now);
+        }
+    }
+
+    pub(super) fn become_leader(&mut self, now: Millis) {
+        let next = self.log.last_index() + 1;
+        self.role = Role::Leader(LeaderState {
+            progress: BTreeMap::new(),
+            first_of_term: next,
+            elected_at: now,
+            next_heartbeat: now,
+            transfer: None,
+            lease_given_up: false,
+        });
+        self.append_own(Payload::Empty);
+        self.adopt_membership(now);
+        self.send_heartbeats(now);
+    }
+
+    pub(super) fn take_timeout_now(&mut self, now: Millis, from: ReplicaId) {
+        let own = self.id();
+        let from_leader = self.leader() == Some(from);
+        if from_leader && self.membership().is_voter(own) {
+            self.start_election(now, true);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coursestand-consensus/src/replica/snapshots.rs
@@ -0,0 +1,129 @@
+//! Shortening the log, and sending snapshots in chunks.
+
+use super::{PartialSnapshot, Replica, Role};
+use crate::message::{Body, LogPosition, SnapshotChunk};
+use crate::progress::SendState;
+use crate::types::{Entry, HardState, LogIndex, Millis, ReplicaId, Snapshot};
+
+impl Replica {
+    /// A snapshot of the state machine at `index`, to shorten the log. Returns
+    /// it with the hard state and the entries after it, for `Storage::compact`.
+    pub fn compact(
+        &mut self,
+        index: LogIndex,
+        data: Vec<u8>,
+    ) -> Option<(Snapshot, HardState, Vec<Entry>)> {
+        if index > self.applied || index <= self.log.snapshot().index {
+            return None;
+        }
+        let snapshot = Snapshot {
+            index,
+            term: self.log.term_at(index)?,
+            membership: self.log.membership_up_to(index).1.clone(),
+            data: data.into(),
+        };
+        self.log.compact(snapshot.clone());
+        let rest = self.log.entries_from(index + 1, usize::MAX).to_vec();
+        Some((snapshot, self.hard_state, rest))
+    }
+
+    pub(super) fn send_snapshot_chunk(&mut self, now: Millis, to: ReplicaId) {
+        let Role::Leader(leader) = &self.role else {
+            return;
+        };
+        let Some(SendState::Snapshot { received, .. }) =
+            leader.progress.get(&to).map(|progress| progress.state)
+        else {
+            return;
+        };
+        let snapshot = self.log.snapshot();
+        let total = snapshot.data.len();
+        let start = (received as usize).min(total);
+        let end = (start + self.config.snapshot_chunk).min(total);
+        let chunk = SnapshotChunk {
+            last: LogPosition {
+                term: snapshot.term,
+                index: snapshot.index,
+            },
+            membership: snapshot.membership.clone(),
+            offset: start as u64,
+            total: total as u64,
+            data: snapshot.data[start..end].to_vec(),
+            sent_at: now,
+        };
+        self.send(to, Body::Snapshot(chunk));
+    }
+
+    pub(super) fn take_snapshot_chunk(
+        &mut self,
+        now: Millis,
+        from: ReplicaId,
+        chunk: SnapshotChunk,
+    ) {
+        self.follow(now, from);
+        let index = chunk.last.index;
+        if index <= self.commit {
+            return self.answer_append(from, self.commit, true, chunk.sent_at);
+        }
+        if self.partial_snapshot.last != chunk.last {
+            self.partial_snapshot = PartialSnapshot {
+                last: chunk.last,
+                data: Vec::new(),
+            };
+        }
+        if self.partial_snapshot.data.len() as u64 == chunk.offset {
+            self.partial_snapshot.data.extend_from_slice(&chunk.data);
+        }
+        let received = self.partial_snapshot.data.len() as u64;
+        if received < chunk.total {
+            let answer = Body::SnapshotAnswer {
+                index,
+                received,
+                sent_at: chunk.sent_at,
+            };
+            return self.send_after_sync(from, answer);
+        }
+        let partial = std::mem::take(&mut self.partial_snapshot);
+        self.install(Snapshot {
+            index,
+            term: chunk.last.term,
+            membership: chunk.membership,
+            data: partial.data.into(),
+        });
+        self.answer_append(from, index, true, chunk.sent_at);
+    }
+
+    pub(super) fn install(&mut self, snapshot: Snapshot) {
+        self.commit = snapshot.index;
+        self.applied = snapshot.index;
+        self.unsaved_from = snapshot.index + 1;
+        self.unsaved_snapshot = true;
+        self.log.install(snapshot);
+    }
+
+    pub(super) fn take_snapshot_answer(
+        &mut self,
+        now: Millis,
+        from: ReplicaId,
+        index: LogIndex,
+        received: u64,
+        sent_at: Millis,
+    ) {
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&from) else {
+            return;
+        };
+        progress.heard_at = now;
+        progress.answered_sent_at = progress.answered_sent_at.max(sent_at);
+        match &mut progress.state {
+            SendState::Snapshot {
+                index: sending,
+                received: known,
+            } if *sending == index => *known = received,
+            _ => return,
+        }
+        self.send_append(now, from);
+    }
+}
--- a/crates/coursestand-coordination/src/state.rs
+++ b/crates/coursestand-coordination/src/state.rs
@@ -32,6 +32,9 @@
     ledger: ShiftLedger,
     releases: Vec<Release>,
     once: OnceLedger,
+    /// Longest deadline of any bundle that was ever in force: a request that was
+    /// dispatched under an earlier one may still run.
+    longest_deadline_ms: Millis,
     /// The bundle in force, parsed from its text in `tables`.
     #[serde(skip)]
     bundle: Option<Bundle>,
@@ -147,6 +150,11 @@
         &self.once
     }
 
+    /// Longest time that a request may run after it was dispatched.
+    pub fn longest_deadline_ms(&self) -> Millis {
+        self.longest_deadline_ms
+    }
+
     /// Whether the sign-off policy is set.
     pub fn is_initialized(&self) -> bool {
         self.initialized
@@ -195,6 +203,8 @@
         self.apply_drain_order(current, index);
         self.tables.version = index;
         self.restore_derived();
+        let deadline = self.bundle.as_ref().map_or(0, Bundle::longest_deadline_ms);
+        self.longest_deadline_ms = self.longest_deadline_ms.max(deadline);
         CommandAnswer::Submit(answer)
     }
 
--- a/crates/coursestand-coordination/tests/bundles.rs
+++ b/crates/coursestand-coordination/tests/bundles.rs
@@ -155,6 +155,17 @@
     expect_that!(reason, contains_substring("services[0].shift_cap.share_bp"));
 }
 
+#[gtest]
+fn a_shorter_deadline_does_not_forget_requests_of_the_longer_one() {
+    let mut machine = Machine::started(2, 1);
+    let before = machine.state.longest_deadline_ms();
+    let mut shorter = bundle(2);
+    shorter.services[0].deadline_ms = 100;
+    submit(&mut machine, signed(&shorter), 1, "a");
+    expect_that!(machine.state.longest_deadline_ms(), eq(before));
+    expect_that!(before, gt(100));
+}
+
 #[gtest]
 fn a_snapshot_gives_the_same_state_back() {
     let machine = Machine::started(3, 2);
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -10,7 +10,7 @@
 use coursestand_consensus::wal::WriteAheadLog;
 use coursestand_consensus::{
     Batch, Config, Entry, HardState, Membership, Message, Payload, Ready, Replica, ReplicaId,
-    Restored, Role, Snapshot, Storage,
+    Restored, Snapshot, Storage,
 };
 use coursestand_coordination::command::StampedCommand;
 use coursestand_coordination::{Command, CommandAnswer, ControlState};
@@ -23,7 +23,8 @@
 use crate::control::error::{ControlError, LogSnafu, ProposeSnafu};
 use crate::control::identity::{self, Identity};
 use crate::control::peers::Peers;
-use crate::control::shared::{ControlShared, MemberStatus, ReplicaStatus};
+use crate::control::shared::{ControlShared, ReplicaStatus};
+use crate::control::status::status_of;
 
 const LOG: &str = "consensus";
 /// Time between two looks at the clock.
@@ -79,7 +80,6 @@
     shared: Arc<ControlShared>,
     peers: Peers,
     folder: PathBuf,
-    address: String,
     group: Option<Group>,
 }
 
@@ -107,13 +107,11 @@
         shared: Arc<ControlShared>,
         peers: Peers,
         folder: PathBuf,
-        address: String,
     ) -> Result<Driver, ControlError> {
         let mut driver = Driver {
             shared,
             peers,
             folder,
-            address,
             group: None,
         };
         let found = identity::read(&driver.folder)?;
@@ -445,7 +443,8 @@
         self.shared.set_lease(group.replica.term(), lease_end);
         self.shared
             .set_membership(group.replica.membership().clone());
-        self.shared.set_status(status_of(group, now));
+        self.shared
+            .set_status(status_of(group.identity, &group.replica, now));
     }
 
     fn fail(&mut self, failure: &ControlError) {
@@ -457,11 +456,6 @@
             ..ReplicaStatus::default()
         });
     }
-
-    /// Address under which peers reach this replica.
-    pub fn address(&self) -> &str {
-        &self.address
-    }
 }
 
 fn save(log: &mut WriteAheadLog, ready: &mut Ready) -> Result<(), ControlError> {
@@ -472,39 +466,3 @@
     };
     log.save(&batch).context(LogSnafu)
 }
-
-fn status_of(group: &Group, now: Millis) -> ReplicaStatus {
-    let replica = &group.replica;
-    let role = match replica.role() {
-        Role::Leader(_) => "leader",
-        Role::Follower { .. } => "follower",
-        Role::PreCandidate { .. } | Role::Candidate { .. } => "candidate",
-    };
-    let progress = replica.progress();
-    let members = replica
-        .membership()
-        .members
-        .iter()
-        .map(|(id, member)| {
-            let known = progress.and_then(|progress| progress.get(id));
-            MemberStatus {
-                replica: *id,
-                address: member.address.clone(),
-                voter: member.is_voter,
-                matched: known.map(|known| known.matched),
-                silent_ms: known.map(|known| now.saturating_sub(known.heard_at)),
-            }
-        })
-        .collect();
-    ReplicaStatus {
-        identity: Some(group.identity.into()),
-        term: replica.term(),
-        role,
-        leader: replica.leader(),
-        commit: replica.commit_index(),
-        last: replica.log().last_index(),
-        snapshot: replica.log().snapshot().index,
-        members,
-        failure: None,
-    }
-}
--- a/crates/coursestand-daemon/src/control/leader.rs
+++ b/crates/coursestand-daemon/src/control/leader.rs
@@ -206,9 +206,7 @@
     let (mut guard, now) = control.tenure()?;
     let tenure = guard.as_mut()?;
     let state = control.shared.state();
-    let grace = state
-        .bundle()
-        .map_or(0, |bundle| bundle.longest_deadline_ms());
+    let grace = state.longest_deadline_ms();
     let holders = state.tables().slots.iter().map(|(daemon, _)| daemon);
     let releasing = state.releases().iter().map(|release| &release.daemon);
     let mut ended: Vec<_> = holders
--- a/crates/coursestand-daemon/src/control/mod.rs
+++ b/crates/coursestand-daemon/src/control/mod.rs
@@ -10,4 +10,5 @@
 pub mod platform;
 pub mod replica;
 pub mod shared;
+pub mod status;
 pub mod tenure;
--- a/crates/coursestand-daemon/src/control/replica.rs
+++ b/crates/coursestand-daemon/src/control/replica.rs
@@ -147,7 +147,6 @@
             shared,
             Peers::new(Handle::current()),
             self.settings.data_folder.clone(),
-            self.settings.listen.to_string(),
         )
         .map_err(|error| failed(&error))?;
         let thread = std::thread::Builder::new()
--- a/crates/coursestand-daemon/src/daemon.rs
+++ b/crates/coursestand-daemon/src/daemon.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use coursestand_gateway::Gateway;
-use coursestand_gateway::gateway::Shared;
+use coursestand_gateway::Shared;
 use coursestand_gateway::http_backend::{HttpBackendError, HttpBackends};
 use coursestand_gateway::lease::DecisionLease;
 use coursestand_gateway::metrics::GatewayMetrics;
--- a/crates/coursestand-daemon/src/entry/follower.rs
+++ b/crates/coursestand-daemon/src/entry/follower.rs
@@ -8,7 +8,7 @@
 use coursestand_coordination::followers::{HOLD_MS, follower_lease_ms};
 use coursestand_coordination::tables::MemberPhase;
 use coursestand_coordination::wire::{ControlReply, ControlRequest, FollowRequest};
-use coursestand_gateway::gateway::Shared;
+use coursestand_gateway::Shared;
 use coursestand_kernel::{Health, MonotonicClock, Registry, Service, ServiceError, Tasks};
 use coursestand_model::{DaemonId, Millis, ZoneId};
 use log::{error, info, warn};
--- a/crates/coursestand-daemon/src/entry/gateway_service.rs
+++ b/crates/coursestand-daemon/src/entry/gateway_service.rs
@@ -6,7 +6,7 @@
 
 use async_trait::async_trait;
 use coursestand_gateway::callers::routes;
-use coursestand_gateway::{Gateway, gateway::Shared};
+use coursestand_gateway::{Gateway, Shared};
 use coursestand_kernel::http::HttpServer;
 use coursestand_kernel::{Registry, Service, ServiceError};
 use coursestand_model::Outcome;
--- a/crates/coursestand-daemon/src/entry/prober.rs
+++ b/crates/coursestand-daemon/src/entry/prober.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use coursestand_gateway::gateway::Shared;
+use coursestand_gateway::Shared;
 use coursestand_kernel::{Registry, Service, ServiceError, Tasks};
 use coursestand_model::BackendId;
 use coursestand_model::platform::BackendState;
--- a/crates/coursestand-daemon/src/entry/reporter.rs
+++ b/crates/coursestand-daemon/src/entry/reporter.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use coursestand_coordination::command::BackendEpoch;
 use coursestand_coordination::wire::{ControlRequest, ReportRequest};
-use coursestand_gateway::gateway::Shared;
+use coursestand_gateway::Shared;
 use coursestand_kernel::{Registry, Service, ServiceError, Tasks};
 use coursestand_model::DaemonId;
 use coursestand_model::platform::BackendState;
--- a/crates/coursestand-daemon/tests/request_path.rs
+++ b/crates/coursestand-daemon/tests/request_path.rs
@@ -36,9 +36,19 @@
     load.await.expect("the load ends")
 }
 
+/// Connections of one daemon to one back end: slots in use, idle ones, a probe.
+const CONNECTIONS_PER_DAEMON: u32 = 4 + 4 + 1;
+
 fn assert_kept(fleet: &Fleet, finished: &[Finished]) {
-    let verdict = check(finished, &fleet.world.records.all());
+    let records = fleet.world.records.all();
+    let verdict = check(finished, &records);
     assert!(verdict.is_good(), "{}", describe(fleet, finished));
+    let connections = records.iter().map(|record| record.connections).max();
+    let most = CONNECTIONS_PER_DAEMON * fleet.settings.len() as u32;
+    assert!(
+        connections.unwrap_or(0) <= most,
+        "{connections:?} connections"
+    );
 }
 
 fn count(finished: &[Finished], finding: &Finding) -> usize {
--- a/crates/coursestand-gateway/src/gateway.rs
+++ b/crates/coursestand-gateway/src/gateway.rs
@@ -1,9 +1,8 @@
 //! The path of a request: check, admit, claim, dispatch, answer; and again on
 //! another back end where the outcome allows it.
 
-use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,125 +11,27 @@
 };
 use coursestand_model::platform::BackendState;
 use coursestand_model::{DaemonId, Outcome, ServiceId, ZoneId, headers};
-use coursestand_steering::backends::{BackendIndex, PoolIndex};
-use coursestand_steering::{Admission, Steering, Ticket};
+use coursestand_steering::backends::BackendIndex;
+use coursestand_steering::{Admission, Ticket};
 use futures::StreamExt;
 use poem::http::{HeaderMap, StatusCode};
 use poem::{Body, Request, Response};
-use tokio::sync::Notify;
 use tokio::time::Instant;
 
 use crate::answer::{Answer, Content, Reason};
-use crate::backend_edge::{
-    BackendAnswer, BackendEdge, ByteStream, Dispatch, DispatchError, RequestBody,
-};
-use crate::lease::DecisionLease;
+use crate::backend_edge::{BackendAnswer, Dispatch, DispatchError, RequestBody};
+use crate::body::{guarded, read_whole};
+use crate::claim::Claim;
 use crate::metrics::GatewayMetrics;
 use crate::once_edge::OnceEdge;
 use crate::request::{BUFFERED_BYTES, Call, WaitLimits, check, strip_connection_headers};
 use crate::retry_budget::RetryBudget;
+use crate::shared::{Shared, Waiting};
 use crate::slot_guard::SlotGuard;
 
 /// Dispatches of one request at most.
 const MAX_ATTEMPTS: usize = 3;
 
-/// What the gateway shares with the other services of its daemon.
-pub struct Shared {
-    /// The decisions.
-    steering: Mutex<Steering>,
-    /// Wakes requests that wait for a slot of a pool.
-    free_slots: Mutex<HashMap<PoolIndex, Arc<Notify>>>,
-    /// Wakes the reporter early: demand or health changed for the worse.
-    pub report_now: Notify,
-    /// The lease under which this daemon decides.
-    pub lease: Arc<DecisionLease>,
-    /// The edge towards back ends.
-    pub backends: Arc<dyn BackendEdge>,
-}
-
-impl Shared {
-    /// State of a daemon that decides on nothing yet.
-    pub fn new(
-        daemon: DaemonId,
-        lease: Arc<DecisionLease>,
-        backends: Arc<dyn BackendEdge>,
-    ) -> Shared {
-        Shared {
-            steering: Mutex::new(Steering::new(daemon)),
-            free_slots: Mutex::default(),
-            report_now: Notify::new(),
-            lease,
-            backends,
-        }
-    }
-
-    /// The decisions, locked; never held across a wait.
-    pub fn steering(&self) -> MutexGuard<'_, Steering> {
-        self.steering.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Gives a slot back and wakes one request that waits for it.
-    pub fn free_slot(&self, ticket: &Ticket) {
-        self.steering().give_back(ticket);
-        self.notify_of(ticket.pool).notify_one();
-    }
-
-    /// Wakes all requests that wait: slots may have been granted.
-    pub fn wake_waiting(&self) {
-        let notifies = self
-            .free_slots
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        for notify in notifies.values() {
-            notify.notify_waiters();
-        }
-    }
-
-    fn notify_of(&self, pool: PoolIndex) -> Arc<Notify> {
-        let mut notifies = self
-            .free_slots
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        Arc::clone(notifies.entry(pool).or_default())
-    }
-}
-
-/// Counts a request as waiting for as long as it lives.
-struct Waiting<'a> {
-    shared: &'a Shared,
-    pool: PoolIndex,
-}
-
-impl<'a> Waiting<'a> {
-    fn start(shared: &'a Shared, pool: PoolIndex) -> Waiting<'a> {
-        shared.steering().start_waiting(pool);
-        Waiting { shared, pool }
-    }
-}
-
-impl Drop for Waiting<'_> {
-    fn drop(&mut self) {
-        self.shared.steering().stop_waiting(self.pool);
-    }
-}
-
-/// A claim that is given up unless the request was dispatched under it.
-struct Claim<'a> {
-    once: &'a Arc<dyn OnceEdge>,
-    key: OnceKey,
-    id: ClaimId,
-    /// The claim is or may be ours, and nothing was dispatched under it.
-    needs_release: bool,
-}
-
-impl Drop for Claim<'_> {
-    fn drop(&mut self) {
-        if self.needs_release {
-            self.once.release(self.key.clone(), self.id.clone());
-        }
-    }
-}
-
 /// Serves callers' requests.
 pub struct Gateway {
     daemon: DaemonId,
@@ -571,35 +472,3 @@
         other => unknown_answer(other),
     }
 }
-
-async fn read_whole(mut body: ByteStream, deadline: Instant) -> Result<Bytes, std::io::Error> {
-    let read = async {
-        let mut whole = Vec::new();
-        while let Some(piece) = body.next().await {
-            whole.extend_from_slice(&piece?);
-        }
-        Ok(Bytes::from(whole))
-    };
-    tokio::time::timeout_at(deadline, read)
-        .await
-        .map_err(std::io::Error::other)?
-}
-
-/// Passes a body on; the slot is freed when the body has ended whole, and counts
-/// as abandoned when the caller goes away or the body breaks off.
-fn guarded(body: ByteStream, slot: SlotGuard, deadline: Instant) -> ByteStream {
-    let state = Some((body, slot));
-    futures::stream::unfold(state, move |state| async move {
-        let (mut body, slot) = state?;
-        match tokio::time::timeout_at(deadline, body.next()).await {
-            Ok(Some(Ok(piece))) => Some((Ok(piece), Some((body, slot)))),
-            Ok(Some(Err(error))) => Some((Err(error), None)),
-            Ok(None) => {
-                slot.finish();
-                None
-            }
-            Err(expired) => Some((Err(std::io::Error::other(expired)), None)),
-        }
-    })
-    .boxed()
-}
--- a/crates/coursestand-gateway/src/slot_guard.rs
+++ b/crates/coursestand-gateway/src/slot_guard.rs
@@ -5,7 +5,7 @@
 use coursestand_steering::Ticket;
 use tokio::time::Instant;
 
-use crate::gateway::Shared;
+use crate::shared::Shared;
 
 /// A slot in use. Dropped unfinished, it counts as abandoned: the back end is
 /// asked to cancel, and the slot stays taken until it confirms, or until the
--- a/crates/coursestand-gateway/tests/common/mod.rs
+++ b/crates/coursestand-gateway/tests/common/mod.rs
@@ -12,10 +12,10 @@
 use coursestand_coordination::shares::{ShareKey, ShareVector};
 use coursestand_coordination::tables::{BackendRecord, BundleInForce};
 use coursestand_gateway::Gateway;
+use coursestand_gateway::Shared;
 use coursestand_gateway::backend_edge::{
     BackendAnswer, BackendEdge, Dispatch, DispatchError, ProbeAnswer,
 };
-use coursestand_gateway::gateway::Shared;
 use coursestand_gateway::lease::DecisionLease;
 use coursestand_gateway::metrics::GatewayMetrics;
 use coursestand_gateway::once_edge::{OnceEdge, OnceError};
--- a/crates/coursestand-gateway/tests/outcomes.rs
+++ b/crates/coursestand-gateway/tests/outcomes.rs
@@ -104,7 +104,7 @@
     let fresh = coursestand_gateway::lease::DecisionLease::new(bench.clock);
     expect_that!(fresh.is_valid(), eq(false));
     // A gateway whose lease was never granted.
-    let shared = Arc::new(coursestand_gateway::gateway::Shared::new(
+    let shared = Arc::new(coursestand_gateway::Shared::new(
         common::daemon(),
         Arc::new(fresh),
         backends.clone(),
@@ -137,7 +137,7 @@
     let clock = coursestand_kernel::MonotonicClock::default();
     let lease = Arc::new(coursestand_gateway::lease::DecisionLease::new(clock));
     lease.extend(clock.now() + 60);
-    let shared = Arc::new(coursestand_gateway::gateway::Shared::new(
+    let shared = Arc::new(coursestand_gateway::Shared::new(
         common::daemon(),
         lease,
         backends.clone(),
