--- a/crates/coursestand-daemon/src/entry/prober.rs
+++ b/crates/coursestand-daemon/src/entry/prober.rs
@@ -64,6 +64,7 @@
                     "state": backend.state,
                     "failures": backend.failures,
                     "latency_ms": backend.latency_ms,
+                    "reported_running": backend.reported_running,
                 })
             })
             .collect();
@@ -101,6 +102,11 @@
     let mut is_news = backends
         .find(&id)
         .is_some_and(|backend| backend.is_usable() != was_usable);
+    if let Some(answer) = &answer
+        && let Some(backend) = backends.find(&id)
+    {
+        backend.reported_running = Some(answer.running);
+    }
     if let Some(answer) = answer
         && answer.state == BackendState::Leaving
         && backends.note_leaving(&id, answer.epoch)
--- a/crates/coursestand-gateway/src/backend_edge.rs
+++ b/crates/coursestand-gateway/src/backend_edge.rs
@@ -78,6 +78,8 @@
     pub epoch: u64,
     /// Whether it takes new work.
     pub state: BackendState,
+    /// Load report: requests that run now. It lags and may mislead.
+    pub running: u32,
 }
 
 /// Sends requests to back ends.
--- a/crates/coursestand-steering/src/backends.rs
+++ b/crates/coursestand-steering/src/backends.rs
@@ -40,6 +40,9 @@
     pub failures: u32,
     /// Moving average of the time to answer, in milliseconds.
     pub latency_ms: f64,
+    /// Load that the back end reported last, by all daemons. Shown to people and
+    /// not steered by: slots are exact, reports lag and mislead.
+    pub reported_running: Option<u32>,
     pool: PoolIndex,
 }
 
@@ -132,6 +135,7 @@
             in_use: 0,
             failures: 0,
             latency_ms: 0.0,
+            reported_running: None,
             pool,
         });
         self.by_id.insert(news.id.clone(), index);
