Show that the check of planned stops can fail

Cause: no test showed that requests cut off would be seen. Ruled out: counting on chance under load (a kill may meet no request). Change: requests of 800 ms at one daemon; SIGTERM cuts none, SIGKILL is seen to.

--- a/crates/coursestand-daemon/tests/common/mod.rs
+++ b/crates/coursestand-daemon/tests/common/mod.rs
@@ -117,14 +117,16 @@
     /// SIGTERM; returns whether it ended well.
     pub async fn stop(&mut self, index: usize) -> bool {
         self.signal(index, "-TERM");
+        self.reap(index).await
+    }
+
+    /// Waits for a daemon that was told to end; returns whether it ended well.
+    pub async fn reap(&mut self, index: usize) -> bool {
         let mut child = self.processes[index].take().expect("runs");
         let waited = tokio::task::spawn_blocking(move || child.wait());
         let status = tokio::time::timeout(WITHIN, waited).await;
-        status
-            .expect("ends in time")
-            .expect("joined")
-            .expect("waited")
-            .success()
+        let status = status.expect("ends in time").expect("joined");
+        status.expect("waited").success()
     }
 
     /// The control replica that leads.
--- a/crates/coursestand-daemon/tests/request_path.rs
+++ b/crates/coursestand-daemon/tests/request_path.rs
@@ -8,7 +8,9 @@
 use std::time::Duration;
 
 use common::{Fleet, describe};
+use coursestand_lab::Deployment;
 use coursestand_lab::callers::{Finding, Finished};
+use coursestand_lab::load::errand;
 use coursestand_lab::verdict::check;
 use googletest::prelude::*;
 
@@ -150,3 +152,44 @@
     .await;
     assert_kept(&fleet, &finished);
 }
+
+/// Requests of the clients nearest to one daemon that take long.
+async fn long_requests(fleet: &Fleet, daemon: usize, token: &str) -> Vec<Finished> {
+    let zones = fleet.world.deployment.zones();
+    let own = &fleet.settings[daemon].zone;
+    let zone = zones.iter().position(|zone| zone == own).expect("known");
+    let caller = fleet.caller();
+    let tasks: Vec<_> = (1..=12_u16)
+        .map(|number| {
+            let client = Deployment::client_address(zone, number);
+            let patience = Duration::from_secs(20);
+            let mut one = errand("bunkview", client, &format!("{token}-{number}"), patience);
+            one.work_ms = Some(800);
+            let caller = std::sync::Arc::clone(&caller);
+            tokio::spawn(async move { caller.run(one, std::time::Instant::now()).await })
+        })
+        .collect();
+    let mut finished = Vec::new();
+    for task in tasks {
+        finished.push(task.await.expect("the errand ends"));
+    }
+    finished
+}
+
+/// The check of planned stops can fail: a kill in place of a stop cuts requests.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_waits_for_long_requests_and_a_kill_is_seen_to_cut_them() {
+    let mut fleet = Fleet::start(6, |_| {}).await;
+    for (daemon, kills) in [(4, false), (5, true)] {
+        let token = format!("long-{daemon}");
+        let signal = async {
+            tokio::time::sleep(Duration::from_millis(400)).await;
+            fleet.signal(daemon, if kills { "-KILL" } else { "-TERM" });
+        };
+        let (finished, ()) = tokio::join!(long_requests(&fleet, daemon, &token), signal);
+        let cut = finished.iter().filter(|one| one.any_unknown).count();
+        expect_that!(cut > 0, eq(kills), "{}", describe(&fleet, &finished));
+        fleet.reap(daemon).await;
+    }
+}
