Break the connections of a killed back end; find the leader past a frozen replica

The tool waited 5 s for a frozen replica's status, which was all the time it had to find a leader. A killed back end kept its open connections and went on serving, so a dead region was not dead and nothing was told as not run. Ruled out: the control group (the others had a leader). Change: 1 s for each status and 20 s for the search; a kill resets connections; the dump shows the shares of traffic.

--- a/crates/coursestand-daemon/src/entry/follower.rs
+++ b/crates/coursestand-daemon/src/entry/follower.rs
@@ -126,7 +126,15 @@
     fn dump(&self) -> Value {
         let tables = self.inner.tables();
         let bundle = tables.bundle_in_force();
+        let shares: Vec<Value> = tables
+            .shares
+            .iter()
+            .map(|(key, shares)| {
+                json!({ "service": key.service, "origin": key.origin, "shares": shares })
+            })
+            .collect();
         json!({
+            "shares": shares,
             "daemon": self.inner.myself.daemon,
             "zone": self.inner.myself.zone,
             "version": tables.version,
--- a/crates/coursestand-lab/src/backend.rs
+++ b/crates/coursestand-lab/src/backend.rs
@@ -17,7 +17,7 @@
 use poem::{Body, Endpoint, EndpointExt, Request, Response, Route, Server, get, handler, post};
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
-use tokio::sync::Notify;
+use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 
 use crate::counted::{ConnectionCount, CountedAcceptor};
@@ -76,6 +76,7 @@
 pub struct EmulatedBackend {
     state: Arc<State>,
     task: JoinHandle<()>,
+    killed: watch::Sender<bool>,
 }
 
 impl EmulatedBackend {
@@ -89,11 +90,13 @@
         let address: SocketAddr = description.address.parse().map_err(std::io::Error::other)?;
         let listener = TcpListener::bind(address).await?;
         let connections = ConnectionCount::default();
+        let (killed, told) = watch::channel(false);
         let acceptor = CountedAcceptor::new(
             TcpAcceptor::from_tokio(listener)?,
             Arc::clone(&connections),
             description.connections,
             CONNECT_TIME,
+            told,
         );
         let state = Arc::new(State {
             description,
@@ -112,7 +115,11 @@
             // Ends with its task.
             let _ = Server::new_with_acceptor(acceptor).run(routes).await;
         });
-        Ok(EmulatedBackend { state, task })
+        Ok(EmulatedBackend {
+            state,
+            task,
+            killed,
+        })
     }
 
     /// From now on the back end says that it is leaving; it still serves.
@@ -129,6 +136,7 @@
     /// Ends the back end at once, with everything that runs on it.
     pub fn kill(&self) {
         self.task.abort();
+        self.killed.send_replace(true);
     }
 
     /// Requests that run now.
--- a/crates/coursestand-lab/src/counted.rs
+++ b/crates/coursestand-lab/src/counted.rs
@@ -1,7 +1,7 @@
 //! Counts the open connections of an emulated back end, refuses those above its
 //! limit, and lets each take its time to open.
 
-use std::io::{IoSlice, Result};
+use std::io::{ErrorKind, IoSlice, Result};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -13,6 +13,7 @@
 use poem::web::{LocalAddr, RemoteAddr};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::time::Sleep;
 
 /// Open connections.
@@ -24,6 +25,7 @@
     open: ConnectionCount,
     limit: u32,
     open_time: Duration,
+    killed: watch::Receiver<bool>,
 }
 
 impl CountedAcceptor {
@@ -34,12 +36,14 @@
         open: ConnectionCount,
         limit: u32,
         open_time: Duration,
+        killed: watch::Receiver<bool>,
     ) -> CountedAcceptor {
         CountedAcceptor {
             inner,
             open,
             limit,
             open_time,
+            killed,
         }
     }
 }
@@ -59,11 +63,17 @@
                 continue;
             }
             let open = Arc::clone(&self.open);
+            let mut killed = self.killed.clone();
+            let killed = Box::pin(async move {
+                // A back end that is gone counts as killed.
+                let _ = killed.wait_for(|killed| *killed).await;
+            });
             let opening = Some(Box::pin(tokio::time::sleep(self.open_time)));
             let counted = CountedStream {
                 stream,
                 open,
                 opening,
+                killed,
             };
             return Ok((counted, local, remote, scheme));
         }
@@ -75,6 +85,8 @@
     stream: TcpStream,
     open: ConnectionCount,
     opening: Option<Pin<Box<Sleep>>>,
+    /// Done once the back end is killed: its connections break with it.
+    killed: Pin<Box<dyn Future<Output = ()> + Send + Sync>>,
 }
 
 impl Drop for CountedStream {
@@ -89,6 +101,9 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<Result<()>> {
+        if self.killed.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Err(ErrorKind::ConnectionReset.into()));
+        }
         if let Some(opening) = &mut self.opening {
             ready!(opening.as_mut().poll(context));
             self.opening = None;
--- a/crates/coursestand-lab/src/operator.rs
+++ b/crates/coursestand-lab/src/operator.rs
@@ -17,6 +17,11 @@
 use snafu::{ResultExt, Snafu};
 
 const TIMEOUT: Duration = Duration::from_secs(5);
+/// Time for one replica to tell its status: a frozen one takes connections and
+/// never answers.
+const STATUS_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest search for the leader.
+const LEADER_WITHIN: Duration = Duration::from_secs(20);
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// Why the control group did not do what the operator asked for.
@@ -238,7 +243,7 @@
 
     /// Accepted changes, oldest first.
     pub async fn history(&self) -> Result<Vec<Revision>, OperatorError> {
-        let leader = self.leader(TIMEOUT).await?;
+        let leader = self.leader(LEADER_WITHIN).await?;
         self.get(leader, "/v1/history").await
     }
 
@@ -249,7 +254,7 @@
 
     /// Status of the leader.
     pub async fn status(&self) -> Result<StatusAnswer, OperatorError> {
-        let leader = self.leader(TIMEOUT).await?;
+        let leader = self.leader(LEADER_WITHIN).await?;
         self.status_of(leader).await
     }
 
@@ -258,7 +263,8 @@
         let give_up = Instant::now() + within;
         loop {
             for address in &self.addresses {
-                if let Ok(status) = self.status_of(*address).await
+                let asked = tokio::time::timeout(STATUS_TIMEOUT, self.status_of(*address));
+                if let Ok(Ok(status)) = asked.await
                     && status.leads
                 {
                     return Ok(*address);
