Test that a wrong method on the look-up is refused

Ruled out: a fault (GET gives 200, DELETE 405 as the code stood). Change: one test of the callers' routes.

--- a/crates/coursestand-gateway/tests/outcomes.rs
+++ b/crates/coursestand-gateway/tests/outcomes.rs
@@ -252,3 +252,19 @@
     // The queue's 50 ms, and nowhere near the deadline.
     expect_that!(began.elapsed().as_millis(), lt(100));
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_wrong_method_on_the_look_up_is_refused() {
+    let backends = Arc::new(ScriptedBackends::default());
+    let bench = bench(backends, NaiveOnce::default(), &tables(&TWO, 4));
+    let routes = coursestand_gateway::callers::routes(bench.gateway.clone());
+    for (method, status) in [("GET", 200), ("DELETE", 405)] {
+        let request = poem::Request::builder()
+            .method(method.parse().expect("a method"))
+            .uri("/v1/lookup?service=page&client=z".parse().expect("a URI"))
+            .finish();
+        let response = poem::Endpoint::get_response(&routes, request).await;
+        expect_that!(response.status().as_u16(), eq(status));
+    }
+}
