--- a/crates/coursestand-coordination/src/command.rs
+++ b/crates/coursestand-coordination/src/command.rs
@@ -1,7 +1,8 @@
 //! Commands of the replicated control state and their answers.
 
+use coursestand_catalog::Patch;
 use coursestand_model::platform::PlatformBackend;
-use coursestand_model::{DaemonId, Millis, SignedBundle};
+use coursestand_model::{DaemonId, Millis, SignedBundle, ZoneId};
 use serde::{Deserialize, Serialize};
 
 use crate::bundles::{SignedOrder, SubmitAnswer};
@@ -66,6 +67,15 @@
     ForgetDaemons(Vec<DaemonId>),
     /// A command for the once ledger.
     Once(OnceCommand),
+    /// Changes items of the catalog.
+    PatchCatalog(Patch),
+    /// Evacuates a zone, or takes that back.
+    Evacuate {
+        /// The zone.
+        zone: ZoneId,
+        /// Whether nothing may be sent to its back ends.
+        is_active: bool,
+    },
 }
 
 /// One start of a back end.
--- a/crates/coursestand-coordination/src/state.rs
+++ b/crates/coursestand-coordination/src/state.rs
@@ -1,6 +1,7 @@
 //! The replicated control state: a deterministic function of the commands in the
 //! log.
 
+use coursestand_catalog::Catalog;
 use coursestand_model::bundle::{Bundle, MAX_SHIFT_WINDOW_MS, Once};
 use coursestand_model::platform::PlatformBackend;
 use coursestand_model::{DaemonId, Millis};
@@ -32,6 +33,7 @@
     ledger: ShiftLedger,
     releases: Vec<Release>,
     once: OnceLedger,
+    catalog: Catalog,
     /// Longest deadline of any bundle that was ever in force: a request that was
     /// dispatched under an earlier one may still run.
     longest_deadline_ms: Millis,
@@ -49,6 +51,7 @@
             && self.ledger == other.ledger
             && self.releases == other.releases
             && self.once == other.once
+            && self.catalog == other.catalog
     }
 }
 
@@ -88,6 +91,14 @@
             Command::Confirm { all, daemons } => self.confirm(*all, daemons),
             Command::ForgetDaemons(daemons) => self.forget_daemons(daemons),
             Command::Once(command) => self.apply_once(command, rules),
+            Command::PatchCatalog(patch) => match self.catalog.merge(patch, index) {
+                Ok(()) => CommandAnswer::Done,
+                Err(invalid) => CommandAnswer::Refused(invalid.to_string()),
+            },
+            Command::Evacuate { zone, is_active } => {
+                self.catalog.set_evacuation(zone, *is_active, index);
+                CommandAnswer::Done
+            }
         }
     }
 
@@ -150,6 +161,11 @@
         &self.once
     }
 
+    /// Routes, services, limits and evacuated zones.
+    pub fn catalog(&self) -> &Catalog {
+        &self.catalog
+    }
+
     /// Longest time that a request may run after it was dispatched.
     pub fn longest_deadline_ms(&self) -> Millis {
         self.longest_deadline_ms
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -22,7 +22,7 @@
 
 use crate::control::error::{ControlError, LogSnafu, ProposeSnafu};
 use crate::control::identity::{self, Identity};
-use crate::control::peers::Peers;
+use crate::control::peers::PeerSender;
 use crate::control::shared::{ControlShared, ReplicaStatus};
 use crate::control::status::status_of;
 
@@ -34,6 +34,9 @@
 /// Entries after which the state machine is saved and the log is shortened.
 const ENTRIES_PER_SNAPSHOT: u64 = 20_000;
 
+/// Pause before a replica whose storage failed starts again.
+const RESTART_PAUSE: Duration = Duration::from_millis(500);
+
 /// Reply to a proposal.
 pub type Proposed = oneshot::Sender<Result<CommandAnswer, ControlError>>;
 
@@ -78,8 +81,10 @@
 /// The driver of one replica.
 pub struct Driver {
     shared: Arc<ControlShared>,
-    peers: Peers,
+    peers: Box<dyn PeerSender>,
     folder: PathBuf,
+    /// Synced copies of a command before its proposer is answered.
+    min_copies: usize,
     group: Option<Group>,
 }
 
@@ -90,10 +95,19 @@
     log: WriteAheadLog,
     /// Proposals that are not committed yet, by index, with their term.
     waiting: BTreeMap<u64, (u64, Proposed)>,
+    /// Answers to commands that are committed and not yet on enough disks.
+    held_answers: Vec<HeldAnswer>,
     /// The replicated clock and our own when this replica began to lead.
     clock_base: Option<(Millis, Millis)>,
 }
 
+/// The answer to a committed command.
+struct HeldAnswer {
+    index: u64,
+    reply: Proposed,
+    answer: CommandAnswer,
+}
+
 /// Whether the driver goes on.
 enum Next {
     GoOn,
@@ -103,26 +117,39 @@
 impl Driver {
     /// A driver with its data in `folder`; joins its group again when it was a
     /// member before.
+    ///
+    /// A proposer is answered once its command is on `min_copies` synced disks,
+    /// also where fewer make a majority.
     pub fn open(
         shared: Arc<ControlShared>,
-        peers: Peers,
+        peers: Box<dyn PeerSender>,
         folder: PathBuf,
+        min_copies: usize,
     ) -> Result<Driver, ControlError> {
         let mut driver = Driver {
             shared,
             peers,
             folder,
+            min_copies,
             group: None,
         };
-        let found = identity::read(&driver.folder)?;
+        driver.restart()?;
+        Ok(driver)
+    }
+
+    /// Starts from what is on disk.
+    fn restart(&mut self) -> Result<(), ControlError> {
+        let found = identity::read(&self.folder)?;
+        // The log is applied from its start or from its snapshot on.
+        *self.shared.state_mut() = ControlState::default();
         if let Some(identity) = found {
-            let (log, restored) = WriteAheadLog::open(&driver.folder).context(LogSnafu)?;
-            driver.begin(identity, log, restored);
+            let (log, restored) = WriteAheadLog::open(&self.folder).context(LogSnafu)?;
+            self.begin(identity, log, restored);
         } else {
             info!(target: LOG, "this replica is blank and waits to join a group");
         }
-        driver.publish();
-        Ok(driver)
+        self.publish();
+        Ok(())
     }
 
     fn begin(&mut self, identity: Identity, log: WriteAheadLog, restored: Restored) {
@@ -141,11 +168,13 @@
             replica: Replica::new(config, restored, now),
             log,
             waiting: BTreeMap::new(),
+            held_answers: Vec::new(),
             clock_base: None,
         });
     }
 
-    /// Runs until it is told to stop, or until storage fails.
+    /// Runs until it is told to stop. When storage fails, the replica leaves its
+    /// part in the group and starts again from what is on disk.
     pub fn run(mut self, events: &Receiver<Event>) {
         loop {
             match self.turn(events) {
@@ -153,16 +182,38 @@
                 Ok(Next::Stop) => break,
                 Err(failure) => {
                     // What is on disk is no longer known: this replica must not
-                    // promise anything further.
+                    // promise anything further on what it has in memory.
                     error!(target: LOG, "this replica stops: {failure}");
                     self.fail(&failure);
-                    break;
+                    if matches!(self.recover(events), Next::Stop) {
+                        break;
+                    }
                 }
             }
         }
         self.shared.set_lease(0, None);
     }
 
+    /// Tries to start again until storage works.
+    fn recover(&mut self, events: &Receiver<Event>) -> Next {
+        loop {
+            std::thread::sleep(RESTART_PAUSE);
+            // Proposals and messages of the meantime are lost, as on a network.
+            while let Ok(event) = events.try_recv() {
+                if matches!(event, Event::Stop) {
+                    return Next::Stop;
+                }
+            }
+            match self.restart() {
+                Ok(()) => return Next::GoOn,
+                Err(failure) => {
+                    error!(target: LOG, "this replica stays stopped: {failure}");
+                    self.fail(&failure);
+                }
+            }
+        }
+    }
+
     fn turn(&mut self, events: &Receiver<Event>) -> Result<Next, ControlError> {
         let mut next = match events.recv_timeout(TICK) {
             Ok(event) => Some(event),
@@ -341,9 +392,8 @@
         match postcard::from_bytes::<ControlState>(&snapshot.data) {
             Ok(mut state) => {
                 state.restore_derived();
-                let version = state.tables().version;
                 *self.shared.state_mut() = state;
-                self.shared.announce_version(version);
+                self.shared.announce_versions();
             }
             Err(failure) => error!(target: LOG, "a snapshot can't be decoded: {failure}"),
         }
@@ -367,18 +417,23 @@
                 },
             };
             if let Some((term, reply)) = group.waiting.remove(&entry.index) {
-                // Another entry at this place: ours was lost with our leadership.
-                let result = if term == entry.term {
-                    Ok(answer)
+                if term != entry.term {
+                    // Another entry at this place: ours was lost with our
+                    // leadership.
+                    answers.push((reply, Err(ControlError::Lost)));
+                } else if matches!(entry.payload, Payload::Command(_)) {
+                    group.held_answers.push(HeldAnswer {
+                        index: entry.index,
+                        reply,
+                        answer,
+                    });
                 } else {
-                    Err(ControlError::Lost)
-                };
-                answers.push((reply, result));
+                    answers.push((reply, Ok(answer)));
+                }
             }
         }
-        let version = state.tables().version;
         drop(state);
-        self.shared.announce_version(version);
+        self.shared.announce_versions();
         for (reply, result) in answers {
             let _ = reply.send(result);
         }
@@ -435,10 +490,15 @@
             }
             _ => {}
         }
-        if !group.replica.is_leader() {
+        if group.replica.is_leader() {
+            release_answers(group, self.min_copies);
+        } else {
             for (_, (_, reply)) in std::mem::take(&mut group.waiting) {
                 let _ = reply.send(Err(ControlError::Lost));
             }
+            for held in std::mem::take(&mut group.held_answers) {
+                let _ = held.reply.send(Err(ControlError::Lost));
+            }
         }
         self.shared.set_lease(group.replica.term(), lease_end);
         self.shared
@@ -458,6 +518,28 @@
     }
 }
 
+/// Answers the proposers whose commands are on enough synced disks.
+fn release_answers(group: &mut Group, min_copies: usize) {
+    let Some(progress) = group.replica.progress() else {
+        return;
+    };
+    // What was applied here is synced here.
+    let copies_of = |index: u64| {
+        1 + progress
+            .values()
+            .filter(|progress| progress.matched >= index)
+            .count()
+    };
+    let (ready, held): (Vec<_>, Vec<_>) = std::mem::take(&mut group.held_answers)
+        .into_iter()
+        .partition(|held| copies_of(held.index) >= min_copies);
+    group.held_answers = held;
+    for one in ready {
+        let HeldAnswer { reply, answer, .. } = one;
+        let _ = reply.send(Ok(answer));
+    }
+}
+
 fn save(log: &mut WriteAheadLog, ready: &mut Ready) -> Result<(), ControlError> {
     let batch = Batch {
         hard_state: ready.hard_state,
--- a/crates/coursestand-daemon/src/control/peers.rs
+++ b/crates/coursestand-daemon/src/control/peers.rs
@@ -39,7 +39,51 @@
     under_way: Arc<Semaphore>,
 }
 
-/// Connections to the other replicas, made when first needed.
+/// Sends consensus messages to other replicas without waiting. What is lost on
+/// the way is made good by the consensus core.
+pub trait PeerSender: Send {
+    /// Sends messages of the replica `from` to the addresses in `membership`.
+    fn send(
+        &mut self,
+        cluster: u64,
+        from: ReplicaId,
+        membership: &Membership,
+        messages: Vec<(ReplicaId, Message)>,
+    );
+}
+
+/// Encodes each message for its receiver's address.
+pub fn envelopes(
+    cluster: u64,
+    from: ReplicaId,
+    membership: &Membership,
+    messages: Vec<(ReplicaId, Message)>,
+) -> Vec<(SocketAddr, Vec<u8>)> {
+    let mut encoded = Vec::new();
+    for (to, message) in messages {
+        let address = membership
+            .members
+            .get(&to)
+            .and_then(|member| member.address.parse().ok());
+        let Some(address) = address else {
+            continue;
+        };
+        let envelope = Envelope {
+            cluster,
+            from,
+            to,
+            message,
+        };
+        match postcard::to_stdvec(&envelope) {
+            Ok(bytes) => encoded.push((address, bytes)),
+            Err(error) => warn!(target: LOG, "a message can't be encoded: {error}"),
+        }
+    }
+    encoded
+}
+
+/// Connections to the other replicas over the messaging library, made when first
+/// needed.
 pub struct Peers {
     runtime: Handle,
     peers: BTreeMap<SocketAddr, Peer>,
@@ -54,35 +98,6 @@
         }
     }
 
-    /// Sends messages without waiting.
-    pub fn send(
-        &mut self,
-        cluster: u64,
-        from: ReplicaId,
-        membership: &Membership,
-        messages: Vec<(ReplicaId, Message)>,
-    ) {
-        for (to, message) in messages {
-            let address = membership
-                .members
-                .get(&to)
-                .and_then(|member| member.address.parse().ok());
-            let Some(address) = address else {
-                continue;
-            };
-            let envelope = Envelope {
-                cluster,
-                from,
-                to,
-                message,
-            };
-            match postcard::to_stdvec(&envelope) {
-                Ok(bytes) => self.send_one(address, bytes),
-                Err(error) => warn!(target: LOG, "a message can't be encoded: {error}"),
-            }
-        }
-    }
-
     fn send_one(&mut self, address: SocketAddr, bytes: Vec<u8>) {
         let peer = match self.peers.entry(address) {
             Entry::Occupied(known) => known.into_mut(),
@@ -110,3 +125,17 @@
         });
     }
 }
+
+impl PeerSender for Peers {
+    fn send(
+        &mut self,
+        cluster: u64,
+        from: ReplicaId,
+        membership: &Membership,
+        messages: Vec<(ReplicaId, Message)>,
+    ) {
+        for (address, bytes) in envelopes(cluster, from, membership, messages) {
+            self.send_one(address, bytes);
+        }
+    }
+}
--- a/crates/coursestand-daemon/src/control/replica.rs
+++ b/crates/coursestand-daemon/src/control/replica.rs
@@ -28,6 +28,9 @@
 /// is 3 MB larger than a daemon without the role (see `docs/CAPACITY.md`).
 const EXCHANGES: usize = 2_048;
 
+/// Copies of a command besides what makes a majority.
+const MAJORITY_IS_ENOUGH: usize = 0;
+
 /// Handle of the control replica for the other services.
 pub struct ControlHandle {
     /// What the parts of the replica share.
@@ -39,6 +42,16 @@
 }
 
 impl ControlHandle {
+    /// A handle of the driver that reads `events`.
+    pub fn new(shared: Arc<ControlShared>, events: Sender<Event>) -> ControlHandle {
+        ControlHandle {
+            shared,
+            duties: Notify::new(),
+            events,
+            tenure: Mutex::new(None),
+        }
+    }
+
     /// Sends a message of another replica to the driver.
     pub fn deliver(&self, event: Event) -> Result<(), ControlError> {
         self.events.send(event).map_err(|_| ControlError::Stopped)
@@ -137,16 +150,12 @@
         let failed = |error: &dyn std::fmt::Display| ServiceError::new(names::CONTROL, error);
         let shared = Arc::new(ControlShared::new(self.clock));
         let (events, incoming) = channel();
-        let handle = Arc::new(ControlHandle {
-            shared: Arc::clone(&shared),
-            duties: Notify::new(),
-            events,
-            tenure: Mutex::new(None),
-        });
+        let handle = Arc::new(ControlHandle::new(Arc::clone(&shared), events));
         let driver = Driver::open(
             shared,
-            Peers::new(Handle::current()),
+            Box::new(Peers::new(Handle::current())),
             self.settings.data_folder.clone(),
+            MAJORITY_IS_ENOUGH,
         )
         .map_err(|error| failed(&error))?;
         let thread = std::thread::Builder::new()
--- a/crates/coursestand-daemon/src/control/shared.rs
+++ b/crates/coursestand-daemon/src/control/shared.rs
@@ -79,6 +79,7 @@
     lease_end: AtomicU64,
     term: AtomicU64,
     version: watch::Sender<ControlVersion>,
+    catalog_version: watch::Sender<ControlVersion>,
     /// The newest delta for each version that followers asked from. Nearly all
     /// ask from the same one, and the driver must not wait for each to read.
     deltas: Mutex<HashMap<ControlVersion, Arc<Delta>>>,
@@ -95,6 +96,7 @@
             lease_end: AtomicU64::new(0),
             term: AtomicU64::new(0),
             version: watch::Sender::new(0),
+            catalog_version: watch::Sender::new(0),
             deltas: Mutex::default(),
         }
     }
@@ -175,11 +177,26 @@
         self.version.subscribe()
     }
 
-    pub(crate) fn announce_version(&self, version: ControlVersion) {
-        self.version.send_if_modified(|known| {
-            let changed = *known != version;
-            *known = version;
-            changed
-        });
+    /// Tells of new versions of the catalog.
+    pub fn catalog_versions(&self) -> watch::Receiver<ControlVersion> {
+        self.catalog_version.subscribe()
+    }
+
+    /// Tells those who wait of the versions of the applied state.
+    pub(crate) fn announce_versions(&self) {
+        let (tables, catalog) = {
+            let state = self.state();
+            (state.tables().version, state.catalog().version())
+        };
+        announce(&self.version, tables);
+        announce(&self.catalog_version, catalog);
     }
 }
+
+fn announce(sender: &watch::Sender<ControlVersion>, version: ControlVersion) {
+    sender.send_if_modified(|known| {
+        let changed = *known != version;
+        *known = version;
+        changed
+    });
+}
--- /dev/null
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -0,0 +1,284 @@
+//! Follows the control processes: keeps connections to a majority of them, and
+//! feeds what they tell into the beliefs of the entry daemon.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use coursestand_discovery::{EdgePhase, EdgeRecord};
+use coursestand_proxy::EdgeState;
+use coursestand_routing::hash::{combine, hash_of};
+use coursestand_transport::stream::{self, StreamError};
+use log::info;
+use serde_json::{Value, json};
+use tokio::sync::{Notify, watch};
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use crate::fleet::wire::{ToControl, ToEdge};
+
+const LOG: &str = "follower";
+/// Control processes up to which all are followed.
+const FOLLOW_ALL: usize = 5;
+/// Time between two signs of life.
+const PING: Duration = Duration::from_millis(1_000);
+/// A control process that sends nothing for this long is lost.
+const SILENCE: Duration = Duration::from_millis(2_500);
+/// Pause before a lost connection is made again.
+const PAUSE: Duration = Duration::from_millis(200);
+/// Time between two looks at which control processes to follow.
+const ROUND: Duration = Duration::from_millis(1_000);
+
+/// What is known of one control process.
+#[derive(Clone, Debug, Default)]
+struct Followed {
+    /// It has told its catalog on the present connection.
+    has_told_catalog: bool,
+    is_connected: bool,
+    edges: BTreeSet<String>,
+}
+
+/// Follows the control processes.
+pub struct EdgeFollower {
+    state: Arc<EdgeState>,
+    record: EdgeRecord,
+    phase: watch::Sender<EdgePhase>,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+    /// Control processes as the group itself tells.
+    controls: Mutex<BTreeSet<SocketAddr>>,
+    followed: Mutex<BTreeMap<SocketAddr, Followed>>,
+    news: Notify,
+}
+
+impl EdgeFollower {
+    /// A follower for the daemon that `record` describes.
+    pub fn new(
+        state: Arc<EdgeState>,
+        record: EdgeRecord,
+        seeds: watch::Receiver<Vec<SocketAddr>>,
+    ) -> EdgeFollower {
+        EdgeFollower {
+            state,
+            phase: watch::Sender::new(record.phase),
+            record,
+            seeds,
+            controls: Mutex::default(),
+            followed: Mutex::default(),
+            news: Notify::new(),
+        }
+    }
+
+    /// Where this daemon is in its life.
+    pub fn phase(&self) -> EdgePhase {
+        *self.phase.borrow()
+    }
+
+    /// The daemon is in this phase from now on, and tells so.
+    pub fn set_phase(&self, phase: EdgePhase) {
+        self.phase.send_if_modified(|known| {
+            let moves_on = phase > *known;
+            if moves_on {
+                *known = phase;
+            }
+            moves_on
+        });
+    }
+
+    fn followed(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Followed>> {
+        self.followed.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn controls(&self) -> MutexGuard<'_, BTreeSet<SocketAddr>> {
+        self.controls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Follows until it is dropped.
+    pub async fn run(self: Arc<Self>) {
+        let mut links: BTreeMap<SocketAddr, Link> = BTreeMap::new();
+        loop {
+            let wanted = self.wanted();
+            links.retain(|address, _| wanted.contains(address));
+            self.followed()
+                .retain(|address, _| wanted.contains(address));
+            for address in wanted {
+                links.entry(address).or_insert_with(|| {
+                    Link(tokio::spawn(keep_following(Arc::clone(&self), address)))
+                });
+            }
+            self.become_ready();
+            // Either news or the end of the pause.
+            let _ = tokio::time::timeout(ROUND, self.news.notified()).await;
+        }
+    }
+
+    /// The control processes to follow: all of a few; of many a majority, so
+    /// that every order a majority knows reaches this daemon directly.
+    fn wanted(&self) -> BTreeSet<SocketAddr> {
+        let controls = self.controls().clone();
+        if controls.is_empty() {
+            return self.seeds.borrow().iter().copied().collect();
+        }
+        let mut wanted: Vec<SocketAddr> = controls.iter().copied().collect();
+        if wanted.len() > FOLLOW_ALL {
+            let own = hash_of(&self.record.name);
+            wanted.sort_by_key(|address| combine(own, hash_of(&address.to_string())));
+            wanted.truncate(controls.len() / 2 + 1);
+        }
+        let mut wanted: BTreeSet<SocketAddr> = wanted.into_iter().collect();
+        // With none of them connected, the seeds may know the present group.
+        let is_alone = !self.followed().values().any(|one| one.is_connected);
+        if is_alone {
+            wanted.extend(self.seeds.borrow().iter().copied());
+        }
+        wanted
+    }
+
+    /// Ready once a majority of the control processes told their catalogs: one
+    /// of them has every change that was ever acknowledged.
+    fn become_ready(&self) {
+        if self.phase() != EdgePhase::Starting || self.state.beliefs().catalog.is_empty() {
+            return;
+        }
+        let controls = self.controls().clone();
+        let told = self
+            .followed()
+            .iter()
+            .filter(|(address, one)| one.has_told_catalog && controls.contains(address))
+            .count();
+        if !controls.is_empty() && told > controls.len() / 2 {
+            info!(target: LOG, catalog = self.state.beliefs().catalog.version();
+                "this daemon is ready");
+            self.set_phase(EdgePhase::Ready);
+        }
+    }
+
+    fn record(&self) -> EdgeRecord {
+        EdgeRecord {
+            phase: self.phase(),
+            ..self.record.clone()
+        }
+    }
+
+    fn take(&self, from: SocketAddr, message: ToEdge) {
+        match message {
+            ToEdge::Pong => {}
+            ToEdge::Catalog(delta) => {
+                let version = delta.version;
+                let items = delta.items.len();
+                if self.state.adopt_catalog(delta) {
+                    info!(target: LOG, control:% = from, catalog = version, items = items;
+                        "the catalog changed");
+                }
+                self.note(from, |one| one.has_told_catalog = true);
+                self.news.notify_one();
+            }
+            ToEdge::Instances(news) => self.state.adopt_instances(news),
+            ToEdge::Edges(names) => {
+                self.note(from, |one| one.edges = names.into_iter().collect());
+                self.merge_edges();
+            }
+            ToEdge::Controls(addresses) => {
+                let addresses: BTreeSet<SocketAddr> = addresses.into_iter().collect();
+                if !addresses.is_empty() {
+                    *self.controls() = addresses;
+                }
+                self.news.notify_one();
+            }
+        }
+    }
+
+    fn note(&self, control: SocketAddr, change: impl FnOnce(&mut Followed)) {
+        change(self.followed().entry(control).or_default());
+    }
+
+    fn merge_edges(&self) {
+        let names: BTreeSet<String> = self
+            .followed()
+            .values()
+            .filter(|one| one.is_connected)
+            .flat_map(|one| one.edges.iter().cloned())
+            .collect();
+        self.state.set_daemons(&self.record.name, names.into_iter());
+    }
+
+    /// What the follower knows, for the dump.
+    pub fn dump(&self) -> Value {
+        let followed: BTreeMap<String, bool> = self
+            .followed()
+            .iter()
+            .map(|(address, one)| (address.to_string(), one.is_connected))
+            .collect();
+        json!({
+            "phase": format!("{:?}", self.phase()),
+            "controls": *self.controls(),
+            "followed": followed,
+        })
+    }
+}
+
+/// Ends its task when it is dropped.
+struct Link(JoinHandle<()>);
+
+impl Drop for Link {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+async fn keep_following(follower: Arc<EdgeFollower>, control: SocketAddr) {
+    loop {
+        let result = follow(&follower, control).await;
+        let was_connected = {
+            let mut followed = follower.followed();
+            let one = followed.entry(control).or_default();
+            let was_connected = one.is_connected;
+            *one = Followed::default();
+            was_connected
+        };
+        if let (true, Err(error)) = (was_connected, result) {
+            info!(target: LOG, control:% = control; "control process lost: {error}");
+            follower.news.notify_one();
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+async fn follow(follower: &EdgeFollower, control: SocketAddr) -> Result<(), StreamError> {
+    let (mut receiver, mut sender) = stream::connect::<ToEdge, ToControl>(control).await?;
+    let mut phase = follower.phase.subscribe();
+    phase.mark_unchanged();
+    let have = follower.state.beliefs().catalog.version();
+    let hello = ToControl::EdgeHello {
+        record: follower.record(),
+        have,
+    };
+    sender.send(&hello).await?;
+    let mut ping = tokio::time::interval(PING);
+    let mut heard_at = Instant::now();
+    let mut is_known = false;
+    loop {
+        tokio::select! {
+            message = receiver.next() => {
+                let message = message?;
+                heard_at = Instant::now();
+                if !is_known {
+                    is_known = true;
+                    follower.note(control, |one| one.is_connected = true);
+                    info!(target: LOG, control:% = control; "control process followed");
+                }
+                follower.take(control, message);
+            }
+            changed = phase.changed() => {
+                if changed.is_err() {
+                    return Ok(());
+                }
+                sender.send(&ToControl::Edge(follower.record())).await?;
+            }
+            _ = ping.tick() => sender.send(&ToControl::Ping).await?,
+            () = tokio::time::sleep_until(heard_at + SILENCE) => {
+                return Err(StreamError::Silent { limit_ms: SILENCE.as_millis() });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -0,0 +1,275 @@
+//! The entry role of a fleet: serves callers, and stops in an order that cuts no
+//! request off.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+use async_trait::async_trait;
+use coursestand_dialect::{Call, Dialect};
+use coursestand_discovery::{EdgePhase, EdgeRecord};
+use coursestand_kernel::http::HttpServer;
+use coursestand_kernel::{Health, MonotonicClock, Registry, Service, ServiceError, Tasks};
+use coursestand_model::fleet::FleetSettings;
+use coursestand_proxy::edge_state::EdgeBounds;
+use coursestand_proxy::metrics::ProxyMetrics;
+use coursestand_proxy::pool::Pool;
+use coursestand_proxy::router::Router;
+use coursestand_proxy::{EdgeState, Exchange, ProxyServer};
+use coursestand_routing::RetryLimits;
+use coursestand_routing::cold::ColdLimits;
+use coursestand_routing::picker::Place;
+use log::info;
+use poem::http::StatusCode;
+use poem::{Request, Response};
+use serde_json::{Value, json};
+use tokio::sync::watch;
+
+use crate::fleet::control_api::lookup_ttl;
+use crate::fleet::edge_follower::EdgeFollower;
+use crate::names;
+
+const LOG: &str = "edge";
+/// Time between two rounds of regular work.
+const ROUND: Duration = Duration::from_secs(1);
+/// Clients may hold a look-up this many times as long as they were told.
+const TTL_FACTOR: u32 = 3;
+/// Time for control processes to hear that the daemon leaves.
+const ANNOUNCE: Duration = Duration::from_millis(300);
+/// Part of a planned stop that is kept back for the process to end.
+const RESERVE: Duration = Duration::from_millis(300);
+/// Heartbeats after which it is sure whether a back end has turned cold.
+const HEARTBEATS_TO_SETTLE: u64 = 2;
+
+/// Runs the entry role.
+pub struct FleetEdge {
+    settings: FleetSettings,
+    dialect: Arc<dyn Dialect>,
+    clock: MonotonicClock,
+    seeds: watch::Receiver<Vec<SocketAddr>>,
+    tasks: Tasks,
+    running: Mutex<Option<Arc<Running>>>,
+}
+
+struct Running {
+    state: Arc<EdgeState>,
+    follower: Arc<EdgeFollower>,
+    pool: Arc<Pool>,
+    exchange: Arc<Exchange>,
+    server: ProxyServer,
+    ready: HttpServer,
+}
+
+impl FleetEdge {
+    /// An entry role with these settings; the seeds may change.
+    pub fn new(
+        settings: FleetSettings,
+        dialect: Arc<dyn Dialect>,
+        clock: MonotonicClock,
+        seeds: watch::Receiver<Vec<SocketAddr>>,
+    ) -> FleetEdge {
+        FleetEdge {
+            settings,
+            dialect,
+            clock,
+            seeds,
+            tasks: Tasks::default(),
+            running: Mutex::new(None),
+        }
+    }
+
+    fn running(&self) -> Option<Arc<Running>> {
+        self.running
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn state(&self) -> EdgeState {
+        let bounds = &self.settings.bounds;
+        let place = Place {
+            daemon: self.settings.name.clone(),
+            region: self.settings.region.clone(),
+            zones: self.settings.zones.clone(),
+            cold: ColdLimits {
+                overage: bounds.cold_overage,
+                slack: bounds.cold_slack,
+            },
+        };
+        let bounds = EdgeBounds {
+            retries: RetryLimits {
+                ratio: bounds.retry_ratio,
+                extra: bounds.retry_extra,
+                window_ms: bounds.retry_window.0,
+            },
+            settle_ms: HEARTBEATS_TO_SETTLE * bounds.heartbeat.0,
+        };
+        EdgeState::new(self.clock, place, bounds)
+    }
+}
+
+#[async_trait]
+impl Service for FleetEdge {
+    fn name(&self) -> &'static str {
+        names::EDGE
+    }
+
+    async fn start(&self, registry: &Arc<Registry>) -> Result<(), ServiceError> {
+        let failed = |error: &dyn std::fmt::Display| ServiceError::new(names::EDGE, error);
+        let Some(role) = &self.settings.edge else {
+            return Err(failed(&"the process has no entry role"));
+        };
+        let state = Arc::new(self.state());
+        let pool = Arc::new(Pool::default());
+        let metrics = ProxyMetrics::new(registry.metrics()).map_err(|error| failed(&error))?;
+        let exchange = Arc::new(Exchange::new(
+            Arc::new(Router::new(Arc::clone(&state))),
+            self.dialect.header_names(),
+            Arc::clone(&pool),
+            metrics,
+        ));
+        let server = ProxyServer::start(role.listen, Arc::clone(&exchange))
+            .await
+            .map_err(|error| failed(&error))?;
+        let record = EdgeRecord {
+            name: self.settings.name.clone(),
+            incarnation: rand::random(),
+            address: role.listen,
+            zone: self.settings.zone.clone(),
+            region: self.settings.region.clone(),
+            phase: EdgePhase::Starting,
+        };
+        let follower = Arc::new(EdgeFollower::new(
+            Arc::clone(&state),
+            record,
+            self.seeds.clone(),
+        ));
+        let ready = serve_readiness(
+            role.ready_listen,
+            Arc::clone(&self.dialect),
+            Arc::clone(&follower),
+        )
+        .await
+        .map_err(|error| failed(&error))?;
+        self.tasks.start(Arc::clone(&follower).run());
+        let running = Arc::new(Running {
+            state,
+            follower,
+            pool,
+            exchange,
+            server,
+            ready,
+        });
+        self.tasks.start(run_rounds(Arc::clone(&running)));
+        *self.running.lock().unwrap_or_else(PoisonError::into_inner) = Some(running);
+        Ok(())
+    }
+
+    /// Look-ups stop naming the daemon; it serves on until the answers that
+    /// clients hold have run out, then finishes what it has.
+    async fn drain(&self) {
+        let Some(running) = self.running() else {
+            return;
+        };
+        running.follower.set_phase(EdgePhase::Draining);
+        running.server.announce_stop();
+        let ttl = Duration::from_millis(lookup_ttl(&self.settings));
+        let served_on = ANNOUNCE + ttl * TTL_FACTOR;
+        let stop = self.settings.bounds.stop.duration();
+        tokio::time::sleep(served_on.min(stop.saturating_sub(RESERVE))).await;
+        info!(target: LOG, in_flight = running.exchange.metrics().in_flight.get();
+            "callers are no longer accepted");
+        let left = stop.saturating_sub(served_on + RESERVE);
+        if tokio::time::timeout(left, running.server.close())
+            .await
+            .is_err()
+        {
+            info!(target: LOG, in_flight = running.exchange.metrics().in_flight.get();
+                "the time of the planned stop is over");
+        }
+    }
+
+    async fn stop(&self) {
+        self.tasks.abort();
+        if let Some(running) = self.running() {
+            running.ready.abort();
+        }
+    }
+
+    fn dump(&self) -> Value {
+        let Some(running) = self.running() else {
+            return Value::Null;
+        };
+        let beliefs = running.state.beliefs();
+        let now = running.state.now();
+        let backends: Vec<Value> = beliefs
+            .backends
+            .iter()
+            .map(|backend| {
+                json!({
+                    "id": backend.instance.id,
+                    "service": backend.instance.service,
+                    "zone": backend.instance.zone,
+                    "phase": format!("{:?}", backend.instance.phase),
+                    "in_flight": backend.in_flight,
+                    "load": backend.load(now),
+                    "cold": backend.is_cold(now),
+                    "ejected": backend.is_ejected(now),
+                })
+            })
+            .collect();
+        json!({
+            "follower": running.follower.dump(),
+            "catalog_version": beliefs.catalog.version(),
+            "daemons": beliefs.daemons,
+            "backends": backends,
+            "idle_connections": running.pool.idle_count(),
+        })
+    }
+
+    fn health(&self) -> Health {
+        match self.running().map(|running| running.follower.phase()) {
+            Some(EdgePhase::Ready) => Health::Ready,
+            phase => Health::NotReady {
+                reason: format!("the daemon is {phase:?}"),
+            },
+        }
+    }
+}
+
+async fn serve_readiness(
+    address: SocketAddr,
+    dialect: Arc<dyn Dialect>,
+    follower: Arc<EdgeFollower>,
+) -> Result<HttpServer, coursestand_kernel::http::HttpError> {
+    let endpoint = poem::endpoint::make_sync(move |request: Request| {
+        let call = dialect.parse(request.method(), request.original_uri(), &[]);
+        let status = match call {
+            Ok(Call::Ready) if follower.phase() == EdgePhase::Ready => StatusCode::OK,
+            Ok(Call::Ready) => StatusCode::SERVICE_UNAVAILABLE,
+            _ => StatusCode::NOT_FOUND,
+        };
+        Response::builder().status(status).finish()
+    });
+    HttpServer::start(address, endpoint, Duration::ZERO).await
+}
+
+async fn run_rounds(running: Arc<Running>) {
+    loop {
+        tokio::time::sleep(ROUND).await;
+        let (known, max_body) = {
+            let beliefs = running.state.beliefs();
+            let known: std::collections::HashSet<_> = beliefs
+                .backends
+                .iter()
+                .map(|backend| backend.instance.id.clone())
+                .collect();
+            let max_body = beliefs.catalog.limits().map(|limits| limits.max_body_bytes);
+            (known, max_body)
+        };
+        running.pool.close_idle(|id| known.contains(id));
+        if let Some(max_body) = max_body {
+            running.exchange.set_max_body_bytes(max_body);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -0,0 +1,294 @@
+//! Takes connections of other control processes and of entry daemons.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coursestand_catalog::Catalog;
+use coursestand_coordination::{Command, CommandAnswer};
+use coursestand_discovery::EdgeRecord;
+use coursestand_transport::stream::{self, Receiver, Sender, StreamError};
+use log::{debug, warn};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::control::driver::Event;
+use crate::control::error::ControlError;
+use crate::control::peers::Envelope;
+use crate::control::replica::ControlHandle;
+use crate::fleet::formation::Formation;
+use crate::fleet::hub::Hub;
+use crate::fleet::wire::{Answer, PeerMessage, PeerReply, Question, ToControl, ToEdge};
+
+const LOG: &str = "mesh";
+/// A peer or entry daemon that sends nothing for this long is lost.
+const SILENCE: Duration = Duration::from_millis(3_000);
+/// Replies that wait to be sent.
+const REPLY_QUEUE: usize = 1_024;
+/// Changes of the connected entry daemons are told at most this often.
+const TOPOLOGY_PAUSE: Duration = Duration::from_millis(200);
+
+/// What connections are served with.
+pub struct Serving {
+    /// The replica of the control group.
+    pub control: Arc<ControlHandle>,
+    /// The soft state.
+    pub hub: Arc<Hub>,
+    /// Takes replicas into the group.
+    pub formation: Arc<Formation>,
+}
+
+/// Accepts connections until it is dropped.
+pub async fn accept(listener: TcpListener, serving: Arc<Serving>) {
+    loop {
+        match listener.accept().await {
+            Ok((connection, _)) => {
+                let serving = Arc::clone(&serving);
+                tokio::spawn(async move {
+                    if let Err(error) = serve(connection, &serving).await {
+                        debug!(target: LOG, "a connection ended: {error}");
+                    }
+                });
+            }
+            Err(error) => {
+                warn!(target: LOG, "no connection was accepted: {error}");
+                tokio::time::sleep(Duration::from_millis(50)).await;
+            }
+        }
+    }
+}
+
+async fn serve(connection: TcpStream, serving: &Arc<Serving>) -> Result<(), StreamError> {
+    // The first message tells what is sent back on the connection.
+    let (mut receiver, sender) = stream::split::<ToControl, ()>(connection)?;
+    match receiver.next_within(SILENCE).await? {
+        ToControl::PeerHello(peer) => serve_peer(peer, receiver, sender.retyped(), serving).await,
+        ToControl::EdgeHello { record, have } => {
+            serve_edge(record, have, receiver, sender.retyped(), serving).await
+        }
+        _ => Err(StreamError::Ended),
+    }
+}
+
+async fn serve_peer(
+    peer: SocketAddr,
+    mut receiver: Receiver<ToControl>,
+    mut sender: Sender<PeerReply>,
+    serving: &Arc<Serving>,
+) -> Result<(), StreamError> {
+    let (replies, mut queue) = mpsc::channel::<PeerReply>(REPLY_QUEUE);
+    if let Some(links) = serving.formation.links() {
+        links.keep(peer);
+    }
+    let mut heard_at = Instant::now();
+    loop {
+        tokio::select! {
+            message = receiver.next() => {
+                heard_at = Instant::now();
+                serving.hub.heard_peer(peer);
+                match message? {
+                    ToControl::Ping => sender.send(&PeerReply::Pong).await?,
+                    ToControl::Peer(message) => take_peer(peer, message, serving, &replies),
+                    _ => return Err(StreamError::Ended),
+                }
+            }
+            Some(reply) = queue.recv() => sender.send(&reply).await?,
+            () = tokio::time::sleep_until(heard_at + SILENCE) => {
+                return Err(StreamError::Silent { limit_ms: SILENCE.as_millis() });
+            }
+        }
+    }
+}
+
+fn take_peer(
+    peer: SocketAddr,
+    message: PeerMessage,
+    serving: &Arc<Serving>,
+    replies: &mpsc::Sender<PeerReply>,
+) {
+    match message {
+        PeerMessage::Consensus(bytes) => take_consensus(&serving.control, &bytes),
+        PeerMessage::Instances { news, receipt } => {
+            serving.hub.take_peer_news(news);
+            if let Some(receipt) = receipt {
+                // A lost receipt is like a lost message: the sender tries again.
+                let _ = replies.try_send(PeerReply::Taken(receipt));
+            }
+        }
+        PeerMessage::Heard(ids) => serving.hub.take_heard(&ids),
+        PeerMessage::Edge {
+            record,
+            is_connected,
+        } => serving.hub.take_peer_edge(peer, &record, is_connected),
+        PeerMessage::Ask { number, question } => {
+            let serving = Arc::clone(serving);
+            let replies = replies.clone();
+            tokio::spawn(async move {
+                let answer = answer(&serving, *question).await;
+                let _ = replies.send(PeerReply::Answer { number, answer }).await;
+            });
+        }
+    }
+}
+
+fn take_consensus(control: &ControlHandle, bytes: &[u8]) {
+    let Ok(envelope) = postcard::from_bytes::<Envelope>(bytes) else {
+        return;
+    };
+    let own = control.shared.status().identity;
+    let is_for_us =
+        own.is_some_and(|own| own.cluster == envelope.cluster && own.replica == envelope.to);
+    if is_for_us {
+        // A driver that stopped takes nothing.
+        let _ = control.deliver(Event::Message {
+            from: envelope.from,
+            message: envelope.message,
+        });
+    }
+}
+
+async fn answer(serving: &Serving, question: Question) -> Answer {
+    match question {
+        Question::Propose(command) => propose(&serving.control, command).await,
+        Question::ReadCatalog => match read_catalog(&serving.control) {
+            Some(catalog) => Answer::Catalog(catalog.delta(0)),
+            None => Answer::NotLeader,
+        },
+        Question::Join { address, replica } => serving.formation.admit(address, replica),
+    }
+}
+
+/// Commits a command on this replica, if it leads.
+pub async fn propose(control: &ControlHandle, command: Command) -> Answer {
+    match control.propose(command).await {
+        Ok(answer) => Answer::Command(answer),
+        Err(ControlError::NotLeader | ControlError::NotJoined) => Answer::NotLeader,
+        Err(error) => Answer::Unknown(error.to_string()),
+    }
+}
+
+/// The newest catalog there is, if this replica leads.
+pub fn read_catalog(control: &ControlHandle) -> Option<Catalog> {
+    let catalog = control.shared.state().catalog().clone();
+    // Checked after the copy: nobody else can have committed before it.
+    control.shared.leading_term().map(|_| catalog)
+}
+
+/// Whether the command took effect as a whole.
+pub fn is_done(answer: &Answer) -> bool {
+    matches!(answer, Answer::Command(CommandAnswer::Done))
+}
+
+async fn serve_edge(
+    mut record: EdgeRecord,
+    have: u64,
+    mut receiver: Receiver<ToControl>,
+    mut sender: Sender<ToEdge>,
+    serving: &Arc<Serving>,
+) -> Result<(), StreamError> {
+    let hub = &serving.hub;
+    hub.note_edge(&record, true);
+    let (number, queue, instances) = hub.follow();
+    let mut follower = EdgeConnection {
+        serving,
+        queue,
+        have,
+    };
+    let result = follower
+        .run(&mut record, instances, &mut receiver, &mut sender)
+        .await;
+    hub.unfollow(number);
+    hub.note_edge(&record, false);
+    result
+}
+
+struct EdgeConnection<'a> {
+    serving: &'a Serving,
+    queue: mpsc::Receiver<bytes::Bytes>,
+    /// Newest change of the catalog that was sent.
+    have: u64,
+}
+
+impl EdgeConnection<'_> {
+    async fn run(
+        &mut self,
+        record: &mut EdgeRecord,
+        instances: Vec<coursestand_discovery::InstanceNews>,
+        receiver: &mut Receiver<ToControl>,
+        sender: &mut Sender<ToEdge>,
+    ) -> Result<(), StreamError> {
+        let hub = &self.serving.hub;
+        let mut catalog = self.serving.control.shared.catalog_versions();
+        let mut controls = hub.controls();
+        let mut topology = hub.topology();
+        controls.mark_changed();
+        topology.mark_changed();
+        sender.send(&ToEdge::Instances(instances)).await?;
+        catalog.mark_changed();
+        let mut heard_at = Instant::now();
+        let mut topology_at = Instant::now();
+        let mut tells_topology = false;
+        loop {
+            tokio::select! {
+                message = receiver.next() => {
+                    heard_at = Instant::now();
+                    match message? {
+                        ToControl::Ping => sender.send(&ToEdge::Pong).await?,
+                        ToControl::Edge(next) => {
+                            *record = next;
+                            hub.note_edge(record, true);
+                        }
+                        _ => return Err(StreamError::Ended),
+                    }
+                }
+                frame = self.queue.recv() => match frame {
+                    Some(frame) => sender.send_frame(frame).await?,
+                    None => return Err(StreamError::Ended),
+                },
+                changed = catalog.changed() => {
+                    if changed.is_err() {
+                        return Err(StreamError::Ended);
+                    }
+                    self.send_catalog(sender).await?;
+                }
+                changed = controls.changed() => {
+                    if changed.is_err() {
+                        return Err(StreamError::Ended);
+                    }
+                    let addresses = controls.borrow_and_update().iter().copied().collect();
+                    sender.send(&ToEdge::Controls(addresses)).await?;
+                }
+                changed = topology.changed(), if !tells_topology => {
+                    if changed.is_err() {
+                        return Err(StreamError::Ended);
+                    }
+                    tells_topology = true;
+                }
+                () = tokio::time::sleep_until(topology_at), if tells_topology => {
+                    tells_topology = false;
+                    topology_at = Instant::now() + TOPOLOGY_PAUSE;
+                    sender.send(&ToEdge::Edges(hub.edge_names())).await?;
+                }
+                () = tokio::time::sleep_until(heard_at + SILENCE) => {
+                    return Err(StreamError::Silent { limit_ms: SILENCE.as_millis() });
+                }
+            }
+        }
+    }
+
+    async fn send_catalog(&mut self, sender: &mut Sender<ToEdge>) -> Result<(), StreamError> {
+        let delta = self
+            .serving
+            .control
+            .shared
+            .state()
+            .catalog()
+            .delta(self.have);
+        if delta.version == 0 {
+            return Ok(());
+        }
+        self.have = self.have.max(delta.version);
+        sender.send(&ToEdge::Catalog(delta)).await
+    }
+}
--- /dev/null
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -0,0 +1,18 @@
+//! A fleet: control processes that form their group from seeds and keep the soft
+//! state of back ends and entry daemons, and entry daemons that follow them.
+//!
+//! `docs/design/0006-fleet-on-a-platform.md` tells which part serves what.
+
+pub mod control_api;
+pub mod control_service;
+pub mod edge_follower;
+pub mod edge_service;
+pub mod formation;
+pub mod hub;
+pub mod listener;
+pub mod node;
+pub mod peer_links;
+pub mod seeds;
+pub mod wire;
+
+pub use node::{Node, NodeError};
--- /dev/null
+++ b/crates/coursestand-daemon/src/fleet/node.rs
@@ -0,0 +1,119 @@
+//! Puts the services of a fleet's process together, as its settings say.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use coursestand_dialect::Dialect;
+use coursestand_kernel::admin::Admin;
+use coursestand_kernel::http::HttpError;
+use coursestand_kernel::{Kernel, MonotonicClock, ServiceError, Tasks};
+use coursestand_model::fleet::FleetSettings;
+use snafu::{ResultExt, Snafu};
+use tokio::sync::{Notify, watch};
+
+use crate::fleet::control_api::ControlApi;
+use crate::fleet::control_service::FleetControl;
+use crate::fleet::edge_service::FleetEdge;
+use crate::fleet::seeds;
+
+/// Why a process could not start.
+#[derive(Debug, Snafu)]
+pub enum NodeError {
+    /// A service failed.
+    #[snafu(display("{source}"))]
+    Service {
+        /// Cause.
+        source: ServiceError,
+    },
+    /// The admin interface failed.
+    #[snafu(display("the admin interface: {source}"))]
+    Admin {
+        /// Cause.
+        source: HttpError,
+    },
+}
+
+/// A running process of a fleet.
+pub struct Node {
+    kernel: Kernel,
+    admin: Admin,
+    tasks: Tasks,
+    reload: Arc<Notify>,
+}
+
+impl Node {
+    /// Starts the process that `settings` describe; `file` is where they stand
+    /// and may change.
+    pub async fn start(
+        settings: &FleetSettings,
+        file: Option<PathBuf>,
+        dialect: Arc<dyn Dialect>,
+    ) -> Result<Node, NodeError> {
+        let clock = MonotonicClock::default();
+        let (seeds, following) = watch::channel(settings.seed_addresses());
+        let mut kernel = Kernel::new();
+        if settings.control.is_some() {
+            kernel.add(Arc::new(FleetControl::new(
+                settings.clone(),
+                clock,
+                following.clone(),
+            )));
+            let api = ControlApi::new(settings.clone(), Arc::clone(&dialect));
+            kernel.add(Arc::new(api));
+        }
+        if settings.edge.is_some() {
+            let edge = FleetEdge::new(settings.clone(), dialect, clock, following);
+            kernel.add(Arc::new(edge));
+        }
+        kernel.start().await.context(ServiceSnafu)?;
+        let started = Admin::start(settings.admin_listen, kernel.clone()).await;
+        let admin = match started.context(AdminSnafu) {
+            Ok(admin) => admin,
+            Err(error) => {
+                kernel.stop().await;
+                return Err(error);
+            }
+        };
+        let tasks = Tasks::default();
+        let reload = Arc::new(Notify::new());
+        if let Some(file) = file {
+            tasks.start(seeds::follow_file(file, Arc::clone(&reload), seeds));
+        }
+        Ok(Node {
+            kernel,
+            admin,
+            tasks,
+            reload,
+        })
+    }
+
+    /// Address of the admin interface.
+    pub fn admin_address(&self) -> SocketAddr {
+        self.admin.address()
+    }
+
+    /// The services.
+    pub fn kernel(&self) -> &Kernel {
+        &self.kernel
+    }
+
+    /// Looks at the settings file at once.
+    pub fn reload(&self) {
+        self.reload.notify_one();
+    }
+
+    /// Ends the process and cuts no request off.
+    pub async fn drain_and_stop(&self) {
+        self.kernel.drain_and_stop().await;
+        self.tasks.abort();
+        self.admin.stop().await;
+    }
+
+    /// Ends the process at once.
+    pub async fn stop(&self) {
+        self.kernel.stop().await;
+        self.tasks.abort();
+        self.admin.stop().await;
+    }
+}
--- /dev/null
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -0,0 +1,126 @@
+//! Messages between the processes of a fleet.
+
+use std::net::SocketAddr;
+
+use coursestand_catalog::CatalogDelta;
+use coursestand_coordination::{Command, CommandAnswer};
+use coursestand_discovery::{EdgeRecord, InstanceNews};
+use coursestand_model::BackendId;
+use serde::{Deserialize, Serialize};
+
+/// What a control process receives on a connection.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ToControl {
+    /// First message of another control process, with its own address.
+    PeerHello(SocketAddr),
+    /// First message of an entry daemon.
+    EdgeHello {
+        /// What it says of itself.
+        record: EdgeRecord,
+        /// Newest change of the catalog that it has.
+        have: u64,
+    },
+    /// A message of another control process.
+    Peer(PeerMessage),
+    /// The entry daemon says something new of itself.
+    Edge(EdgeRecord),
+    /// The sender lives.
+    Ping,
+}
+
+/// What one control process tells another.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// A consensus message in its envelope.
+    Consensus(Vec<u8>),
+    /// News of back ends; answered with `Taken` when there is a receipt.
+    Instances {
+        /// The news.
+        news: Vec<InstanceNews>,
+        /// Number of the receipt that the sender waits for.
+        receipt: Option<u64>,
+    },
+    /// Back ends whose heartbeats the sender got lately.
+    Heard(Vec<BackendId>),
+    /// The sender is connected with this entry daemon, or no longer.
+    Edge {
+        /// The entry daemon.
+        record: EdgeRecord,
+        /// Whether it is connected.
+        is_connected: bool,
+    },
+    /// A question; answered with `Answer` of the same number.
+    Ask {
+        /// Number of the question.
+        number: u64,
+        /// The question.
+        question: Box<Question>,
+    },
+}
+
+/// What a control process asks another, mostly the leader.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Question {
+    /// Commit this command.
+    Propose(Command),
+    /// The newest catalog.
+    ReadCatalog,
+    /// Take this replica into the group.
+    Join {
+        /// Where it is reached.
+        address: SocketAddr,
+        /// Its identity.
+        replica: u64,
+    },
+}
+
+/// What a control process gets back from another on the connection it made.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum PeerReply {
+    /// The other lives.
+    Pong,
+    /// The news with this receipt are known there.
+    Taken(u64),
+    /// Answer to a question.
+    Answer {
+        /// Number of the question.
+        number: u64,
+        /// The answer.
+        answer: Answer,
+    },
+}
+
+/// Answer to a question.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum Answer {
+    /// The command was committed, with this result.
+    Command(CommandAnswer),
+    /// The newest catalog, whole.
+    Catalog(CatalogDelta),
+    /// The replica is a member of this group.
+    Joined {
+        /// The group.
+        cluster: u64,
+        /// Voters by identity and address.
+        voters: Vec<(u64, String)>,
+    },
+    /// The asked process doesn't lead.
+    NotLeader,
+    /// It is not known whether the command took effect.
+    Unknown(String),
+}
+
+/// What an entry daemon receives from a control process.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub enum ToEdge {
+    /// The other lives.
+    Pong,
+    /// Changes of the catalog.
+    Catalog(CatalogDelta),
+    /// News of back ends.
+    Instances(Vec<InstanceNews>),
+    /// Names of all entry daemons that are connected with the control group.
+    Edges(Vec<String>),
+    /// Addresses of all control processes.
+    Controls(Vec<SocketAddr>),
+}
--- a/crates/coursestand-daemon/src/lib.rs
+++ b/crates/coursestand-daemon/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod daemon;
 pub mod entry;
+pub mod fleet;
 pub mod names;
 
 pub use daemon::{Daemon, DaemonError};
--- a/crates/coursestand-daemon/src/names.rs
+++ b/crates/coursestand-daemon/src/names.rs
@@ -6,6 +6,12 @@
 pub const OPERATORS: &str = "operators";
 /// The duties of the leader of the control group.
 pub const LEADER: &str = "leader";
+/// Hub of the soft state of a fleet.
+pub const HUB: &str = "hub";
+/// What operators, back ends and clients ask of a fleet's control processes.
+pub const CONTROL_API: &str = "control-api";
+/// The fleet's request path.
+pub const EDGE: &str = "edge";
 /// The connection to the control group.
 pub const CONTROL_CLIENT: &str = "control-client";
 /// Follows the control group.
--- /dev/null
+++ b/crates/coursestand-dialect/src/native.rs
@@ -0,0 +1,78 @@
+//! The project's own wording: `docs/CALLERS.md`.
+
+use std::net::SocketAddr;
+
+use coursestand_catalog::{Catalog, Patch};
+use coursestand_discovery::InstanceNews;
+use coursestand_model::{BackendId, Millis, RegionId, ZoneId};
+use coursestand_proxy::HeaderNames;
+use http::{Method, Uri};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+
+use crate::call::{Call, CallError, Dialect, Reply};
+
+/// The project's own wording.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Native;
+
+fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, CallError> {
+    serde_json::from_slice(body).map_err(|error| CallError::body("body", error))
+}
+
+fn query_value(uri: &Uri, name: &str) -> String {
+    let pairs = uri.query().unwrap_or_default().split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value.to_owned())
+        .unwrap_or_default()
+}
+
+impl Dialect for Native {
+    fn header_names(&self) -> HeaderNames {
+        HeaderNames::default()
+    }
+
+    fn parse(&self, method: &Method, uri: &Uri, body: &[u8]) -> Result<Call, CallError> {
+        let path: Vec<&str> = uri.path().trim_matches('/').split('/').collect();
+        let call = match (method.as_str(), path.as_slice()) {
+            ("POST", ["v1", "catalog"]) => Call::PatchCatalog(parse_json::<Patch>(body)?),
+            ("GET", ["v1", "catalog"]) => Call::ReadCatalog,
+            ("POST", ["v1", "instances", _]) => Call::Heartbeat(parse_json::<InstanceNews>(body)?),
+            ("DELETE", ["v1", "instances", id]) => Call::Deregister(BackendId::from(*id)),
+            ("PUT" | "DELETE", ["v1", "evacuations", zone]) => Call::Evacuate {
+                zone: ZoneId::from(*zone),
+                is_active: method == Method::PUT,
+            },
+            ("GET", ["v1", "entry-daemons"]) => Call::Lookup {
+                region: RegionId(query_value(uri, "region")),
+                zone: ZoneId(query_value(uri, "zone")),
+            },
+            ("GET", ["v1", "ready"]) => Call::Ready,
+            _ => {
+                return Err(CallError::Unknown {
+                    method: method.to_string(),
+                    path: uri.path().to_owned(),
+                });
+            }
+        };
+        Ok(call)
+    }
+
+    fn catalog(&self, catalog: &Catalog) -> Reply {
+        let items: Vec<_> = catalog
+            .standing()
+            .map(|(key, version, item)| json!({"key": key, "version": version, "item": item}))
+            .collect();
+        Reply::json(&json!({ "items": items }))
+    }
+
+    fn heartbeat_taken(&self, home: Option<SocketAddr>) -> Reply {
+        Reply::json(&json!({ "home": home }))
+    }
+
+    fn lookup(&self, addresses: &[SocketAddr], ttl: Millis) -> Reply {
+        Reply::json(&json!({ "addresses": addresses, "ttl_ms": ttl }))
+    }
+}
--- /dev/null
+++ b/crates/coursestand-discovery/src/instance.rs
@@ -0,0 +1,48 @@
+//! One run of a back end.
+
+use std::net::SocketAddr;
+
+use coursestand_model::{BackendId, Millis, ServiceId, ZoneId};
+use serde::{Deserialize, Serialize};
+
+/// Where a back end is in its life. It only moves forward.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum InstancePhase {
+    /// Takes requests.
+    Ready,
+    /// Finishes what it has and takes no new requests.
+    Draining,
+    /// Has ended.
+    Gone,
+}
+
+/// What a back end says of itself. Each start of a back end is another instance.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Instance {
+    /// Its identity, which no other start of a back end has.
+    pub id: BackendId,
+    /// The service that it implements.
+    pub service: ServiceId,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Requests that it works on at the same time.
+    pub capacity: u32,
+    /// Version of its software.
+    pub software: String,
+    /// Number of the heartbeat that said so; a later one has a higher number.
+    pub sequence: u64,
+    /// Where it is in its life.
+    pub phase: InstancePhase,
+}
+
+/// An instance on its way between processes. Clocks differ between processes,
+/// so the cold time is what is left of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct InstanceNews {
+    /// The instance.
+    pub instance: Instance,
+    /// How much longer it is cold, in milliseconds.
+    pub cold_ms: Millis,
+}
--- /dev/null
+++ b/crates/coursestand-discovery/src/lib.rs
@@ -0,0 +1,14 @@
+//! Which back ends and entry daemons there are, from what they say of
+//! themselves. Free of I/O.
+//!
+//! This is soft state: it is merged, never agreed upon, so that it goes on
+//! while the control group has no leader. Each record only moves forward: a back
+//! end by its sequence, and its phase never turns back.
+
+pub mod directory;
+pub mod instance;
+pub mod table;
+
+pub use directory::{Directory, EdgePhase, EdgeRecord};
+pub use instance::{Instance, InstanceNews, InstancePhase};
+pub use table::InstanceTable;
--- a/crates/coursestand-model/src/lib.rs
+++ b/crates/coursestand-model/src/lib.rs
@@ -3,17 +3,20 @@
 //! reading JSON files on behalf of [`load`].
 
 pub mod bundle;
+pub mod fleet;
 pub mod headers;
 pub mod ids;
 pub mod load;
 pub mod outcome;
 pub mod platform;
 pub mod settings;
+pub mod span;
 
 pub use bundle::{Bundle, SignedBundle};
 pub use ids::{BackendId, DaemonId, RegionId, ServiceId, ZoneId};
 pub use load::LoadError;
 pub use outcome::Outcome;
+pub use span::Span;
 
 /// A length of time or a point on a monotonic clock, in milliseconds.
 pub type Millis = u64;
--- /dev/null
+++ b/crates/coursestand-proxy/src/answer.rs
@@ -0,0 +1,117 @@
+//! Answers to callers: a back end's own, or one of this daemon.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::header::{CONNECTION, HeaderValue, RETRY_AFTER};
+use http::{HeaderMap, Response, StatusCode};
+use http_body_util::{Either, Full};
+
+use crate::exchange::StreamedBody;
+
+/// Body of an answer: held whole, or passed on as it comes.
+pub type AnswerBody = Either<Full<Bytes>, StreamedBody>;
+
+/// Why this daemon answers by itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Reason {
+    /// It holds no configuration yet.
+    NoCatalog,
+    /// No route takes the request.
+    NoRoute,
+    /// The body is longer than allowed.
+    BodyTooLong,
+    /// The caller broke off while it sent the body.
+    BodyBroken,
+    /// The caller's deadline had passed.
+    DeadlinePassed,
+    /// The service has no back end that may be used.
+    NoBackend,
+    /// All back ends have more than they can work off.
+    Busy,
+    /// Back ends refused it, and no further attempt was allowed.
+    Shed,
+    /// No back end could be reached, and no further attempt was allowed.
+    Unreachable,
+    /// It may have run; its answer was lost or broken.
+    AnswerLost,
+    /// It may have run; no answer came in time.
+    TimedOut,
+}
+
+impl Reason {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Reason::NoCatalog => "no-catalog",
+            Reason::NoRoute => "no-route",
+            Reason::BodyTooLong => "body-too-long",
+            Reason::BodyBroken => "body-broken",
+            Reason::DeadlinePassed => "deadline-passed",
+            Reason::NoBackend => "no-backend",
+            Reason::Busy => "busy",
+            Reason::Shed => "shed",
+            Reason::Unreachable => "unreachable",
+            Reason::AnswerLost => "answer-lost",
+            Reason::TimedOut => "timed-out",
+        }
+    }
+
+    /// Status of the answer. 503 promises that the request has not run and never
+    /// will; 502 and 504 promise nothing.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Reason::NoRoute => StatusCode::NOT_FOUND,
+            Reason::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Reason::BodyBroken => StatusCode::BAD_REQUEST,
+            Reason::NoCatalog
+            | Reason::DeadlinePassed
+            | Reason::NoBackend
+            | Reason::Busy
+            | Reason::Shed
+            | Reason::Unreachable => StatusCode::SERVICE_UNAVAILABLE,
+            Reason::AnswerLost => StatusCode::BAD_GATEWAY,
+            Reason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// When the caller may come back, for answers that promise that the request
+    /// was not run.
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            Reason::NoCatalog | Reason::NoBackend => Some(Duration::from_millis(500)),
+            Reason::Busy | Reason::Shed => Some(Duration::from_millis(150)),
+            Reason::Unreachable | Reason::DeadlinePassed => Some(Duration::from_millis(50)),
+            _ => None,
+        }
+    }
+}
+
+/// An answer of this daemon.
+pub fn own_answer(reason: Reason) -> Response<AnswerBody> {
+    let text = format!("{}\n", reason.name());
+    let mut response = Response::new(Either::Left(Full::new(Bytes::from(text))));
+    *response.status_mut() = reason.status();
+    if let Some(pause) = reason.retry_after() {
+        let seconds = format!("{:.2}", pause.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// A back end's answer, passed on.
+pub fn passed_on(status: StatusCode, headers: HeaderMap, body: AnswerBody) -> Response<AnswerBody> {
+    let mut response = Response::new(body);
+    *response.status_mut() = status;
+    *response.headers_mut() = headers;
+    response
+}
+
+/// Asks the caller to use another connection for its next request.
+pub fn close_after(response: &mut Response<AnswerBody>) {
+    response
+        .headers_mut()
+        .insert(CONNECTION, HeaderValue::from_static("close"));
+}
--- /dev/null
+++ b/crates/coursestand-proxy/src/exchange.rs
@@ -0,0 +1,570 @@
+//! Runs the phases of a request and does the I/O between them.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use http::header::{CONTENT_LENGTH, HOST, HeaderValue};
+use http::request::Parts;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Either, Full};
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+use tokio::time::{Instant, timeout_at};
+
+use crate::answer::{AnswerBody, Reason, own_answer, passed_on};
+use crate::header_names::HeaderNames;
+use crate::headers::{
+    closes_connection, keep_alive_of, load_of, millis_of, strip_connection_headers, text_of,
+};
+use crate::metrics::ProxyMetrics;
+use crate::phases::{AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target};
+use crate::pool::{Connection, Pool, RequestBody};
+use crate::verdict::{Verdict, judge};
+
+const LOG: &str = "proxy";
+/// Bodies up to this many bytes are held whole: a request so that it can be sent
+/// again, an answer so that a broken one never looks complete.
+const HELD_BYTES: usize = 1024 * 1024;
+/// Longest body of a request without a length, which is held whole.
+const MAX_UNSIZED_BYTES: u64 = 16 * 1024 * 1024;
+/// Longest time to make a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// Part of the time left that making a connection may take.
+const CONNECT_PART: u32 = 3;
+/// A back end stops at the deadline; its word of that needs a moment to arrive.
+const ANSWER_GRACE: Duration = Duration::from_millis(80);
+
+/// Takes requests from callers to back ends.
+pub struct Exchange {
+    phases: Arc<dyn RequestPhases>,
+    names: HeaderNames,
+    pool: Arc<Pool>,
+    metrics: ProxyMetrics,
+    max_body_bytes: AtomicU64,
+}
+
+/// A request that was read and matched.
+struct Prepared {
+    parts: Parts,
+    body: PreparedBody,
+    id: Option<String>,
+    matched: Matched,
+    deadline: Instant,
+}
+
+enum PreparedBody {
+    Held(Bytes),
+    /// Too long to be held; sent at most once.
+    Passing(Option<Incoming>),
+}
+
+/// A back end's answer.
+struct Received {
+    status: StatusCode,
+    headers: HeaderMap,
+    body: AnswerBody,
+}
+
+/// An attempt without an answer that settles the request.
+struct FailedAttempt {
+    failure: AttemptFailure,
+    /// The back end's own answer, to be passed on when there is no other attempt.
+    answer: Option<Box<Received>>,
+}
+
+impl FailedAttempt {
+    fn of(failure: AttemptFailure) -> FailedAttempt {
+        FailedAttempt {
+            failure,
+            answer: None,
+        }
+    }
+}
+
+/// Keeps a back end counted as having the request until dropped.
+struct Started {
+    phases: Arc<dyn RequestPhases>,
+    target: Target,
+}
+
+impl Drop for Started {
+    fn drop(&mut self) {
+        self.phases.finished(&self.target);
+    }
+}
+
+impl Exchange {
+    /// An exchange that decides by `phases`.
+    pub fn new(
+        phases: Arc<dyn RequestPhases>,
+        names: HeaderNames,
+        pool: Arc<Pool>,
+        metrics: ProxyMetrics,
+    ) -> Exchange {
+        Exchange {
+            phases,
+            names,
+            pool,
+            metrics,
+            max_body_bytes: AtomicU64::new(u64::MAX),
+        }
+    }
+
+    /// Longest body of a request in bytes.
+    pub fn set_max_body_bytes(&self, bytes: u64) {
+        self.max_body_bytes.store(bytes, Ordering::Relaxed);
+    }
+
+    /// Metrics of the exchange.
+    pub fn metrics(&self) -> &ProxyMetrics {
+        &self.metrics
+    }
+
+    /// Answers one request. Dropped before its end, it breaks off what it sent.
+    pub async fn serve(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        let timer = self.metrics.duration.start_timer();
+        self.metrics.in_flight.inc();
+        let in_flight = InFlight(&self.metrics);
+        let arrived = Instant::now();
+        let result = match self.prepare(request, arrived).await {
+            Ok(prepared) => self.carry_out(prepared).await,
+            Err(reason) => Err(reason),
+        };
+        drop(in_flight);
+        timer.observe_duration();
+        match result {
+            Ok(received) => {
+                self.metrics.requests.with_label_values(&["served"]).inc();
+                passed_on(received.status, received.headers, received.body)
+            }
+            Err(reason) => {
+                self.metrics
+                    .requests
+                    .with_label_values(&[reason.name()])
+                    .inc();
+                own_answer(reason)
+            }
+        }
+    }
+
+    async fn prepare(
+        &self,
+        request: Request<Incoming>,
+        arrived: Instant,
+    ) -> Result<Prepared, Reason> {
+        let (mut parts, body) = request.into_parts();
+        let head = self.head_of(&parts);
+        let matched = match self.phases.match_request(&head) {
+            Ok(matched) => matched,
+            Err(reason) => {
+                log::info!(target: LOG, request = head.id, host = head.host, path = head.path,
+                    outcome = reason.name(); "refused before a route was found");
+                return Err(reason);
+            }
+        };
+        if matched.limit.is_zero() {
+            return Err(Reason::DeadlinePassed);
+        }
+        let deadline = arrived + matched.limit;
+        let body = self.read_body(&parts.headers, body, deadline).await?;
+        strip_connection_headers(&mut parts.headers);
+        parts.headers.remove(&self.names.deadline);
+        parts.headers.remove(&self.names.target_instance);
+        if let PreparedBody::Held(bytes) = &body
+            && parts.headers.contains_key(CONTENT_LENGTH)
+        {
+            parts
+                .headers
+                .insert(CONTENT_LENGTH, HeaderValue::from(bytes.len()));
+        }
+        Ok(Prepared {
+            parts,
+            body,
+            id: head.id,
+            matched,
+            deadline,
+        })
+    }
+
+    fn head_of(&self, parts: &Parts) -> RequestHead {
+        let host = text_of(&parts.headers, &HOST)
+            .or_else(|| parts.uri.host())
+            .unwrap_or_default();
+        let text = |name| text_of(&parts.headers, name).map(str::to_owned);
+        RequestHead {
+            id: text(&self.names.request_id),
+            host: host.to_owned(),
+            path: parts.uri.path().to_owned(),
+            affinity_key: text(&self.names.affinity_key),
+            patience: millis_of(&parts.headers, &self.names.deadline),
+        }
+    }
+
+    async fn read_body(
+        &self,
+        headers: &HeaderMap,
+        body: Incoming,
+        deadline: Instant,
+    ) -> Result<PreparedBody, Reason> {
+        let longest = self.max_body_bytes.load(Ordering::Relaxed);
+        let length: Option<u64> =
+            text_of(headers, &CONTENT_LENGTH).and_then(|text| text.parse().ok());
+        if length.is_some_and(|length| length > longest) {
+            return Err(Reason::BodyTooLong);
+        }
+        if length.is_some_and(|length| length > HELD_BYTES as u64) {
+            return Ok(PreparedBody::Passing(Some(body)));
+        }
+        if body.is_end_stream() {
+            return Ok(PreparedBody::Held(Bytes::new()));
+        }
+        let longest = longest.min(MAX_UNSIZED_BYTES) as usize;
+        let collected = timeout_at(deadline, collect(body, longest)).await;
+        match collected {
+            Ok(Ok(Collected::Whole(bytes))) => Ok(PreparedBody::Held(bytes)),
+            Ok(Ok(Collected::Part(..))) => Err(Reason::BodyTooLong),
+            Ok(Err(_)) => Err(Reason::BodyBroken),
+            Err(_) => Err(Reason::DeadlinePassed),
+        }
+    }
+
+    async fn carry_out(&self, mut prepared: Prepared) -> Result<Received, Reason> {
+        let mut attempts = Attempts::default();
+        loop {
+            let target = match self.phases.choose(&prepared.matched, &attempts) {
+                Ok(target) => target,
+                Err(reason) => {
+                    let reason = reason_after(&attempts, reason);
+                    log::info!(target: LOG, request = prepared.id, service = prepared.matched.service.as_str(),
+                        attempt = attempts.arrived + 1, outcome = reason.name(); "no back end was chosen");
+                    return Err(reason);
+                }
+            };
+            let started = Started {
+                phases: Arc::clone(&self.phases),
+                target,
+            };
+            let result = self.attempt(&mut prepared, &started).await;
+            let FailedAttempt { failure, answer } = match result {
+                Ok(received) => return Ok(received),
+                Err(failed) => failed,
+            };
+            self.note_failure(&prepared, &started.target, &attempts, failure);
+            attempts.tried.push(started.target.pick.id.clone());
+            attempts.may_have_run |= failure.may_have_run();
+            if failure == AttemptFailure::Unreachable {
+                attempts.unreachable += 1;
+            } else {
+                attempts.arrived += 1;
+            }
+            drop(started);
+            let left = prepared.deadline.saturating_duration_since(Instant::now());
+            let is_sent = matches!(prepared.body, PreparedBody::Passing(None));
+            let may_retry = !is_sent
+                && self
+                    .phases
+                    .may_retry(&prepared.matched, &attempts, failure, left);
+            if !may_retry {
+                return match answer {
+                    Some(answer) => Ok(*answer),
+                    None => Err(final_reason(&attempts, failure)),
+                };
+            }
+            self.metrics.retries.inc();
+        }
+    }
+
+    fn note_failure(
+        &self,
+        prepared: &Prepared,
+        target: &Target,
+        attempts: &Attempts,
+        failure: AttemptFailure,
+    ) {
+        self.phases.failed(target, failure);
+        let kind = failure_name(failure);
+        self.metrics.failures.with_label_values(&[kind]).inc();
+        let left = prepared.deadline.saturating_duration_since(Instant::now());
+        log::info!(target: LOG,
+            request = prepared.id,
+            route = prepared.matched.route.name,
+            version = prepared.matched.route.version,
+            instance = target.pick.id.as_str(),
+            rank = target.pick.rank,
+            load = target.pick.load,
+            load_age_ms = target.pick.load_age_ms,
+            cold = target.pick.is_cold,
+            attempt = attempts.arrived + attempts.unreachable + 1,
+            left_ms = left.as_millis() as u64,
+            outcome = kind;
+            "an attempt failed");
+    }
+
+    /// Sends the request to one back end and takes its answer in.
+    async fn attempt(
+        &self,
+        prepared: &mut Prepared,
+        started: &Started,
+    ) -> Result<Received, FailedAttempt> {
+        let target = &started.target;
+        let give_up = prepared.deadline + ANSWER_GRACE;
+        let (response, connection) = self.send(prepared, target, give_up).await?;
+        let (head, body) = response.into_parts();
+        let verdict = judge(
+            &self.names,
+            prepared.id.as_deref(),
+            head.status,
+            &head.headers,
+        );
+        if let Verdict::Foreign(what) = verdict {
+            log::info!(target: LOG, request = prepared.id, instance = target.pick.id.as_str(),
+                status = head.status.as_u16(); "not the answer to this request: {what}");
+            return Err(FailedAttempt::of(AttemptFailure::Lost));
+        }
+        let length: Option<usize> =
+            text_of(&head.headers, &CONTENT_LENGTH).and_then(|text| text.parse().ok());
+        let held = if length.is_some_and(|length| length > HELD_BYTES) {
+            Ok(Ok(Collected::Part(Bytes::new(), body)))
+        } else {
+            timeout_at(give_up, collect(body, HELD_BYTES)).await
+        };
+        let collected = match held {
+            Ok(Ok(collected)) => collected,
+            Ok(Err(_)) => return Err(FailedAttempt::of(AttemptFailure::Lost)),
+            Err(_) => return Err(FailedAttempt::of(AttemptFailure::TimedOut)),
+        };
+        let load = load_of(&head.headers, &self.names.server_load);
+        let keep_alive = keep_alive_of(&head.headers);
+        let closes = closes_connection(&head.headers);
+        let mut headers = head.headers;
+        strip_connection_headers(&mut headers);
+        let body = match collected {
+            Collected::Whole(bytes) => {
+                if !closes {
+                    let pool = Arc::clone(&self.pool);
+                    let id = target.pick.id.clone();
+                    tokio::spawn(async move { pool.give_back(id, connection, keep_alive).await });
+                }
+                Either::Left(Full::new(bytes))
+            }
+            Collected::Part(first, rest) => Either::Right(StreamedBody {
+                first: Some(first),
+                rest,
+                _connection: connection,
+            }),
+        };
+        let received = Received {
+            status: head.status,
+            headers,
+            body,
+        };
+        match verdict {
+            Verdict::Shed => Err(FailedAttempt::of(AttemptFailure::Shed)),
+            Verdict::Misdirected => Err(FailedAttempt::of(AttemptFailure::Misdirected)),
+            _ => {
+                self.phases.answered(target, load);
+                let failed = received.status.is_server_error();
+                if failed && prepared.matched.route.route.kind.is_repeatable() {
+                    return Err(FailedAttempt {
+                        failure: AttemptFailure::Failed,
+                        answer: Some(Box::new(received)),
+                    });
+                }
+                Ok(received)
+            }
+        }
+    }
+
+    /// Sends on an idle connection, or on a new one. A request that was not
+    /// written is sent on the next.
+    async fn send(
+        &self,
+        prepared: &mut Prepared,
+        target: &Target,
+        give_up: Instant,
+    ) -> Result<(Response<Incoming>, Connection), FailedAttempt> {
+        let mut request = self.request_for(prepared, target)?;
+        loop {
+            let mut connection = match self.pool.take(&target.pick.id) {
+                Some(connection) => connection,
+                None => self.open(prepared.deadline, target).await?,
+            };
+            self.refresh_deadline(prepared, &mut request);
+            let is_reused = connection.is_reused;
+            let sending = connection.sender.try_send_request(request);
+            let mut error = match timeout_at(give_up, sending).await {
+                Err(_) => return Err(FailedAttempt::of(AttemptFailure::TimedOut)),
+                Ok(Ok(response)) => return Ok((response, connection)),
+                Ok(Err(error)) => error,
+            };
+            // Only a request that comes back whole was not written.
+            match error.take_message() {
+                Some(unsent) if is_reused => request = unsent,
+                Some(unsent) => {
+                    restore_body(prepared, unsent);
+                    return Err(FailedAttempt::of(AttemptFailure::Unreachable));
+                }
+                None => return Err(FailedAttempt::of(AttemptFailure::Lost)),
+            }
+        }
+    }
+
+    async fn open(&self, deadline: Instant, target: &Target) -> Result<Connection, FailedAttempt> {
+        let left = deadline.saturating_duration_since(Instant::now());
+        let limit = CONNECT_LIMIT.min(left / CONNECT_PART);
+        self.metrics.connections.inc();
+        self.pool
+            .open(target.address, limit)
+            .await
+            .map_err(|_| FailedAttempt::of(AttemptFailure::Unreachable))
+    }
+
+    fn request_for(
+        &self,
+        prepared: &mut Prepared,
+        target: &Target,
+    ) -> Result<Request<RequestBody>, FailedAttempt> {
+        let body = match &mut prepared.body {
+            PreparedBody::Held(bytes) => Either::Left(Full::new(bytes.clone())),
+            PreparedBody::Passing(body) => match body.take() {
+                Some(body) => Either::Right(body),
+                None => return Err(FailedAttempt::of(AttemptFailure::Lost)),
+            },
+        };
+        let mut request = Request::new(body);
+        *request.method_mut() = prepared.parts.method.clone();
+        *request.uri_mut() = prepared.parts.uri.clone();
+        *request.headers_mut() = prepared.parts.headers.clone();
+        if let Ok(id) = HeaderValue::from_str(target.pick.id.as_str()) {
+            request
+                .headers_mut()
+                .insert(self.names.target_instance.clone(), id);
+        }
+        Ok(request)
+    }
+
+    /// Tells the back end what is left of the time.
+    fn refresh_deadline(&self, prepared: &Prepared, request: &mut Request<RequestBody>) {
+        let left = prepared.deadline.saturating_duration_since(Instant::now());
+        let left = left.as_millis().max(1) as u64;
+        request
+            .headers_mut()
+            .insert(self.names.deadline.clone(), HeaderValue::from(left));
+    }
+}
+
+/// A body that was not sent can be sent to another back end.
+fn restore_body(prepared: &mut Prepared, unsent: Request<RequestBody>) {
+    if let Either::Right(body) = unsent.into_body() {
+        prepared.body = PreparedBody::Passing(Some(body));
+    }
+}
+
+fn failure_name(failure: AttemptFailure) -> &'static str {
+    match failure {
+        AttemptFailure::Unreachable => "unreachable",
+        AttemptFailure::Shed => "shed",
+        AttemptFailure::Misdirected => "misdirected",
+        AttemptFailure::Lost => "lost",
+        AttemptFailure::TimedOut => "timed-out",
+        AttemptFailure::Failed => "failed",
+    }
+}
+
+/// The reason when no further back end was chosen.
+fn reason_after(attempts: &Attempts, reason: Reason) -> Reason {
+    if attempts.may_have_run {
+        Reason::AnswerLost
+    } else {
+        reason
+    }
+}
+
+/// The reason when `failure` was the last attempt. Once any attempt may have run,
+/// the answer must not promise that none did.
+fn final_reason(attempts: &Attempts, failure: AttemptFailure) -> Reason {
+    match failure {
+        AttemptFailure::TimedOut => Reason::TimedOut,
+        _ if attempts.may_have_run => Reason::AnswerLost,
+        AttemptFailure::Unreachable => Reason::Unreachable,
+        _ => Reason::Shed,
+    }
+}
+
+struct InFlight<'a>(&'a ProxyMetrics);
+
+impl Drop for InFlight<'_> {
+    fn drop(&mut self) {
+        self.0.in_flight.dec();
+    }
+}
+
+enum Collected {
+    Whole(Bytes),
+    /// What has come so far is longer than may be held.
+    Part(Bytes, Incoming),
+}
+
+/// Reads a body up to its end, or until it is longer than `longest` bytes.
+async fn collect(mut body: Incoming, longest: usize) -> Result<Collected, hyper::Error> {
+    let mut first: Option<Bytes> = None;
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame?.into_data() else {
+            continue;
+        };
+        // Most bodies come in one piece, which need not be copied.
+        match first.take() {
+            None if whole.is_empty() => first = Some(data),
+            None => whole.extend_from_slice(&data),
+            Some(earlier) => {
+                whole.extend_from_slice(&earlier);
+                whole.extend_from_slice(&data);
+            }
+        }
+        let length = first.as_ref().map_or(whole.len(), Bytes::len);
+        if length > longest {
+            let part = first.unwrap_or_else(|| whole.freeze());
+            return Ok(Collected::Part(part, body));
+        }
+    }
+    Ok(Collected::Whole(first.unwrap_or_else(|| whole.freeze())))
+}
+
+/// A long answer on its way through. An end that is not whole breaks the caller's
+/// connection off, so that it never looks complete.
+pub struct StreamedBody {
+    first: Option<Bytes>,
+    rest: Incoming,
+    /// Closed with the body: its state after a long answer is not looked into.
+    _connection: Connection,
+}
+
+impl Body for StreamedBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if let Some(first) = self.first.take()
+            && !first.is_empty()
+        {
+            return Poll::Ready(Some(Ok(Frame::data(first))));
+        }
+        Pin::new(&mut self.rest).poll_frame(context)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let held = self.first.as_ref().map_or(0, Bytes::len) as u64;
+        let mut hint = self.rest.size_hint();
+        if let Some(exact) = hint.exact() {
+            hint.set_exact(exact + held);
+        }
+        hint
+    }
+}
--- /dev/null
+++ b/crates/coursestand-proxy/src/header_names.rs
@@ -0,0 +1,38 @@
+//! Names of the headers that the request path reads and sets. A deployment may
+//! have names of its own.
+
+use http::HeaderName;
+
+/// Names of headers between callers, this daemon and back ends.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HeaderNames {
+    /// Identity of one request, repeated in its answer.
+    pub request_id: HeaderName,
+    /// Milliseconds that the sender waits.
+    pub deadline: HeaderName,
+    /// The object that the request concerns.
+    pub affinity_key: HeaderName,
+    /// The instance that alone may run the request.
+    pub target_instance: HeaderName,
+    /// Proves that an answer is the back end's own.
+    pub signature: HeaderName,
+    /// The back end did not run the request.
+    pub not_executed: HeaderName,
+    /// `running,waiting,slots` of the back end.
+    pub server_load: HeaderName,
+}
+
+impl Default for HeaderNames {
+    /// The project's own names.
+    fn default() -> Self {
+        HeaderNames {
+            request_id: HeaderName::from_static("x-request-id"),
+            deadline: HeaderName::from_static("x-deadline-ms"),
+            affinity_key: HeaderName::from_static("x-object-key"),
+            target_instance: HeaderName::from_static("x-target-instance"),
+            signature: HeaderName::from_static("x-signature"),
+            not_executed: HeaderName::from_static("x-not-started"),
+            server_load: HeaderName::from_static("x-load"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -0,0 +1,25 @@
+//! The request path of an entry daemon over HTTP/1.1: takes requests from
+//! callers, sends each to a back end, and passes the answer on whole or not at
+//! all.
+//!
+//! [`phases::RequestPhases`] is the documented sequence of decisions;
+//! [`router::Router`] takes them by the catalog, and [`exchange::Exchange`] runs
+//! them and does the I/O.
+
+pub mod answer;
+pub mod connect;
+pub mod edge_state;
+pub mod exchange;
+pub mod header_names;
+pub mod headers;
+pub mod metrics;
+pub mod phases;
+pub mod pool;
+pub mod router;
+pub mod server;
+pub mod verdict;
+
+pub use edge_state::EdgeState;
+pub use exchange::Exchange;
+pub use header_names::HeaderNames;
+pub use server::ProxyServer;
--- /dev/null
+++ b/crates/coursestand-proxy/src/metrics.rs
@@ -0,0 +1,59 @@
+//! Counters and latencies of the request path.
+
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+/// Metrics of the request path.
+#[derive(Clone)]
+pub struct ProxyMetrics {
+    /// Requests by outcome: `served`, or the reason of an own answer.
+    pub requests: IntCounterVec,
+    /// Attempts that failed, by kind.
+    pub failures: IntCounterVec,
+    /// Attempts after the first.
+    pub retries: IntCounter,
+    /// Connections opened to back ends.
+    pub connections: IntCounter,
+    /// Requests in flight.
+    pub in_flight: IntGauge,
+    /// Seconds from a request's head to its answer.
+    pub duration: Histogram,
+}
+
+impl ProxyMetrics {
+    /// Metrics known to `registry`.
+    pub fn new(registry: &Registry) -> Result<ProxyMetrics, prometheus::Error> {
+        let metrics = ProxyMetrics {
+            requests: IntCounterVec::new(
+                Opts::new("coursestand_requests_total", "Requests by outcome"),
+                &["outcome"],
+            )?,
+            failures: IntCounterVec::new(
+                Opts::new(
+                    "coursestand_attempt_failures_total",
+                    "Attempts that failed, by kind",
+                ),
+                &["kind"],
+            )?,
+            retries: IntCounter::new(
+                "coursestand_retries_total",
+                "Attempts after a request's first",
+            )?,
+            connections: IntCounter::new(
+                "coursestand_backend_connections_total",
+                "Connections opened to back ends",
+            )?,
+            in_flight: IntGauge::new("coursestand_requests_in_flight", "Requests in flight")?,
+            duration: Histogram::with_opts(HistogramOpts::new(
+                "coursestand_request_seconds",
+                "Seconds from a request's head to its answer",
+            ))?,
+        };
+        registry.register(Box::new(metrics.requests.clone()))?;
+        registry.register(Box::new(metrics.failures.clone()))?;
+        registry.register(Box::new(metrics.retries.clone()))?;
+        registry.register(Box::new(metrics.connections.clone()))?;
+        registry.register(Box::new(metrics.in_flight.clone()))?;
+        registry.register(Box::new(metrics.duration.clone()))?;
+        Ok(metrics)
+    }
+}
--- /dev/null
+++ b/crates/coursestand-proxy/src/phases.rs
@@ -0,0 +1,118 @@
+//! The phases of a request, in their order. A deployment's rules are one
+//! implementation of [`RequestPhases`]; the exchange calls them and does the I/O
+//! between them, so that no rule ever waits or sees a socket.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coursestand_model::{BackendId, ServiceId};
+use coursestand_routing::{LoadReport, Pick, RouteEntry};
+
+use crate::answer::Reason;
+
+/// What is known of a request before its body is read.
+#[derive(Clone, Debug)]
+pub struct RequestHead {
+    /// Identity that the caller gave it.
+    pub id: Option<String>,
+    /// Host without a port.
+    pub host: String,
+    /// Path without the query.
+    pub path: String,
+    /// The object that it concerns.
+    pub affinity_key: Option<String>,
+    /// How long the caller waits.
+    pub patience: Option<Duration>,
+}
+
+/// Where a request goes.
+#[derive(Clone, Debug)]
+pub struct Matched {
+    /// The route.
+    pub route: Arc<RouteEntry>,
+    /// The service, chosen among those of the route.
+    pub service: ServiceId,
+    /// Hash of the object that the request concerns.
+    pub key: u64,
+    /// How long it is held at most.
+    pub limit: Duration,
+}
+
+/// A back end to send to.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// The back end and what decided.
+    pub pick: Pick,
+    /// Where it is reached.
+    pub address: SocketAddr,
+}
+
+/// How an attempt at a back end ended without a proper answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AttemptFailure {
+    /// No connection could be made: nothing was sent.
+    Unreachable,
+    /// The back end said that it did not run the request.
+    Shed,
+    /// Another instance has the address and did not run the request.
+    Misdirected,
+    /// The answer was lost, broken or foreign: the request may have run.
+    Lost,
+    /// No answer came in time: the request may have run.
+    TimedOut,
+    /// The back end failed at the request; its answer may be passed on.
+    Failed,
+}
+
+impl AttemptFailure {
+    /// Whether the request may have run.
+    pub fn may_have_run(self) -> bool {
+        matches!(
+            self,
+            AttemptFailure::Lost | AttemptFailure::TimedOut | AttemptFailure::Failed
+        )
+    }
+}
+
+/// What has been tried for a request so far.
+#[derive(Clone, Debug, Default)]
+pub struct Attempts {
+    /// Back ends that it was offered to.
+    pub tried: Vec<BackendId>,
+    /// Attempts that reached a back end.
+    pub arrived: u32,
+    /// Attempts that reached none.
+    pub unreachable: u32,
+    /// Whether any of them may have run.
+    pub may_have_run: bool,
+}
+
+/// The decisions about a request, in the order in which they are taken.
+pub trait RequestPhases: Send + Sync {
+    /// Finds the route and the service, or refuses the request.
+    fn match_request(&self, head: &RequestHead) -> Result<Matched, Reason>;
+
+    /// Chooses a back end. From here until [`Self::finished`] it counts as having
+    /// the request.
+    fn choose(&self, matched: &Matched, attempts: &Attempts) -> Result<Target, Reason>;
+
+    /// A back end answered, with its load if it told it.
+    fn answered(&self, target: &Target, load: Option<LoadReport>);
+
+    /// An attempt failed.
+    fn failed(&self, target: &Target, failure: AttemptFailure);
+
+    /// The back end no longer has the request.
+    fn finished(&self, target: &Target);
+
+    /// Whether the request may be sent again after `failure`, with `left` of its
+    /// time. Takes what the attempt costs from the budget.
+    fn may_retry(
+        &self,
+        matched: &Matched,
+        attempts: &Attempts,
+        failure: AttemptFailure,
+        left: Duration,
+    ) -> bool;
+}
--- /dev/null
+++ b/crates/coursestand-proxy/src/router.rs
@@ -0,0 +1,161 @@
+//! The phases by the catalog: routes, splits, affinity, bounded retries.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coursestand_model::BackendId;
+use coursestand_routing::hash::hash_of;
+use coursestand_routing::{LoadReport, PickRequest, Refusal, RetryBudget};
+
+use crate::answer::Reason;
+use crate::edge_state::{Beliefs, EdgeState};
+use crate::phases::{AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target};
+
+/// Attempts that may end without reaching a back end.
+const MAX_UNREACHABLE: u32 = 3;
+/// With less time left than this, another attempt is of no use.
+const LEAST_TIME_TO_RETRY: Duration = Duration::from_millis(20);
+
+/// Decides by what the daemon believes.
+pub struct Router {
+    state: Arc<EdgeState>,
+}
+
+impl Router {
+    /// Decides by `state`.
+    pub fn new(state: Arc<EdgeState>) -> Router {
+        Router { state }
+    }
+
+    fn take_retry(&self, beliefs: &mut Beliefs, matched: &Matched) -> bool {
+        let limits = self.state.bounds().retries;
+        let daemons = beliefs.daemons.len();
+        beliefs
+            .budgets
+            .entry(matched.service.clone())
+            .or_insert_with(|| RetryBudget::new(limits, daemons))
+            .spend()
+    }
+}
+
+impl RequestPhases for Router {
+    fn match_request(&self, head: &RequestHead) -> Result<Matched, Reason> {
+        let limits = self.state.bounds().retries;
+        let mut beliefs = self.state.beliefs();
+        if beliefs.catalog.is_empty() {
+            return Err(Reason::NoCatalog);
+        }
+        let entry = beliefs.routes.find(&head.host, &head.path).cloned();
+        let route = entry.ok_or(Reason::NoRoute)?;
+        let parts = route.route.target.services();
+        let index = if parts.len() > 1 {
+            let weights: Vec<u32> = parts.iter().map(|(_, weight)| *weight).collect();
+            let split = beliefs.splits.entry(route.name.clone()).or_default();
+            split.next(&weights)
+        } else {
+            0
+        };
+        let service = parts[index].0.clone();
+        let daemons = beliefs.daemons.len();
+        beliefs
+            .budgets
+            .entry(service.clone())
+            .or_insert_with(|| RetryBudget::new(limits, daemons))
+            .earn(limits, daemons);
+        let key = match (&head.affinity_key, route.route.affinity) {
+            (Some(key), true) => hash_of(key),
+            _ => rand::random(),
+        };
+        let timeout = Duration::from_millis(route.route.timeout_ms);
+        let limit = head
+            .patience
+            .map_or(timeout, |patience| patience.min(timeout));
+        drop(parts);
+        Ok(Matched {
+            route,
+            service,
+            key,
+            limit,
+        })
+    }
+
+    fn choose(&self, matched: &Matched, attempts: &Attempts) -> Result<Target, Reason> {
+        let now = self.state.now();
+        let mut guard = self.state.beliefs();
+        let beliefs = &mut *guard;
+        let request = PickRequest {
+            service: &matched.service,
+            key: matched.key,
+            allowed_regions: &matched.route.route.allowed_regions,
+            excluded: &attempts.tried,
+            now,
+        };
+        let picked = beliefs.picker.pick(
+            &beliefs.backends,
+            &beliefs.catalog,
+            &beliefs.daemons,
+            &request,
+        );
+        let pick = picked.map_err(|refusal| match refusal {
+            Refusal::NoBackend => Reason::NoBackend,
+            Refusal::Busy => Reason::Busy,
+        })?;
+        let Some(backend) = beliefs.backends.get(&pick.id) else {
+            return Err(Reason::NoBackend);
+        };
+        let address = backend.instance.address;
+        beliefs.picker.note_sent(now, backend);
+        beliefs.backends.start(&pick.id);
+        Ok(Target { pick, address })
+    }
+
+    fn answered(&self, target: &Target, load: Option<LoadReport>) {
+        let now = self.state.now();
+        let id: &BackendId = &target.pick.id;
+        self.state.beliefs().backends.note_answer(now, id, load);
+    }
+
+    fn failed(&self, target: &Target, failure: AttemptFailure) {
+        let now = self.state.now();
+        let id: &BackendId = &target.pick.id;
+        let mut beliefs = self.state.beliefs();
+        match failure {
+            AttemptFailure::Unreachable | AttemptFailure::Misdirected => {
+                beliefs.backends.note_unreachable(now, id);
+            }
+            AttemptFailure::Shed => beliefs.backends.note_full(now, id),
+            AttemptFailure::Lost | AttemptFailure::TimedOut => {
+                beliefs.backends.note_failure(now, id);
+            }
+            AttemptFailure::Failed => {}
+        }
+    }
+
+    fn finished(&self, target: &Target) {
+        self.state.beliefs().backends.finish(&target.pick.id);
+    }
+
+    fn may_retry(
+        &self,
+        matched: &Matched,
+        attempts: &Attempts,
+        failure: AttemptFailure,
+        left: Duration,
+    ) -> bool {
+        let route = &matched.route.route;
+        if left < LEAST_TIME_TO_RETRY {
+            return false;
+        }
+        if failure.may_have_run() && !route.kind.is_repeatable() {
+            return false;
+        }
+        if failure == AttemptFailure::Unreachable {
+            // Nothing arrived anywhere, so this costs nothing of the budget.
+            return attempts.unreachable < MAX_UNREACHABLE;
+        }
+        if attempts.arrived >= route.max_attempts.max(1) {
+            return false;
+        }
+        self.take_retry(&mut self.state.beliefs(), matched)
+    }
+}
--- /dev/null
+++ b/crates/coursestand-proxy/src/server.rs
@@ -0,0 +1,155 @@
+//! Listens for callers, and stops without cutting off a request.
+
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use snafu::{ResultExt, Snafu};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+
+use crate::answer::close_after;
+use crate::connect::prepare;
+use crate::exchange::Exchange;
+
+/// Longest time that a caller's connection may rest, or its headers may take.
+const IDLE_LIMIT: Duration = Duration::from_secs(20);
+/// Bytes of headers that are read at most.
+const MAX_HEADER_BYTES: usize = 64 * 1024;
+/// A caller that confirms no bytes for this long is gone.
+const SILENCE: Duration = Duration::from_secs(10);
+/// Pause after the system refused a connection, as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Why callers can't be listened for.
+#[derive(Debug, Snafu)]
+#[snafu(display("cannot listen on {address}: {source}"))]
+pub struct ListenError {
+    address: SocketAddr,
+    source: std::io::Error,
+}
+
+/// How the server treats callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mode {
+    /// Keeps connections.
+    Serving,
+    /// Serves on, and asks callers to leave with each answer.
+    Draining,
+    /// Ends each connection once it has no request.
+    Closing,
+}
+
+/// Serves callers on one address.
+pub struct ProxyServer {
+    address: SocketAddr,
+    mode: watch::Sender<Mode>,
+    /// Closed once no connection is left.
+    ended: tokio::sync::Mutex<mpsc::Receiver<()>>,
+}
+
+impl ProxyServer {
+    /// Listens on `address` and answers with `exchange`.
+    pub async fn start(
+        address: SocketAddr,
+        exchange: Arc<Exchange>,
+    ) -> Result<ProxyServer, ListenError> {
+        let listener = TcpListener::bind(address)
+            .await
+            .context(ListenSnafu { address })?;
+        let address = listener.local_addr().context(ListenSnafu { address })?;
+        let (mode, watching) = watch::channel(Mode::Serving);
+        let (alive, ended) = mpsc::channel(1);
+        tokio::spawn(accept(listener, exchange, watching, alive));
+        Ok(ProxyServer {
+            address,
+            mode,
+            ended: tokio::sync::Mutex::new(ended),
+        })
+    }
+
+    /// The address on which it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Serves on, and asks callers to leave.
+    pub fn announce_stop(&self) {
+        self.mode.send_replace(Mode::Draining);
+    }
+
+    /// Takes no new connections, ends idle ones, and waits for requests in
+    /// flight.
+    pub async fn close(&self) {
+        self.mode.send_replace(Mode::Closing);
+        let mut ended = self.ended.lock().await;
+        // Nothing is ever sent: this returns once all connections have ended.
+        let _ = ended.recv().await;
+    }
+}
+
+async fn accept(
+    listener: TcpListener,
+    exchange: Arc<Exchange>,
+    mut mode: watch::Receiver<Mode>,
+    alive: mpsc::Sender<()>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = mode.wait_for(|mode| *mode == Mode::Closing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let connection = serve(stream, Arc::clone(&exchange), mode.clone(), alive.clone());
+                tokio::spawn(connection);
+            }
+            Err(error) => {
+                log::warn!(target: "proxy", "no connection was accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(
+    stream: TcpStream,
+    exchange: Arc<Exchange>,
+    mut mode: watch::Receiver<Mode>,
+    _alive: mpsc::Sender<()>,
+) {
+    if prepare(&stream, SILENCE).is_err() {
+        return;
+    }
+    let answering = mode.clone();
+    let service = service_fn(move |request: Request<Incoming>| {
+        let exchange = Arc::clone(&exchange);
+        let mode = answering.clone();
+        async move {
+            let mut response = exchange.serve(request).await;
+            if *mode.borrow() != Mode::Serving {
+                close_after(&mut response);
+            }
+            Ok::<_, Infallible>(response)
+        }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(IDLE_LIMIT)
+        .max_buf_size(MAX_HEADER_BYTES)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        // A caller that broke off is nobody's fault here.
+        _ = connection.as_mut() => return,
+        _ = mode.wait_for(|mode| *mode == Mode::Closing) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
--- /dev/null
+++ b/crates/coursestand-routing/src/backends.rs
@@ -0,0 +1,236 @@
+//! The back ends as one entry daemon sees them: what discovery says, and what its
+//! own requests have shown.
+
+use std::collections::HashMap;
+
+use coursestand_discovery::{Instance, InstanceNews, InstancePhase, InstanceTable};
+use coursestand_model::{BackendId, Millis, ServiceId};
+
+use crate::hash::hash_of;
+
+/// A load report loses half of its weight in this time.
+const REPORT_HALF_LIFE_MS: f64 = 400.0;
+/// First time for which a back end that refuses connections is left out.
+const FIRST_EJECTION_MS: Millis = 500;
+/// Longest such time.
+const LONGEST_EJECTION_MS: Millis = 8_000;
+/// Failures in a row of other kinds after which a back end is left out.
+const FAILURES_TO_EJECT: u32 = 3;
+
+/// Load that a back end told with an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LoadReport {
+    /// Requests that it works on.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// One back end.
+#[derive(Clone, Debug)]
+pub struct Backend {
+    /// What it says of itself.
+    pub instance: Instance,
+    /// Hash of its identity.
+    pub hash: u64,
+    /// When it ceases to be cold.
+    pub cold_until: Millis,
+    /// Requests of this daemon that it has.
+    pub in_flight: u32,
+    /// Requests of others at the newest report, and when it came.
+    others: f64,
+    reported_at: Millis,
+    failures: u32,
+    ejected_until: Millis,
+}
+
+impl Backend {
+    fn new(news: InstanceNews, now: Millis) -> Backend {
+        Backend {
+            hash: hash_of(news.instance.id.as_str()),
+            cold_until: now + news.cold_ms,
+            instance: news.instance,
+            in_flight: 0,
+            others: 0.0,
+            reported_at: now,
+            failures: 0,
+            ejected_until: 0,
+        }
+    }
+
+    /// Requests that it probably has now.
+    pub fn load(&self, now: Millis) -> f64 {
+        f64::from(self.in_flight) + self.others * self.report_weight(now)
+    }
+
+    fn report_weight(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.reported_at) as f64;
+        (-age / REPORT_HALF_LIFE_MS).exp2()
+    }
+
+    /// Age of what is known about its load, in milliseconds.
+    pub fn load_age(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.reported_at)
+    }
+
+    /// Whether it may still be cold.
+    pub fn is_cold(&self, now: Millis) -> bool {
+        now < self.cold_until
+    }
+
+    /// Whether it is left out for its failures.
+    pub fn is_ejected(&self, now: Millis) -> bool {
+        now < self.ejected_until
+    }
+
+    /// Whether it takes new requests at all.
+    pub fn is_ready(&self) -> bool {
+        self.instance.phase == InstancePhase::Ready
+    }
+
+    fn eject(&mut self, now: Millis) {
+        let doublings = self.failures.saturating_sub(1).min(8);
+        let time = (FIRST_EJECTION_MS << doublings).min(LONGEST_EJECTION_MS);
+        self.ejected_until = now + time;
+    }
+}
+
+/// All back ends by identity, and by service.
+#[derive(Clone, Debug, Default)]
+pub struct Backends {
+    table: InstanceTable,
+    backends: HashMap<BackendId, Backend>,
+    by_service: HashMap<ServiceId, Vec<BackendId>>,
+}
+
+impl Backends {
+    /// Takes in news of an instance. Returns whether anything changed.
+    pub fn merge(&mut self, now: Millis, news: InstanceNews) -> bool {
+        let changed = self.table.merge(now, news);
+        for id in &changed {
+            self.refresh(now, id);
+        }
+        !changed.is_empty()
+    }
+
+    fn refresh(&mut self, now: Millis, id: &BackendId) {
+        let Some(known) = self.table.get(id) else {
+            return;
+        };
+        if known.instance.phase == InstancePhase::Gone {
+            self.remove(id);
+            return;
+        }
+        match self.backends.get_mut(id) {
+            Some(backend) => {
+                backend.instance = known.instance.clone();
+                backend.cold_until = known.cold_until;
+            }
+            None => {
+                let backend = Backend::new(known.news(now), now);
+                let service = backend.instance.service.clone();
+                self.by_service.entry(service).or_default().push(id.clone());
+                self.backends.insert(id.clone(), backend);
+            }
+        }
+    }
+
+    fn remove(&mut self, id: &BackendId) {
+        let Some(backend) = self.backends.remove(id) else {
+            return;
+        };
+        if let Some(ids) = self.by_service.get_mut(&backend.instance.service) {
+            ids.retain(|known| known != id);
+        }
+    }
+
+    /// One back end.
+    pub fn get(&self, id: &BackendId) -> Option<&Backend> {
+        self.backends.get(id)
+    }
+
+    /// The back ends of a service that have not ended.
+    pub fn of_service(&self, service: &ServiceId) -> impl Iterator<Item = &Backend> {
+        self.by_service
+            .get(service)
+            .into_iter()
+            .flatten()
+            .filter_map(|id| self.backends.get(id))
+    }
+
+    /// Services that have back ends.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        self.by_service.keys()
+    }
+
+    /// All back ends that have not ended.
+    pub fn iter(&self) -> impl Iterator<Item = &Backend> {
+        self.backends.values()
+    }
+
+    /// Keeps all back ends that `is_in_zone` holds for out of service until
+    /// `until`, as if they were cold.
+    pub fn hold_back(&mut self, until: Millis, is_in_zone: impl Fn(&Instance) -> bool) {
+        for backend in self.backends.values_mut() {
+            if is_in_zone(&backend.instance) {
+                backend.cold_until = backend.cold_until.max(until);
+            }
+        }
+    }
+
+    /// A request goes to the back end.
+    pub fn start(&mut self, id: &BackendId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.in_flight += 1;
+        }
+    }
+
+    /// A request that was started has ended.
+    pub fn finish(&mut self, id: &BackendId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.in_flight = backend.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// The back end answered, with its load if it tells it. The request that was
+    /// answered still counts as started.
+    pub fn note_answer(&mut self, now: Millis, id: &BackendId, report: Option<LoadReport>) {
+        let Some(backend) = self.backends.get_mut(id) else {
+            return;
+        };
+        backend.failures = 0;
+        backend.ejected_until = 0;
+        if let Some(report) = report {
+            let all = f64::from(report.running + report.waiting);
+            backend.others = (all - f64::from(backend.in_flight)).max(0.0);
+            backend.reported_at = now;
+        }
+    }
+
+    /// The back end refused a request because it is full.
+    pub fn note_full(&mut self, now: Millis, id: &BackendId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            let slots = f64::from(backend.instance.capacity);
+            backend.others = backend.others.max(4.0 * slots);
+            backend.reported_at = now;
+        }
+    }
+
+    /// No connection to the back end could be made.
+    pub fn note_unreachable(&mut self, now: Millis, id: &BackendId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.failures += 1;
+            backend.eject(now);
+        }
+    }
+
+    /// The back end gave no proper answer.
+    pub fn note_failure(&mut self, now: Millis, id: &BackendId) {
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.failures += 1;
+            if backend.failures >= FAILURES_TO_EJECT {
+                backend.eject(now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/coursestand-routing/src/lib.rs
@@ -0,0 +1,22 @@
+//! Decisions of an entry daemon about one request, free of I/O: which route it
+//! takes, which service of a split, which region, and which back end.
+//!
+//! Requests for one object meet the same back end from every daemon: the object's
+//! key has a fixed point among the shares of the regions and a fixed order of
+//! back ends within each region. Limits that sum up over all daemons (retries,
+//! requests to cold back ends) are kept by each daemon alone, within its share.
+
+pub mod backends;
+pub mod cold;
+pub mod hash;
+pub mod picker;
+pub mod ranking;
+pub mod retry_budget;
+pub mod route_table;
+pub mod shares;
+pub mod split;
+
+pub use backends::{Backend, Backends, LoadReport};
+pub use picker::{Pick, PickRequest, Picker, Refusal};
+pub use retry_budget::{RetryBudget, RetryLimits};
+pub use route_table::{RouteEntry, RouteTable};
--- /dev/null
+++ b/crates/coursestand-routing/src/route_table.rs
@@ -0,0 +1,68 @@
+//! Finds the route of a request: that of its host whose prefix begins the path
+//! and is the longest.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use coursestand_catalog::{Catalog, ItemVersion, Route};
+
+/// A route with its name and version.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteEntry {
+    /// Its name.
+    pub name: String,
+    /// Its version.
+    pub version: ItemVersion,
+    /// Its content.
+    pub route: Route,
+}
+
+/// All routes by host.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    /// The routes of a host, longest prefix first.
+    by_host: HashMap<String, Vec<Arc<RouteEntry>>>,
+}
+
+impl RouteTable {
+    /// The routes that stand in `catalog`.
+    pub fn new(catalog: &Catalog) -> RouteTable {
+        let mut by_host: HashMap<String, Vec<Arc<RouteEntry>>> = HashMap::new();
+        for (name, version, route) in catalog.routes() {
+            let entry = RouteEntry {
+                name: name.to_owned(),
+                version,
+                route: route.clone(),
+            };
+            let host = route.host.to_ascii_lowercase();
+            by_host.entry(host).or_default().push(Arc::new(entry));
+        }
+        for routes in by_host.values_mut() {
+            routes.sort_by(|left, right| {
+                let by_length = right
+                    .route
+                    .path_prefix
+                    .len()
+                    .cmp(&left.route.path_prefix.len());
+                // Two routes at one place: the later one, then by name, so that
+                // every daemon chooses the same.
+                by_length
+                    .then(right.version.cmp(&left.version))
+                    .then(left.name.cmp(&right.name))
+            });
+        }
+        RouteTable { by_host }
+    }
+
+    /// The route of a request. `host` may carry a port.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<RouteEntry>> {
+        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+        let routes = match self.by_host.get(name) {
+            Some(routes) => routes,
+            None => self.by_host.get(&name.to_ascii_lowercase())?,
+        };
+        routes
+            .iter()
+            .find(|entry| path.starts_with(&entry.route.path_prefix))
+    }
+}
--- a/crates/coursestand-transport/src/lib.rs
+++ b/crates/coursestand-transport/src/lib.rs
@@ -1,4 +1,5 @@
-//! Typed request and reply between coursestand processes, over `nng` (TCP).
+//! Typed request and reply between coursestand processes, over `nng` (TCP), and
+//! kept streams of messages over plain TCP ([`stream`]).
 //!
 //! Every exchange has a deadline and a size limit, and every frame starts with
 //! the protocol version, so that processes of different versions refuse each
@@ -8,6 +9,7 @@
 mod close;
 pub mod frame;
 pub mod server;
+pub mod stream;
 
 pub use client::Client;
 pub use frame::{MAX_FRAME_BYTES, PROTOCOL_VERSION, TransportError};
