Keep keys with the back ends that know their objects when a service is full

Change: a key goes to its two first ranks within its region, or is refused at once; another region only takes it when its own has no back end. Load bounds and the trust in load reports are settings.

--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -17,8 +17,9 @@
 use coursestand_proxy::router::Router;
 use coursestand_proxy::{EdgeState, Exchange, ProxyServer};
 use coursestand_routing::RetryLimits;
+use coursestand_routing::backends::ReportTrust;
 use coursestand_routing::cold::ColdLimits;
-use coursestand_routing::picker::Place;
+use coursestand_routing::picker::{Balance, Place};
 use log::info;
 use poem::http::StatusCode;
 use poem::{Request, Response};
@@ -85,6 +86,18 @@
             .clone()
     }
 
+    fn balance(&self) -> Balance {
+        let balance = &self.settings.balance;
+        Balance {
+            soft_load: balance.soft_load,
+            hard_load: balance.hard_load,
+            trust: ReportTrust {
+                hold_ms: balance.report_hold.0,
+                half_life_ms: balance.report_half_life.0,
+            },
+        }
+    }
+
     fn state(&self) -> EdgeState {
         let bounds = &self.settings.bounds;
         let place = Place {
@@ -95,6 +108,7 @@
                 overage: bounds.cold_overage,
                 slack: bounds.cold_slack,
             },
+            balance: self.balance(),
         };
         let bounds = EdgeBounds {
             retries: RetryLimits {
@@ -102,6 +116,7 @@
                 extra: bounds.retry_extra,
                 window_ms: bounds.retry_window.0,
             },
+            busy_pause: self.settings.balance.busy_pause.duration(),
             settle_ms: HEARTBEATS_TO_SETTLE * bounds.heartbeat.0,
         };
         EdgeState::new(self.clock, place, bounds)
@@ -200,6 +215,7 @@
         let Some(running) = self.running() else {
             return Value::Null;
         };
+        let trust = self.balance().trust;
         let beliefs = running.state.beliefs();
         let now = running.state.now();
         let backends: Vec<Value> = beliefs
@@ -212,7 +228,7 @@
                     "zone": backend.instance.zone,
                     "phase": format!("{:?}", backend.instance.phase),
                     "in_flight": backend.in_flight,
-                    "load": backend.load(now),
+                    "load": backend.load(now, trust),
                     "cold": backend.is_cold(now),
                     "ejected": backend.is_ejected(now),
                 })
--- a/crates/coursestand-model/src/fleet.rs
+++ b/crates/coursestand-model/src/fleet.rs
@@ -59,6 +59,36 @@
     pub cold_slack: f64,
 }
 
+/// How entry daemons balance load. The defaults suit services whose requests take
+/// from tens of milliseconds to seconds.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields, default)]
+pub struct BalanceSettings {
+    /// Load over capacity up to which a key keeps the back end that it ranks
+    /// first.
+    pub soft_load: f64,
+    /// Load over capacity from which on a back end gets nothing more.
+    pub hard_load: f64,
+    /// A load report counts in full for this long.
+    pub report_hold: Span,
+    /// After that, it loses half of its weight in this time.
+    pub report_half_life: Span,
+    /// When callers may come back after all back ends were too busy.
+    pub busy_pause: Span,
+}
+
+impl Default for BalanceSettings {
+    fn default() -> Self {
+        BalanceSettings {
+            soft_load: 1.2,
+            hard_load: 1.6,
+            report_hold: Span(250),
+            report_half_life: Span(400),
+            busy_pause: Span(150),
+        }
+    }
+}
+
 /// Settings of one process of a fleet.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -91,6 +121,9 @@
     pub edge: Option<FleetEdgeSettings>,
     /// Bounds of the deployment.
     pub bounds: FleetBounds,
+    /// How entry daemons balance load.
+    #[serde(default)]
+    pub balance: BalanceSettings,
 }
 
 fn default_log_level() -> String {
@@ -136,6 +169,13 @@
         if self.bounds.heartbeat.0 == 0 {
             return Err(InvalidValue::new("bounds.heartbeat", "0ms", "1ms or more"));
         }
+        let balance = &self.balance;
+        let is_ordered = balance.soft_load > 0.0 && balance.soft_load <= balance.hard_load;
+        if !is_ordered {
+            let found = format!("{}, {}", balance.soft_load, balance.hard_load);
+            let allowed = "a soft load over 0 and up to the hard load";
+            return Err(InvalidValue::new("balance.soft_load", found, allowed));
+        }
         if !LOG_LEVELS.contains(&self.log_level.as_str()) {
             let allowed = LOG_LEVELS.join(", ");
             return Err(InvalidValue::new("log_level", &self.log_level, allowed));
--- a/crates/coursestand-routing/src/backends.rs
+++ b/crates/coursestand-routing/src/backends.rs
@@ -8,8 +8,6 @@
 
 use crate::hash::hash_of;
 
-/// A load report loses half of its weight in this time.
-const REPORT_HALF_LIFE_MS: f64 = 400.0;
 /// First time for which a back end that refuses connections is left out.
 const FIRST_EJECTION_MS: Millis = 500;
 /// Longest such time.
@@ -26,6 +24,23 @@
     pub waiting: u32,
 }
 
+/// How long a load report is believed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReportTrust {
+    /// Time for which it counts in full.
+    pub hold_ms: Millis,
+    /// After that, it loses half of its weight in this time.
+    pub half_life_ms: Millis,
+}
+
+impl ReportTrust {
+    /// Weight of a report of this age, from 1 down to 0.
+    pub fn weight(self, age: Millis) -> f64 {
+        let past_hold = age.saturating_sub(self.hold_ms) as f64;
+        (-past_hold / self.half_life_ms.max(1) as f64).exp2()
+    }
+}
+
 /// One back end.
 #[derive(Clone, Debug)]
 pub struct Backend {
@@ -59,13 +74,8 @@
     }
 
     /// Requests that it probably has now.
-    pub fn load(&self, now: Millis) -> f64 {
-        f64::from(self.in_flight) + self.others * self.report_weight(now)
-    }
-
-    fn report_weight(&self, now: Millis) -> f64 {
-        let age = now.saturating_sub(self.reported_at) as f64;
-        (-age / REPORT_HALF_LIFE_MS).exp2()
+    pub fn load(&self, now: Millis, trust: ReportTrust) -> f64 {
+        f64::from(self.in_flight) + self.others * trust.weight(self.load_age(now))
     }
 
     /// Age of what is known about its load, in milliseconds.
--- a/crates/coursestand-routing/src/picker.rs
+++ b/crates/coursestand-routing/src/picker.rs
@@ -5,20 +5,14 @@
 use coursestand_catalog::Catalog;
 use coursestand_model::{BackendId, Millis, RegionId, ServiceId, ZoneId};
 
-use crate::backends::{Backend, Backends};
+use crate::backends::{Backend, Backends, ReportTrust};
 use crate::cold::{ColdGate, ColdLimits, owner};
 use crate::hash::{combine, hash_of, unit_point};
 use crate::ranking::rank;
 use crate::shares::RegionShares;
 
-/// Load over capacity up to which a key keeps the back end that it ranks first:
-/// a short queue at a back end that knows the object is quicker than a free slot
-/// at one that does not.
-const SOFT_LOAD: f64 = 1.5;
-/// Load over capacity at which a back end gets nothing more.
-const HARD_LOAD: f64 = 3.0;
 /// Ranks among which a key looks for a back end below the soft load.
-const CHOICES: usize = 3;
+const CHOICES: usize = 2;
 
 /// What a pick depends on.
 #[derive(Clone, Debug)]
@@ -70,6 +64,28 @@
     pub zones: BTreeMap<ZoneId, RegionId>,
     /// Bound on requests to cold back ends.
     pub cold: ColdLimits,
+    /// How load is balanced.
+    pub balance: Balance,
+}
+
+/// How load is balanced.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Balance {
+    /// Load over capacity up to which a key keeps the back end that it ranks
+    /// first: a short queue at a back end that knows the object is quicker than
+    /// a free slot at one that does not.
+    pub soft_load: f64,
+    /// Load over capacity from which on a back end gets nothing more: what waits
+    /// longer runs out of time, and its work is lost.
+    pub hard_load: f64,
+    /// How long load reports are believed.
+    pub trust: ReportTrust,
+}
+
+impl Balance {
+    fn ratio(&self, backend: &Backend, now: Millis) -> f64 {
+        backend.load(now, self.trust) / f64::from(backend.instance.capacity.max(1))
+    }
 }
 
 /// Picks back ends for one daemon.
@@ -120,20 +136,23 @@
         let (near, far): (Vec<&Backend>, Vec<&Backend>) = warm
             .into_iter()
             .partition(|backend| self.region_of(backend) == home.as_ref());
-        let mut is_busy = false;
-        for group in [near, far] {
-            match pick_among(&group, request) {
-                Ok(pick) => return Ok(pick),
-                Err(refusal) => is_busy |= refusal == Refusal::Busy,
-            }
+        // Requests that spill over to where their objects are not known cost
+        // several times the work, and push known objects out: a region takes the
+        // keys of another one only when that has no back end left.
+        let group = if near.is_empty() { far } else { near };
+        let picked = self.place.balance.pick_among(&group, request);
+        if let Ok(pick) = picked {
+            return Ok(pick);
         }
+        let is_busy = picked == Err(Refusal::Busy);
         if let Some(pick) = self.pick_cold(&usable, catalog, daemons, request) {
             return Ok(pick);
         }
         if is_busy {
             return Err(Refusal::Busy);
         }
-        pick_ejected(&usable, request).ok_or(Refusal::NoBackend)
+        self.pick_ejected(&usable, request)
+            .ok_or(Refusal::NoBackend)
     }
 
     /// A request goes to a back end; counts it if the back end is cold.
@@ -205,63 +224,63 @@
             let names = daemons.iter().map(String::as_str);
             let is_owner = owner(id, names) == Some(self.place.daemon.as_str());
             if is_owner && self.gate.has_room(now, id, share) {
-                return Some(pick_of(backend, 0, now));
+                return Some(self.place.balance.pick_of(backend, 0, now));
             }
         }
         None
     }
-}
 
-fn pick_of(backend: &Backend, rank: usize, now: Millis) -> Pick {
-    Pick {
-        id: backend.instance.id.clone(),
-        rank,
-        load: backend.load(now),
-        load_age_ms: backend.load_age(now),
-        is_cold: backend.is_cold(now),
+    /// With nothing better left, the back end with the fewest requests.
+    fn pick_ejected(&self, usable: &[&Backend], request: &PickRequest<'_>) -> Option<Pick> {
+        usable
+            .iter()
+            .filter(|backend| !backend.is_cold(request.now))
+            .min_by_key(|backend| backend.in_flight)
+            .map(|backend| self.place.balance.pick_of(backend, 0, request.now))
     }
 }
 
-fn load_ratio(backend: &Backend, now: Millis) -> f64 {
-    backend.load(now) / f64::from(backend.instance.capacity.max(1))
-}
-
-/// The first of the key's ranks that is below the soft load; else the least
-/// loaded of all, unless that one is full too.
-fn pick_among(group: &[&Backend], request: &PickRequest<'_>) -> Result<Pick, Refusal> {
-    if group.is_empty() {
-        return Err(Refusal::NoBackend);
-    }
-    let now = request.now;
-    let ranked = rank(
-        request.key,
-        group.iter().map(|backend| {
-            let weight = f64::from(backend.instance.capacity.max(1));
-            (*backend, backend.hash, weight)
-        }),
-    );
-    for (place, backend) in ranked.iter().take(CHOICES).enumerate() {
-        if load_ratio(backend, now) < SOFT_LOAD {
-            return Ok(pick_of(backend, place, now));
+impl Balance {
+    fn pick_of(&self, backend: &Backend, rank: usize, now: Millis) -> Pick {
+        Pick {
+            id: backend.instance.id.clone(),
+            rank,
+            load: backend.load(now, self.trust),
+            load_age_ms: backend.load_age(now),
+            is_cold: backend.is_cold(now),
         }
     }
-    let least = ranked
-        .iter()
-        .enumerate()
-        .min_by(|left, right| load_ratio(left.1, now).total_cmp(&load_ratio(right.1, now)));
-    match least {
-        Some((place, backend)) if load_ratio(backend, now) < HARD_LOAD => {
-            Ok(pick_of(backend, place, now))
+
+    /// The first of the key's ranks that is below the soft load; else the least
+    /// loaded of these ranks, unless that one is full too. Other back ends don't
+    /// know the object.
+    fn pick_among(&self, group: &[&Backend], request: &PickRequest<'_>) -> Result<Pick, Refusal> {
+        if group.is_empty() {
+            return Err(Refusal::NoBackend);
+        }
+        let now = request.now;
+        let ranked = rank(
+            request.key,
+            group.iter().map(|backend| {
+                let weight = f64::from(backend.instance.capacity.max(1));
+                (*backend, backend.hash, weight)
+            }),
+        );
+        for (place, backend) in ranked.iter().take(CHOICES).enumerate() {
+            if self.ratio(backend, now) < self.soft_load {
+                return Ok(self.pick_of(backend, place, now));
+            }
+        }
+        let least = ranked
+            .iter()
+            .take(CHOICES)
+            .enumerate()
+            .min_by(|left, right| self.ratio(left.1, now).total_cmp(&self.ratio(right.1, now)));
+        match least {
+            Some((place, backend)) if self.ratio(backend, now) < self.hard_load => {
+                Ok(self.pick_of(backend, place, now))
+            }
+            _ => Err(Refusal::Busy),
         }
-        _ => Err(Refusal::Busy),
     }
 }
-
-/// With nothing better left, the back end whose time out of service ends first.
-fn pick_ejected(usable: &[&Backend], request: &PickRequest<'_>) -> Option<Pick> {
-    usable
-        .iter()
-        .filter(|backend| !backend.is_cold(request.now))
-        .min_by_key(|backend| backend.in_flight)
-        .map(|backend| pick_of(backend, 0, request.now))
-}
