Structured logs on a bounded queue; requests late in a planned stop get an answer

Cause: logs were plain lines on standard error, written in the caller's thread, and the new parts' lines were filtered out.

Change: a request that comes during a planned stop has its deadline before the process ends, so it is answered; look-ups hold 1 s in place of 1.33 s at a stop of 6 s. Logs: one JSON object a line, a bounded queue and a writer thread, lines of a kind limited, drops counted, told and measured; one line for each request's end.

--- /dev/null
+++ b/crates/coursestand-catalog/tests/merge.rs
@@ -0,0 +1,281 @@
+//! Merging of items against a naive map, and the checks of patches.
+#![allow(missing_docs)]
+
+use std::collections::BTreeMap;
+
+use coursestand_catalog::item::WeightedService;
+use coursestand_catalog::patch::{Removal, Upsert};
+use coursestand_catalog::{
+    Catalog, InvalidPatch, Item, ItemKey, Patch, Route, RouteKind, RouteTarget, ServiceItem,
+};
+use coursestand_model::{ServiceId, ZoneId};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+fn service(name: &str) -> Upsert {
+    Upsert {
+        key: ItemKey::Service(ServiceId::from(name)),
+        version: 1,
+        item: Item::Service(ServiceItem {
+            health_path: "/health".to_owned(),
+            max_connections: 10,
+            cold_start_ms: 0,
+            cold_per_second: 1.0,
+            notation: String::new(),
+        }),
+    }
+}
+
+fn route(timeout_ms: u64) -> Route {
+    Route {
+        host: "a.example".to_owned(),
+        path_prefix: "/a/".to_owned(),
+        kind: RouteKind::Repeatable,
+        timeout_ms,
+        target_latency_ms: 100,
+        priority: 0,
+        target: RouteTarget::Service(ServiceId::from("s")),
+        max_attempts: 2,
+        affinity: true,
+        allowed_regions: Vec::new(),
+        notation: timeout_ms.to_string(),
+    }
+}
+
+fn upsert(name: &str, version: u64, route: Route) -> Patch {
+    Patch {
+        upserts: vec![Upsert {
+            key: ItemKey::Route(name.to_owned()),
+            version,
+            item: Item::Route(route),
+        }],
+        removals: Vec::new(),
+    }
+}
+
+fn removal(name: &str, version: u64) -> Patch {
+    Patch {
+        upserts: Vec::new(),
+        removals: vec![Removal {
+            key: ItemKey::Route(name.to_owned()),
+            version,
+        }],
+    }
+}
+
+fn with_service() -> Catalog {
+    let mut catalog = Catalog::default();
+    let patch = Patch {
+        upserts: vec![service("s")],
+        removals: Vec::new(),
+    };
+    catalog.merge(&patch, 1).expect("valid");
+    catalog
+}
+
+/// A naive holder: the version and content of each name, one operation at a time.
+#[derive(Default)]
+struct Naive {
+    held: BTreeMap<String, (u64, Option<u64>)>,
+}
+
+impl Naive {
+    /// Whether the change is taken.
+    fn set(&mut self, name: &str, version: u64, content: Option<u64>) -> bool {
+        match self.held.get(name) {
+            Some((held, old)) if *held == version && content.is_some() => *old == content,
+            Some((held, _)) if *held >= version => true,
+            _ => {
+                self.held.insert(name.to_owned(), (version, content));
+                true
+            }
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Change {
+    name: String,
+    version: u64,
+    /// The time-out of the route; none drops it.
+    content: Option<u64>,
+}
+
+fn changes() -> impl Strategy<Value = Vec<Change>> {
+    let one = (0..4_u8, 1..8_u64, proptest::option::weighted(0.8, 1..4_u64));
+    proptest::collection::vec(one, 1..40).prop_map(|all| {
+        all.into_iter()
+            .map(|(name, version, content)| Change {
+                name: format!("r{name}"),
+                version,
+                content,
+            })
+            .collect()
+    })
+}
+
+fn patch_of(change: &Change) -> Patch {
+    match change.content {
+        Some(content) => upsert(&change.name, change.version, route(content)),
+        None => removal(&change.name, change.version),
+    }
+}
+
+fn contents(catalog: &Catalog) -> BTreeMap<String, (u64, u64)> {
+    catalog
+        .routes()
+        .map(|(name, version, route)| (name.to_owned(), (version, route.timeout_ms)))
+        .collect()
+}
+
+proptest! {
+    #[test]
+    fn items_merge_like_a_naive_map(all in changes()) {
+        let mut catalog = with_service();
+        let mut naive = Naive::default();
+        for (index, change) in all.iter().enumerate() {
+            let taken = catalog.merge(&patch_of(change), index as u64 + 2).is_ok();
+            prop_assert_eq!(taken, naive.set(&change.name, change.version, change.content));
+            // Sent again with no change in between, it gets the same answer.
+            let again = catalog.merge(&patch_of(change), index as u64 + 2).is_ok();
+            prop_assert_eq!(again, taken);
+        }
+        let expected: BTreeMap<String, (u64, u64)> = naive
+            .held
+            .into_iter()
+            .filter_map(|(name, (version, content))| Some((name, (version, content?))))
+            .collect();
+        prop_assert_eq!(contents(&catalog), expected);
+    }
+
+    /// A follower that gets deltas late, twice and out of order ends with what
+    /// the source has, and no item of it ever goes back.
+    #[test]
+    fn followers_never_go_back(all in changes(), order in proptest::collection::vec(0..40_usize, 1..60)) {
+        let mut source = with_service();
+        let mut deltas = vec![source.delta(0)];
+        for (index, change) in all.iter().enumerate() {
+            let before = source.version();
+            let _ = source.merge(&patch_of(change), index as u64 + 2);
+            deltas.push(source.delta(before));
+        }
+        let mut follower = Catalog::default();
+        let mut newest: BTreeMap<ItemKey, u64> = BTreeMap::new();
+        for pick in order {
+            follower.adopt(deltas[pick % deltas.len()].clone());
+            for (key, version, _) in follower.standing() {
+                let known = newest.entry(key.clone()).or_default();
+                prop_assert!(version >= *known);
+                *known = version;
+            }
+        }
+        follower.adopt(source.delta(0));
+        prop_assert_eq!(contents(&follower), contents(&source));
+    }
+}
+
+#[gtest]
+fn an_older_change_does_not_bring_a_dropped_item_back() {
+    let mut catalog = with_service();
+    catalog.merge(&upsert("r", 3, route(5)), 2).expect("valid");
+    catalog.merge(&removal("r", 7), 3).expect("valid");
+    catalog
+        .merge(&upsert("r", 3, route(5)), 4)
+        .expect("acknowledged again");
+    expect_that!(catalog.routes().count(), eq(0));
+    catalog.merge(&upsert("r", 8, route(5)), 5).expect("valid");
+    expect_that!(catalog.routes().count(), eq(1));
+}
+
+#[gtest]
+fn nothing_of_an_invalid_patch_takes_effect() {
+    let unweighted = RouteTarget::Split(vec![WeightedService {
+        service: ServiceId::from("s"),
+        weight: 0,
+    }]);
+    let broken = [
+        (
+            "host",
+            Route {
+                host: String::new(),
+                ..route(5)
+            },
+        ),
+        (
+            "path_prefix",
+            Route {
+                path_prefix: "a/".to_owned(),
+                ..route(5)
+            },
+        ),
+        ("timeout", route(600_001)),
+        ("timeout", route(0)),
+        (
+            "target_latency",
+            Route {
+                target_latency_ms: 60_005,
+                ..route(5)
+            },
+        ),
+        (
+            "target",
+            Route {
+                target: unweighted,
+                ..route(5)
+            },
+        ),
+        (
+            "target",
+            Route {
+                target: RouteTarget::Service(ServiceId::from("nobody")),
+                ..route(5)
+            },
+        ),
+    ];
+    for (wrong, route_with_fault) in broken {
+        let mut catalog = with_service();
+        let mut patch = upsert("good", 1, route(5));
+        patch
+            .upserts
+            .extend(upsert("bad", 1, route_with_fault).upserts);
+        let refused = catalog.merge(&patch, 2).expect_err("invalid");
+        match refused {
+            InvalidPatch::Field { route, field, .. } => {
+                expect_that!(route.as_str(), eq("bad"));
+                expect_that!(field.as_str(), eq(wrong));
+            }
+            InvalidPatch::Conflict { .. } => panic!("another reason: {refused}"),
+        }
+        expect_that!(catalog.routes().count(), eq(0));
+    }
+}
+
+#[gtest]
+fn a_resent_change_may_name_a_service_that_was_dropped_since() {
+    let mut catalog = with_service();
+    catalog.merge(&upsert("r", 3, route(5)), 2).expect("valid");
+    let drop_service = Patch {
+        upserts: Vec::new(),
+        removals: vec![Removal {
+            key: ItemKey::Service(ServiceId::from("s")),
+            version: 9,
+        }],
+    };
+    catalog.merge(&drop_service, 3).expect("valid");
+    expect_that!(catalog.merge(&upsert("r", 3, route(5)), 4), ok(anything()));
+}
+
+#[gtest]
+fn evacuations_follow_the_order_of_the_log() {
+    let zone = ZoneId::from("z");
+    let mut source = Catalog::default();
+    source.set_evacuation(&zone, true, 4);
+    let first = source.delta(0);
+    source.set_evacuation(&zone, true, 5);
+    expect_that!(source.version(), eq(4));
+    source.set_evacuation(&zone, false, 6);
+    let mut follower = Catalog::default();
+    follower.adopt(source.delta(0));
+    follower.adopt(first);
+    expect_that!(follower.is_evacuated(&zone), eq(false));
+}
--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -40,7 +40,7 @@
 /// long as they were told, and requests need time to end.
 const STOP_PARTS: Millis = 3;
 /// Time of a planned stop that is left for requests to end.
-const STOP_RESERVE_MS: Millis = 2_000;
+const STOP_RESERVE_MS: Millis = 3_000;
 /// Least time for which a look-up holds.
 const LEAST_TTL_MS: Millis = 500;
 
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -25,6 +25,7 @@
 use poem::{Request, Response};
 use serde_json::{Value, json};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::fleet::control_api::lookup_ttl;
 use crate::fleet::edge_follower::EdgeFollower;
@@ -39,6 +40,8 @@
 const ANNOUNCE: Duration = Duration::from_millis(300);
 /// Part of a planned stop that is kept back for the process to end.
 const RESERVE: Duration = Duration::from_millis(300);
+/// Time for an answer to reach its caller before the process ends.
+const ANSWER_RESERVE: Duration = Duration::from_millis(300);
 /// Heartbeats after which it is sure whether a back end has turned cold.
 const HEARTBEATS_TO_SETTLE: u64 = 2;
 
@@ -186,11 +189,13 @@
         let Some(running) = self.running() else {
             return;
         };
+        let stop = self.settings.bounds.stop.duration();
+        let end = Instant::now() + stop.saturating_sub(RESERVE + ANSWER_RESERVE);
         running.follower.set_phase(EdgePhase::Draining);
+        running.exchange.ends_at(end);
         running.server.announce_stop();
         let ttl = Duration::from_millis(lookup_ttl(&self.settings));
         let served_on = ANNOUNCE + ttl * TTL_FACTOR;
-        let stop = self.settings.bounds.stop.duration();
         tokio::time::sleep(served_on.min(stop.saturating_sub(RESERVE))).await;
         info!(target: LOG, in_flight = running.exchange.metrics().in_flight.get();
             "callers are no longer accepted");
--- a/crates/coursestand-daemon/src/fleet/node.rs
+++ b/crates/coursestand-daemon/src/fleet/node.rs
@@ -7,6 +7,7 @@
 use coursestand_dialect::Dialect;
 use coursestand_kernel::admin::Admin;
 use coursestand_kernel::http::HttpError;
+use coursestand_kernel::logging;
 use coursestand_kernel::{Kernel, MonotonicClock, ServiceError, Tasks};
 use coursestand_model::fleet::FleetSettings;
 use snafu::{ResultExt, Snafu};
@@ -26,6 +27,12 @@
         /// Cause.
         source: ServiceError,
     },
+    /// Metrics can't be registered.
+    #[snafu(display("metrics: {source}"))]
+    Metrics {
+        /// Cause.
+        source: prometheus::Error,
+    },
     /// The admin interface failed.
     #[snafu(display("the admin interface: {source}"))]
     Admin {
@@ -53,6 +60,7 @@
         let clock = MonotonicClock::default();
         let (seeds, following) = watch::channel(settings.seed_addresses());
         let mut kernel = Kernel::new();
+        logging::register(kernel.registry().metrics()).context(MetricsSnafu)?;
         if settings.control.is_some() {
             kernel.add(Arc::new(FleetControl::new(
                 settings.clone(),
--- a/crates/coursestand-daemon/src/main.rs
+++ b/crates/coursestand-daemon/src/main.rs
@@ -115,6 +115,13 @@
     })
 }
 
+/// Told to people as well as in the logs.
+fn not_started(reason: impl std::fmt::Display) -> ExitCode {
+    eprintln!("coursestandd: not started: {reason}");
+    error!(target: LOG, "not started: {reason}");
+    ExitCode::from(NOT_STARTED)
+}
+
 fn valid(file: &Path) -> ExitCode {
     println!("{}: the settings are valid", file.display());
     ExitCode::SUCCESS
@@ -125,11 +132,12 @@
     run: impl FnOnce(&Runtime) -> ExitCode,
 ) -> ExitCode {
     match runtime {
-        Ok(runtime) => run(&runtime),
-        Err(error) => {
-            error!(target: LOG, "no runtime: {error}");
-            ExitCode::from(NOT_STARTED)
+        Ok(runtime) => {
+            let code = run(&runtime);
+            logging::flush();
+            code
         }
+        Err(error) => not_started(format!("no runtime: {error}")),
     }
 }
 
@@ -157,14 +165,12 @@
 
 async fn serve_daemon(settings: &DaemonSettings) -> ExitCode {
     let Ok(mut stop) = StopSignals::new() else {
-        error!(target: LOG, "signals can't be received");
-        return ExitCode::from(NOT_STARTED);
+        return not_started("signals can't be received");
     };
     let daemon = match Daemon::start(settings).await {
         Ok(daemon) => daemon,
         Err(error) => {
-            error!(target: LOG, "not started: {error}");
-            return ExitCode::from(NOT_STARTED);
+            return not_started(error);
         }
     };
     info!(target: LOG, "started in zone {}", settings.zone);
@@ -182,14 +188,12 @@
 async fn serve_node(settings: &FleetSettings, file: &Path, dialect: Arc<dyn Dialect>) -> ExitCode {
     let signals = (StopSignals::new(), signal(SignalKind::hangup()));
     let (Ok(mut stop), Ok(mut reload)) = signals else {
-        error!(target: LOG, "signals can't be received");
-        return ExitCode::from(NOT_STARTED);
+        return not_started("signals can't be received");
     };
     let node = match Node::start(settings, Some(file.to_owned()), dialect).await {
         Ok(node) => node,
         Err(error) => {
-            error!(target: LOG, "not started: {error}");
-            return ExitCode::from(NOT_STARTED);
+            return not_started(error);
         }
     };
     info!(target: LOG, zone = settings.zone.as_str(); "started");
--- a/crates/coursestand-proxy/src/answer.rs
+++ b/crates/coursestand-proxy/src/answer.rs
@@ -25,6 +25,8 @@
     BodyBroken,
     /// The caller's deadline had passed.
     DeadlinePassed,
+    /// The daemon is about to end.
+    Stopping,
     /// The service has no back end that may be used.
     NoBackend,
     /// All back ends have more than they can work off.
@@ -48,6 +50,7 @@
             Reason::BodyTooLong => "body-too-long",
             Reason::BodyBroken => "body-broken",
             Reason::DeadlinePassed => "deadline-passed",
+            Reason::Stopping => "stopping",
             Reason::NoBackend => "no-backend",
             Reason::Busy => "busy",
             Reason::Shed => "shed",
@@ -66,6 +69,7 @@
             Reason::BodyBroken => StatusCode::BAD_REQUEST,
             Reason::NoCatalog
             | Reason::DeadlinePassed
+            | Reason::Stopping
             | Reason::NoBackend
             | Reason::Busy
             | Reason::Shed
@@ -81,7 +85,9 @@
         match self {
             Reason::NoCatalog | Reason::NoBackend => Some(Duration::from_millis(500)),
             Reason::Busy | Reason::Shed => Some(Duration::from_millis(150)),
-            Reason::Unreachable | Reason::DeadlinePassed => Some(Duration::from_millis(50)),
+            Reason::Unreachable | Reason::DeadlinePassed | Reason::Stopping => {
+                Some(Duration::from_millis(50))
+            }
             _ => None,
         }
     }
--- a/crates/coursestand-proxy/src/exchange.rs
+++ b/crates/coursestand-proxy/src/exchange.rs
@@ -1,8 +1,8 @@
 //! Runs the phases of a request and does the I/O between them.
 
 use std::pin::Pin;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -22,6 +22,7 @@
 use crate::metrics::ProxyMetrics;
 use crate::phases::{AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target};
 use crate::pool::{Connection, Pool, RequestBody};
+use crate::story::Story;
 use crate::verdict::{Verdict, judge};
 
 const LOG: &str = "proxy";
@@ -44,6 +45,8 @@
     pool: Arc<Pool>,
     metrics: ProxyMetrics,
     max_body_bytes: AtomicU64,
+    /// When the process ends, once a planned stop has begun.
+    end: OnceLock<Instant>,
 }
 
 /// A request that was read and matched.
@@ -110,6 +113,22 @@
             pool,
             metrics,
             max_body_bytes: AtomicU64::new(u64::MAX),
+            end: OnceLock::new(),
+        }
+    }
+
+    /// A planned stop has begun, and the process ends at `end`. A request that
+    /// comes from now on is given up before that, so that none is cut off.
+    pub fn ends_at(&self, end: Instant) {
+        // The first planned stop counts.
+        let _ = self.end.set(end);
+    }
+
+    fn deadline_of(&self, arrived: Instant, limit: Duration) -> Instant {
+        let deadline = arrived + limit;
+        match self.end.get() {
+            Some(end) => deadline.min(*end),
+            None => deadline,
         }
     }
 
@@ -125,26 +144,20 @@
 
     /// Answers one request. Dropped before its end, it breaks off what it sent.
     pub async fn serve(&self, request: Request<Incoming>) -> Response<AnswerBody> {
-        let timer = self.metrics.duration.start_timer();
-        self.metrics.in_flight.inc();
-        let in_flight = InFlight(&self.metrics);
         let arrived = Instant::now();
+        let id = text_of(request.headers(), &self.names.request_id).map(str::to_owned);
+        let mut story = Story::begin(&self.metrics, id, arrived);
         let result = match self.prepare(request, arrived).await {
-            Ok(prepared) => self.carry_out(prepared).await,
+            Ok(prepared) => self.carry_out(prepared, &mut story).await,
             Err(reason) => Err(reason),
         };
-        drop(in_flight);
-        timer.observe_duration();
         match result {
             Ok(received) => {
-                self.metrics.requests.with_label_values(&["served"]).inc();
+                story.end("served", received.status);
                 passed_on(received.status, received.headers, received.body)
             }
             Err(reason) => {
-                self.metrics
-                    .requests
-                    .with_label_values(&[reason.name()])
-                    .inc();
+                story.end(reason.name(), reason.status());
                 own_answer(reason)
             }
         }
@@ -161,14 +174,17 @@
             Ok(matched) => matched,
             Err(reason) => {
                 log::info!(target: LOG, request = head.id, host = head.host, path = head.path,
-                    outcome = reason.name(); "refused before a route was found");
+                    outcome = reason.name(); "no route was found");
                 return Err(reason);
             }
         };
         if matched.limit.is_zero() {
             return Err(Reason::DeadlinePassed);
         }
-        let deadline = arrived + matched.limit;
+        let deadline = self.deadline_of(arrived, matched.limit);
+        if deadline <= arrived {
+            return Err(Reason::Stopping);
+        }
         let body = self.read_body(&parts.headers, body, deadline).await?;
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(&self.names.deadline);
@@ -231,8 +247,13 @@
         }
     }
 
-    async fn carry_out(&self, mut prepared: Prepared) -> Result<Received, Reason> {
+    async fn carry_out(
+        &self,
+        mut prepared: Prepared,
+        story: &mut Story<'_>,
+    ) -> Result<Received, Reason> {
         let mut attempts = Attempts::default();
+        story.matched(&prepared.matched);
         loop {
             let target = match self.phases.choose(&prepared.matched, &attempts) {
                 Ok(target) => target,
@@ -243,6 +264,7 @@
                     return Err(reason);
                 }
             };
+            story.sent_to(&target);
             let started = Started {
                 phases: Arc::clone(&self.phases),
                 target,
@@ -494,14 +516,6 @@
     }
 }
 
-struct InFlight<'a>(&'a ProxyMetrics);
-
-impl Drop for InFlight<'_> {
-    fn drop(&mut self) {
-        self.0.in_flight.dec();
-    }
-}
-
 enum Collected {
     Whole(Bytes),
     /// What has come so far is longer than may be held.
--- a/crates/coursestand-proxy/src/lib.rs
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod pool;
 pub mod router;
 pub mod server;
+mod story;
 pub mod verdict;
 
 pub use edge_state::EdgeState;
--- /dev/null
+++ b/crates/coursestand-proxy/src/story.rs
@@ -0,0 +1,97 @@
+//! What became of one request, for logs and metrics: one line at its end.
+
+use coursestand_model::BackendId;
+use http::StatusCode;
+use tokio::time::Instant;
+
+use crate::metrics::ProxyMetrics;
+use crate::phases::{Matched, Target};
+
+const LOG: &str = "proxy";
+/// Outcome of a request whose caller went away before its answer.
+const CALLER_LEFT: &str = "caller-left";
+
+/// Follows one request. Dropped before its end, it tells that the caller left.
+pub(crate) struct Story<'a> {
+    metrics: &'a ProxyMetrics,
+    id: Option<String>,
+    arrived: Instant,
+    route: Option<(String, u64)>,
+    limit_ms: u64,
+    instance: Option<BackendId>,
+    rank: usize,
+    load: f64,
+    load_age_ms: u64,
+    attempts: u32,
+    has_ended: bool,
+}
+
+impl<'a> Story<'a> {
+    pub(crate) fn begin(metrics: &'a ProxyMetrics, id: Option<String>, arrived: Instant) -> Self {
+        metrics.in_flight.inc();
+        Story {
+            metrics,
+            id,
+            arrived,
+            route: None,
+            limit_ms: 0,
+            instance: None,
+            rank: 0,
+            load: 0.0,
+            load_age_ms: 0,
+            attempts: 0,
+            has_ended: false,
+        }
+    }
+
+    pub(crate) fn matched(&mut self, matched: &Matched) {
+        self.route = Some((matched.route.name.clone(), matched.route.version));
+        self.limit_ms = matched.limit.as_millis() as u64;
+    }
+
+    pub(crate) fn sent_to(&mut self, target: &Target) {
+        self.attempts += 1;
+        self.instance = Some(target.pick.id.clone());
+        self.rank = target.pick.rank;
+        self.load = target.pick.load;
+        self.load_age_ms = target.pick.load_age_ms;
+    }
+
+    pub(crate) fn end(&mut self, outcome: &str, status: StatusCode) {
+        self.has_ended = true;
+        self.tell(outcome, status.as_u16());
+    }
+
+    fn tell(&self, outcome: &str, status: u16) {
+        let took = self.arrived.elapsed();
+        self.metrics.in_flight.dec();
+        self.metrics.duration.observe(took.as_secs_f64());
+        self.metrics.requests.with_label_values(&[outcome]).inc();
+        let (route, version) = match &self.route {
+            Some((name, version)) => (Some(name.as_str()), Some(*version)),
+            None => (None, None),
+        };
+        log::info!(target: LOG,
+            request = self.id,
+            route = route,
+            version = version,
+            limit_ms = self.limit_ms,
+            instance = self.instance.as_ref().map(BackendId::as_str),
+            rank = self.rank,
+            load = self.load,
+            load_age_ms = self.load_age_ms,
+            attempts = self.attempts,
+            took_ms = took.as_millis() as u64,
+            status = status,
+            outcome = outcome;
+            "a request ended");
+    }
+}
+
+impl Drop for Story<'_> {
+    fn drop(&mut self) {
+        if !self.has_ended {
+            self.tell(CALLER_LEFT, 0);
+        }
+    }
+}
--- /dev/null
+++ b/crates/coursestand-routing/tests/routing.rs
@@ -0,0 +1,417 @@
+//! Decisions about one request.
+#![allow(missing_docs)]
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+
+use coursestand_catalog::patch::Upsert;
+use coursestand_catalog::{
+    Catalog, Item, ItemKey, Patch, Route, RouteKind, RouteTarget, ServiceItem,
+};
+use coursestand_discovery::{Instance, InstanceNews, InstancePhase};
+use coursestand_model::{BackendId, RegionId, ServiceId, ZoneId};
+use coursestand_routing::backends::ReportTrust;
+use coursestand_routing::cold::{ColdGate, ColdLimits, owner};
+use coursestand_routing::hash::hash_of;
+use coursestand_routing::picker::{Balance, Place};
+use coursestand_routing::shares::RegionShares;
+use coursestand_routing::split::SplitState;
+use coursestand_routing::{
+    Backends, LoadReport, PickRequest, Picker, Refusal, RetryBudget, RetryLimits, RouteTable,
+};
+use googletest::prelude::*;
+use proptest::prelude::*;
+
+const ZONES: [(&str, &str); 3] = [("a-1", "a"), ("b-1", "b"), ("c-1", "c")];
+
+fn place(region: &str) -> Place {
+    Place {
+        daemon: "edge-1".to_owned(),
+        region: RegionId::from(region),
+        zones: ZONES
+            .iter()
+            .map(|(zone, region)| (ZoneId::from(*zone), RegionId::from(*region)))
+            .collect(),
+        cold: ColdLimits {
+            overage: 1.5,
+            slack: 5.0,
+        },
+        balance: Balance {
+            soft_load: 1.2,
+            hard_load: 1.6,
+            trust: ReportTrust {
+                hold_ms: 250,
+                half_life_ms: 400,
+            },
+        },
+    }
+}
+
+fn news(id: &str, zone: &str) -> InstanceNews {
+    let host = (hash_of(id) % 250) as u8;
+    InstanceNews {
+        instance: Instance {
+            id: BackendId::from(id),
+            service: ServiceId::from("s"),
+            address: SocketAddr::from(([10, 0, (hash_of(id) >> 8) as u8, host], 80)),
+            zone: ZoneId::from(zone),
+            capacity: 4,
+            software: "v1".to_owned(),
+            sequence: 1,
+            phase: InstancePhase::Ready,
+        },
+        cold_ms: 0,
+    }
+}
+
+fn fleet(counts: &[(&str, usize)]) -> Backends {
+    let mut backends = Backends::default();
+    for (zone, count) in counts {
+        for number in 0..*count {
+            backends.merge(0, news(&format!("{zone}-i{number}"), zone));
+        }
+    }
+    backends
+}
+
+fn catalog() -> Catalog {
+    let mut catalog = Catalog::default();
+    let service = ServiceItem {
+        health_path: String::new(),
+        max_connections: 10,
+        cold_start_ms: 3_000,
+        cold_per_second: 9.0,
+        notation: String::new(),
+    };
+    let patch = Patch {
+        upserts: vec![Upsert {
+            key: ItemKey::Service(ServiceId::from("s")),
+            version: 1,
+            item: Item::Service(service),
+        }],
+        removals: Vec::new(),
+    };
+    catalog.merge(&patch, 1).expect("valid");
+    catalog
+}
+
+fn daemons() -> BTreeSet<String> {
+    (1..=12).map(|number| format!("edge-{number}")).collect()
+}
+
+struct Asking<'a> {
+    service: &'a ServiceId,
+    allowed: &'a [RegionId],
+    excluded: &'a [BackendId],
+}
+
+impl Asking<'_> {
+    fn of(&self, key: &str, now: u64) -> PickRequest<'_> {
+        PickRequest {
+            service: self.service,
+            key: hash_of(key),
+            allowed_regions: self.allowed,
+            excluded: self.excluded,
+            now,
+        }
+    }
+}
+
+fn pick(
+    picker: &mut Picker,
+    backends: &Backends,
+    key: &str,
+) -> std::result::Result<String, Refusal> {
+    let service = ServiceId::from("s");
+    let asking = Asking {
+        service: &service,
+        allowed: &[],
+        excluded: &[],
+    };
+    let picked = picker.pick(backends, &catalog(), &daemons(), &asking.of(key, 0));
+    picked.map(|pick| pick.id.0)
+}
+
+#[gtest]
+fn every_daemon_of_a_region_sends_a_key_to_the_same_back_end() {
+    let backends = fleet(&[("a-1", 5), ("b-1", 5), ("c-1", 5)]);
+    let mut first = Picker::new(place("a"));
+    let mut second = Picker::new(Place {
+        daemon: "edge-2".to_owned(),
+        ..place("a")
+    });
+    for number in 0..200 {
+        let key = number.to_string();
+        expect_that!(
+            pick(&mut first, &backends, &key),
+            eq(&pick(&mut second, &backends, &key))
+        );
+    }
+}
+
+#[gtest]
+fn a_back_end_that_leaves_moves_only_its_own_keys() {
+    let mut backends = fleet(&[("a-1", 5), ("b-1", 5), ("c-1", 5)]);
+    let mut picker = Picker::new(place("a"));
+    let keys: Vec<String> = (0..400).map(|number| number.to_string()).collect();
+    let before: Vec<_> = keys
+        .iter()
+        .map(|key| pick(&mut picker, &backends, key))
+        .collect();
+    let mut leaving = news("a-1-i0", "a-1");
+    leaving.instance.sequence = 2;
+    leaving.instance.phase = InstancePhase::Draining;
+    backends.merge(1, leaving);
+    let mut moved = 0;
+    for (key, before) in keys.iter().zip(&before) {
+        let after = pick(&mut picker, &backends, key);
+        expect_that!(after, not(eq(&Ok("a-1-i0".to_owned()))));
+        moved += usize::from(after != *before);
+    }
+    let had = before
+        .iter()
+        .filter(|id| **id == Ok("a-1-i0".to_owned()))
+        .count();
+    expect_that!(moved, eq(had));
+}
+
+#[gtest]
+fn a_full_service_refuses_and_does_not_spill_over_to_another_region() {
+    let mut backends = fleet(&[("a-1", 2), ("b-1", 4), ("c-1", 4)]);
+    let mut picker = Picker::new(place("b"));
+    let key = (0..100)
+        .map(|number| number.to_string())
+        .find(|key| pick(&mut picker, &backends, key).is_ok_and(|id| id.starts_with('b')))
+        .expect("a key of the region");
+    // Sixteen slots of the region in two ranks: both fill up, then it is busy.
+    let mut taken: HashMap<String, u32> = HashMap::new();
+    while let Ok(id) = pick(&mut picker, &backends, &key) {
+        backends.start(&BackendId::from(id.as_str()));
+        *taken.entry(id).or_default() += 1;
+    }
+    expect_that!(taken.len(), eq(2));
+    expect_that!(taken.keys().all(|id| id.starts_with('b')), eq(true));
+    expect_that!(pick(&mut picker, &backends, &key), eq(&Err(Refusal::Busy)));
+}
+
+#[gtest]
+fn a_region_without_back_ends_is_served_by_the_others() {
+    let backends = fleet(&[("b-1", 4), ("c-1", 4)]);
+    let mut picker = Picker::new(place("a"));
+    for number in 0..50 {
+        expect_that!(
+            pick(&mut picker, &backends, &number.to_string()),
+            ok(anything())
+        );
+    }
+    expect_that!(
+        pick(&mut picker, &Backends::default(), "1"),
+        eq(&Err(Refusal::NoBackend))
+    );
+}
+
+#[gtest]
+fn homes_and_evacuations_are_kept_to() {
+    let backends = fleet(&[("a-1", 3), ("b-1", 3), ("c-1", 3)]);
+    let mut catalog = catalog();
+    let service = ServiceId::from("s");
+    let allowed = [RegionId::from("b")];
+    let asking = Asking {
+        service: &service,
+        allowed: &allowed,
+        excluded: &[],
+    };
+    let mut picker = Picker::new(place("a"));
+    for number in 0..100 {
+        let request = asking.of(&number.to_string(), 0);
+        let picked = picker
+            .pick(&backends, &catalog, &daemons(), &request)
+            .expect("a pick");
+        expect_that!(picked.id.as_str(), starts_with("b-1"));
+    }
+    catalog.set_evacuation(&ZoneId::from("b-1"), true, 2);
+    picker.invalidate(1);
+    let refused = picker.pick(&backends, &catalog, &daemons(), &asking.of("1", 1));
+    expect_that!(refused, eq(&Err(Refusal::NoBackend)));
+}
+
+#[gtest]
+fn a_report_of_load_counts_and_fades() {
+    let mut backends = fleet(&[("a-1", 1), ("b-1", 1), ("c-1", 1)]);
+    let id = BackendId::from("a-1-i0");
+    backends.start(&id);
+    let report = LoadReport {
+        running: 4,
+        waiting: 3,
+    };
+    backends.note_answer(1_000, &id, Some(report));
+    backends.finish(&id);
+    let trust = place("a").balance.trust;
+    let load = |now| backends.get(&id).expect("known").load(now, trust);
+    expect_that!(load(1_200), near(6.0, 0.01));
+    expect_that!(load(1_650), near(3.0, 0.01));
+    expect_that!(load(10_000), lt(0.1));
+}
+
+proptest! {
+    #[test]
+    fn shares_sum_up_and_put_the_home_first(
+        own in 0..3_usize,
+        capacity in proptest::collection::vec(0..40_u32, 3),
+    ) {
+        let regions = ["a", "b", "c"];
+        let capacities: BTreeMap<RegionId, f64> = regions
+            .iter()
+            .zip(&capacity)
+            .filter(|(_, capacity)| **capacity > 0)
+            .map(|(region, capacity)| (RegionId::from(*region), f64::from(*capacity)))
+            .collect();
+        let shares = RegionShares::new(&RegionId::from(regions[own]), &capacities, 3);
+        let total: f64 = shares.iter().map(|(_, share)| share).sum();
+        if capacities.is_empty() {
+            prop_assert_eq!(total, 0.0);
+        } else {
+            prop_assert!((total - 1.0).abs() < 1e-9);
+        }
+        // No region gets more than its back ends' part of all demand.
+        let all: f64 = capacities.values().sum();
+        for (region, capacity) in &capacities {
+            let taken: f64 = regions
+                .iter()
+                .map(|from| {
+                    let shares = RegionShares::new(&RegionId::from(*from), &capacities, 3);
+                    shares.iter().filter(|(to, _)| to == region).map(|(_, share)| share / 3.0).sum::<f64>()
+                })
+                .sum();
+            prop_assert!(taken <= capacity / all + 1e-9);
+        }
+    }
+
+    /// Whatever each daemon does, the retries of all in any window stay within
+    /// the bound on their sum.
+    #[test]
+    fn retries_sum_up_within_the_bound(
+        daemons in 1..40_usize,
+        steps in proptest::collection::vec((0..40_usize, any::<bool>()), 1..600),
+    ) {
+        let limits = RetryLimits { ratio: 0.2, extra: 64.0, window_ms: 10_000 };
+        let mut budgets = vec![RetryBudget::new(limits, daemons); daemons];
+        let (mut requests, mut retries) = (0.0, 0.0);
+        for (daemon, is_request) in steps {
+            let budget = &mut budgets[daemon % daemons];
+            if is_request {
+                budget.earn(limits, daemons);
+                requests += 1.0;
+            } else if budget.spend() {
+                retries += 1.0;
+            }
+        }
+        prop_assert!(retries <= limits.ratio * requests + limits.extra);
+    }
+
+    /// Two daemons that both believe to own a cold back end stay within what it
+    /// bears in any second.
+    #[test]
+    fn two_owners_stay_within_what_a_cold_back_end_bears(
+        per_second in 1.0..200.0_f64,
+        times in proptest::collection::vec(0..5_000_u64, 1..800),
+    ) {
+        let limits = ColdLimits { overage: 1.5, slack: 5.0 };
+        let share = limits.share_of_owner(per_second);
+        let id = BackendId::from("i");
+        let mut times = times;
+        times.sort_unstable();
+        let mut gates = [ColdGate::default(), ColdGate::default()];
+        let mut sent = Vec::new();
+        for (number, at) in times.into_iter().enumerate() {
+            let gate = &mut gates[number % 2];
+            if gate.has_room(at, &id, share) {
+                gate.note(at, &id);
+                sent.push(at);
+            }
+        }
+        for from in &sent {
+            let window = sent.iter().filter(|at| **at >= *from && **at < from + 1_000).count();
+            prop_assert!(window as f64 <= per_second * limits.overage + limits.slack);
+        }
+    }
+
+    #[test]
+    fn a_split_divides_evenly_over_any_stretch(
+        weights in proptest::collection::vec(1..100_u32, 1..5),
+        rounds in 100..400_usize,
+    ) {
+        let mut state = SplitState::default();
+        let mut counts = vec![0_u32; weights.len()];
+        for _ in 0..rounds {
+            counts[state.next(&weights)] += 1;
+        }
+        let total: u32 = weights.iter().sum();
+        for (count, weight) in counts.iter().zip(&weights) {
+            let expected = rounds as f64 * f64::from(*weight) / f64::from(total);
+            prop_assert!((f64::from(*count) - expected).abs() <= weights.len() as f64);
+        }
+    }
+
+    /// The longest prefix, as a naive search finds it.
+    #[test]
+    fn the_longest_prefix_wins(
+        prefixes in proptest::collection::btree_set("(/[ab]){1,4}/", 1..8),
+        path in "(/[ab]){1,6}/x",
+    ) {
+        let mut catalog = catalog();
+        for (number, prefix) in prefixes.iter().enumerate() {
+            let route = Route {
+                host: "h".to_owned(),
+                path_prefix: prefix.clone(),
+                kind: RouteKind::Once,
+                timeout_ms: 1_000,
+                target_latency_ms: 100,
+                priority: 0,
+                target: RouteTarget::Service(ServiceId::from("s")),
+                max_attempts: 1,
+                affinity: false,
+                allowed_regions: Vec::new(),
+                notation: String::new(),
+            };
+            let patch = Patch {
+                upserts: vec![Upsert {
+                    key: ItemKey::Route(format!("r{number}")),
+                    version: 1,
+                    item: Item::Route(route),
+                }],
+                removals: Vec::new(),
+            };
+            catalog.merge(&patch, number as u64 + 2).expect("valid");
+        }
+        let naive = prefixes
+            .iter()
+            .filter(|prefix| path.starts_with(prefix.as_str()))
+            .max_by_key(|prefix| prefix.len());
+        let table = RouteTable::new(&catalog);
+        let found = table.find("H:8080", &path).map(|entry| entry.route.path_prefix.clone());
+        prop_assert_eq!(found.as_ref(), naive);
+        prop_assert!(table.find("other", &path).is_none());
+    }
+}
+
+#[gtest]
+fn a_cold_back_end_has_one_owner_and_others_send_it_nothing() {
+    let mut backends = Backends::default();
+    let mut cold = news("a-1-i0", "a-1");
+    cold.cold_ms = 3_000;
+    backends.merge(0, cold);
+    let names = daemons();
+    let id = BackendId::from("a-1-i0");
+    let owning = owner(&id, names.iter().map(String::as_str))
+        .expect("an owner")
+        .to_owned();
+    for name in &names {
+        let mut picker = Picker::new(Place {
+            daemon: name.clone(),
+            ..place("a")
+        });
+        let result = pick(&mut picker, &backends, "k");
+        expect_that!(result.is_ok(), eq(*name == owning));
+    }
+}
