Test the request path against back ends that misbehave on order

Ruled out: extending the lab's HTTP back end for this: its library can't cut, double or spoil an answer; a scripted one on raw sockets can.

--- a/crates/coursestand-lab/src/lib.rs
+++ b/crates/coursestand-lab/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod records;
 pub mod report;
 pub mod scale;
+pub mod scripted;
 pub mod verdict;
 
 pub use deployment::Deployment;
--- /dev/null
+++ b/crates/coursestand-proxy/tests/common/mod.rs
@@ -0,0 +1,326 @@
+//! An entry daemon's request path in front of scripted back ends, and a caller on
+//! a raw socket.
+#![allow(dead_code, missing_docs)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coursestand_catalog::patch::Upsert;
+use coursestand_catalog::{
+    Catalog, Item, ItemKey, Limits, Patch, Route, RouteKind, RouteTarget, ServiceItem,
+};
+use coursestand_discovery::{Instance, InstanceNews, InstancePhase};
+use coursestand_kernel::MonotonicClock;
+use coursestand_lab::scripted::{Behaviour, ScriptedBackend};
+use coursestand_model::{BackendId, RegionId, ServiceId, ZoneId};
+use coursestand_proxy::edge_state::EdgeBounds;
+use coursestand_proxy::metrics::ProxyMetrics;
+use coursestand_proxy::phases::RequestPhases;
+use coursestand_proxy::pool::Pool;
+use coursestand_proxy::router::Router;
+use coursestand_proxy::{EdgeState, Exchange, HeaderNames, ProxyServer};
+use coursestand_routing::RetryLimits;
+use coursestand_routing::backends::ReportTrust;
+use coursestand_routing::cold::ColdLimits;
+use coursestand_routing::picker::{Balance, Place};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+pub const MAX_BODY: u64 = 4_000_000;
+/// Statuses that promise that a request was not run.
+pub const PROMISES: [u16; 4] = [408, 421, 429, 503];
+/// Generous: nothing here should come near it.
+pub const WITHIN: Duration = Duration::from_secs(20);
+
+pub struct Edge {
+    pub state: Arc<EdgeState>,
+    pub exchange: Arc<Exchange>,
+    pub server: Arc<ProxyServer>,
+    pub backends: Vec<ScriptedBackend>,
+}
+
+/// Routes `/safe/` and `/once/` to one service, with these attempts and time-out.
+#[derive(Clone, Copy)]
+pub struct Rules {
+    pub max_attempts: u32,
+    pub timeout_ms: u64,
+    pub retry_extra: f64,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Rules {
+            max_attempts: 2,
+            timeout_ms: 5_000,
+            retry_extra: 100.0,
+        }
+    }
+}
+
+fn route(name: &str, kind: RouteKind, rules: Rules) -> Upsert {
+    Upsert {
+        key: ItemKey::Route(name.to_owned()),
+        version: 1,
+        item: Item::Route(Route {
+            host: "h.example".to_owned(),
+            path_prefix: format!("/{name}/"),
+            kind,
+            timeout_ms: rules.timeout_ms,
+            target_latency_ms: 100,
+            priority: 0,
+            target: RouteTarget::Service(ServiceId::from("s")),
+            max_attempts: rules.max_attempts,
+            affinity: true,
+            allowed_regions: Vec::new(),
+            notation: String::new(),
+        }),
+    }
+}
+
+fn catalog(rules: Rules) -> Catalog {
+    let service = Upsert {
+        key: ItemKey::Service(ServiceId::from("s")),
+        version: 1,
+        item: Item::Service(ServiceItem {
+            health_path: String::new(),
+            max_connections: 10,
+            cold_start_ms: 0,
+            cold_per_second: 9.0,
+            notation: String::new(),
+        }),
+    };
+    let limits = Upsert {
+        key: ItemKey::Limits,
+        version: 1,
+        item: Item::Limits(Limits {
+            max_header_bytes: 16_384,
+            max_body_bytes: MAX_BODY,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+            notation: String::new(),
+        }),
+    };
+    let patch = Patch {
+        upserts: vec![
+            service,
+            limits,
+            route("safe", RouteKind::Repeatable, rules),
+            route("once", RouteKind::Once, rules),
+        ],
+        removals: Vec::new(),
+    };
+    let mut catalog = Catalog::default();
+    catalog.merge(&patch, 1).expect("valid");
+    catalog
+}
+
+pub fn news(number: usize, address: SocketAddr, phase: InstancePhase) -> InstanceNews {
+    InstanceNews {
+        instance: Instance {
+            id: BackendId(format!("i-{number}")),
+            service: ServiceId::from("s"),
+            address,
+            zone: ZoneId::from("z"),
+            capacity: 4,
+            software: "v1".to_owned(),
+            sequence: if phase == InstancePhase::Ready { 1 } else { 2 },
+            phase,
+        },
+        cold_ms: 0,
+    }
+}
+
+pub fn empty_state(rules: Rules) -> Arc<EdgeState> {
+    let place = Place {
+        daemon: "edge-1".to_owned(),
+        region: RegionId::from("r"),
+        zones: BTreeMap::from([(ZoneId::from("z"), RegionId::from("r"))]),
+        cold: ColdLimits {
+            overage: 1.5,
+            slack: 5.0,
+        },
+        balance: Balance {
+            soft_load: 1.2,
+            hard_load: 1.6,
+            trust: ReportTrust {
+                hold_ms: 250,
+                half_life_ms: 400,
+            },
+        },
+    };
+    let bounds = EdgeBounds {
+        retries: RetryLimits {
+            ratio: 0.2,
+            extra: rules.retry_extra,
+            window_ms: 10_000,
+        },
+        busy_pause: Duration::from_millis(150),
+        settle_ms: 1_000,
+    };
+    Arc::new(EdgeState::new(MonotonicClock::default(), place, bounds))
+}
+
+pub async fn server_of(phases: Arc<dyn RequestPhases>) -> (Arc<Exchange>, Arc<ProxyServer>) {
+    let metrics = ProxyMetrics::new(&prometheus::Registry::new()).expect("metrics");
+    let pool = Arc::new(Pool::default());
+    let exchange = Arc::new(Exchange::new(phases, HeaderNames::default(), pool, metrics));
+    exchange.set_max_body_bytes(MAX_BODY);
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = ProxyServer::start(address, Arc::clone(&exchange)).await;
+    (exchange, Arc::new(server.expect("a server")))
+}
+
+impl Edge {
+    /// One back end for each script; after its script each does its last word.
+    pub async fn start(rules: Rules, scripts: Vec<(Vec<Behaviour>, Behaviour)>) -> Edge {
+        Edge::start_with(rules, scripts, |state| Arc::new(Router::new(state))).await
+    }
+
+    pub async fn start_with(
+        rules: Rules,
+        scripts: Vec<(Vec<Behaviour>, Behaviour)>,
+        phases: impl FnOnce(Arc<EdgeState>) -> Arc<dyn RequestPhases>,
+    ) -> Edge {
+        let state = empty_state(rules);
+        state.adopt_catalog(catalog(rules).delta(0));
+        let mut backends = Vec::new();
+        for (number, (script, otherwise)) in scripts.into_iter().enumerate() {
+            let backend = ScriptedBackend::start(script, otherwise)
+                .await
+                .expect("a back end");
+            state.adopt_instances(vec![news(number, backend.address(), InstancePhase::Ready)]);
+            backends.push(backend);
+        }
+        let (exchange, server) = server_of(phases(Arc::clone(&state))).await;
+        Edge {
+            state,
+            exchange,
+            server,
+            backends,
+        }
+    }
+
+    pub fn runs_of(&self, id: &str) -> usize {
+        self.backends
+            .iter()
+            .flat_map(ScriptedBackend::runs)
+            .filter(|run| run.id == id)
+            .count()
+    }
+
+    pub fn arrivals(&self) -> usize {
+        self.backends.iter().map(ScriptedBackend::arrivals).sum()
+    }
+
+    pub async fn ask(&self, path: &str, id: &str) -> Answer {
+        let mut caller = Caller::connect(self.server.address()).await;
+        caller.ask(path, id, "").await
+    }
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Answer {
+    /// 0 when the connection ended without an answer.
+    pub status: u16,
+    pub head: String,
+    pub body: String,
+    /// Whether all bytes of the length that was told came.
+    pub is_whole: bool,
+}
+
+impl Answer {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head
+            .lines()
+            .filter_map(|line| line.split_once(':'))
+            .find(|(key, _)| key.eq_ignore_ascii_case(name))
+            .map(|(_, value)| value.trim())
+    }
+}
+
+pub struct Caller {
+    stream: TcpStream,
+    unread: Vec<u8>,
+}
+
+impl Caller {
+    pub async fn connect(address: SocketAddr) -> Caller {
+        Caller {
+            stream: TcpStream::connect(address).await.expect("connected"),
+            unread: Vec::new(),
+        }
+    }
+
+    pub async fn send(&mut self, path: &str, id: &str, headers: &str, body: &[u8]) {
+        let names = HeaderNames::default();
+        let method = if path.starts_with("/once/") {
+            "POST"
+        } else {
+            "GET"
+        };
+        let (length, body) = match method {
+            "GET" => (String::new(), &b""[..]),
+            _ => (format!("content-length: {}\r\n", body.len()), body),
+        };
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nhost: h.example\r\n{}: {id}\r\n{}: k\r\n{headers}{length}\r\n",
+            names.request_id, names.affinity_key
+        );
+        // The daemon may answer and close before it has read everything.
+        let _ = self.stream.write_all(head.as_bytes()).await;
+        let _ = self.stream.write_all(body).await;
+    }
+
+    pub async fn ask(&mut self, path: &str, id: &str, headers: &str) -> Answer {
+        self.send(path, id, headers, b"a body").await;
+        self.receive().await
+    }
+
+    pub async fn receive(&mut self) -> Answer {
+        tokio::time::timeout(WITHIN, self.read_answer())
+            .await
+            .expect("an answer or an end in time")
+    }
+
+    async fn read_more(&mut self) -> bool {
+        let mut piece = [0; 4096];
+        match self.stream.read(&mut piece).await {
+            Ok(count) if count > 0 => {
+                self.unread.extend_from_slice(&piece[..count]);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    async fn read_answer(&mut self) -> Answer {
+        let end = loop {
+            if let Some(end) = self.unread.windows(4).position(|four| four == b"\r\n\r\n") {
+                break end;
+            }
+            if !self.read_more().await {
+                return Answer::default();
+            }
+        };
+        let head = String::from_utf8_lossy(&self.unread[..end]).into_owned();
+        self.unread.drain(..end + 4);
+        let mut answer = Answer {
+            status: head[9..12].parse().expect("a status"),
+            head,
+            ..Answer::default()
+        };
+        let length: usize = answer
+            .header("content-length")
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0);
+        while self.unread.len() < length && self.read_more().await {}
+        let got = length.min(self.unread.len());
+        let body: Vec<u8> = self.unread.drain(..got).collect();
+        answer.body = String::from_utf8_lossy(&body).into_owned();
+        answer.is_whole = got == length;
+        answer
+    }
+}
