Test the fleet's nodes on loopback addresses; let a newcomer find the leader

Cause: a replica that replaces another asked only the seeds to be taken in.

Ruled out: time-outs of the requests to join (raised as well, from 2 to 4 s, since an asked process that is dead holds the round up for 1.5 s; alone that changed nothing).

Change: a process that does not lead names the members, and the newcomer asks those. Stopping a node ends its tasks and connections, so that a stop in a test is like a crash.

--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -126,6 +126,13 @@
         }
     }
 
+    async fn stop(&self) {
+        let mut servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
+        for server in servers.drain(..) {
+            server.abort();
+        }
+    }
+
     fn dump(&self) -> Value {
         json!({ "lookup_ttl_ms": lookup_ttl(&self.settings) })
     }
--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -43,7 +43,7 @@
     settings: FleetSettings,
     clock: MonotonicClock,
     seeds: watch::Receiver<Vec<SocketAddr>>,
-    tasks: Tasks,
+    tasks: Arc<Tasks>,
     driver: Mutex<Option<JoinHandle<()>>>,
     mesh: Mutex<Option<Arc<ControlMesh>>>,
 }
@@ -59,7 +59,7 @@
             settings,
             clock,
             seeds,
-            tasks: Tasks::default(),
+            tasks: Arc::default(),
             driver: Mutex::new(None),
             mesh: Mutex::new(None),
         }
@@ -109,6 +109,7 @@
         let links = Arc::new(PeerLinks::new(
             own,
             Arc::new(move || snapshot_hub.snapshot()),
+            Arc::clone(&self.tasks),
         ));
         let shared = Arc::new(ControlShared::new(self.clock));
         let (events, incoming) = channel();
@@ -132,7 +133,8 @@
             hub: Arc::clone(&hub),
             formation: Arc::clone(&formation),
         });
-        self.tasks.start(accept(listener, serving));
+        let accepting = accept(listener, serving, Arc::clone(&self.tasks));
+        self.tasks.start(accepting);
         self.tasks.start(formation.run());
         self.tasks.start(run_hub(Arc::clone(&hub)));
         let mesh = Arc::new(ControlMesh {
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -213,6 +213,7 @@
         self.tasks.abort();
         if let Some(running) = self.running() {
             running.ready.abort();
+            running.server.abort();
         }
     }
 
--- a/crates/coursestand-daemon/src/fleet/formation.rs
+++ b/crates/coursestand-daemon/src/fleet/formation.rs
@@ -31,7 +31,7 @@
 /// Longest wait for an answer or a change.
 const LIMIT: Duration = Duration::from_millis(1_500);
 /// A request to join counts for this long.
-const JOIN_LIFETIME_MS: Millis = 2_000;
+const JOIN_LIFETIME_MS: Millis = 4_000;
 /// A member heard within this time is alive.
 const ALIVE_MS: Millis = 1_000;
 /// A voter silent for this long may be removed when enough others are alive.
@@ -105,7 +105,8 @@
     /// A replica asks to be taken in. It asks again until it is.
     pub fn admit(&self, address: SocketAddr, replica: u64) -> Answer {
         if self.control.shared.leading_term().is_none() {
-            return Answer::NotLeader;
+            // The seeds of the one that asks may not hold the leader.
+            return Answer::AskThese(self.member_addresses().into_iter().collect());
         }
         let membership = self.control.shared.membership();
         let identity = self.control.shared.status().identity;
@@ -129,7 +130,7 @@
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .insert(address, request);
-        Answer::NotLeader
+        Answer::AskThese(Vec::new())
     }
 
     /// Works until it is dropped.
@@ -153,16 +154,17 @@
         }
     }
 
+    fn member_addresses(&self) -> BTreeSet<SocketAddr> {
+        let membership = self.control.shared.membership();
+        let members = membership.members.values();
+        members
+            .filter_map(|member| member.address.parse().ok())
+            .collect()
+    }
+
     /// Keeps connections to the seeds and to all members.
     fn keep_links(&self) {
-        let members: BTreeSet<SocketAddr> = self
-            .control
-            .shared
-            .membership()
-            .members
-            .values()
-            .filter_map(|member| member.address.parse().ok())
-            .collect();
+        let members = self.member_addresses();
         if let Some(links) = self.links() {
             for seed in self.seeds.borrow().iter() {
                 links.keep(*seed);
@@ -231,13 +233,19 @@
             .into_iter()
             .map(|address| links.ask(address, question.clone(), LIMIT));
         let answers = futures::future::join_all(asked).await;
-        answers
-            .into_iter()
-            .flatten()
-            .find_map(|answer| match answer {
-                Answer::Joined { cluster, voters } => Some((cluster, voters)),
-                _ => None,
-            })
+        let mut joined = None;
+        for answer in answers.into_iter().flatten() {
+            match answer {
+                Answer::Joined { cluster, voters } => joined = Some((cluster, voters)),
+                Answer::AskThese(members) => {
+                    for member in members {
+                        links.keep(member);
+                    }
+                }
+                _ => {}
+            }
+        }
+        joined
     }
 
     /// Makes one change of the group, if one is due.
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -7,6 +7,7 @@
 use coursestand_catalog::Catalog;
 use coursestand_coordination::{Command, CommandAnswer};
 use coursestand_discovery::EdgeRecord;
+use coursestand_kernel::Tasks;
 use coursestand_transport::stream::{self, Receiver, Sender, StreamError};
 use log::{debug, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -39,13 +40,13 @@
     pub formation: Arc<Formation>,
 }
 
-/// Accepts connections until it is dropped.
-pub async fn accept(listener: TcpListener, serving: Arc<Serving>) {
+/// Accepts connections until it is dropped; they live as long as `tasks`.
+pub async fn accept(listener: TcpListener, serving: Arc<Serving>, tasks: Arc<Tasks>) {
     loop {
         match listener.accept().await {
             Ok((connection, _)) => {
                 let serving = Arc::clone(&serving);
-                tokio::spawn(async move {
+                tasks.start(async move {
                     if let Err(error) = serve(connection, &serving).await {
                         debug!(target: LOG, "a connection ended: {error}");
                     }
--- a/crates/coursestand-daemon/src/fleet/peer_links.rs
+++ b/crates/coursestand-daemon/src/fleet/peer_links.rs
@@ -8,6 +8,7 @@
 
 use coursestand_consensus::{Membership, Message, ReplicaId};
 use coursestand_discovery::InstanceNews;
+use coursestand_kernel::Tasks;
 use coursestand_transport::stream::{self, StreamError};
 use log::{debug, info};
 use tokio::sync::{mpsc, oneshot};
@@ -43,17 +44,20 @@
     links: Mutex<BTreeMap<SocketAddr, Arc<PeerLink>>>,
     numbers: AtomicU64,
     runtime: tokio::runtime::Handle,
+    tasks: Arc<Tasks>,
 }
 
 impl PeerLinks {
-    /// No connections yet; each starts with what `snapshot` gives.
-    pub fn new(own: SocketAddr, snapshot: Snapshot) -> PeerLinks {
+    /// No connections yet; each starts with what `snapshot` gives, and lives as
+    /// long as `tasks`.
+    pub fn new(own: SocketAddr, snapshot: Snapshot, tasks: Arc<Tasks>) -> PeerLinks {
         PeerLinks {
             own,
             snapshot,
             links: Mutex::default(),
             numbers: AtomicU64::new(1),
             runtime: tokio::runtime::Handle::current(),
+            tasks,
         }
     }
 
@@ -85,7 +89,9 @@
                 self.own,
                 Arc::clone(&self.snapshot),
             );
-            self.runtime.spawn(task);
+            // The driver's thread sends too, and has no runtime of its own.
+            let _entered = self.runtime.enter();
+            self.tasks.start(task);
             link
         });
         Arc::clone(link)
--- a/crates/coursestand-daemon/src/fleet/wire.rs
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -106,6 +106,8 @@
     },
     /// The asked process doesn't lead.
     NotLeader,
+    /// The replica is not a member yet; the leader is one of these.
+    AskThese(Vec<SocketAddr>),
     /// It is not known whether the command took effect.
     Unknown(String),
 }
--- /dev/null
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -0,0 +1,427 @@
+//! A fleet in this process: each node has a loopback address of its own, all the
+//! same ports, as on real machines.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU8, Ordering};
+use std::time::Duration;
+
+use coursestand_catalog::patch::Upsert;
+use coursestand_catalog::{
+    Item, ItemKey, Limits, Patch, Route, RouteKind, RouteTarget, ServiceItem,
+};
+use coursestand_daemon::fleet::Node;
+use coursestand_dialect::Native;
+use coursestand_discovery::{Instance, InstanceNews, InstancePhase};
+use coursestand_model::fleet::{
+    BalanceSettings, FleetBounds, FleetControlSettings, FleetEdgeSettings, FleetSettings,
+};
+use coursestand_model::{BackendId, RegionId, ServiceId, Span, ZoneId};
+use serde_json::Value;
+
+/// Generous: nothing here should come near it.
+pub const WITHIN: Duration = Duration::from_secs(40);
+const LOOK: Duration = Duration::from_millis(50);
+
+const INTERNAL: usize = 0;
+const CONTROL: usize = 1;
+const LOOKUP: usize = 2;
+const ADMIN: usize = 3;
+const FRONT: usize = 4;
+const READY: usize = 5;
+const PORTS: usize = 6;
+
+/// Each deployment has a network of its own, so that tests can run side by side.
+static NETWORKS: AtomicU8 = AtomicU8::new(1);
+
+pub struct Deployment {
+    network: u8,
+    ports: [u16; PORTS],
+    seeds: Vec<u8>,
+    folder: tempfile::TempDir,
+    pub nodes: BTreeMap<u8, Node>,
+    pub http: reqwest::Client,
+}
+
+/// Free ports, given by the system. They are held until all are known.
+fn free_ports() -> [u16; PORTS] {
+    let held: Vec<TcpListener> = (0..PORTS)
+        .map(|_| TcpListener::bind("127.0.0.1:0").expect("a port"))
+        .collect();
+    let ports: Vec<u16> = held
+        .iter()
+        .map(|held| held.local_addr().expect("an address").port())
+        .collect();
+    ports.try_into().expect("as many as asked for")
+}
+
+impl Deployment {
+    pub fn new(seeds: &[u8]) -> Deployment {
+        // Another test process may use the same networks, with other ports.
+        let network = NETWORKS.fetch_add(1, Ordering::Relaxed);
+        Deployment {
+            network,
+            ports: free_ports(),
+            seeds: seeds.to_vec(),
+            folder: tempfile::tempdir().expect("a folder"),
+            nodes: BTreeMap::new(),
+            http: reqwest::Client::builder()
+                .timeout(Duration::from_secs(3))
+                // A stopped node's connections live on in this process.
+                .pool_max_idle_per_host(0)
+                .build()
+                .expect("a client"),
+        }
+    }
+
+    fn ip(&self, host: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, 77, self.network, host))
+    }
+
+    fn address(&self, host: u8, port: usize) -> SocketAddr {
+        SocketAddr::new(self.ip(host), self.ports[port])
+    }
+
+    pub fn data_folder(&self, host: u8) -> PathBuf {
+        self.folder.path().join(host.to_string())
+    }
+
+    fn settings(&self, host: u8, bootstrap: bool) -> FleetSettings {
+        FleetSettings {
+            name: format!("node-{host}"),
+            zone: ZoneId::from("z-1"),
+            region: RegionId::from("z"),
+            zones: BTreeMap::from([(ZoneId::from("z-1"), RegionId::from("z"))]),
+            ip: self.ip(host),
+            internal_ports: (self.ports[INTERNAL], self.ports[INTERNAL]),
+            seeds: self
+                .seeds
+                .iter()
+                .map(|seed| self.address(*seed, CONTROL))
+                .collect(),
+            bootstrap,
+            admin_listen: self.address(host, ADMIN),
+            log_level: "info".to_owned(),
+            control: None,
+            edge: None,
+            bounds: FleetBounds {
+                lost_disks: 2,
+                heartbeat: Span(1_500),
+                stop: Span(4_000),
+                lookup_ttl: Span(5_000),
+                retry_ratio: 0.2,
+                retry_extra: 64.0,
+                retry_window: Span(10_000),
+                cold_overage: 1.5,
+                cold_slack: 5.0,
+            },
+            balance: BalanceSettings::default(),
+        }
+    }
+
+    pub async fn start_control(&mut self, host: u8, bootstrap: bool) {
+        std::fs::create_dir_all(self.data_folder(host)).expect("a folder");
+        let mut settings = self.settings(host, bootstrap);
+        settings.control = Some(FleetControlSettings {
+            listen: self.address(host, CONTROL),
+            lookup_listen: self.address(host, LOOKUP),
+            data_folder: self.data_folder(host),
+        });
+        self.start(host, settings).await;
+    }
+
+    pub async fn start_edge(&mut self, host: u8) {
+        let mut settings = self.settings(host, false);
+        settings.edge = Some(FleetEdgeSettings {
+            listen: self.address(host, FRONT),
+            ready_listen: self.address(host, READY),
+        });
+        self.start(host, settings).await;
+    }
+
+    async fn start(&mut self, host: u8, settings: FleetSettings) {
+        // The sockets of an earlier run may take a moment to close.
+        let started = std::time::Instant::now();
+        let node = loop {
+            match Node::start(&settings, None, Arc::new(Native)).await {
+                Ok(node) => break node,
+                Err(error) if started.elapsed() < WITHIN => {
+                    log::debug!("not started yet: {error}");
+                    tokio::time::sleep(LOOK).await;
+                }
+                Err(error) => panic!("node {host} does not start: {error}"),
+            }
+        };
+        self.nodes.insert(host, node);
+    }
+
+    /// Ends a node at once, as a crash would.
+    pub async fn stop(&mut self, host: u8) {
+        let node = self.nodes.remove(&host).expect("it runs");
+        node.stop().await;
+    }
+
+    /// Ends a node and empties its disk.
+    pub async fn wipe(&mut self, host: u8) {
+        self.stop(host).await;
+        std::fs::remove_dir_all(self.data_folder(host)).expect("removed");
+    }
+
+    /// Voters as `host` knows them, by address, once it knows a leader and is one
+    /// of them under its present identity.
+    pub fn voters(&self, host: u8) -> Vec<String> {
+        let dump = self.nodes[&host].kernel().dump();
+        let replica = &dump["hub"]["replica"];
+        if replica["leader"].is_null() {
+            return Vec::new();
+        }
+        let members = replica["members"].as_array().cloned().unwrap_or_default();
+        let own = &replica["identity"]["replica"];
+        let is_voter = members
+            .iter()
+            .any(|member| member["replica"] == *own && member["voter"] == true);
+        if !is_voter {
+            return Vec::new();
+        }
+        let mut voters: Vec<String> = members
+            .iter()
+            .filter(|member| member["voter"] == true)
+            .filter_map(|member| member["address"].as_str().map(str::to_owned))
+            .collect();
+        voters.sort();
+        voters
+    }
+
+    /// Waits until these hosts, and no others, are the voters that each of them
+    /// knows.
+    pub async fn wait_for_voters(&self, hosts: &[u8]) {
+        let mut expected: Vec<String> = hosts
+            .iter()
+            .map(|host| self.address(*host, INTERNAL).to_string())
+            .collect();
+        expected.sort();
+        self.wait_until(&format!("voters {hosts:?}"), || {
+            hosts.iter().all(|host| self.voters(*host) == expected)
+        })
+        .await;
+    }
+
+    pub async fn wait_until(&self, what: &str, is_so: impl Fn() -> bool) {
+        let started = std::time::Instant::now();
+        while !is_so() {
+            if started.elapsed() > WITHIN {
+                let dumps: Vec<Value> = self
+                    .nodes
+                    .values()
+                    .map(|node| node.kernel().dump())
+                    .collect();
+                panic!("not in time: {what}; {dumps:#?}");
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Sends a change until it gets a clear answer, to one host after another.
+    pub async fn patch(&self, hosts: &[u8], patch: &Patch) -> u16 {
+        let started = std::time::Instant::now();
+        for host in hosts.iter().cycle() {
+            let url = format!("http://{}/v1/catalog", self.address(*host, CONTROL));
+            let body = serde_json::to_string(patch).expect("JSON");
+            if let Ok(answer) = self.http.post(url).body(body).send().await
+                && answer.status() != 503
+            {
+                return answer.status().as_u16();
+            }
+            assert!(started.elapsed() < WITHIN, "no clear answer");
+            tokio::time::sleep(LOOK).await;
+        }
+        0
+    }
+
+    /// Sends a body as a change, once. 0 when there is no answer.
+    pub async fn try_patch(&self, host: u8, body: &str) -> u16 {
+        let url = format!("http://{}/v1/catalog", self.address(host, CONTROL));
+        let answer = self.http.post(url).body(body.to_owned()).send().await;
+        answer.map_or(0, |answer| answer.status().as_u16())
+    }
+
+    /// Names and versions of the items as `host` reads them, once it can.
+    pub async fn read(&self, host: u8) -> BTreeMap<String, u64> {
+        let started = std::time::Instant::now();
+        loop {
+            let url = format!("http://{}/v1/catalog", self.address(host, CONTROL));
+            if let Ok(answer) = self.http.get(url).send().await
+                && answer.status() == 200
+            {
+                let value: Value =
+                    serde_json::from_str(&answer.text().await.expect("a body")).expect("JSON");
+                let items = value["items"].as_array().cloned().unwrap_or_default();
+                return items
+                    .iter()
+                    .map(|item| {
+                        let version = item["version"].as_u64().unwrap_or_default();
+                        (item["key"].to_string(), version)
+                    })
+                    .collect();
+            }
+            if started.elapsed() > WITHIN {
+                let dumps: Vec<Value> = self
+                    .nodes
+                    .values()
+                    .map(|node| node.kernel().dump()["hub"]["replica"].clone())
+                    .collect();
+                panic!("the catalog can't be read at {host}; {dumps:#?}");
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    pub async fn heartbeat(&self, host: u8, news: &InstanceNews) -> u16 {
+        let id = &news.instance.id;
+        let url = format!("http://{}/v1/instances/{id}", self.address(host, CONTROL));
+        let body = serde_json::to_string(news).expect("JSON");
+        let answer = self.http.post(url).body(body).send().await;
+        answer.map_or(0, |answer| answer.status().as_u16())
+    }
+
+    pub async fn evacuate(&self, host: u8, zone: &str) -> u16 {
+        let url = format!(
+            "http://{}/v1/evacuations/{zone}",
+            self.address(host, CONTROL)
+        );
+        let answer = self.http.put(url).send().await;
+        answer.map_or(0, |answer| answer.status().as_u16())
+    }
+
+    pub async fn lookup(&self, host: u8) -> Vec<String> {
+        let address = self.address(host, LOOKUP);
+        let url = format!("http://{address}/v1/entry-daemons?region=z&zone=z-1");
+        let Ok(answer) = self.http.get(url).send().await else {
+            return Vec::new();
+        };
+        let text = answer.text().await.unwrap_or_default();
+        let value: Value = serde_json::from_str(&text).unwrap_or_default();
+        let addresses = value["addresses"].as_array().cloned().unwrap_or_default();
+        addresses
+            .iter()
+            .filter_map(|address| address.as_str().map(str::to_owned))
+            .collect()
+    }
+
+    pub fn front(&self, host: u8) -> SocketAddr {
+        self.address(host, FRONT)
+    }
+
+    pub async fn request(&self, host: u8, path: &str, id: &str) -> u16 {
+        let url = format!("http://{}{path}", self.front(host));
+        let request = self
+            .http
+            .get(url)
+            .header("host", "h.example")
+            .header("x-request-id", id)
+            .header("x-object-key", "k");
+        request
+            .send()
+            .await
+            .map_or(0, |answer| answer.status().as_u16())
+    }
+
+    /// What an entry daemon believes of one back end: its phase.
+    pub fn phase_at(&self, host: u8, id: &str) -> Option<String> {
+        let dump = self.nodes[&host].kernel().dump();
+        let backends = dump["edge"]["backends"].as_array()?.clone();
+        let backend = backends.iter().find(|backend| backend["id"] == id)?;
+        backend["phase"].as_str().map(str::to_owned)
+    }
+
+    pub fn catalog_version_at(&self, host: u8) -> u64 {
+        let dump = self.nodes[&host].kernel().dump();
+        dump["edge"]["catalog_version"].as_u64().unwrap_or_default()
+    }
+}
+
+fn route(prefix: &str, version: u64) -> Upsert {
+    Upsert {
+        key: ItemKey::Route(prefix.to_owned()),
+        version,
+        item: Item::Route(Route {
+            host: "h.example".to_owned(),
+            path_prefix: format!("/{prefix}/"),
+            kind: RouteKind::Repeatable,
+            timeout_ms: 2_000,
+            target_latency_ms: 100,
+            priority: 0,
+            target: RouteTarget::Service(ServiceId::from("s")),
+            max_attempts: 2,
+            affinity: true,
+            allowed_regions: Vec::new(),
+            notation: String::new(),
+        }),
+    }
+}
+
+/// The first call of an operator: a service, limits and a route `a`.
+pub fn first_items() -> Patch {
+    let service = Upsert {
+        key: ItemKey::Service(ServiceId::from("s")),
+        version: 1,
+        item: Item::Service(ServiceItem {
+            health_path: String::new(),
+            max_connections: 10,
+            cold_start_ms: 0,
+            cold_per_second: 9.0,
+            notation: String::new(),
+        }),
+    };
+    let limits = Upsert {
+        key: ItemKey::Limits,
+        version: 1,
+        item: Item::Limits(Limits {
+            max_header_bytes: 16_384,
+            max_body_bytes: 1_000_000,
+            header_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+            notation: String::new(),
+        }),
+    };
+    Patch {
+        upserts: vec![service, limits, route("a", 1)],
+        removals: Vec::new(),
+    }
+}
+
+/// Sets one route.
+pub fn one_route(name: &str, version: u64) -> Patch {
+    Patch {
+        upserts: vec![route(name, version)],
+        removals: Vec::new(),
+    }
+}
+
+/// Key of a route as the catalog is read.
+pub fn key_of(name: &str) -> String {
+    format!("{{\"Route\":\"{name}\"}}")
+}
+
+pub fn heartbeat_of(
+    id: &str,
+    address: SocketAddr,
+    sequence: u64,
+    phase: InstancePhase,
+) -> InstanceNews {
+    InstanceNews {
+        instance: Instance {
+            id: BackendId::from(id),
+            service: ServiceId::from("s"),
+            address,
+            zone: ZoneId::from("z-1"),
+            capacity: 4,
+            software: "v1".to_owned(),
+            sequence,
+            phase,
+        },
+        cold_ms: 0,
+    }
+}
--- a/crates/coursestand-kernel/src/tasks.rs
+++ b/crates/coursestand-kernel/src/tasks.rs
@@ -5,7 +5,7 @@
 
 use tokio::task::JoinHandle;
 
-/// Tasks that run until their service ends them.
+/// Tasks that run until they end or their service ends them.
 #[derive(Default)]
 pub struct Tasks {
     running: Mutex<Vec<JoinHandle<()>>>,
@@ -14,10 +14,9 @@
 impl Tasks {
     /// Starts a task.
     pub fn start(&self, task: impl Future<Output = ()> + Send + 'static) {
-        self.running
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .push(tokio::spawn(task));
+        let mut running = self.running.lock().unwrap_or_else(PoisonError::into_inner);
+        running.retain(|task| !task.is_finished());
+        running.push(tokio::spawn(task));
     }
 
     /// Ends all tasks at their next wait.
--- a/crates/coursestand-proxy/src/server.rs
+++ b/crates/coursestand-proxy/src/server.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coursestand_kernel::Tasks;
 use http::Request;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -50,6 +51,7 @@
 pub struct ProxyServer {
     address: SocketAddr,
     mode: watch::Sender<Mode>,
+    tasks: Arc<Tasks>,
     /// Closed once no connection is left.
     ended: tokio::sync::Mutex<mpsc::Receiver<()>>,
 }
@@ -66,10 +68,13 @@
         let address = listener.local_addr().context(ListenSnafu { address })?;
         let (mode, watching) = watch::channel(Mode::Serving);
         let (alive, ended) = mpsc::channel(1);
-        tokio::spawn(accept(listener, exchange, watching, alive));
+        let tasks = Arc::new(Tasks::default());
+        let accepting = accept(listener, exchange, watching, alive, Arc::clone(&tasks));
+        tasks.start(accepting);
         Ok(ProxyServer {
             address,
             mode,
+            tasks,
             ended: tokio::sync::Mutex::new(ended),
         })
     }
@@ -84,6 +89,11 @@
         self.mode.send_replace(Mode::Draining);
     }
 
+    /// Ends all connections at once.
+    pub fn abort(&self) {
+        self.tasks.abort();
+    }
+
     /// Takes no new connections, ends idle ones, and waits for requests in
     /// flight.
     pub async fn close(&self) {
@@ -99,6 +109,7 @@
     exchange: Arc<Exchange>,
     mut mode: watch::Receiver<Mode>,
     alive: mpsc::Sender<()>,
+    tasks: Arc<Tasks>,
 ) {
     loop {
         let accepted = tokio::select! {
@@ -108,7 +119,7 @@
         match accepted {
             Ok((stream, _)) => {
                 let connection = serve(stream, Arc::clone(&exchange), mode.clone(), alive.clone());
-                tokio::spawn(connection);
+                tasks.start(connection);
             }
             Err(error) => {
                 log::warn!(target: "proxy", "no connection was accepted: {error}");
