Tell the story of a request from logs: coursestand explain

Cause: a failed request could only be traced by hand through the logs of many processes.

Ruled out: a store of stories in the daemons (memory, and it dies with them).

Change: coursestand explain REQUEST FILE... reads logs of any number of processes and prints the request's attempts, the beliefs that changed before it, and its cause in one sentence.

Conclusion: the tool of the on-call engineer stands.

--- a/crates/coursestand-cli/src/arguments.rs
+++ b/crates/coursestand-cli/src/arguments.rs
@@ -31,6 +31,8 @@
     Dump(DumpOptions),
     #[options(help = "ask an entry daemon which daemons to use")]
     Lookup(LookupOptions),
+    #[options(help = "tell what became of a request, from the logs of processes")]
+    Explain(ExplainOptions),
     #[options(help = "make an operator's key")]
     Key(KeyOptions),
     #[options(help = "run the emulated world and load of the testbed")]
@@ -220,6 +222,16 @@
     pub key: PathBuf,
 }
 
+#[derive(Debug, Options)]
+pub struct ExplainOptions {
+    #[options(help = "print this help")]
+    pub help: bool,
+    #[options(free, required, help = "identity of the request")]
+    pub request: String,
+    #[options(free, help = "log files")]
+    pub files: Vec<PathBuf>,
+}
+
 #[derive(Debug, Options)]
 pub struct DumpOptions {
     #[options(help = "print this help")]
--- a/crates/coursestand-cli/src/commands/mod.rs
+++ b/crates/coursestand-cli/src/commands/mod.rs
@@ -4,6 +4,7 @@
 pub mod control;
 pub mod demo;
 pub mod drain;
+pub mod explain;
 pub mod inspect;
 pub mod key;
 pub mod lab;
--- a/crates/coursestand-cli/src/main.rs
+++ b/crates/coursestand-cli/src/main.rs
@@ -9,7 +9,7 @@
 use gumdrop::Options;
 
 use crate::arguments::{Arguments, Command};
-use crate::commands::{bundle, control, demo, drain, inspect, key, lab, schema};
+use crate::commands::{bundle, control, demo, drain, explain, inspect, key, lab, schema};
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -26,6 +26,7 @@
         Command::Restore(options) => drain::run(options, false).await,
         Command::Dump(options) => inspect::dump(options).await,
         Command::Lookup(options) => inspect::lookup(options).await,
+        Command::Explain(options) => explain::run(&options),
         Command::Key(options) => key::run(&options),
         Command::Lab(options) => lab::run(options).await,
         Command::Schema(options) => schema::run(&options),
--- /dev/null
+++ b/crates/coursestand-cli/tests/explain.rs
@@ -0,0 +1,81 @@
+//! `coursestand explain` names the cause of a failed request from logs alone.
+#![allow(missing_docs)]
+
+use std::process::Command;
+
+use googletest::prelude::*;
+
+const EDGE_LOG: &str = r#"
+prefix of a collector {"time":"100.000","process":"edge-1","level":"INFO","part":"proxy","message":"an attempt failed","request":"r-lost","instance":"i-1","rank":0,"load":3.5,"load_age_ms":40,"attempt":1,"left_ms":700,"outcome":"lost","version":7}
+{"time":"100.200","process":"edge-1","level":"INFO","part":"proxy","message":"a request ended","request":"r-lost","instance":"i-1","attempts":1,"limit_ms":800,"took_ms":350,"status":502,"outcome":"answer-lost"}
+{"time":"100.300","process":"edge-1","level":"INFO","part":"proxy","message":"a request ended","request":"r-busy","limit_ms":800,"took_ms":1,"status":503,"outcome":"busy","attempts":0}
+{"time":"101.000","process":"edge-1","level":"INFO","part":"proxy","message":"a request ended","request":"r-late","instance":"i-2","limit_ms":800,"took_ms":880,"status":504,"outcome":"timed-out","attempts":1}
+{"time":"102.000","process":"edge-1","level":"INFO","part":"proxy","message":"an attempt failed","request":"r-died","instance":"i-2","outcome":"shed","attempt":1}
+not a log line
+"#;
+const CONTROL_LOG: &str = r#"
+{"time":"98.000","process":"control-1","level":"INFO","part":"hub","message":"a back end changed","instance":"i-1","phase":"Draining","sequence":9}
+{"time":"98.001","process":"control-2","level":"INFO","part":"hub","message":"a back end changed","instance":"i-1","phase":"Draining","sequence":9}
+{"time":"50.000","process":"control-1","level":"INFO","part":"hub","message":"a back end changed","instance":"i-1","phase":"Ready","sequence":1}
+"#;
+
+fn explain(request: &str) -> String {
+    let folder = tempfile::tempdir().expect("a folder");
+    let edge = folder.path().join("edge.log");
+    let control = folder.path().join("control.log");
+    std::fs::write(&edge, EDGE_LOG).expect("written");
+    std::fs::write(&control, CONTROL_LOG).expect("written");
+    let output = Command::new(env!("CARGO_BIN_EXE_coursestand"))
+        .arg("explain")
+        .arg(request)
+        .args([&edge, &control])
+        .output()
+        .expect("the tool runs");
+    assert!(output.status.success(), "{output:?}");
+    String::from_utf8(output.stdout).expect("text")
+}
+
+#[gtest]
+fn a_lost_answer_is_told_with_the_beliefs_about_its_back_end() {
+    let story = explain("r-lost");
+    expect_that!(
+        story,
+        contains_substring("cause: the back end's answer was lost")
+    );
+    expect_that!(story, contains_substring("i-1 (lost)"));
+    expect_that!(story, contains_substring("left_ms=700"));
+    // One change, told by two processes; the old one is too old.
+    expect_that!(story.matches("Draining").count(), eq(1));
+    expect_that!(story, not(contains_substring("phase=Ready")));
+}
+
+#[gtest]
+fn a_refusal_a_late_answer_and_a_dead_daemon_have_their_causes() {
+    expect_that!(
+        explain("r-busy"),
+        contains_substring("refused at once and has not run")
+    );
+    expect_that!(
+        explain("r-late"),
+        contains_substring("no answer within the 800 ms")
+    );
+    expect_that!(
+        explain("r-died"),
+        contains_substring("did not tell its end")
+    );
+    expect_that!(
+        explain("r-unknown"),
+        contains_substring("no process told of it")
+    );
+}
+
+#[gtest]
+fn a_log_that_is_not_there_is_told_by_name() {
+    let output = Command::new(env!("CARGO_BIN_EXE_coursestand"))
+        .args(["explain", "r", "/not/there.log"])
+        .output()
+        .expect("the tool runs");
+    expect_that!(output.status.code(), eq(Some(3)));
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    expect_that!(text, contains_substring("/not/there.log"));
+}
