Mend import circles and doubled records; tell entry daemons by change; clean up

Cause: consensus membership and types, and the daemon's exchange and replica, imported each other; a back end's record, the readers of queries, the options of operators' calls and the tests' items stood twice. Control sent every entry daemon the names of all others whenever one came or went: it grows with the square. A daemon cut off from control still believed to own cold back ends. An answer held for more copies was told as lost when the leadership was handed over in the same turn: a_planned_stop_cuts_no_request_off failed.

Ruled out: flattened options (gumdrop has none; a macro does it).

Change: consensus ids, control handle, one back end record, one query reader, lab::items, operator_call!; names of entry daemons go as changes; a daemon that follows no control process sends nothing to cold back ends (test); answers wait for more copies only where more than a majority is asked for.

--- a/crates/coursestand-cli/src/arguments.rs
+++ b/crates/coursestand-cli/src/arguments.rs
@@ -5,6 +5,24 @@
 
 use gumdrop::Options;
 
+/// Options of a call to the operators' interface: its own besides those that all
+/// such calls have.
+macro_rules! operator_call {
+    ($name:ident { $($options:tt)* }) => {
+        #[derive(Debug, Options)]
+        pub struct $name {
+            #[options(help = "print this help")]
+            pub help: bool,
+            #[options(
+                help = "operators' addresses of the control replicas",
+                meta = "IP:PORT"
+            )]
+            pub control: Vec<SocketAddr>,
+            $($options)*
+        }
+    };
+}
+
 /// Arguments of the tool.
 #[derive(Debug, Options)]
 pub struct Arguments {
@@ -99,17 +117,9 @@
     pub output: PathBuf,
 }
 
-#[derive(Debug, Options)]
-pub struct SubmitOptions {
-    #[options(help = "print this help")]
-    pub help: bool,
+operator_call!(SubmitOptions {
     #[options(free, required, help = "signed bundle file")]
     pub file: PathBuf,
-    #[options(
-        help = "operators' addresses of the control replicas",
-        meta = "IP:PORT"
-    )]
-    pub control: Vec<SocketAddr>,
     #[options(
         help = "revision against which the bundle was made",
         required,
@@ -121,37 +131,21 @@
         meta = "TEXT"
     )]
     pub submission: Option<String>,
-}
+});
 
-#[derive(Debug, Options)]
-pub struct OperatorOptions {
-    #[options(help = "print this help")]
-    pub help: bool,
-    #[options(
-        help = "operators' addresses of the control replicas",
-        meta = "IP:PORT"
-    )]
-    pub control: Vec<SocketAddr>,
+operator_call!(OperatorOptions {
     #[options(help = "print JSON")]
     pub json: bool,
-}
+});
 
-#[derive(Debug, Options)]
-pub struct RollOptions {
-    #[options(help = "print this help")]
-    pub help: bool,
+operator_call!(RollOptions {
     #[options(free, required, help = "the earlier revision")]
     pub revision: u64,
-    #[options(
-        help = "operators' addresses of the control replicas",
-        meta = "IP:PORT"
-    )]
-    pub control: Vec<SocketAddr>,
     #[options(help = "operator's key file", required, meta = "FILE")]
     pub key: PathBuf,
     #[options(help = "current revision", required, meta = "N")]
     pub expected: u64,
-}
+});
 
 #[derive(Debug, Options)]
 pub struct ControlOptions {
@@ -188,15 +182,7 @@
     pub cluster: Option<u64>,
 }
 
-#[derive(Debug, Options)]
-pub struct ReplaceOptions {
-    #[options(help = "print this help")]
-    pub help: bool,
-    #[options(
-        help = "operators' addresses of the control replicas",
-        meta = "IP:PORT"
-    )]
-    pub control: Vec<SocketAddr>,
+operator_call!(ReplaceOptions {
     #[options(help = "identity of the lost replica", required, meta = "N")]
     pub lost: u64,
     #[options(
@@ -205,22 +191,14 @@
         meta = "IP:PORT"
     )]
     pub with: Option<SocketAddr>,
-}
+});
 
-#[derive(Debug, Options)]
-pub struct DrainOptions {
-    #[options(help = "print this help")]
-    pub help: bool,
+operator_call!(DrainOptions {
     #[options(free, required, help = "region:NAME, zone:NAME or backend:NAME")]
     pub target: String,
-    #[options(
-        help = "operators' addresses of the control replicas",
-        meta = "IP:PORT"
-    )]
-    pub control: Vec<SocketAddr>,
     #[options(help = "operator's key file", required, meta = "FILE")]
     pub key: PathBuf,
-}
+});
 
 #[derive(Debug, Options)]
 pub struct ExplainOptions {
--- a/crates/coursestand-consensus/src/config.rs
+++ b/crates/coursestand-consensus/src/config.rs
@@ -1,6 +1,6 @@
 //! Settings of a replica.
 
-use crate::types::{Millis, ReplicaId};
+use crate::ids::{Millis, ReplicaId};
 
 /// Settings of a replica. All replicas of a group have the same times.
 #[derive(Clone, Debug)]
--- a/crates/coursestand-consensus/src/lib.rs
+++ b/crates/coursestand-consensus/src/lib.rs
@@ -7,6 +7,7 @@
 //! membership change, leadership transfer and snapshots in chunks are part of it.
 
 pub mod config;
+pub mod ids;
 pub mod log;
 pub mod membership;
 pub mod message;
@@ -18,9 +19,10 @@
 pub mod wal;
 
 pub use config::Config;
+pub use ids::{LogIndex, ReplicaId, Term};
 pub use membership::{Member, Membership};
 pub use message::Message;
 pub use ready::Ready;
 pub use replica::{ProposeError, Replica, Role};
 pub use storage::{Batch, MemoryStorage, Restored, Storage, StorageError};
-pub use types::{Entry, HardState, LogIndex, Payload, ReplicaId, Snapshot, Term};
+pub use types::{Entry, HardState, Payload, Snapshot};
--- a/crates/coursestand-consensus/src/log.rs
+++ b/crates/coursestand-consensus/src/log.rs
@@ -1,8 +1,9 @@
 //! The log in memory: entries after the newest snapshot.
 
+use crate::ids::{LogIndex, Term};
 use crate::membership::Membership;
 use crate::message::LogPosition;
-use crate::types::{Entry, LogIndex, Payload, Snapshot, Term};
+use crate::types::{Entry, Payload, Snapshot};
 
 /// Entries after a snapshot.
 #[derive(Clone, Debug, Default)]
--- a/crates/coursestand-consensus/src/membership.rs
+++ b/crates/coursestand-consensus/src/membership.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::types::ReplicaId;
+use crate::ids::ReplicaId;
 
 /// One member.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/coursestand-consensus/src/message.rs
+++ b/crates/coursestand-consensus/src/message.rs
@@ -2,8 +2,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::ids::{LogIndex, Millis, Term};
 use crate::membership::Membership;
-use crate::types::{Entry, LogIndex, Millis, Term};
+use crate::types::Entry;
 
 /// A message from one replica to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/coursestand-consensus/src/progress.rs
+++ b/crates/coursestand-consensus/src/progress.rs
@@ -1,6 +1,6 @@
 //! What a leader knows of one follower.
 
-use crate::types::{LogIndex, Millis};
+use crate::ids::{LogIndex, Millis};
 
 /// How a leader sends to a follower.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/coursestand-consensus/src/ready.rs
+++ b/crates/coursestand-consensus/src/ready.rs
@@ -1,7 +1,8 @@
 //! What the caller has to do after it changed a replica.
 
+use crate::ids::{LogIndex, ReplicaId};
 use crate::message::Message;
-use crate::types::{Entry, HardState, LogIndex, ReplicaId, Snapshot};
+use crate::types::{Entry, HardState, Snapshot};
 
 /// Work for the caller, in this order: send `messages`; save `hard_state`,
 /// `snapshot` and `entries` and sync them; call `Replica::persisted`; send
--- a/crates/coursestand-consensus/src/replica/election.rs
+++ b/crates/coursestand-consensus/src/replica/election.rs
@@ -5,8 +5,9 @@
 use rand::RngExt;
 
 use super::{LeaderState, ProposeError, Replica, Role, Transfer};
+use crate::ids::{Millis, ReplicaId, Term};
 use crate::message::{Body, LogPosition, Message};
-use crate::types::{HardState, Millis, Payload, ReplicaId, Term};
+use crate::types::{HardState, Payload};
 
 impl Replica {
     /// Check-quorum: a leader that does not hear a majority steps down.
--- a/crates/coursestand-consensus/src/replica/mod.rs
+++ b/crates/coursestand-consensus/src/replica/mod.rs
@@ -11,13 +11,14 @@
 use snafu::Snafu;
 
 use crate::config::Config;
+use crate::ids::{LogIndex, Millis, ReplicaId, Term};
 use crate::log::Log;
 use crate::membership::Membership;
 use crate::message::{AppendAnswer, Body, LogPosition, Message};
 use crate::progress::Progress;
 use crate::ready::Ready;
 use crate::storage::Restored;
-use crate::types::{Entry, HardState, LogIndex, Millis, Payload, ReplicaId, Term};
+use crate::types::{Entry, HardState, Payload};
 
 /// Why a proposal was not taken.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
--- a/crates/coursestand-consensus/src/replica/replication.rs
+++ b/crates/coursestand-consensus/src/replica/replication.rs
@@ -1,9 +1,9 @@
 //! Replication of entries, heartbeats and commitment.
 
 use super::{Replica, Role};
+use crate::ids::{LogIndex, Millis, ReplicaId};
 use crate::message::{Append, AppendAnswer, Body, LogPosition};
 use crate::progress::SendState;
-use crate::types::{LogIndex, Millis, ReplicaId};
 
 impl Replica {
     pub(super) fn followers(&self) -> Vec<ReplicaId> {
--- a/crates/coursestand-consensus/src/replica/snapshots.rs
+++ b/crates/coursestand-consensus/src/replica/snapshots.rs
@@ -1,9 +1,10 @@
 //! Shortening the log, and sending snapshots in chunks.
 
 use super::{PartialSnapshot, Replica, Role};
+use crate::ids::{LogIndex, Millis, ReplicaId};
 use crate::message::{Body, LogPosition, SnapshotChunk};
 use crate::progress::SendState;
-use crate::types::{Entry, HardState, LogIndex, Millis, ReplicaId, Snapshot};
+use crate::types::{Entry, HardState, Snapshot};
 
 impl Replica {
     /// A snapshot of the state machine at `index`, to shorten the log. Returns
--- a/crates/coursestand-consensus/src/storage.rs
+++ b/crates/coursestand-consensus/src/storage.rs
@@ -4,7 +4,8 @@
 
 use snafu::Snafu;
 
-use crate::types::{Entry, HardState, LogIndex, Snapshot};
+use crate::ids::LogIndex;
+use crate::types::{Entry, HardState, Snapshot};
 
 /// What has to be saved together.
 #[derive(Clone, Debug, Default, PartialEq)]
--- a/crates/coursestand-consensus/src/types.rs
+++ b/crates/coursestand-consensus/src/types.rs
@@ -1,21 +1,12 @@
-//! Basic types of the replicated log.
+//! Records of the replicated log.
 
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
+use crate::ids::{LogIndex, ReplicaId, Term};
 use crate::membership::Membership;
 
-/// Identity of a replica. A replica that lost its disk never comes back under
-/// the same one.
-pub type ReplicaId = u64;
-/// Number of an election.
-pub type Term = u64;
-/// Position in the log, counted from 1.
-pub type LogIndex = u64;
-/// A point on the monotonic clock of one replica, in milliseconds.
-pub type Millis = u64;
-
 /// What an entry carries.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
--- a/crates/coursestand-consensus/src/wal.rs
+++ b/crates/coursestand-consensus/src/wal.rs
@@ -15,11 +15,12 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, ensure};
 
+use crate::ids::LogIndex;
 use crate::storage::{
     Batch, DamagedSnafu, EncodeSnafu, FileSnafu, GapSnafu, InUseSnafu, Restored, Storage,
     StorageError,
 };
-use crate::types::{Entry, HardState, LogIndex, Snapshot};
+use crate::types::{Entry, HardState, Snapshot};
 
 /// A segment longer than this many bytes is followed by a new one.
 pub const SEGMENT_BYTES: u64 = 8 * 1024 * 1024;
--- a/crates/coursestand-coordination/src/allocator.rs
+++ b/crates/coursestand-coordination/src/allocator.rs
@@ -69,7 +69,7 @@
         .backends
         .iter()
         .filter(|(_, record)| record.service == *service && record.zone == *zone)
-        .filter(|(id, record)| !down.contains(*id) && takes_work(tables, bundle, id, record))
+        .filter(|(id, record)| !down.contains(*id) && takes_work(tables, bundle, record))
         .map(|(id, _)| id.clone())
         .collect()
 }
@@ -115,7 +115,7 @@
                 self.tables
                     .backends
                     .get(backend)
-                    .is_some_and(|record| takes_work(self.tables, self.bundle, backend, record))
+                    .is_some_and(|record| takes_work(self.tables, self.bundle, record))
             });
         }
     }
--- a/crates/coursestand-coordination/src/planner.rs
+++ b/crates/coursestand-coordination/src/planner.rs
@@ -4,20 +4,15 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use coursestand_model::bundle::{Bundle, Policy, Service};
-use coursestand_model::platform::BackendState;
+use coursestand_model::platform::{BackendState, PlatformBackend};
 use coursestand_model::{BackendId, ServiceId, ZoneId};
 
 use crate::shares::{ShareKey, ShareVector};
 use crate::state::ControlState;
-use crate::tables::{BackendRecord, DrainTarget, Tables};
+use crate::tables::{DrainTarget, Tables};
 
 /// Whether a back end may get new work: live and not drained.
-pub fn takes_work(
-    tables: &Tables,
-    bundle: &Bundle,
-    id: &BackendId,
-    record: &BackendRecord,
-) -> bool {
+pub fn takes_work(tables: &Tables, bundle: &Bundle, record: &PlatformBackend) -> bool {
     if record.state != BackendState::Live {
         return false;
     }
@@ -26,7 +21,7 @@
         region.is_some_and(|region| tables.is_drained(&DrainTarget::Region(region.clone())));
     !region_drained
         && !tables.is_drained(&DrainTarget::Zone(record.zone.clone()))
-        && !tables.is_drained(&DrainTarget::Backend(id.clone()))
+        && !tables.is_drained(&DrainTarget::Backend(record.id.clone()))
 }
 
 /// Slots that can get new work, by service and zone.
@@ -38,7 +33,7 @@
     pub fn of(tables: &Tables, bundle: &Bundle, down: &BTreeSet<BackendId>) -> UsableSlots {
         let mut usable = UsableSlots::default();
         for (id, record) in tables.backends.iter() {
-            if down.contains(id) || !takes_work(tables, bundle, id, record) {
+            if down.contains(id) || !takes_work(tables, bundle, record) {
                 continue;
             }
             let zones = usable.0.entry(record.service.clone()).or_default();
--- a/crates/coursestand-coordination/src/state.rs
+++ b/crates/coursestand-coordination/src/state.rs
@@ -3,7 +3,7 @@
 
 use coursestand_catalog::Catalog;
 use coursestand_model::bundle::{Bundle, MAX_SHIFT_WINDOW_MS, Once};
-use coursestand_model::platform::PlatformBackend;
+use coursestand_model::platform::{BackendState, PlatformBackend};
 use coursestand_model::{DaemonId, Millis};
 use serde::{Deserialize, Serialize};
 
@@ -14,7 +14,7 @@
 use crate::shift_ledger::ShiftLedger;
 use crate::signing::SignoffPolicy;
 use crate::slots::{self, Release, SlotChange};
-use crate::tables::{BackendRecord, BundleInForce, ControlVersion, Member, Tables};
+use crate::tables::{BundleInForce, ControlVersion, Member, Tables};
 
 /// Rules for idempotency keys while no bundle is in force: every key is refused.
 const NO_ONCE_RULES: Once = Once {
@@ -252,14 +252,9 @@
                     state = state.max(known.state);
                 }
             }
-            let record = BackendRecord {
-                service: row.service.clone(),
-                zone: row.zone.clone(),
-                address: row.address.clone(),
-                slots: row.slots,
-                connections: row.connections,
-                epoch: row.epoch,
+            let record = PlatformBackend {
                 state,
+                ..row.clone()
             };
             changed |= self.tables.backends.set(row.id.clone(), record, index);
         }
@@ -275,8 +270,8 @@
             if known.epoch != news.epoch {
                 continue;
             }
-            let record = BackendRecord {
-                state: coursestand_model::platform::BackendState::Leaving,
+            let record = PlatformBackend {
+                state: BackendState::Leaving,
                 ..known.clone()
             };
             changed |= self
--- a/crates/coursestand-coordination/src/tables.rs
+++ b/crates/coursestand-coordination/src/tables.rs
@@ -5,8 +5,8 @@
 
 use std::collections::BTreeMap;
 
-use coursestand_model::platform::BackendState;
-use coursestand_model::{BackendId, DaemonId, RegionId, ServiceId, ZoneId};
+use coursestand_model::platform::PlatformBackend;
+use coursestand_model::{BackendId, DaemonId, RegionId, ZoneId};
 use serde::{Deserialize, Serialize};
 
 use crate::shares::{ShareKey, ShareVector};
@@ -113,25 +113,6 @@
     pub content: String,
 }
 
-/// A back end as the control group knows it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct BackendRecord {
-    /// Service that it implements.
-    pub service: ServiceId,
-    /// Zone in which it runs.
-    pub zone: ZoneId,
-    /// `IP:port`.
-    pub address: String,
-    /// Requests that it runs at the same time.
-    pub slots: u32,
-    /// Connections that it accepts.
-    pub connections: u32,
-    /// Grows with each start of the back end.
-    pub epoch: u64,
-    /// Whether it takes new work.
-    pub state: BackendState,
-}
-
 /// Whether callers should be sent to a daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MemberPhase {
@@ -201,7 +182,7 @@
     /// The bundle in force; one row at most.
     pub bundle: VersionedTable<(), BundleInForce>,
     /// Back ends by name.
-    pub backends: VersionedTable<BackendId, BackendRecord>,
+    pub backends: VersionedTable<BackendId, PlatformBackend>,
     /// Shares of traffic by service and client zone.
     pub shares: VersionedTable<ShareKey, ShareVector>,
     /// Slots by daemon.
@@ -218,7 +199,7 @@
     /// Version that the follower has after applying this.
     pub version: ControlVersion,
     bundle: Vec<((), Row<BundleInForce>)>,
-    backends: Vec<(BackendId, Row<BackendRecord>)>,
+    backends: Vec<(BackendId, Row<PlatformBackend>)>,
     shares: Vec<(ShareKey, Row<ShareVector>)>,
     slots: Vec<(DaemonId, Row<SlotMap>)>,
     members: Vec<(String, Row<Member>)>,
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -406,6 +406,8 @@
         let Some(group) = &mut self.group else {
             return;
         };
+        // What is committed is on a majority of the disks, whoever leads by now.
+        let needs_more_copies = self.min_copies > group.replica.membership().quorum();
         let mut state = self.shared.state_mut();
         let mut answers = Vec::new();
         for entry in committed {
@@ -421,7 +423,7 @@
                     // Another entry at this place: ours was lost with our
                     // leadership.
                     answers.push((reply, Err(ControlError::Lost)));
-                } else if matches!(entry.payload, Payload::Command(_)) {
+                } else if needs_more_copies && matches!(entry.payload, Payload::Command(_)) {
                     group.held_answers.push(HeldAnswer {
                         index: entry.index,
                         reply,
--- a/crates/coursestand-daemon/src/control/exchange.rs
+++ b/crates/coursestand-daemon/src/control/exchange.rs
@@ -11,8 +11,8 @@
 
 use crate::control::driver::Event;
 use crate::control::error::ControlError;
+use crate::control::handle::ControlHandle;
 use crate::control::peers::Envelope;
-use crate::control::replica::ControlHandle;
 
 /// Answers requests with the state of one replica.
 pub struct ControlExchange {
--- a/crates/coursestand-daemon/src/control/leader.rs
+++ b/crates/coursestand-daemon/src/control/leader.rs
@@ -15,8 +15,8 @@
 use log::{debug, warn};
 use serde_json::{Value, json};
 
+use crate::control::handle::ControlHandle;
 use crate::control::platform::PlatformClient;
-use crate::control::replica::ControlHandle;
 use crate::names;
 
 const LOG: &str = "control";
--- a/crates/coursestand-daemon/src/control/mod.rs
+++ b/crates/coursestand-daemon/src/control/mod.rs
@@ -3,6 +3,7 @@
 pub mod driver;
 pub mod error;
 pub mod exchange;
+pub mod handle;
 pub mod identity;
 pub mod leader;
 pub mod operators;
--- a/crates/coursestand-daemon/src/control/operators.rs
+++ b/crates/coursestand-daemon/src/control/operators.rs
@@ -20,8 +20,8 @@
 use serde_json::{Value, json};
 
 use crate::control::error::ControlError;
+use crate::control::handle::ControlHandle;
 use crate::control::identity::Identity;
-use crate::control::replica::ControlHandle;
 use crate::control::shared::ReplicaStatus;
 use crate::names;
 
--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -19,7 +19,7 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
-use crate::control::replica::ControlHandle;
+use crate::control::handle::ControlHandle;
 use crate::fleet::control_service::ControlMesh;
 use crate::fleet::hub::{Hub, NotSpread};
 use crate::fleet::listener::{propose, read_catalog};
--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -15,7 +15,7 @@
 use tokio::sync::watch;
 
 use crate::control::driver::{Driver, Event};
-use crate::control::replica::ControlHandle;
+use crate::control::handle::ControlHandle;
 use crate::control::shared::ControlShared;
 use crate::fleet::formation::{Formation, FormationRules};
 use crate::fleet::hub::Hub;
--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -174,8 +174,13 @@
                 self.news.notify_one();
             }
             ToEdge::Instances(news) => self.state.adopt_instances(news),
-            ToEdge::Edges(names) => {
-                self.note(from, |one| one.edges = names.into_iter().collect());
+            ToEdge::Edges(change) => {
+                self.note(from, |one| {
+                    one.edges.extend(change.came);
+                    for name in &change.went {
+                        one.edges.remove(name);
+                    }
+                });
                 self.merge_edges();
             }
             ToEdge::Controls(addresses) => {
@@ -189,7 +194,12 @@
     }
 
     fn note(&self, control: SocketAddr, change: impl FnOnce(&mut Followed)) {
-        change(self.followed().entry(control).or_default());
+        let is_following = {
+            let mut followed = self.followed();
+            change(followed.entry(control).or_default());
+            followed.values().any(|one| one.is_connected)
+        };
+        self.state.set_following(is_following);
     }
 
     fn merge_edges(&self) {
@@ -229,13 +239,11 @@
 async fn keep_following(follower: Arc<EdgeFollower>, control: SocketAddr) {
     loop {
         let result = follow(&follower, control).await;
-        let was_connected = {
-            let mut followed = follower.followed();
-            let one = followed.entry(control).or_default();
-            let was_connected = one.is_connected;
+        let mut was_connected = false;
+        follower.note(control, |one| {
+            was_connected = one.is_connected;
             *one = Followed::default();
-            was_connected
-        };
+        });
         if let (true, Err(error)) = (was_connected, result) {
             info!(target: LOG, control:% = control; "control process lost: {error}");
             follower.news.notify_one();
--- a/crates/coursestand-daemon/src/fleet/formation.rs
+++ b/crates/coursestand-daemon/src/fleet/formation.rs
@@ -18,8 +18,8 @@
 use log::{info, warn};
 use tokio::sync::watch;
 
+use crate::control::handle::ControlHandle;
 use crate::control::identity::Identity;
-use crate::control::replica::ControlHandle;
 use crate::control::shared::{MemberStatus, ReplicaStatus};
 use crate::fleet::hub::Hub;
 use crate::fleet::peer_links::PeerLinks;
--- a/crates/coursestand-daemon/src/fleet/hub.rs
+++ b/crates/coursestand-daemon/src/fleet/hub.rs
@@ -40,6 +40,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NotSpread;
 
+/// Names of entry daemons, shared by all connections that tell of them.
+pub type EdgeNames = Arc<BTreeSet<String>>;
+
 #[derive(Default)]
 struct SoftState {
     instances: InstanceTable,
@@ -61,8 +64,8 @@
     links: OnceLock<Arc<PeerLinks>>,
     /// Members of the control group by address.
     controls: watch::Sender<BTreeSet<SocketAddr>>,
-    /// Counts changes of the entry daemons that are connected.
-    topology: watch::Sender<u64>,
+    /// Names of the entry daemons that are connected.
+    edges: watch::Sender<EdgeNames>,
 }
 
 impl Hub {
@@ -77,7 +80,7 @@
             numbers: AtomicU64::new(0),
             links: OnceLock::new(),
             controls: watch::Sender::new(BTreeSet::new()),
-            topology: watch::Sender::new(0),
+            edges: watch::Sender::default(),
         }
     }
 
@@ -100,9 +103,9 @@
         self.controls.subscribe()
     }
 
-    /// Counts changes of the connected entry daemons.
-    pub fn topology(&self) -> watch::Receiver<u64> {
-        self.topology.subscribe()
+    /// Names of the connected entry daemons, as they change.
+    pub fn edges(&self) -> watch::Receiver<EdgeNames> {
+        self.edges.subscribe()
     }
 
     /// The members of the control group are these.
@@ -254,7 +257,7 @@
             }
         };
         if changed {
-            self.note_topology();
+            self.publish_edges();
         }
     }
 
@@ -271,8 +274,15 @@
         }
     }
 
-    fn note_topology(&self) {
-        self.topology.send_modify(|count| *count += 1);
+    fn publish_edges(&self) {
+        let names = self.edge_names();
+        self.edges.send_if_modified(|known| {
+            let changed = **known != names;
+            if changed {
+                *known = Arc::new(names);
+            }
+            changed
+        });
     }
 
     /// A queue of news for one entry daemon, with all back ends to begin with.
@@ -322,15 +332,10 @@
         messages
     }
 
-    /// Names of all connected entry daemons.
-    pub fn edge_names(&self) -> Vec<String> {
+    fn edge_names(&self) -> BTreeSet<String> {
         let state = self.state();
-        let names: BTreeSet<String> = state
-            .directory
-            .connected()
-            .map(|record| record.name.clone())
-            .collect();
-        names.into_iter().collect()
+        let connected = state.directory.connected();
+        connected.map(|record| record.name.clone()).collect()
     }
 
     /// Addresses of entry daemons for a client.
@@ -370,7 +375,7 @@
             state.directory.drop_witness(peer);
         }
         drop(state);
-        self.note_topology();
+        self.publish_edges();
     }
 
     fn expire_instances(&self, now: Millis) {
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -16,11 +16,11 @@
 
 use crate::control::driver::Event;
 use crate::control::error::ControlError;
+use crate::control::handle::ControlHandle;
 use crate::control::peers::Envelope;
-use crate::control::replica::ControlHandle;
 use crate::fleet::formation::Formation;
-use crate::fleet::hub::Hub;
-use crate::fleet::wire::{Answer, PeerMessage, PeerReply, Question, ToControl, ToEdge};
+use crate::fleet::hub::{EdgeNames, Hub};
+use crate::fleet::wire::{Answer, EdgeChange, PeerMessage, PeerReply, Question, ToControl, ToEdge};
 
 const LOG: &str = "mesh";
 /// A peer or entry daemon that sends nothing for this long is lost.
@@ -28,7 +28,7 @@
 /// Replies that wait to be sent.
 const REPLY_QUEUE: usize = 1_024;
 /// Changes of the connected entry daemons are told at most this often.
-const TOPOLOGY_PAUSE: Duration = Duration::from_millis(200);
+const EDGES_PAUSE: Duration = Duration::from_millis(200);
 
 /// What connections are served with.
 pub struct Serving {
@@ -204,6 +204,13 @@
     result
 }
 
+fn change_between(before: &EdgeNames, now: &EdgeNames) -> EdgeChange {
+    EdgeChange {
+        came: now.difference(before).cloned().collect(),
+        went: before.difference(now).cloned().collect(),
+    }
+}
+
 struct EdgeConnection<'a> {
     serving: &'a Serving,
     queue: mpsc::Receiver<bytes::Bytes>,
@@ -222,14 +229,15 @@
         let hub = &self.serving.hub;
         let mut catalog = self.serving.control.shared.catalog_versions();
         let mut controls = hub.controls();
-        let mut topology = hub.topology();
+        let mut edges = hub.edges();
         controls.mark_changed();
-        topology.mark_changed();
+        edges.mark_changed();
+        let mut told = EdgeNames::default();
         sender.send(&ToEdge::Instances(instances)).await?;
         catalog.mark_changed();
         let mut heard_at = Instant::now();
-        let mut topology_at = Instant::now();
-        let mut tells_topology = false;
+        let mut edges_at = Instant::now();
+        let mut tells_edges = false;
         loop {
             tokio::select! {
                 message = receiver.next() => {
@@ -260,16 +268,18 @@
                     let addresses = controls.borrow_and_update().iter().copied().collect();
                     sender.send(&ToEdge::Controls(addresses)).await?;
                 }
-                changed = topology.changed(), if !tells_topology => {
+                changed = edges.changed(), if !tells_edges => {
                     if changed.is_err() {
                         return Err(StreamError::Ended);
                     }
-                    tells_topology = true;
+                    tells_edges = true;
                 }
-                () = tokio::time::sleep_until(topology_at), if tells_topology => {
-                    tells_topology = false;
-                    topology_at = Instant::now() + TOPOLOGY_PAUSE;
-                    sender.send(&ToEdge::Edges(hub.edge_names())).await?;
+                () = tokio::time::sleep_until(edges_at), if tells_edges => {
+                    tells_edges = false;
+                    edges_at = Instant::now() + EDGES_PAUSE;
+                    let now = Arc::clone(&edges.borrow_and_update());
+                    sender.send(&ToEdge::Edges(change_between(&told, &now))).await?;
+                    told = now;
                 }
                 () = tokio::time::sleep_until(heard_at + SILENCE) => {
                     return Err(StreamError::Silent { limit_ms: SILENCE.as_millis() });
--- a/crates/coursestand-daemon/src/fleet/wire.rs
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -112,6 +112,15 @@
     Unknown(String),
 }
 
+/// Entry daemons that came and went, by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EdgeChange {
+    /// Those that came.
+    pub came: Vec<String>,
+    /// Those that went.
+    pub went: Vec<String>,
+}
+
 /// What an entry daemon receives from a control process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ToEdge {
@@ -121,8 +130,9 @@
     Catalog(CatalogDelta),
     /// News of back ends.
     Instances(Vec<InstanceNews>),
-    /// Names of all entry daemons that are connected with the control group.
-    Edges(Vec<String>),
+    /// How the entry daemons that are connected with the control group changed
+    /// since the last such message on this connection; at first there are none.
+    Edges(EdgeChange),
     /// Addresses of all control processes.
     Controls(Vec<SocketAddr>),
 }
--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -9,12 +9,11 @@
 use std::time::Duration;
 
 use coursestand_catalog::patch::Upsert;
-use coursestand_catalog::{
-    Item, ItemKey, Limits, Patch, Route, RouteKind, RouteTarget, ServiceItem,
-};
+use coursestand_catalog::{Patch, RouteKind};
 use coursestand_daemon::fleet::Node;
 use coursestand_dialect::Native;
 use coursestand_discovery::{Instance, InstanceNews, InstancePhase};
+use coursestand_lab::items;
 use coursestand_model::fleet::{
     BalanceSettings, FleetBounds, FleetControlSettings, FleetEdgeSettings, FleetSettings,
 };
@@ -342,52 +341,15 @@
     }
 }
 
-fn route(prefix: &str, version: u64) -> Upsert {
-    Upsert {
-        key: ItemKey::Route(prefix.to_owned()),
-        version,
-        item: Item::Route(Route {
-            host: "h.example".to_owned(),
-            path_prefix: format!("/{prefix}/"),
-            kind: RouteKind::Repeatable,
-            timeout_ms: 2_000,
-            target_latency_ms: 100,
-            priority: 0,
-            target: RouteTarget::Service(ServiceId::from("s")),
-            max_attempts: 2,
-            affinity: true,
-            allowed_regions: Vec::new(),
-            notation: String::new(),
-        }),
-    }
+fn route(name: &str, version: u64) -> Upsert {
+    let route = items::route(name, "s", RouteKind::Repeatable, 2_000);
+    items::route_item(name, version, route)
 }
 
 /// The first call of an operator: a service, limits and a route `a`.
 pub fn first_items() -> Patch {
-    let service = Upsert {
-        key: ItemKey::Service(ServiceId::from("s")),
-        version: 1,
-        item: Item::Service(ServiceItem {
-            health_path: String::new(),
-            max_connections: 10,
-            cold_start_ms: 0,
-            cold_per_second: 9.0,
-            notation: String::new(),
-        }),
-    };
-    let limits = Upsert {
-        key: ItemKey::Limits,
-        version: 1,
-        item: Item::Limits(Limits {
-            max_header_bytes: 16_384,
-            max_body_bytes: 1_000_000,
-            header_timeout_ms: 3_000,
-            idle_timeout_ms: 15_000,
-            notation: String::new(),
-        }),
-    };
     Patch {
-        upserts: vec![service, limits, route("a", 1)],
+        upserts: vec![items::service("s"), items::limits(), route("a", 1)],
         removals: Vec::new(),
     }
 }
--- a/crates/coursestand-dialect/src/call.rs
+++ b/crates/coursestand-dialect/src/call.rs
@@ -97,6 +97,16 @@
     }
 }
 
+/// The value of a query's parameter; empty when it is not there.
+pub fn query_value(uri: &Uri, name: &str) -> String {
+    let pairs = uri.query().unwrap_or_default().split('&');
+    pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value.to_owned())
+        .unwrap_or_default()
+}
+
 /// How a deployment words calls and replies. It translates only: it decides
 /// nothing and holds no state.
 pub trait Dialect: Send + Sync {
--- a/crates/coursestand-dialect/src/native.rs
+++ b/crates/coursestand-dialect/src/native.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
-use crate::call::{Call, CallError, Dialect, Reply};
+use crate::call::{Call, CallError, Dialect, Reply, query_value};
 
 /// The project's own wording.
 #[derive(Clone, Copy, Debug, Default)]
@@ -20,15 +20,6 @@
     serde_json::from_slice(body).map_err(|error| CallError::body("body", error))
 }
 
-fn query_value(uri: &Uri, name: &str) -> String {
-    let pairs = uri.query().unwrap_or_default().split('&');
-    pairs
-        .filter_map(|pair| pair.split_once('='))
-        .find(|(key, _)| *key == name)
-        .map(|(_, value)| value.to_owned())
-        .unwrap_or_default()
-}
-
 impl Dialect for Native {
     fn header_names(&self) -> HeaderNames {
         HeaderNames::default()
--- a/crates/coursestand-gateway/tests/common/mod.rs
+++ b/crates/coursestand-gateway/tests/common/mod.rs
@@ -10,7 +10,7 @@
 use coursestand_coordination::Tables;
 use coursestand_coordination::once::{ClaimAnswer, ClaimId, OnceKey, RecordedAnswer};
 use coursestand_coordination::shares::{ShareKey, ShareVector};
-use coursestand_coordination::tables::{BackendRecord, BundleInForce};
+use coursestand_coordination::tables::BundleInForce;
 use coursestand_gateway::Gateway;
 use coursestand_gateway::Shared;
 use coursestand_gateway::backend_edge::{
@@ -21,7 +21,7 @@
 use coursestand_gateway::once_edge::{OnceEdge, OnceError};
 use coursestand_kernel::MonotonicClock;
 use coursestand_model::bundle::{Bundle, Latency, Lookup, Once, Policy, Region, Service, ShiftCap};
-use coursestand_model::platform::BackendState;
+use coursestand_model::platform::{BackendState, PlatformBackend};
 use coursestand_model::{BackendId, DaemonId, Outcome, ServiceId, ZoneId, headers};
 use futures::StreamExt;
 use poem::http::{HeaderMap, Method, StatusCode};
@@ -99,7 +99,8 @@
     for service in ["page", "pay"] {
         for (index, address) in addresses.iter().enumerate() {
             let id = BackendId(format!("{service}-{index}"));
-            let record = BackendRecord {
+            let record = PlatformBackend {
+                id: id.clone(),
                 service: ServiceId::from(service),
                 zone: "z".into(),
                 address: (*address).to_owned(),
--- a/crates/coursestand-lab/src/lib.rs
+++ b/crates/coursestand-lab/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod counted;
 pub mod demo;
 pub mod deployment;
+pub mod items;
 pub mod load;
 pub mod operator;
 pub mod places;
--- a/crates/coursestand-proxy/src/edge_state.rs
+++ b/crates/coursestand-proxy/src/edge_state.rs
@@ -37,6 +37,9 @@
     pub picker: Picker,
     /// Names of the entry daemons that are connected, this one among them.
     pub daemons: BTreeSet<String>,
+    /// Whether this daemon is connected with any control process. Cut off, it owns
+    /// no cold back end: the others share them out without it.
+    pub is_following: bool,
     /// Retry budgets by service.
     pub budgets: HashMap<ServiceId, RetryBudget>,
     /// Where the routes stand in dividing requests, by name.
@@ -63,6 +66,7 @@
                 backends: Backends::default(),
                 picker: Picker::new(place),
                 daemons,
+                is_following: false,
                 budgets: HashMap::new(),
                 splits: HashMap::new(),
             }),
@@ -125,6 +129,11 @@
         }
     }
 
+    /// Whether this daemon is connected with any control process.
+    pub fn set_following(&self, is_following: bool) {
+        self.beliefs().is_following = is_following;
+    }
+
     /// The entry daemons that are connected now, besides this one.
     pub fn set_daemons(&self, own: &str, others: impl Iterator<Item = String>) {
         let mut daemons: BTreeSet<String> = others.collect();
--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -1,5 +1,6 @@
 //! The phases by the catalog: routes, splits, affinity, bounded retries.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -90,12 +91,15 @@
             excluded: &attempts.tried,
             now,
         };
-        let picked = beliefs.picker.pick(
-            &beliefs.backends,
-            &beliefs.catalog,
-            &beliefs.daemons,
-            &request,
-        );
+        let nobody = BTreeSet::new();
+        let owners = if beliefs.is_following {
+            &beliefs.daemons
+        } else {
+            &nobody
+        };
+        let picked = beliefs
+            .picker
+            .pick(&beliefs.backends, &beliefs.catalog, owners, &request);
         let pick = picked.map_err(|refusal| match refusal {
             Refusal::NoBackend => Reason::NoBackend,
             Refusal::Busy => Reason::Busy,
--- a/crates/coursestand-proxy/tests/attempts.rs
+++ b/crates/coursestand-proxy/tests/attempts.rs
@@ -9,7 +9,7 @@
 
 use common::{Caller, Edge, PROMISES, Rules, news};
 use coursestand_discovery::InstancePhase;
-use coursestand_lab::scripted::Behaviour;
+use coursestand_lab::scripted::{Behaviour, ScriptedBackend};
 use coursestand_proxy::answer::Reason;
 use coursestand_proxy::phases::{
     AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target,
@@ -239,3 +239,24 @@
         expect_that!(answer.status, eq(200));
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_daemon_that_is_cut_off_sends_nothing_to_cold_back_ends() {
+    let edge = Edge::start(Rules::default(), vec![]).await;
+    let backend = ScriptedBackend::start(vec![], GOOD)
+        .await
+        .expect("a back end");
+    let mut cold = news(0, backend.address(), InstancePhase::Ready);
+    cold.cold_ms = 600_000;
+    edge.state.adopt_instances(vec![cold]);
+    for is_following in [false, true, false] {
+        edge.state.set_following(is_following);
+        let before = backend.arrivals();
+        let answer = edge
+            .ask("/safe/a", &format!("{before}{is_following}"))
+            .await;
+        expect_that!(answer.status, eq(if is_following { 200 } else { 503 }));
+        expect_that!(backend.arrivals() > before, eq(is_following));
+    }
+}
--- a/crates/coursestand-proxy/tests/common/mod.rs
+++ b/crates/coursestand-proxy/tests/common/mod.rs
@@ -7,12 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coursestand_catalog::patch::Upsert;
-use coursestand_catalog::{
-    Catalog, Item, ItemKey, Limits, Patch, Route, RouteKind, RouteTarget, ServiceItem,
-};
+use coursestand_catalog::{Catalog, Patch, Route, RouteKind};
 use coursestand_discovery::{Instance, InstanceNews, InstancePhase};
 use coursestand_kernel::MonotonicClock;
+use coursestand_lab::items;
 use coursestand_lab::scripted::{Behaviour, ScriptedBackend};
 use coursestand_model::{BackendId, RegionId, ServiceId, ZoneId};
 use coursestand_proxy::edge_state::EdgeBounds;
@@ -28,7 +26,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
-pub const MAX_BODY: u64 = 4_000_000;
+pub const MAX_BODY: u64 = items::MAX_BODY_BYTES;
 /// Statuses that promise that a request was not run.
 pub const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// Generous: nothing here should come near it.
@@ -59,55 +57,20 @@
     }
 }
 
-fn route(name: &str, kind: RouteKind, rules: Rules) -> Upsert {
-    Upsert {
-        key: ItemKey::Route(name.to_owned()),
-        version: 1,
-        item: Item::Route(Route {
-            host: "h.example".to_owned(),
-            path_prefix: format!("/{name}/"),
-            kind,
-            timeout_ms: rules.timeout_ms,
-            target_latency_ms: 100,
-            priority: 0,
-            target: RouteTarget::Service(ServiceId::from("s")),
-            max_attempts: rules.max_attempts,
-            affinity: true,
-            allowed_regions: Vec::new(),
-            notation: String::new(),
-        }),
-    }
-}
-
 fn catalog(rules: Rules) -> Catalog {
-    let service = Upsert {
-        key: ItemKey::Service(ServiceId::from("s")),
-        version: 1,
-        item: Item::Service(ServiceItem {
-            health_path: String::new(),
-            max_connections: 10,
-            cold_start_ms: 0,
-            cold_per_second: 9.0,
-            notation: String::new(),
-        }),
-    };
-    let limits = Upsert {
-        key: ItemKey::Limits,
-        version: 1,
-        item: Item::Limits(Limits {
-            max_header_bytes: 16_384,
-            max_body_bytes: MAX_BODY,
-            header_timeout_ms: 3_000,
-            idle_timeout_ms: 15_000,
-            notation: String::new(),
-        }),
+    let route = |name: &str, kind| {
+        let route = Route {
+            max_attempts: rules.max_attempts,
+            ..items::route(name, "s", kind, rules.timeout_ms)
+        };
+        items::route_item(name, 1, route)
     };
     let patch = Patch {
         upserts: vec![
-            service,
-            limits,
-            route("safe", RouteKind::Repeatable, rules),
-            route("once", RouteKind::Once, rules),
+            items::service("s"),
+            items::limits(),
+            route("safe", RouteKind::Repeatable),
+            route("once", RouteKind::Once),
         ],
         removals: Vec::new(),
     };
--- a/crates/coursestand-steering/benches/decision.rs
+++ b/crates/coursestand-steering/benches/decision.rs
@@ -7,11 +7,11 @@
 use std::net::IpAddr;
 
 use coursestand_coordination::shares::{ShareKey, ShareVector};
-use coursestand_coordination::tables::{BackendRecord, BundleInForce, Tables};
+use coursestand_coordination::tables::{BundleInForce, Tables};
 use coursestand_model::bundle::{
     ClientBlock, Latency, Lookup, Once, Policy, Region, Service, ShiftCap,
 };
-use coursestand_model::platform::BackendState;
+use coursestand_model::platform::{BackendState, PlatformBackend};
 use coursestand_model::{BackendId, Bundle, DaemonId, ServiceId, ZoneId};
 use coursestand_steering::clients::ClientBlocks;
 use coursestand_steering::{Admission, Steering};
@@ -79,7 +79,8 @@
     let mut slots = BTreeMap::new();
     for site in 0..SITES {
         let id = BackendId(format!("site-{site:03}"));
-        let record = BackendRecord {
+        let record = PlatformBackend {
+            id: id.clone(),
             service: "service".into(),
             zone: zone(site % ZONES),
             address: "127.0.0.1:1".to_owned(),
