Serve metrics of control and entry daemons, and list them for operators

Cause: of the fleet's beliefs nothing could be watched but the request path.

Ruled out: metrics for each back end or route (their number grows with the site).

Change: gauges of leadership, term, members, catalog, back ends, daemons, followed processes, connections; counters of heartbeats and orders; docs/operations/METRICS.md and a test that compares it with what is served.

--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -58,6 +58,7 @@
 }
 
 struct Answering {
+    mesh: Arc<ControlMesh>,
     control: Arc<ControlHandle>,
     hub: Arc<Hub>,
     links: Arc<PeerLinks>,
@@ -93,6 +94,7 @@
             control: Arc::clone(&mesh.control),
             hub: Arc::clone(&mesh.hub),
             links: Arc::clone(&mesh.links),
+            mesh: Arc::clone(&mesh),
             dialect: Arc::clone(&self.dialect),
             zones: self.settings.zones.clone(),
             ttl: lookup_ttl(&self.settings),
@@ -183,7 +185,10 @@
             Call::PatchCatalog(patch) => self.commit(Command::PatchCatalog(patch)).await,
             Call::Evacuate { zone, is_active } => self.evacuate(zone, is_active).await,
             Call::ReadCatalog => self.read().await,
-            Call::Heartbeat(news) => self.heartbeat_answer(self.hub.heartbeat(news).await),
+            Call::Heartbeat(news) => {
+                self.mesh.metrics.heartbeats.inc();
+                self.heartbeat_answer(self.hub.heartbeat(news).await)
+            }
             Call::Deregister(id) => self.heartbeat_answer(self.hub.deregister(&id).await),
             Call::Lookup { region, zone } => self.lookup(&region, &zone),
             Call::Ready => done(),
@@ -229,7 +234,10 @@
         info!(target: LOG, took_ms = started.elapsed().as_millis() as u64, answer:? = answer;
             "an order was answered");
         match answer {
-            Answer::Command(CommandAnswer::Done) => done(),
+            Answer::Command(CommandAnswer::Done) => {
+                self.mesh.metrics.orders.inc();
+                done()
+            }
             Answer::Command(CommandAnswer::Refused(reason)) => {
                 refuse(StatusCode::BAD_REQUEST, reason)
             }
--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -20,6 +20,7 @@
 use crate::fleet::formation::{Formation, FormationRules};
 use crate::fleet::hub::Hub;
 use crate::fleet::listener::{Serving, accept};
+use crate::fleet::metrics::{ControlCounts, ControlMetrics};
 use crate::fleet::peer_links::{MeshPeers, PeerLinks};
 use crate::names;
 
@@ -36,6 +37,23 @@
     pub hub: Arc<Hub>,
     /// Connections to the other control processes.
     pub links: Arc<PeerLinks>,
+    /// Metrics of the role.
+    pub metrics: ControlMetrics,
+}
+
+impl ControlMesh {
+    fn update_metrics(&self) {
+        let (ready, draining, edges) = self.hub.counts();
+        let shared = &self.control.shared;
+        self.metrics.update(&ControlCounts {
+            status: shared.status(),
+            leads: shared.leading_term().is_some(),
+            catalog: shared.state().catalog().version(),
+            ready,
+            draining,
+            edges,
+        });
+    }
 }
 
 /// Runs the control role.
@@ -136,12 +154,14 @@
         let accepting = accept(listener, serving, Arc::clone(&self.tasks));
         self.tasks.start(accepting);
         self.tasks.start(formation.run());
-        self.tasks.start(run_hub(Arc::clone(&hub)));
+        let metrics = ControlMetrics::new(registry.metrics()).map_err(|error| failed(&error))?;
         let mesh = Arc::new(ControlMesh {
             control,
             hub,
             links,
+            metrics,
         });
+        self.tasks.start(run_rounds(Arc::clone(&mesh)));
         registry.publish(names::HUB, Arc::clone(&mesh));
         *self.mesh.lock().unwrap_or_else(PoisonError::into_inner) = Some(mesh);
         *self.driver.lock().unwrap_or_else(PoisonError::into_inner) = Some(thread);
@@ -208,9 +228,10 @@
     }
 }
 
-async fn run_hub(hub: Arc<Hub>) {
+async fn run_rounds(mesh: Arc<ControlMesh>) {
     loop {
+        mesh.update_metrics();
         tokio::time::sleep(HUB_ROUND).await;
-        hub.tick();
+        mesh.hub.tick();
     }
 }
--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -212,6 +212,12 @@
         self.state.set_daemons(&self.record.name, names.into_iter());
     }
 
+    /// Control processes that it is connected with.
+    pub fn followed_count(&self) -> usize {
+        let followed = self.followed();
+        followed.values().filter(|one| one.is_connected).count()
+    }
+
     /// What the follower knows, for the dump.
     pub fn dump(&self) -> Value {
         let followed: BTreeMap<String, bool> = self
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -16,6 +16,7 @@
 use coursestand_proxy::pool::Pool;
 use coursestand_proxy::router::Router;
 use coursestand_proxy::{EdgeState, Exchange, ProxyServer};
+use coursestand_routing::Backend;
 use coursestand_routing::RetryLimits;
 use coursestand_routing::backends::ReportTrust;
 use coursestand_routing::cold::ColdLimits;
@@ -29,6 +30,7 @@
 
 use crate::fleet::control_api::lookup_ttl;
 use crate::fleet::edge_follower::EdgeFollower;
+use crate::fleet::metrics::EdgeMetrics;
 use crate::names;
 
 const LOG: &str = "edge";
@@ -62,6 +64,30 @@
     exchange: Arc<Exchange>,
     server: ProxyServer,
     ready: HttpServer,
+    metrics: EdgeMetrics,
+}
+
+impl Running {
+    fn update_metrics(&self) {
+        let now = self.state.now();
+        let beliefs = self.state.beliefs();
+        let count = |is_counted: &dyn Fn(&Backend) -> bool| {
+            let backends = beliefs.backends.iter();
+            backends.filter(|backend| is_counted(backend)).count() as i64
+        };
+        self.metrics.catalog.set(beliefs.catalog.version() as i64);
+        self.metrics.backends.set(count(&|_| true));
+        self.metrics
+            .cold
+            .set(count(&|backend| backend.is_cold(now)));
+        self.metrics
+            .ejected
+            .set(count(&|backend| backend.is_ejected(now)));
+        self.metrics
+            .followed
+            .set(self.follower.followed_count() as i64);
+        self.metrics.idle.set(self.pool.idle_count() as i64);
+    }
 }
 
 impl FleetEdge {
@@ -177,6 +203,7 @@
             exchange,
             server,
             ready,
+            metrics: EdgeMetrics::new(registry.metrics()).map_err(|error| failed(&error))?,
         });
         self.tasks.start(run_rounds(Arc::clone(&running)));
         *self.running.lock().unwrap_or_else(PoisonError::into_inner) = Some(running);
@@ -278,6 +305,7 @@
 
 async fn run_rounds(running: Arc<Running>) {
     loop {
+        running.update_metrics();
         tokio::time::sleep(ROUND).await;
         let (known, max_body) = {
             let beliefs = running.state.beliefs();
--- a/crates/coursestand-daemon/src/fleet/hub.rs
+++ b/crates/coursestand-daemon/src/fleet/hub.rs
@@ -389,6 +389,20 @@
         self.pass_on(&ended);
     }
 
+    /// Back ends that are ready, back ends that leave, and connected entry daemons.
+    pub fn counts(&self) -> (usize, usize, usize) {
+        let state = self.state();
+        let in_phase = |phase| {
+            let known = state.instances.iter();
+            known.filter(|known| known.instance.phase == phase).count()
+        };
+        (
+            in_phase(InstancePhase::Ready),
+            in_phase(InstancePhase::Draining),
+            state.directory.connected().count(),
+        )
+    }
+
     /// The soft state, for the dump.
     pub fn dump(&self) -> Value {
         let now = self.clock.now();
--- /dev/null
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -0,0 +1,127 @@
+//! Gauges of what the processes of a fleet believe, brought up to date each second.
+
+use coursestand_discovery::InstancePhase;
+use prometheus::{IntCounter, IntGauge, IntGaugeVec, Opts, Registry};
+
+use crate::control::shared::ReplicaStatus;
+
+/// Metrics of a control process.
+pub struct ControlMetrics {
+    leads: IntGauge,
+    term: IntGauge,
+    committed: IntGauge,
+    members: IntGauge,
+    catalog: IntGauge,
+    instances: IntGaugeVec,
+    edges: IntGauge,
+    /// Heartbeats of back ends that came to this process.
+    pub heartbeats: IntCounter,
+    /// Orders of operators answered with success.
+    pub orders: IntCounter,
+}
+
+/// What a control process counts at one moment.
+pub struct ControlCounts {
+    /// The replica.
+    pub status: ReplicaStatus,
+    /// Whether it leads with a lease.
+    pub leads: bool,
+    /// Newest change of the catalog.
+    pub catalog: u64,
+    /// Back ends that are ready and draining.
+    pub ready: usize,
+    /// Back ends that leave.
+    pub draining: usize,
+    /// Connected entry daemons.
+    pub edges: usize,
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
+    let gauge = IntGauge::new(name, help)?;
+    registry.register(Box::new(gauge.clone()))?;
+    Ok(gauge)
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, prometheus::Error> {
+    let counter = IntCounter::new(name, help)?;
+    registry.register(Box::new(counter.clone()))?;
+    Ok(counter)
+}
+
+impl ControlMetrics {
+    /// Metrics known to `registry`.
+    pub fn new(registry: &Registry) -> Result<ControlMetrics, prometheus::Error> {
+        let instances = IntGaugeVec::new(
+            Opts::new("coursestand_backends", "Back ends by phase"),
+            &["phase"],
+        )?;
+        registry.register(Box::new(instances.clone()))?;
+        let gauge = |name, help| gauge(registry, name, help);
+        let counter = |name, help| counter(registry, name, help);
+        Ok(ControlMetrics {
+            leads: gauge("coursestand_control_leads", "1 while this replica leads")?,
+            term: gauge("coursestand_control_term", "Number of the election")?,
+            committed: gauge("coursestand_control_committed", "Last committed entry")?,
+            members: gauge("coursestand_control_voters", "Voters of the control group")?,
+            catalog: gauge(
+                "coursestand_catalog_version",
+                "Newest change of the catalog",
+            )?,
+            instances,
+            edges: gauge("coursestand_edges", "Entry daemons that are connected")?,
+            heartbeats: counter("coursestand_heartbeats_total", "Heartbeats of back ends")?,
+            orders: counter("coursestand_orders_total", "Orders acknowledged")?,
+        })
+    }
+
+    /// Brings the gauges up to date.
+    pub fn update(&self, counts: &ControlCounts) {
+        let voters = counts.status.members.iter().filter(|member| member.voter);
+        self.leads.set(i64::from(counts.leads));
+        self.term.set(counts.status.term as i64);
+        self.committed.set(counts.status.commit as i64);
+        self.members.set(voters.count() as i64);
+        self.catalog.set(counts.catalog as i64);
+        self.edges.set(counts.edges as i64);
+        for (phase, count) in [
+            (InstancePhase::Ready, counts.ready),
+            (InstancePhase::Draining, counts.draining),
+        ] {
+            let phase = format!("{phase:?}").to_lowercase();
+            self.instances
+                .with_label_values(&[phase.as_str()])
+                .set(count as i64);
+        }
+    }
+}
+
+/// Metrics of an entry daemon's beliefs.
+pub struct EdgeMetrics {
+    /// Newest change of the catalog.
+    pub catalog: IntGauge,
+    /// Control processes that it follows.
+    pub followed: IntGauge,
+    /// Back ends that it knows and that have not ended.
+    pub backends: IntGauge,
+    /// Back ends among them that are cold.
+    pub cold: IntGauge,
+    /// Back ends among them that are left out for their failures.
+    pub ejected: IntGauge,
+    /// Idle connections to back ends.
+    pub idle: IntGauge,
+}
+
+impl EdgeMetrics {
+    /// Metrics known to `registry`.
+    pub fn new(registry: &Registry) -> Result<EdgeMetrics, prometheus::Error> {
+        let gauge = |name, help| gauge(registry, name, help);
+        Ok(EdgeMetrics {
+            catalog: gauge("coursestand_edge_catalog_version", "Change in force here")?,
+            followed: gauge("coursestand_edge_followed", "Control processes followed")?,
+            backends: gauge("coursestand_edge_backends", "Back ends known")?,
+            cold: gauge("coursestand_edge_cold_backends", "Back ends that are cold")?,
+            ejected: gauge("coursestand_edge_ejected_backends", "Back ends left out")?,
+            idle: gauge("coursestand_edge_idle_connections", "Idle connections kept")?,
+        })
+    }
+}
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 pub mod formation;
 pub mod hub;
 pub mod listener;
+pub mod metrics;
 pub mod node;
 pub mod peer_links;
 pub mod seeds;
--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -309,6 +309,12 @@
             .collect()
     }
 
+    pub async fn metrics(&self, host: u8) -> String {
+        let url = format!("http://{}/metrics", self.address(host, ADMIN));
+        let answer = self.http.get(url).send().await.expect("an answer");
+        answer.text().await.expect("a body")
+    }
+
     pub fn front(&self, host: u8) -> SocketAddr {
         self.address(host, FRONT)
     }
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -207,3 +207,33 @@
     // Resent, what was acknowledged is acknowledged once more.
     expect_that!(deployment.patch(&[5], &first_items()).await, eq(200));
 }
+
+/// Names that a page of metrics tells help for.
+fn metric_names(text: &str) -> std::collections::BTreeSet<String> {
+    text.lines()
+        .filter_map(|line| line.strip_prefix("# HELP "))
+        .filter_map(|line| line.split(' ').next())
+        .map(str::to_owned)
+        .collect()
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_operators_page_lists_the_metrics_that_are_served() {
+    let mut deployment = formed(&ALL).await;
+    deployment.start_edge(EDGE).await;
+    let mut served = metric_names(&deployment.metrics(1).await);
+    served.extend(metric_names(&deployment.metrics(EDGE).await));
+    let page = concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../../docs/operations/METRICS.md"
+    );
+    let page = std::fs::read_to_string(page).expect("the page");
+    let listed: std::collections::BTreeSet<String> = page
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `"))
+        .filter_map(|line| line.split('`').next())
+        .map(str::to_owned)
+        .collect();
+    expect_that!(listed, eq(&served));
+}
--- a/crates/coursestand-proxy/src/metrics.rs
+++ b/crates/coursestand-proxy/src/metrics.rs
@@ -48,6 +48,9 @@
                 "Seconds from a request's head to its answer",
             ))?,
         };
+        // Shown from the start, with nothing counted yet.
+        metrics.requests.with_label_values(&["served"]);
+        metrics.failures.with_label_values(&["unreachable"]);
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.failures.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
