--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,9 @@
 soak: setup
 	COURSESTAND_RUNS=200000 cargo test --release -p coursestand-consensus --test simulation group_equals
 
+# Days for every kind of disruption, and sites that nobody has seen, from a site file.
+# scripts/grid-site SITE OUT [--final]; scripts/own-sites SITE FOLDER
+
 ci:
 	bash .ci/run
 
--- a/crates/coursestand-kernel/src/logging/queue.rs
+++ b/crates/coursestand-kernel/src/logging/queue.rs
@@ -10,7 +10,7 @@
 use serde_json::json;
 
 /// Lines are written at most this often: fewer wake-ups and system calls.
-const PAUSE: Duration = Duration::from_millis(100);
+const PAUSE: Duration = Duration::from_millis(250);
 /// Part of the queue that lines about successes may fill; the rest is kept for
 /// failures.
 const PART_FOR_SUCCESSES: f64 = 0.75;
--- a/crates/coursestand-proxy/src/story.rs
+++ b/crates/coursestand-proxy/src/story.rs
@@ -1,6 +1,9 @@
 //! What became of one request, for logs and metrics: one line at its end.
 
+use std::sync::Arc;
+
 use coursestand_model::BackendId;
+use coursestand_routing::RouteEntry;
 use http::StatusCode;
 use tokio::time::Instant;
 
@@ -16,7 +19,7 @@
     metrics: &'a ProxyMetrics,
     id: Option<String>,
     arrived: Instant,
-    route: Option<(String, u64)>,
+    route: Option<Arc<RouteEntry>>,
     limit_ms: u64,
     instance: Option<BackendId>,
     rank: usize,
@@ -45,7 +48,7 @@
     }
 
     pub(crate) fn matched(&mut self, matched: &Matched) {
-        self.route = Some((matched.route.name.clone(), matched.route.version));
+        self.route = Some(Arc::clone(&matched.route));
         self.limit_ms = matched.limit.as_millis() as u64;
     }
 
@@ -68,7 +71,7 @@
         self.metrics.duration.observe(took.as_secs_f64());
         self.metrics.requests.with_label_values(&[outcome]).inc();
         let (route, version) = match &self.route {
-            Some((name, version)) => (Some(name.as_str()), Some(*version)),
+            Some(route) => (Some(route.name.as_str()), Some(route.version)),
             None => (None, None),
         };
         log::info!(target: LOG,
