--- a/crates/coursestand-daemon/tests/program.rs
+++ b/crates/coursestand-daemon/tests/program.rs
@@ -78,3 +78,54 @@
         contains_substring(format!("cannot listen on {address}"))
     );
 }
+
+fn fleet_settings() -> serde_json::Value {
+    serde_json::json!({
+        "name": "edge-1", "zone": "z-1", "region": "z", "zones": {"z-1": "z"},
+        "ip": "127.0.0.1", "internal_ports": [7540, 7555],
+        "seeds": ["127.0.0.1:8544"], "bootstrap": true, "admin_listen": "127.0.0.1:0",
+        "edge": {"listen": "127.0.0.1:0", "ready_listen": "127.0.0.1:0"},
+        "bounds": {
+            "lost_disks": 2, "heartbeat": "1500ms", "stop": "6s", "lookup_ttl": "5s",
+            "retry_ratio": 0.2, "retry_extra": 64, "retry_window": "10s",
+            "cold_overage": 1.5, "cold_slack": 5
+        }
+    })
+}
+
+#[gtest]
+fn settings_of_a_fleet_are_checked_with_file_field_found_and_allowed() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("fleet.json").display().to_string();
+    let whole = fleet_settings().to_string();
+    std::fs::write(&file, &whole).expect("written");
+    let check = |file: &str| daemon(&["--fleet", file, "--check"]);
+    expect_that!(check(&file).status.code(), eq(Some(0)));
+    for (from, to, signs) in [
+        (
+            "\"1500ms\"",
+            "\"1500\"",
+            ["bounds.heartbeat", "allowed: a number followed by"],
+        ),
+        (
+            "\"zone\":\"z-1\"",
+            "\"zone\":\"z-2\"",
+            ["zone", "found z-2"],
+        ),
+        ("[\"127.0.0.1:8544\"]", "[]", ["seeds", "found no address"]),
+        ("\"edge\":", "\"edgy\":", ["edgy", "expected one of"]),
+    ] {
+        std::fs::write(&file, whole.replacen(from, to, 1)).expect("written");
+        let output = check(&file);
+        let text = String::from_utf8_lossy(&output.stderr).into_owned();
+        expect_that!(output.status.code(), eq(Some(BAD_SETTINGS)));
+        expect_that!(text, contains_substring(file.as_str()));
+        for sign in signs {
+            expect_that!(text, contains_substring(sign));
+        }
+    }
+    let missing = daemon(&["--fleet", "/not/there.json"]);
+    expect_that!(missing.status.code(), eq(Some(BAD_SETTINGS)));
+    let text = String::from_utf8_lossy(&missing.stderr).into_owned();
+    expect_that!(text, contains_substring("/not/there.json"));
+}
