Pass long bodies without a length on instead of refusing them

Cause: a chunked body over 16 MiB was held whole and refused, though the limits may allow 64 MiB: an own 4xx to a proper request.

Ruled out: holding it (memory of a daemon is 260 MB).

Change: what is longer than 1 MiB passes through, counted against the limit; sent at most once.

--- a/crates/coursestand-lab/src/scripted.rs
+++ b/crates/coursestand-lab/src/scripted.rs
@@ -154,6 +154,7 @@
 struct Head {
     run: Run,
     length: usize,
+    is_chunked: bool,
     rest: Vec<u8>,
 }
 
@@ -184,6 +185,7 @@
     let target = text.lines().next().unwrap_or_default();
     let target = target.rsplit_once(' ').map_or(target, |(start, _)| start);
     let length = header(&http::header::CONTENT_LENGTH);
+    let is_chunked = header(&http::header::TRANSFER_ENCODING).is_some();
     Head {
         run: Run {
             id: header(&names.request_id).unwrap_or_default(),
@@ -193,6 +195,7 @@
             body: Vec::new(),
         },
         length: length.and_then(|text| text.parse().ok()).unwrap_or(0),
+        is_chunked,
         rest,
     }
 }
@@ -200,6 +203,17 @@
 async fn read_body(stream: &mut TcpStream, head: &mut Head) -> std::io::Result<()> {
     let mut body = std::mem::take(&mut head.rest);
     let mut piece = [0; 4096];
+    if head.is_chunked {
+        while !body.ends_with(b"0\r\n\r\n") {
+            let count = stream.read(&mut piece).await?;
+            if count == 0 {
+                return Err(std::io::ErrorKind::UnexpectedEof.into());
+            }
+            body.extend_from_slice(&piece[..count]);
+        }
+        head.run.body = without_chunks(&body);
+        return Ok(());
+    }
     while body.len() < head.length {
         let count = stream.read(&mut piece).await?;
         if count == 0 {
@@ -211,6 +225,22 @@
     Ok(())
 }
 
+/// The data of a chunked body that has ended.
+fn without_chunks(mut bytes: &[u8]) -> Vec<u8> {
+    let mut data = Vec::new();
+    while let Some(end) = bytes.windows(2).position(|two| two == b"\r\n") {
+        let size = std::str::from_utf8(&bytes[..end]).unwrap_or_default();
+        let size = usize::from_str_radix(size, 16).unwrap_or(0);
+        let start = end + 2;
+        if size == 0 || bytes.len() < start + size + 2 {
+            break;
+        }
+        data.extend_from_slice(&bytes[start..start + size]);
+        bytes = &bytes[start + size + 2..];
+    }
+    data
+}
+
 /// A proper answer to the request with identity `id`; its body names it.
 fn answer(id: &str, status: u16, extra: &str) -> String {
     let names = HeaderNames::default();
--- a/crates/coursestand-proxy/src/exchange.rs
+++ b/crates/coursestand-proxy/src/exchange.rs
@@ -20,6 +20,7 @@
     closes_connection, keep_alive_of, load_of, millis_of, strip_connection_headers, text_of,
 };
 use crate::metrics::ProxyMetrics;
+use crate::passing_body::PassingBody;
 use crate::phases::{AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target};
 use crate::pool::{Connection, Pool, RequestBody};
 use crate::story::Story;
@@ -29,8 +30,6 @@
 /// Bodies up to this many bytes are held whole: a request so that it can be sent
 /// again, an answer so that a broken one never looks complete.
 const HELD_BYTES: usize = 1024 * 1024;
-/// Longest body of a request without a length, which is held whole.
-const MAX_UNSIZED_BYTES: u64 = 16 * 1024 * 1024;
 /// Longest time to make a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Part of the time left that making a connection may take.
@@ -61,7 +60,7 @@
 enum PreparedBody {
     Held(Bytes),
     /// Too long to be held; sent at most once.
-    Passing(Option<Incoming>),
+    Passing(Option<PassingBody>),
 }
 
 /// A back end's answer.
@@ -232,16 +231,23 @@
             return Err(Reason::BodyTooLong);
         }
         if length.is_some_and(|length| length > HELD_BYTES as u64) {
-            return Ok(PreparedBody::Passing(Some(body)));
+            let passing = PassingBody::new(Bytes::new(), body, longest);
+            return Ok(PreparedBody::Passing(Some(passing)));
         }
         if body.is_end_stream() {
             return Ok(PreparedBody::Held(Bytes::new()));
         }
-        let longest = longest.min(MAX_UNSIZED_BYTES) as usize;
-        let collected = timeout_at(deadline, collect(body, longest)).await;
+        let held = longest.min(HELD_BYTES as u64) as usize;
+        let collected = timeout_at(deadline, collect(body, held)).await;
         match collected {
             Ok(Ok(Collected::Whole(bytes))) => Ok(PreparedBody::Held(bytes)),
-            Ok(Ok(Collected::Part(..))) => Err(Reason::BodyTooLong),
+            Ok(Ok(Collected::Part(first, _))) if first.len() as u64 > longest => {
+                Err(Reason::BodyTooLong)
+            }
+            Ok(Ok(Collected::Part(first, rest))) => {
+                let passing = PassingBody::new(first, rest, longest);
+                Ok(PreparedBody::Passing(Some(passing)))
+            }
             Ok(Err(_)) => Err(Reason::BodyBroken),
             Err(_) => Err(Reason::DeadlinePassed),
         }
--- a/crates/coursestand-proxy/src/lib.rs
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod header_names;
 pub mod headers;
 pub mod metrics;
+pub mod passing_body;
 pub mod phases;
 pub mod pool;
 pub mod router;
--- a/crates/coursestand-proxy/src/pool.rs
+++ b/crates/coursestand-proxy/src/pool.rs
@@ -9,7 +9,6 @@
 use bytes::Bytes;
 use coursestand_model::BackendId;
 use http_body_util::{Either, Full};
-use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
@@ -17,9 +16,10 @@
 use tokio::time::Instant;
 
 use crate::connect::connect;
+use crate::passing_body::PassingBody;
 
 /// Body of a request on its way to a back end: held whole, or passed on.
-pub type RequestBody = Either<Full<Bytes>, Incoming>;
+pub type RequestBody = Either<Full<Bytes>, PassingBody>;
 
 /// How long a back end keeps an idle connection when it does not say.
 const DEFAULT_KEEP_ALIVE: Duration = Duration::from_secs(4);
--- a/crates/coursestand-proxy/tests/common/mod.rs
+++ b/crates/coursestand-proxy/tests/common/mod.rs
@@ -237,6 +237,24 @@
         let _ = self.stream.write_all(body).await;
     }
 
+    /// Sends a body in chunks, without telling its length before.
+    pub async fn send_chunked(&mut self, path: &str, id: &str, body: &[u8]) {
+        let names = HeaderNames::default();
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: h.example\r\n{}: {id}\r\ntransfer-encoding: chunked\r\n\r\n",
+            names.request_id
+        );
+        // The daemon may answer and close before it has read everything.
+        let _ = self.stream.write_all(head.as_bytes()).await;
+        for piece in body.chunks(50_000) {
+            let size = format!("{:x}\r\n", piece.len());
+            let _ = self.stream.write_all(size.as_bytes()).await;
+            let _ = self.stream.write_all(piece).await;
+            let _ = self.stream.write_all(b"\r\n").await;
+        }
+        let _ = self.stream.write_all(b"0\r\n\r\n").await;
+    }
+
     pub async fn ask(&mut self, path: &str, id: &str, headers: &str) -> Answer {
         self.send(path, id, headers, b"a body").await;
         self.receive().await
--- a/crates/coursestand-proxy/tests/serving.rs
+++ b/crates/coursestand-proxy/tests/serving.rs
@@ -115,3 +115,19 @@
         }
     }
 }
+
+#[gtest]
+#[tokio::test]
+async fn a_long_body_without_a_length_is_passed_on_up_to_the_limit() {
+    for (length, is_allowed) in [(3_000_000, true), (MAX_BODY as usize + 100_000, false)] {
+        let edge = Edge::start(Rules::default(), vec![(vec![], GOOD)]).await;
+        let body: Vec<u8> = (0..length).map(|number| number as u8).collect();
+        let mut caller = Caller::connect(edge.server.address()).await;
+        caller.send_chunked("/once/a", "r1", &body).await;
+        let answer = caller.receive().await;
+        expect_that!(answer.status == 200, eq(is_allowed), "{answer:?}");
+        if is_allowed {
+            expect_that!(edge.backends[0].runs()[0].body == body, eq(true));
+        }
+    }
+}
