Find the leader past a stopped replica with many requests under way

By its logs the leadership was handed over within 5 ms, but one entry daemon knew no leader for 10 s: requests that waited at the stopped replica each moved the daemon's choice on by one, so three together came round to it again, and claims ran out of time.

Change: a request moves the choice on only from where it was itself sent.

--- a/crates/coursestand-daemon/src/entry/control_client.rs
+++ b/crates/coursestand-daemon/src/entry/control_client.rs
@@ -38,6 +38,14 @@
 
 type Replica = Arc<Client<ControlRequest, ControlReply>>;
 
+/// The replica that a request was sent to.
+struct Asked {
+    replica: Replica,
+    /// Position in the round of replicas.
+    position: usize,
+    count: usize,
+}
+
 /// Asks the leader of the control group.
 pub struct ControlClient {
     replicas: RwLock<Vec<Replica>>,
@@ -73,17 +81,21 @@
             if remaining.is_zero() {
                 return Err(ControlClientError::NoLeader);
             }
-            let (replica, count) = self.current();
-            match replica.exchange(request, attempt.min(remaining)).await {
-                Ok(ControlReply::NotLeader(leader)) => self.go_on(leader),
+            let asked = self.current();
+            match asked
+                .replica
+                .exchange(request, attempt.min(remaining))
+                .await
+            {
+                Ok(ControlReply::NotLeader(leader)) => self.go_on(&asked, leader),
                 Ok(ControlReply::Refused(reason)) => {
                     return Err(ControlClientError::Refused { reason });
                 }
                 Ok(reply) => return Ok(reply),
-                Err(_) => self.go_on(None),
+                Err(_) => self.go_on(&asked, None),
             }
             tried += 1;
-            if tried % count == 0 {
+            if tried % asked.count == 0 {
                 tokio::time::sleep(PAUSE.min(remaining)).await;
             }
         }
@@ -91,19 +103,30 @@
 
     /// The replica that was asked last, for the state dump.
     pub fn current_address(&self) -> SocketAddr {
-        self.current().0.address()
+        self.current().replica.address()
     }
 
-    fn current(&self) -> (Replica, usize) {
+    fn current(&self) -> Asked {
         let replicas = self.replicas.read().unwrap_or_else(PoisonError::into_inner);
-        let index = self.current.load(Ordering::Relaxed) % replicas.len();
-        (Arc::clone(&replicas[index]), replicas.len())
+        let position = self.current.load(Ordering::Relaxed);
+        Asked {
+            replica: Arc::clone(&replicas[position % replicas.len()]),
+            position,
+            count: replicas.len(),
+        }
     }
 
     /// Goes on to the leader, if it is known, or else to the next replica.
-    fn go_on(&self, leader: Option<SocketAddr>) {
+    fn go_on(&self, asked: &Asked, leader: Option<SocketAddr>) {
         let Some(leader) = leader else {
-            self.current.fetch_add(1, Ordering::Relaxed);
+            // Only from where this request was: others may have gone on already,
+            // and together they must not come round to the same replica again.
+            let _ = self.current.compare_exchange(
+                asked.position,
+                asked.position + 1,
+                Ordering::Relaxed,
+                Ordering::Relaxed,
+            );
             return;
         };
         let mut replicas = self
--- a/crates/coursestand-daemon/tests/common/mod.rs
+++ b/crates/coursestand-daemon/tests/common/mod.rs
@@ -41,6 +41,14 @@
     (deployment, addresses)
 }
 
+/// Logs of the daemons are shown when a level is asked for.
+fn logs() -> Stdio {
+    match std::env::var_os("COURSESTAND_TEST_LOG") {
+        Some(_) => Stdio::inherit(),
+        None => Stdio::null(),
+    }
+}
+
 impl Fleet {
     /// Starts everything and puts the first bundle in force.
     pub async fn start(daemons: usize, change: impl FnOnce(&mut Deployment)) -> Fleet {
@@ -79,7 +87,7 @@
             .arg("--settings")
             .arg(&file)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(logs())
             .spawn()
             .expect("the daemon starts");
         self.processes[index] = Some(child);
