--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -279,7 +279,7 @@
 
     pub async fn heartbeat(&self, host: u8, news: &InstanceNews) -> u16 {
         let id = &news.instance.id;
-        let url = format!("http://{}/v1/instances/{id}", self.address(host, CONTROL));
+        let url = format!("http://{}/v1/backends/{id}", self.address(host, CONTROL));
         let body = serde_json::to_string(news).expect("JSON");
         let answer = self.http.post(url).body(body).send().await;
         answer.map_or(0, |answer| answer.status().as_u16())
@@ -287,7 +287,7 @@
 
     pub async fn evacuate(&self, host: u8, zone: &str) -> u16 {
         let url = format!(
-            "http://{}/v1/evacuations/{zone}",
+            "http://{}/v1/closed-zones/{zone}",
             self.address(host, CONTROL)
         );
         let answer = self.http.put(url).send().await;
--- a/crates/coursestand-dialect/src/native.rs
+++ b/crates/coursestand-dialect/src/native.rs
@@ -30,9 +30,9 @@
         let call = match (method.as_str(), path.as_slice()) {
             ("POST", ["v1", "catalog"]) => Call::PatchCatalog(parse_json::<Patch>(body)?),
             ("GET", ["v1", "catalog"]) => Call::ReadCatalog,
-            ("POST", ["v1", "instances", _]) => Call::Heartbeat(parse_json::<InstanceNews>(body)?),
-            ("DELETE", ["v1", "instances", id]) => Call::Deregister(BackendId::from(*id)),
-            ("PUT" | "DELETE", ["v1", "evacuations", zone]) => Call::Evacuate {
+            ("POST", ["v1", "backends", _]) => Call::Heartbeat(parse_json::<InstanceNews>(body)?),
+            ("DELETE", ["v1", "backends", id]) => Call::Deregister(BackendId::from(*id)),
+            ("PUT" | "DELETE", ["v1", "closed-zones", zone]) => Call::Evacuate {
                 zone: ZoneId::from(*zone),
                 is_active: method == Method::PUT,
             },
