Settle rival candidates by an order, and repeat pre-votes sooner

The log shows the control processes up at 31.22 s and a leader at 34.27 s in term 4: three of five disks were left, so every vote was needed, and candidates at once split the votes three times, each costing 600 to 1,200 ms.

Ruled out: start of processes (45 ms), connections (followed at 31.51 s), the hand-over of the catalog (ready 250 ms after the leader).

Change: of two pre-candidates the one with the newer log, or the higher identity, goes first, for half an election timeout; who grants a pre-vote waits for a quarter before its own; a pre-vote without a majority is repeated after half to a whole timeout; the random part of the timeout is a half in place of a whole. Loyalty to a leader, votes and leases are as they were.

--- a/crates/coursestand-consensus/src/config.rs
+++ b/crates/coursestand-consensus/src/config.rs
@@ -7,9 +7,9 @@
 pub struct Config {
     /// Identity of this replica.
     pub replica: ReplicaId,
-    /// Shortest time without a leader after which a replica campaigns; the
-    /// longest is twice that. In this time no replica helps to replace a leader
-    /// that it heard from.
+    /// Time without a leader after which a replica campaigns; a random part of up
+    /// to half of it comes on top. In this time no replica helps to replace a
+    /// leader that it heard from.
     pub election_timeout: Millis,
     /// Time between two messages of a leader to a follower.
     pub heartbeat: Millis,
--- a/crates/coursestand-consensus/src/replica/election.rs
+++ b/crates/coursestand-consensus/src/replica/election.rs
@@ -9,6 +9,18 @@
 use crate::message::{Body, LogPosition, Message};
 use crate::types::{HardState, Payload};
 
+/// Parts of the election timeout: the range of its random part, from one of
+/// these to the other.
+const LEAST_RANDOM_PART: Millis = 16;
+const MOST_RANDOM_PART: Millis = 2;
+/// Part of the election timeout after which a pre-vote without a majority is
+/// repeated. Pre-votes disturb nobody, so this need not be a whole timeout.
+const PRE_VOTE_RETRY_PART: Millis = 2;
+/// Part of the election timeout for which a replica that granted a pre-vote
+/// doesn't begin one itself. Shorter than the time between two pre-votes of one
+/// candidate, so that one which can't win never holds the others back for long.
+const YIELD_PART: Millis = 4;
+
 impl Replica {
     /// Check-quorum: a leader that does not hear a majority steps down.
     pub(super) fn hears_quorum(&self, now: Millis) -> bool {
@@ -78,18 +90,25 @@
     }
 
     pub(super) fn reset_election_timer(&mut self, now: Millis) {
+        self.election_due = now + self.config.election_timeout + self.random_part();
+    }
+
+    fn random_part(&mut self) -> Millis {
         let timeout = self.config.election_timeout;
-        self.election_due = now + timeout + self.random.random_range(0..timeout);
+        let range = timeout / LEAST_RANDOM_PART..timeout / MOST_RANDOM_PART;
+        self.random.random_range(range)
     }
 
     pub(super) fn start_pre_vote(&mut self, now: Millis) {
-        self.reset_election_timer(now);
+        let retry = self.config.election_timeout / PRE_VOTE_RETRY_PART;
+        self.election_due = now + retry + self.random_part();
         let own = self.id();
         if !self.membership().is_voter(own) {
             return;
         }
         self.role = Role::PreCandidate {
             granted: BTreeSet::from([own]),
+            since: now,
         };
         if self.membership().quorum() == 1 {
             return self.start_election(now, false);
@@ -108,7 +127,13 @@
         term: Term,
         last: LogPosition,
     ) {
-        let granted = term > self.hard_state.term && !self.is_loyal(now) && self.is_as_new(last);
+        let granted = term > self.hard_state.term
+            && !self.is_loyal(now)
+            && self.is_as_new(last)
+            && !self.goes_before(now, from, last);
+        if granted {
+            self.yield_to_candidate(now);
+        }
         // A refusal carries our term, so that a replica left behind catches up.
         let answer_term = if granted { term } else { self.hard_state.term };
         let message = Message {
@@ -118,6 +143,27 @@
         self.messages_after_sync.push((from, message));
     }
 
+    /// Two pre-candidates at once would split the votes: the one with the older
+    /// log, or else the lower identity, gives way. One that has asked for long
+    /// without a majority can't win, and stands in nobody's way.
+    fn goes_before(&self, now: Millis, rival: ReplicaId, rivals_last: LogPosition) -> bool {
+        let Role::PreCandidate { since, .. } = &self.role else {
+            return false;
+        };
+        let is_fresh = now < since + self.config.election_timeout / PRE_VOTE_RETRY_PART;
+        is_fresh && (self.log.last(), self.id()) > (rivals_last, rival)
+    }
+
+    /// Lets another replica's candidacy come to its end before an own one. This
+    /// only moves timers: no vote is given, so nothing rests on it but time.
+    fn yield_to_candidate(&mut self, now: Millis) {
+        if matches!(self.role, Role::PreCandidate { .. }) {
+            self.role = Role::Follower { leader: None };
+        }
+        let yielded = now + self.config.election_timeout / YIELD_PART;
+        self.election_due = self.election_due.max(yielded);
+    }
+
     pub(super) fn take_pre_vote(
         &mut self,
         now: Millis,
@@ -134,7 +180,7 @@
         let expected = self.hard_state.term + 1;
         let quorum = self.membership().quorum();
         let is_voter = self.membership().is_voter(from);
-        let Role::PreCandidate { granted } = &mut self.role else {
+        let Role::PreCandidate { granted, .. } = &mut self.role else {
             return;
         };
         if term != expected || !is_voter {
--- a/crates/coursestand-consensus/src/replica/mod.rs
+++ b/crates/coursestand-consensus/src/replica/mod.rs
@@ -52,6 +52,8 @@
     PreCandidate {
         /// Who would vote for it.
         granted: BTreeSet<ReplicaId>,
+        /// When it began to ask.
+        since: Millis,
     },
     /// Asks for votes.
     Candidate {
