Let a back end's load fade to its usual load, not to none

Change: the requests of others fade from the newest report towards their average over four seconds, which itself fades in eight.

--- a/crates/coursestand-routing/src/backends.rs
+++ b/crates/coursestand-routing/src/backends.rs
@@ -24,6 +24,11 @@
     pub waiting: u32,
 }
 
+/// Time constant with which the usual load follows the reports.
+const USUAL_LOAD_MS: f64 = 4_000.0;
+/// Without reports the usual load loses half of its weight in this time.
+const USUAL_HALF_LIFE_MS: f64 = 8_000.0;
+
 /// How long a load report is believed.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ReportTrust {
@@ -55,6 +60,8 @@
     /// Requests of others at the newest report, and when it came.
     others: f64,
     reported_at: Millis,
+    /// Requests of others as reports told them on average.
+    usual: f64,
     failures: u32,
     ejected_until: Millis,
 }
@@ -68,14 +75,31 @@
             in_flight: 0,
             others: 0.0,
             reported_at: now,
+            usual: 0.0,
             failures: 0,
             ejected_until: 0,
         }
     }
 
     /// Requests that it probably has now.
+    ///
+    /// What others have fades from the newest report towards what they usually
+    /// have: a daemon of many hears of a back end seldom, and one that is always
+    /// crowded is still so when its last report is old.
     pub fn load(&self, now: Millis, trust: ReportTrust) -> f64 {
-        f64::from(self.in_flight) + self.others * trust.weight(self.load_age(now))
+        let age = self.load_age(now);
+        let usual = self.usual * (-(age as f64) / USUAL_HALF_LIFE_MS).exp2();
+        let others = usual + (self.others - usual) * trust.weight(age);
+        f64::from(self.in_flight) + others
+    }
+
+    fn take_report(&mut self, now: Millis, report: LoadReport) {
+        let all = f64::from(report.running + report.waiting);
+        let others = (all - f64::from(self.in_flight)).max(0.0);
+        let gain = 1.0 - (-(self.load_age(now) as f64) / USUAL_LOAD_MS).exp();
+        self.usual += (others - self.usual) * gain;
+        self.others = others;
+        self.reported_at = now;
     }
 
     /// Age of what is known about its load, in milliseconds.
@@ -211,9 +235,7 @@
         backend.failures = 0;
         backend.ejected_until = 0;
         if let Some(report) = report {
-            let all = f64::from(report.running + report.waiting);
-            backend.others = (all - f64::from(backend.in_flight)).max(0.0);
-            backend.reported_at = now;
+            backend.take_report(now, report);
         }
     }
 
