Even out entry daemons' links; take callers' limits from the catalog

Apart from that, the last reading of the code had left three constants where the catalog or a measurement should decide (idle time, header bytes, time to connect) and a setting without use.

Change: entry daemons tell the use of their links; look-ups leave those above their region's mean out of part of the answers. The idle time and the header bytes of the catalog in force hold for open connections too; longer headers get 431. The limit of a connection to a back end is the smoothed time for its zone and four deviations, as in RFC 6298, 400 ms at least. A daemon that has just started tells callers to come back in a second, not in half of one, since the control group needs that long after a loss of all power. busy_pause and listener::is_done are gone.

The tests of limits, connection times and look-ups fail without.

--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -3,10 +3,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use coursestand_discovery::{EdgePhase, EdgeRecord};
+use coursestand_discovery::{EdgePhase, EdgeRecord, LinkUse};
 use coursestand_proxy::EdgeState;
 use coursestand_routing::hash::{combine, hash_of};
 use coursestand_transport::stream::{self, StreamError};
@@ -44,6 +45,8 @@
     state: Arc<EdgeState>,
     record: EdgeRecord,
     phase: watch::Sender<EdgePhase>,
+    /// Use of this machine's link, told with each sign of life.
+    link_use: AtomicU8,
     seeds: watch::Receiver<Vec<SocketAddr>>,
     /// Control processes as the group itself tells.
     controls: Mutex<BTreeSet<SocketAddr>>,
@@ -62,6 +65,7 @@
             state,
             phase: watch::Sender::new(record.phase),
             record,
+            link_use: AtomicU8::new(0),
             seeds,
             controls: Mutex::default(),
             followed: Mutex::default(),
@@ -85,6 +89,11 @@
         });
     }
 
+    /// This much of the machine's link is used from now on.
+    pub fn set_link_use(&self, link_use: LinkUse) {
+        self.link_use.store(link_use, Ordering::Relaxed);
+    }
+
     fn followed(&self) -> MutexGuard<'_, BTreeMap<SocketAddr, Followed>> {
         self.followed.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -289,7 +298,10 @@
                 }
                 sender.send(&ToControl::Edge(follower.record())).await?;
             }
-            _ = ping.tick() => sender.send(&ToControl::Ping).await?,
+            _ = ping.tick() => {
+                let link_use = follower.link_use.load(Ordering::Relaxed);
+                sender.send(&ToControl::EdgePing(link_use)).await?;
+            },
             () = tokio::time::sleep_until(heard_at + SILENCE) => {
                 return Err(StreamError::Silent { limit_ms: SILENCE.as_millis() });
             }
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -7,10 +7,11 @@
 
 use async_trait::async_trait;
 use coursestand_dialect::{Call, Dialect};
-use coursestand_discovery::{EdgePhase, EdgeRecord};
+use coursestand_discovery::{EdgePhase, EdgeRecord, LinkUse};
 use coursestand_kernel::http::HttpServer;
 use coursestand_kernel::{Health, MonotonicClock, Registry, Service, ServiceError, Tasks};
 use coursestand_model::fleet::FleetSettings;
+use coursestand_proxy::caller_limits::CallerLimits;
 use coursestand_proxy::edge_state::EdgeBounds;
 use coursestand_proxy::metrics::ProxyMetrics;
 use coursestand_proxy::pool::Pool;
@@ -88,6 +89,17 @@
             .set(self.follower.followed_count() as i64);
         self.metrics.idle.set(self.pool.idle_count() as i64);
     }
+
+    /// Tells how much of the machine's link is used, when its speed is known.
+    fn update_link_use(&self, link_mbps: Option<f64>) {
+        let used_mbps = self.exchange.link().sample();
+        let Some(link_mbps) = link_mbps else {
+            return;
+        };
+        let percent = (used_mbps / link_mbps * 100.0).min(f64::from(LinkUse::MAX));
+        self.metrics.link_use.set(percent as i64);
+        self.follower.set_link_use(percent as LinkUse);
+    }
 }
 
 impl FleetEdge {
@@ -145,7 +157,6 @@
                 extra: bounds.retry_extra,
                 window_ms: bounds.retry_window.0,
             },
-            busy_pause: self.settings.balance.busy_pause.duration(),
             settle_ms: HEARTBEATS_TO_SETTLE * bounds.heartbeat.0,
         };
         EdgeState::new(self.clock, place, bounds)
@@ -205,7 +216,8 @@
             ready,
             metrics: EdgeMetrics::new(registry.metrics()).map_err(|error| failed(&error))?,
         });
-        self.tasks.start(run_rounds(Arc::clone(&running)));
+        self.tasks
+            .start(run_rounds(Arc::clone(&running), self.settings.link_mbps));
         *self.running.lock().unwrap_or_else(PoisonError::into_inner) = Some(running);
         Ok(())
     }
@@ -303,23 +315,24 @@
     HttpServer::start(address, endpoint, Duration::ZERO).await
 }
 
-async fn run_rounds(running: Arc<Running>) {
+async fn run_rounds(running: Arc<Running>, link_mbps: Option<f64>) {
     loop {
         running.update_metrics();
+        running.update_link_use(link_mbps);
         tokio::time::sleep(ROUND).await;
-        let (known, max_body) = {
+        let (known, limits) = {
             let beliefs = running.state.beliefs();
             let known: std::collections::HashSet<_> = beliefs
                 .backends
                 .iter()
                 .map(|backend| backend.instance.id.clone())
                 .collect();
-            let max_body = beliefs.catalog.limits().map(|limits| limits.max_body_bytes);
-            (known, max_body)
+            let limits = beliefs.catalog.limits().map(CallerLimits::of);
+            (known, limits)
         };
         running.pool.close_idle(|id| known.contains(id));
-        if let Some(max_body) = max_body {
-            running.exchange.set_max_body_bytes(max_body);
+        if let Some(limits) = limits {
+            running.exchange.limits().set(limits);
         }
     }
 }
--- a/crates/coursestand-daemon/src/fleet/hub.rs
+++ b/crates/coursestand-daemon/src/fleet/hub.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use coursestand_discovery::directory::WITNESS_SILENCE_MS;
 use coursestand_discovery::{
-    Directory, EdgeRecord, Instance, InstanceNews, InstancePhase, InstanceTable,
+    Directory, EdgeRecord, Instance, InstanceNews, InstancePhase, InstanceTable, LinkUse,
 };
 use coursestand_kernel::MonotonicClock;
 use coursestand_model::{BackendId, Millis, RegionId, ServiceId, ZoneId};
@@ -340,7 +340,17 @@
 
     /// Addresses of entry daemons for a client.
     pub fn lookup(&self, region: &RegionId, zone: &ZoneId) -> Vec<SocketAddr> {
-        self.state().directory.resolve(region, zone, MOST_ADDRESSES)
+        self.state()
+            .directory
+            .resolve(region, zone, MOST_ADDRESSES, rand::random)
+    }
+
+    /// An entry daemon that this process is connected with told how much of its
+    /// link it uses.
+    pub fn note_link_use(&self, record: &EdgeRecord, link_use: LinkUse) {
+        self.state()
+            .directory
+            .note_link_use(&record.name, record.incarnation, link_use);
     }
 
     /// Regular work: tells the others who was heard, and drops what is silent.
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use coursestand_catalog::Catalog;
-use coursestand_coordination::{Command, CommandAnswer};
+use coursestand_coordination::Command;
 use coursestand_discovery::EdgeRecord;
 use coursestand_kernel::Tasks;
 use coursestand_transport::stream::{self, Receiver, Sender, StreamError};
@@ -176,11 +176,6 @@
     control.shared.leading_term().map(|_| catalog)
 }
 
-/// Whether the command took effect as a whole.
-pub fn is_done(answer: &Answer) -> bool {
-    matches!(answer, Answer::Command(CommandAnswer::Done))
-}
-
 async fn serve_edge(
     mut record: EdgeRecord,
     have: u64,
@@ -243,7 +238,10 @@
                 message = receiver.next() => {
                     heard_at = Instant::now();
                     match message? {
-                        ToControl::Ping => sender.send(&ToEdge::Pong).await?,
+                        ToControl::EdgePing(link_use) => {
+                            hub.note_link_use(record, link_use);
+                            sender.send(&ToEdge::Pong).await?;
+                        }
                         ToControl::Edge(next) => {
                             *record = next;
                             hub.note_edge(record, true);
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -109,6 +109,8 @@
     pub ejected: IntGauge,
     /// Idle connections to back ends.
     pub idle: IntGauge,
+    /// Use of the machine's link in percent.
+    pub link_use: IntGauge,
 }
 
 impl EdgeMetrics {
@@ -122,6 +124,7 @@
             cold: gauge("coursestand_edge_cold_backends", "Back ends that are cold")?,
             ejected: gauge("coursestand_edge_ejected_backends", "Back ends left out")?,
             idle: gauge("coursestand_edge_idle_connections", "Idle connections kept")?,
+            link_use: gauge("coursestand_edge_link_use", "Percent of the link used")?,
         })
     }
 }
--- a/crates/coursestand-daemon/src/fleet/wire.rs
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -4,7 +4,7 @@
 
 use coursestand_catalog::CatalogDelta;
 use coursestand_coordination::{Command, CommandAnswer};
-use coursestand_discovery::{EdgeRecord, InstanceNews};
+use coursestand_discovery::{EdgeRecord, InstanceNews, LinkUse};
 use coursestand_model::BackendId;
 use serde::{Deserialize, Serialize};
 
@@ -26,6 +26,8 @@
     Edge(EdgeRecord),
     /// The sender lives.
     Ping,
+    /// The entry daemon lives, and uses this much of its link.
+    EdgePing(LinkUse),
 }
 
 /// What one control process tells another.
--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -100,6 +100,7 @@
                 .iter()
                 .map(|seed| self.address(*seed, CONTROL))
                 .collect(),
+            link_mbps: None,
             bootstrap,
             admin_listen: self.address(host, ADMIN),
             log_level: "info".to_owned(),
--- a/crates/coursestand-discovery/src/directory.rs
+++ b/crates/coursestand-discovery/src/directory.rs
@@ -34,6 +34,16 @@
     pub phase: EdgePhase,
 }
 
+/// Part of its link's speed that an entry daemon uses, in percent. More than 100
+/// can't be measured for long.
+pub type LinkUse = u8;
+
+/// Up to this use nobody waits for the link, and evening out gains nothing.
+const UNCROWDED_LINK: f64 = 35.0;
+/// Part of the excess over the mean that one look-up takes away. Clients ask about
+/// once a second and the use is known a second or two late: more would overshoot.
+const EVENING_GAIN: f64 = 0.5;
+
 /// A control process that vouches for an entry daemon.
 pub type Witness = SocketAddr;
 
@@ -44,6 +54,8 @@
 #[derive(Clone, Debug)]
 struct Entry {
     record: EdgeRecord,
+    /// How much of its link it uses, as far as it is known here.
+    link_use: Option<LinkUse>,
     /// Control processes that are connected with it.
     witnesses: BTreeSet<Witness>,
 }
@@ -68,6 +80,7 @@
         self.runs.retain(|_, entry| !entry.witnesses.is_empty());
         let entry = self.runs.entry(run).or_insert_with(|| Entry {
             record: record.clone(),
+            link_use: None,
             witnesses: BTreeSet::new(),
         });
         let is_new_witness = entry.witnesses.insert(witness);
@@ -114,31 +127,81 @@
             .map(|entry| &entry.record)
     }
 
+    /// That run of a daemon uses this much of its link.
+    pub fn note_link_use(&mut self, name: &str, incarnation: u64, link_use: LinkUse) {
+        let run = (name.to_owned(), incarnation);
+        if let Some(entry) = self.runs.get_mut(&run) {
+            entry.link_use = Some(link_use);
+        }
+    }
+
     /// Addresses for a client in `zone` of `region`: the ready daemons of its
-    /// region, those of its zone first; when there are none, all ready ones.
-    pub fn resolve(&self, region: &RegionId, zone: &ZoneId, most: usize) -> Vec<SocketAddr> {
-        let ready: Vec<&EdgeRecord> = self
-            .connected()
-            .filter(|record| record.phase == EdgePhase::Ready)
+    /// region, those of its zone first; when there are none, all ready ones. Those
+    /// whose links are used more than the others' are left out of some answers;
+    /// `draw` gives numbers in `0.0..1.0` by chance.
+    pub fn resolve(
+        &self,
+        region: &RegionId,
+        zone: &ZoneId,
+        most: usize,
+        mut draw: impl FnMut() -> f64,
+    ) -> Vec<SocketAddr> {
+        let ready: Vec<&Entry> = self
+            .runs
+            .values()
+            .filter(|entry| entry.record.phase == EdgePhase::Ready)
             .collect();
-        let mut near: Vec<&EdgeRecord> = ready
+        let mut near: Vec<&Entry> = ready
             .iter()
             .copied()
-            .filter(|record| record.region == *region)
+            .filter(|entry| entry.record.region == *region)
             .collect();
         if near.is_empty() {
             near = ready;
         }
-        near.sort_by_key(|record| record.zone != *zone);
+        near.sort_by_key(|entry| entry.record.zone != *zone);
+        let mean = mean_link_use(&near);
         let mut addresses: Vec<SocketAddr> = Vec::new();
-        for record in near {
-            if !addresses.contains(&record.address) && addresses.len() < most {
-                addresses.push(record.address);
+        let mut left_out: Vec<SocketAddr> = Vec::new();
+        for entry in near {
+            let address = entry.record.address;
+            if addresses.contains(&address) || addresses.len() >= most {
+                continue;
+            }
+            if draw() < entry.excess(mean) {
+                left_out.push(address);
+            } else {
+                addresses.push(address);
             }
         }
+        if addresses.is_empty() {
+            return left_out;
+        }
         addresses
     }
 }
 
+impl Entry {
+    /// Part of the answers that leave this daemon out, so that the use of the
+    /// links evens out.
+    fn excess(&self, mean: f64) -> f64 {
+        match self.link_use.map(f64::from) {
+            Some(link_use) if link_use > mean.max(UNCROWDED_LINK) => {
+                EVENING_GAIN * (link_use - mean) / link_use
+            }
+            _ => 0.0,
+        }
+    }
+}
+
+/// The mean of those whose use is known.
+fn mean_link_use(entries: &[&Entry]) -> f64 {
+    let known: Vec<f64> = entries
+        .iter()
+        .filter_map(|entry| entry.link_use.map(f64::from))
+        .collect();
+    known.iter().sum::<f64>() / known.len().max(1) as f64
+}
+
 /// Time after which a silent control process vouches for nobody.
 pub const WITNESS_SILENCE_MS: Millis = 3_000;
--- a/crates/coursestand-discovery/src/lib.rs
+++ b/crates/coursestand-discovery/src/lib.rs
@@ -9,6 +9,6 @@
 pub mod instance;
 pub mod table;
 
-pub use directory::{Directory, EdgePhase, EdgeRecord};
+pub use directory::{Directory, EdgePhase, EdgeRecord, LinkUse};
 pub use instance::{Instance, InstanceNews, InstancePhase};
 pub use table::InstanceTable;
--- a/crates/coursestand-discovery/tests/directory.rs
+++ b/crates/coursestand-discovery/tests/directory.rs
@@ -24,7 +24,7 @@
 
 fn resolve(directory: &Directory, zone: &str) -> Vec<SocketAddr> {
     let region = RegionId::from(zone.split('-').next().unwrap_or_default());
-    directory.resolve(&region, &ZoneId::from(zone), 64)
+    directory.resolve(&region, &ZoneId::from(zone), 64, || 0.0)
 }
 
 const FIRST: u8 = 101;
@@ -75,3 +75,103 @@
     directory.disconnect(address(FIRST), "edge-1", 9);
     expect_that!(resolve(&directory, "a-1"), len(eq(1)));
 }
+
+/// Parts of 1,000 look-ups in which each of the daemons 1 to `count` is named.
+fn named(directory: &Directory, count: u8) -> Vec<f64> {
+    const LOOK_UPS: usize = 1_000;
+    let mut times = vec![0; usize::from(count)];
+    let mut number = 0_u32;
+    for _ in 0..LOOK_UPS {
+        // Evenly spread numbers in no simple order.
+        let draw = || {
+            number = number.wrapping_add(2_654_435_769);
+            f64::from(number) / f64::from(u32::MAX)
+        };
+        let answer = directory.resolve(&RegionId::from("a"), &ZoneId::from("a-1"), 64, draw);
+        for host in 1..=count {
+            times[usize::from(host) - 1] += usize::from(answer.contains(&address(host)));
+        }
+    }
+    times
+        .iter()
+        .map(|times| *times as f64 / LOOK_UPS as f64)
+        .collect()
+}
+
+fn directory_with_use(link_use: &[u8]) -> Directory {
+    let mut directory = Directory::default();
+    for (index, link_use) in link_use.iter().enumerate() {
+        let host = index as u8 + 1;
+        directory.connect(address(FIRST), &edge(host, 1, "a-1", EdgePhase::Ready));
+        directory.note_link_use(&format!("edge-{host}"), 1, *link_use);
+    }
+    directory
+}
+
+#[gtest]
+fn daemons_with_crowded_links_are_named_less_often() {
+    let directory = directory_with_use(&[90, 60, 50, 40]);
+    let named = named(&directory, 4);
+    // The mean is 60: half of the excess of the first one is a sixth.
+    expect_that!(named[0], near(1.0 - 0.5 * 30.0 / 90.0, 0.01));
+    expect_that!(named[1..], each(eq(&1.0)));
+}
+
+#[gtest]
+fn links_that_nobody_waits_for_are_left_alone() {
+    let directory = directory_with_use(&[34, 2, 2, 2]);
+    expect_that!(named(&directory, 4), each(eq(&1.0)));
+}
+
+#[gtest]
+fn a_look_up_is_never_empty_for_crowded_links() {
+    let directory = directory_with_use(&[90, 20]);
+    let ready = directory.resolve(&RegionId::from("a"), &ZoneId::from("a-1"), 1, || 0.0);
+    expect_that!(ready, len(eq(1)));
+    let mut alone = directory_with_use(&[90]);
+    alone.connect(address(FIRST), &edge(2, 1, "b-1", EdgePhase::Ready));
+    expect_that!(resolve(&alone, "a-1"), elements_are![eq(&address(1))]);
+}
+
+/// A model of clients that ask every second and keep their connections while the
+/// daemon is named: the use evens out, and does not swing.
+#[gtest]
+fn uneven_use_evens_out_without_swinging() {
+    const DAEMONS: u8 = 24;
+    const CLIENTS: usize = 300;
+    let mut number = 7_u32;
+    let mut draw = || {
+        number = number.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
+        f64::from(number) / (f64::from(u32::MAX) + 1.0)
+    };
+    let mut chosen: Vec<u8> = (0..CLIENTS)
+        .map(|_| 1 + (draw() * draw() * f64::from(DAEMONS)) as u8)
+        .collect();
+    let mut smoothed = vec![0.0; usize::from(DAEMONS)];
+    let mut spreads = Vec::new();
+    for _ in 0..30 {
+        let mut counts = vec![0.0; usize::from(DAEMONS)];
+        for daemon in &chosen {
+            counts[usize::from(*daemon) - 1] += 1.0;
+        }
+        let most = counts.iter().copied().fold(0.0, f64::max);
+        spreads.push(most * f64::from(DAEMONS) / CLIENTS as f64);
+        for (smoothed, count) in smoothed.iter_mut().zip(&counts) {
+            *smoothed += (count - *smoothed) * 0.5;
+        }
+        // 12.5 clients of a daemon are three fifths of its link.
+        let link_use: Vec<u8> = smoothed.iter().map(|count| (count * 4.8) as u8).collect();
+        let directory = directory_with_use(&link_use);
+        for daemon in &mut chosen {
+            let answer =
+                directory.resolve(&RegionId::from("a"), &ZoneId::from("a-1"), 64, &mut draw);
+            if !answer.contains(&address(*daemon)) {
+                let next = answer[(draw() * answer.len() as f64) as usize];
+                let SocketAddr::V4(next) = next else { continue };
+                *daemon = next.ip().octets()[3];
+            }
+        }
+    }
+    expect_that!(spreads[0], ge(2.0));
+    expect_that!(spreads[15..], each(le(&1.6)));
+}
--- a/crates/coursestand-model/src/fleet.rs
+++ b/crates/coursestand-model/src/fleet.rs
@@ -73,8 +73,6 @@
     pub report_hold: Span,
     /// After that, it loses half of its weight in this time.
     pub report_half_life: Span,
-    /// When callers may come back after all back ends were too busy.
-    pub busy_pause: Span,
 }
 
 impl Default for BalanceSettings {
@@ -84,7 +82,6 @@
             hard_load: 1.6,
             report_hold: Span(250),
             report_half_life: Span(400),
-            busy_pause: Span(150),
         }
     }
 }
@@ -119,6 +116,10 @@
     pub control: Option<FleetControlSettings>,
     /// Set when the process serves callers.
     pub edge: Option<FleetEdgeSettings>,
+    /// Speed of the machine's link in each direction, in megabits a second. With
+    /// it, look-ups even out how much of their links entry daemons use.
+    #[serde(default)]
+    pub link_mbps: Option<f64>,
     /// Bounds of the deployment.
     pub bounds: FleetBounds,
     /// How entry daemons balance load.
@@ -169,6 +170,13 @@
         if self.bounds.heartbeat.0 == 0 {
             return Err(InvalidValue::new("bounds.heartbeat", "0ms", "1ms or more"));
         }
+        if self
+            .link_mbps
+            .is_some_and(|speed| speed.is_nan() || speed <= 0.0)
+        {
+            let found = format!("{:?}", self.link_mbps);
+            return Err(InvalidValue::new("link_mbps", found, "a speed over 0"));
+        }
         let balance = &self.balance;
         let is_ordered = balance.soft_load > 0.0 && balance.soft_load <= balance.hard_load;
         if !is_ordered {
--- a/crates/coursestand-proxy/src/answer.rs
+++ b/crates/coursestand-proxy/src/answer.rs
@@ -9,6 +9,17 @@
 
 use crate::exchange::StreamedBody;
 
+/// A daemon without a catalog has just started. When all of the fleet has, it
+/// takes the control group an election and the hand-over of the catalog to make it
+/// ready; who comes back earlier is only refused again.
+const STARTING_PAUSE: Duration = Duration::from_millis(1_000);
+/// Back ends that were lost come back, or others take their place.
+const NO_BACKEND_PAUSE: Duration = Duration::from_millis(500);
+/// About the time in which a full back end works a request off.
+const BUSY_PAUSE: Duration = Duration::from_millis(150);
+/// Another daemon or another connection will do.
+const ELSEWHERE_PAUSE: Duration = Duration::from_millis(50);
+
 /// Body of an answer: held whole, or passed on as it comes.
 pub type AnswerBody = Either<Full<Bytes>, StreamedBody>;
 
@@ -19,6 +30,8 @@
     NoCatalog,
     /// No route takes the request.
     NoRoute,
+    /// The headers are longer than allowed.
+    HeadersTooLong,
     /// The body is longer than allowed.
     BodyTooLong,
     /// The caller broke off while it sent the body.
@@ -47,6 +60,7 @@
         match self {
             Reason::NoCatalog => "no-catalog",
             Reason::NoRoute => "no-route",
+            Reason::HeadersTooLong => "headers-too-long",
             Reason::BodyTooLong => "body-too-long",
             Reason::BodyBroken => "body-broken",
             Reason::DeadlinePassed => "deadline-passed",
@@ -65,6 +79,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Reason::NoRoute => StatusCode::NOT_FOUND,
+            Reason::HeadersTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Reason::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Reason::BodyBroken => StatusCode::BAD_REQUEST,
             Reason::NoCatalog
@@ -83,10 +98,11 @@
     /// was not run.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
-            Reason::NoCatalog | Reason::NoBackend => Some(Duration::from_millis(500)),
-            Reason::Busy | Reason::Shed => Some(Duration::from_millis(150)),
+            Reason::NoCatalog => Some(STARTING_PAUSE),
+            Reason::NoBackend => Some(NO_BACKEND_PAUSE),
+            Reason::Busy | Reason::Shed => Some(BUSY_PAUSE),
             Reason::Unreachable | Reason::DeadlinePassed | Reason::Stopping => {
-                Some(Duration::from_millis(50))
+                Some(ELSEWHERE_PAUSE)
             }
             _ => None,
         }
--- a/crates/coursestand-proxy/src/edge_state.rs
+++ b/crates/coursestand-proxy/src/edge_state.rs
@@ -3,7 +3,6 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
 
 use coursestand_catalog::{Catalog, CatalogDelta};
 use coursestand_discovery::InstanceNews;
@@ -18,8 +17,6 @@
 pub struct EdgeBounds {
     /// Bound on requests that are sent again.
     pub retries: RetryLimits,
-    /// When callers may come back after all back ends were too busy.
-    pub busy_pause: Duration,
     /// After an evacuation ends, back ends of the zone get nothing for this
     /// long: their heartbeats tell by then whether they have turned cold.
     pub settle_ms: Millis,
--- a/crates/coursestand-proxy/src/exchange.rs
+++ b/crates/coursestand-proxy/src/exchange.rs
@@ -1,7 +1,6 @@
 //! Runs the phases of a request and does the I/O between them.
 
 use std::pin::Pin;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -15,10 +14,13 @@
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{AnswerBody, Reason, own_answer, passed_on};
+use crate::caller_limits::SharedLimits;
+use crate::connect_times::ConnectTimes;
 use crate::header_names::HeaderNames;
 use crate::headers::{
     closes_connection, keep_alive_of, load_of, millis_of, strip_connection_headers, text_of,
 };
+use crate::link_meter::LinkMeter;
 use crate::metrics::ProxyMetrics;
 use crate::passing_body::PassingBody;
 use crate::phases::{AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target};
@@ -30,8 +32,6 @@
 /// Bodies up to this many bytes are held whole: a request so that it can be sent
 /// again, an answer so that a broken one never looks complete.
 const HELD_BYTES: usize = 1024 * 1024;
-/// Longest time to make a connection.
-const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Part of the time left that making a connection may take.
 const CONNECT_PART: u32 = 3;
 /// A back end stops at the deadline; its word of that needs a moment to arrive.
@@ -43,7 +43,9 @@
     names: HeaderNames,
     pool: Arc<Pool>,
     metrics: ProxyMetrics,
-    max_body_bytes: AtomicU64,
+    link: LinkMeter,
+    connect_times: ConnectTimes,
+    limits: SharedLimits,
     /// When the process ends, once a planned stop has begun.
     end: OnceLock<Instant>,
 }
@@ -63,6 +65,16 @@
     Passing(Option<PassingBody>),
 }
 
+impl PreparedBody {
+    /// Bytes of it, as far as they are known before it has passed.
+    fn size(&self) -> u64 {
+        match self {
+            PreparedBody::Held(bytes) => bytes.len() as u64,
+            PreparedBody::Passing(body) => body.as_ref().map_or(0, |body| body.size_hint().lower()),
+        }
+    }
+}
+
 /// A back end's answer.
 struct Received {
     status: StatusCode,
@@ -111,7 +123,9 @@
             names,
             pool,
             metrics,
-            max_body_bytes: AtomicU64::new(u64::MAX),
+            link: LinkMeter::default(),
+            connect_times: ConnectTimes::default(),
+            limits: SharedLimits::default(),
             end: OnceLock::new(),
         }
     }
@@ -131,9 +145,14 @@
         }
     }
 
-    /// Longest body of a request in bytes.
-    pub fn set_max_body_bytes(&self, bytes: u64) {
-        self.max_body_bytes.store(bytes, Ordering::Relaxed);
+    /// What callers may send and for how long they may rest.
+    pub fn limits(&self) -> &SharedLimits {
+        &self.limits
+    }
+
+    /// Counts what passes the machine's link.
+    pub fn link(&self) -> &LinkMeter {
+        &self.link
     }
 
     /// Metrics of the exchange.
@@ -153,6 +172,7 @@
         match result {
             Ok(received) => {
                 story.end("served", received.status);
+                self.link.count(received.body.size_hint().lower());
                 passed_on(received.status, received.headers, received.body)
             }
             Err(reason) => {
@@ -168,6 +188,9 @@
         arrived: Instant,
     ) -> Result<Prepared, Reason> {
         let (mut parts, body) = request.into_parts();
+        if self.limits.get().are_too_long(&parts.headers) {
+            return Err(Reason::HeadersTooLong);
+        }
         let head = self.head_of(&parts);
         let matched = match self.phases.match_request(&head) {
             Ok(matched) => matched,
@@ -185,6 +208,7 @@
             return Err(Reason::Stopping);
         }
         let body = self.read_body(&parts.headers, body, deadline).await?;
+        self.link.count(body.size());
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(&self.names.deadline);
         parts.headers.remove(&self.names.target_instance);
@@ -224,7 +248,7 @@
         body: Incoming,
         deadline: Instant,
     ) -> Result<PreparedBody, Reason> {
-        let longest = self.max_body_bytes.load(Ordering::Relaxed);
+        let longest = self.limits.get().body_bytes;
         let length: Option<u64> =
             text_of(headers, &CONTENT_LENGTH).and_then(|text| text.parse().ok());
         if length.is_some_and(|length| length > longest) {
@@ -441,13 +465,17 @@
     }
 
     async fn open(&self, deadline: Instant, target: &Target) -> Result<Connection, FailedAttempt> {
-        let left = deadline.saturating_duration_since(Instant::now());
-        let limit = CONNECT_LIMIT.min(left / CONNECT_PART);
+        let started = Instant::now();
+        let left = deadline.saturating_duration_since(started);
+        let limit = self.connect_times.limit(&target.zone);
         self.metrics.connections.inc();
-        self.pool
-            .open(target.address, limit)
+        let connection = self
+            .pool
+            .open(target.address, limit.min(left / CONNECT_PART))
             .await
-            .map_err(|_| FailedAttempt::of(AttemptFailure::Unreachable))
+            .map_err(|_| FailedAttempt::of(AttemptFailure::Unreachable))?;
+        self.connect_times.note(&target.zone, started.elapsed());
+        Ok(connection)
     }
 
     fn request_for(
--- a/crates/coursestand-proxy/src/lib.rs
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -7,15 +7,19 @@
 //! them and does the I/O.
 
 pub mod answer;
+pub mod caller_limits;
 pub mod connect;
+pub mod connect_times;
 pub mod edge_state;
 pub mod exchange;
 pub mod header_names;
 pub mod headers;
+pub mod link_meter;
 pub mod metrics;
 pub mod passing_body;
 pub mod phases;
 pub mod pool;
+mod rest;
 pub mod router;
 pub mod server;
 mod story;
--- a/crates/coursestand-proxy/src/phases.rs
+++ b/crates/coursestand-proxy/src/phases.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coursestand_model::{BackendId, ServiceId};
+use coursestand_model::{BackendId, ServiceId, ZoneId};
 use coursestand_routing::{LoadReport, Pick, RouteEntry};
 
 use crate::answer::Reason;
@@ -46,6 +46,8 @@
     pub pick: Pick,
     /// Where it is reached.
     pub address: SocketAddr,
+    /// Its zone.
+    pub zone: ZoneId,
 }
 
 /// How an attempt at a back end ended without a proper answer.
--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -108,9 +108,14 @@
             return Err(Reason::NoBackend);
         };
         let address = backend.instance.address;
+        let zone = backend.instance.zone.clone();
         beliefs.picker.note_sent(now, backend);
         beliefs.backends.start(&pick.id);
-        Ok(Target { pick, address })
+        Ok(Target {
+            pick,
+            address,
+            zone,
+        })
     }
 
     fn answered(&self, target: &Target, load: Option<LoadReport>) {
--- a/crates/coursestand-proxy/src/server.rs
+++ b/crates/coursestand-proxy/src/server.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use snafu::{ResultExt, Snafu};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
@@ -18,11 +18,11 @@
 use crate::answer::close_after;
 use crate::connect::prepare;
 use crate::exchange::Exchange;
+use crate::rest::Rest;
 
-/// Longest time that a caller's connection may rest, or its headers may take.
-const IDLE_LIMIT: Duration = Duration::from_secs(20);
-/// Bytes of headers that are read at most.
-const MAX_HEADER_BYTES: usize = 64 * 1024;
+/// Bytes that are read at most before headers are whole. What the catalog allows
+/// less than this is checked once they are read.
+const MAX_HEADER_BYTES: usize = 256 * 1024;
 /// A caller that confirms no bytes for this long is gone.
 const SILENCE: Duration = Duration::from_secs(10);
 /// Pause after the system refused a connection, as for want of descriptors.
@@ -139,10 +139,13 @@
         return;
     }
     let answering = mode.clone();
+    let rest = Arc::new(Rest::default());
+    let serving = (Arc::clone(&exchange), Arc::clone(&rest));
     let service = service_fn(move |request: Request<Incoming>| {
-        let exchange = Arc::clone(&exchange);
+        let (exchange, rest) = serving.clone();
         let mode = answering.clone();
         async move {
+            let _busy = rest.interrupt();
             let mut response = exchange.serve(request).await;
             if *mode.borrow() != Mode::Serving {
                 close_after(&mut response);
@@ -151,8 +154,8 @@
         }
     });
     let connection = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(IDLE_LIMIT)
+        // The time that headers take counts as rest, see `Rest`.
+        .header_read_timeout(None)
         .max_buf_size(MAX_HEADER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
@@ -160,6 +163,7 @@
         // A caller that broke off is nobody's fault here.
         _ = connection.as_mut() => return,
         _ = mode.wait_for(|mode| *mode == Mode::Closing) => {}
+        () = rest.exceeds(&exchange) => {}
     }
     connection.as_mut().graceful_shutdown();
     let _ = connection.await;
--- a/crates/coursestand-proxy/tests/common/mod.rs
+++ b/crates/coursestand-proxy/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use coursestand_lab::items;
 use coursestand_lab::scripted::{Behaviour, ScriptedBackend};
 use coursestand_model::{BackendId, RegionId, ServiceId, ZoneId};
+use coursestand_proxy::caller_limits::CallerLimits;
 use coursestand_proxy::edge_state::EdgeBounds;
 use coursestand_proxy::metrics::ProxyMetrics;
 use coursestand_proxy::phases::RequestPhases;
@@ -119,7 +120,6 @@
             extra: rules.retry_extra,
             window_ms: 10_000,
         },
-        busy_pause: Duration::from_millis(150),
         settle_ms: 1_000,
     };
     Arc::new(EdgeState::new(MonotonicClock::default(), place, bounds))
@@ -129,7 +129,10 @@
     let metrics = ProxyMetrics::new(&prometheus::Registry::new()).expect("metrics");
     let pool = Arc::new(Pool::default());
     let exchange = Arc::new(Exchange::new(phases, HeaderNames::default(), pool, metrics));
-    exchange.set_max_body_bytes(MAX_BODY);
+    exchange.limits().set(CallerLimits {
+        body_bytes: MAX_BODY,
+        ..exchange.limits().get()
+    });
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
     let server = ProxyServer::start(address, Arc::clone(&exchange)).await;
     (exchange, Arc::new(server.expect("a server")))
