Soak the fleet's real processes under faults from outside

Change: daemon/tests/soak starts three control processes and three entry daemons as processes, a relay before each of four back ends (delays, silence one way or both, resets), freezes, kills, planned stops, reloads, lost disks of one control process at a time, and an operator who changes routes. Callers keep their connections. Checked: nothing runs that was not asked, once-only requests run once at most, what was answered 503 never ran, a success is the whole own answer, what was acknowledged is read back, no process ends by itself, planned stops end, service comes back.

The first runs failed by the relay's own fault: it turned a back end's reset into a proper end, so that an answer without a length looked whole. The relay resets now.

The judge is shown each broken promise by hand.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Commands of the project. `make run` and `make test` install what is missing.
 
-.PHONY: run test known-red bench soak setup ci examples
+.PHONY: run test known-red bench soak fault-soak setup ci examples
 
 setup:
 	@command -v cmake >/dev/null || (apt-get update && apt-get install -y cmake)
@@ -25,6 +25,13 @@
 soak: setup
 	COURSESTAND_RUNS=200000 cargo test --release -p coursestand-consensus --test simulation group_equals
 
+# Real processes under faults from outside, with seeds of one's own:
+# make fault-soak SEEDS=100..150 SECONDS=8
+SEEDS ?= 1..20
+SECONDS ?= 8
+fault-soak: setup
+	COURSESTAND_SOAK_SEEDS=$(SEEDS) COURSESTAND_SOAK_SECONDS=$(SECONDS) cargo test -p coursestand-daemon --test soak -- --nocapture
+
 # Days for every kind of disruption, and sites that nobody has seen, from a site file.
 # scripts/grid-site SITE OUT [--final]; scripts/own-sites SITE FOLDER
 
--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -121,7 +121,7 @@
         }
     }
 
-    pub async fn start_control(&mut self, host: u8, bootstrap: bool) {
+    pub fn control_settings(&self, host: u8, bootstrap: bool) -> FleetSettings {
         std::fs::create_dir_all(self.data_folder(host)).expect("a folder");
         let mut settings = self.settings(host, bootstrap);
         settings.control = Some(FleetControlSettings {
@@ -129,15 +129,25 @@
             lookup_listen: self.address(host, LOOKUP),
             data_folder: self.data_folder(host),
         });
-        self.start(host, settings).await;
+        settings
     }
 
-    pub async fn start_edge(&mut self, host: u8) {
+    pub fn edge_settings(&self, host: u8) -> FleetSettings {
         let mut settings = self.settings(host, false);
         settings.edge = Some(FleetEdgeSettings {
             listen: self.address(host, FRONT),
             ready_listen: self.address(host, READY),
         });
+        settings
+    }
+
+    pub async fn start_control(&mut self, host: u8, bootstrap: bool) {
+        let settings = self.control_settings(host, bootstrap);
+        self.start(host, settings).await;
+    }
+
+    pub async fn start_edge(&mut self, host: u8) {
+        let settings = self.edge_settings(host);
         self.start(host, settings).await;
     }
 
@@ -227,7 +237,7 @@
     pub async fn patch(&self, hosts: &[u8], patch: &Patch) -> u16 {
         let started = std::time::Instant::now();
         for host in hosts.iter().cycle() {
-            let url = format!("http://{}/v1/catalog", self.address(*host, CONTROL));
+            let url = format!("{}/v1/catalog", self.control_url(*host));
             let body = serde_json::to_string(patch).expect("JSON");
             if let Ok(answer) = self.http.post(url).body(body).send().await
                 && answer.status() != 503
@@ -242,7 +252,7 @@
 
     /// Sends a body as a change, once. 0 when there is no answer.
     pub async fn try_patch(&self, host: u8, body: &str) -> u16 {
-        let url = format!("http://{}/v1/catalog", self.address(host, CONTROL));
+        let url = format!("{}/v1/catalog", self.control_url(host));
         let answer = self.http.post(url).body(body.to_owned()).send().await;
         answer.map_or(0, |answer| answer.status().as_u16())
     }
@@ -251,7 +261,7 @@
     pub async fn read(&self, host: u8) -> BTreeMap<String, u64> {
         let started = std::time::Instant::now();
         loop {
-            let url = format!("http://{}/v1/catalog", self.address(host, CONTROL));
+            let url = format!("{}/v1/catalog", self.control_url(host));
             if let Ok(answer) = self.http.get(url).send().await
                 && answer.status() == 200
             {
@@ -280,17 +290,14 @@
 
     pub async fn heartbeat(&self, host: u8, news: &InstanceNews) -> u16 {
         let id = &news.instance.id;
-        let url = format!("http://{}/v1/backends/{id}", self.address(host, CONTROL));
+        let url = format!("{}/v1/backends/{id}", self.control_url(host));
         let body = serde_json::to_string(news).expect("JSON");
         let answer = self.http.post(url).body(body).send().await;
         answer.map_or(0, |answer| answer.status().as_u16())
     }
 
     pub async fn evacuate(&self, host: u8, zone: &str) -> u16 {
-        let url = format!(
-            "http://{}/v1/closed-zones/{zone}",
-            self.address(host, CONTROL)
-        );
+        let url = format!("{}/v1/closed-zones/{zone}", self.control_url(host));
         let answer = self.http.put(url).send().await;
         answer.map_or(0, |answer| answer.status().as_u16())
     }
@@ -316,6 +323,10 @@
         answer.text().await.expect("a body")
     }
 
+    pub fn control_url(&self, host: u8) -> String {
+        format!("http://{}", self.address(host, CONTROL))
+    }
+
     pub fn front(&self, host: u8) -> SocketAddr {
         self.address(host, FRONT)
     }
--- /dev/null
+++ b/crates/coursestand-daemon/tests/soak/main.rs
@@ -0,0 +1,322 @@
+//! A randomized soak: the real programs as processes on loopback, faults from
+//! outside them, and the promises checked from what callers, back ends and
+//! operators see.
+//!
+//! `COURSESTAND_SOAK_SEEDS=FIRST..END` plays those seeds, `COURSESTAND_SOAK_SECONDS`
+//! sets how long each lasts, `COURSESTAND_SOAK_KEEP=1` keeps the logs. Without them a
+//! short run of fixed seeds is played, among them each that ever failed.
+#![allow(missing_docs)]
+
+#[path = "../fleet/deployment.rs"]
+#[allow(dead_code)]
+mod deployment;
+
+mod callers;
+mod faults;
+mod processes;
+mod relay;
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use callers::{Asked, Record, call};
+use coursestand_catalog::{Patch, RouteKind};
+use coursestand_discovery::InstancePhase;
+use coursestand_lab::items;
+use coursestand_lab::scripted::{Behaviour, ScriptedBackend};
+use deployment::{Deployment, WITHIN, heartbeat_of, key_of};
+use faults::Faults;
+use googletest::prelude::*;
+use processes::Processes;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use relay::Relay;
+
+pub const CONTROLS: [u8; 3] = [1, 2, 3];
+pub const EDGES: [u8; 3] = [11, 12, 13];
+/// Disks that may be lost at once among three.
+pub const LOST_DISKS: usize = 1;
+const BACKENDS: usize = 4;
+const CALLERS: usize = 6;
+const HEARTBEAT: Duration = Duration::from_millis(400);
+const DEFAULT_SECONDS: u64 = 6;
+/// Seeds of the short run.
+const SEEDS: [u64; 2] = [1, 2];
+/// Requests in a back end's script; after them it answers properly.
+const SCRIPT: usize = 400;
+/// Statuses that promise that the request was not run and never will be.
+const PROMISES: [u16; 4] = [408, 421, 429, 503];
+
+/// What a fault's schedule acts on.
+pub struct World {
+    pub deployment: Deployment,
+    pub processes: Processes,
+    pub relays: Vec<Relay>,
+    /// Newest acknowledged version of each route.
+    pub acknowledged: BTreeMap<String, u64>,
+}
+
+fn script(random: &mut StdRng) -> Vec<Behaviour> {
+    let behaviours = (0..SCRIPT).map(|_| match random.random_range(0..60) {
+        0 => Behaviour::Shed,
+        1 => Behaviour::UnprovenRefusal,
+        2 => Behaviour::Lose,
+        3 => Behaviour::Cut,
+        4 => Behaviour::CutChunks,
+        5 => Behaviour::UnframedReset,
+        6 => Behaviour::Garbage,
+        7 => Behaviour::WrongId,
+        8 => Behaviour::Double,
+        9 => Behaviour::Silence,
+        10 => Behaviour::Early,
+        11 => Behaviour::Misdirected,
+        12..20 => Behaviour::Slow(Duration::from_millis(150)),
+        _ => Behaviour::Answer(200),
+    });
+    behaviours.collect()
+}
+
+fn first_items() -> Patch {
+    let route = |name: &str, kind| {
+        let route = items::route(name, "s", kind, 2_000);
+        items::route_item(name, 1, route)
+    };
+    Patch {
+        upserts: vec![
+            items::service("s"),
+            items::limits(),
+            route("safe", RouteKind::Repeatable),
+            route("once", RouteKind::Once),
+        ],
+        removals: Vec::new(),
+    }
+}
+
+/// Back ends tell that they live, to one control process after the other.
+async fn send_heartbeats(record: Arc<Record>, urls: Vec<String>, addresses: Vec<(String, String)>) {
+    let http = reqwest::Client::builder()
+        .timeout(Duration::from_millis(300))
+        .build()
+        .expect("a client");
+    let mut round = 0;
+    while !record.has_ended() {
+        for (id, body) in &addresses {
+            let body = body.replace("\"sequence\":0", &format!("\"sequence\":{}", round + 1));
+            for attempt in 0..urls.len() {
+                let url = &urls[(round + attempt) % urls.len()];
+                let sent = http
+                    .post(format!("{url}/v1/backends/{id}"))
+                    .body(body.clone());
+                if sent.send().await.is_ok_and(|answer| answer.status() == 200) {
+                    break;
+                }
+            }
+        }
+        round += 1;
+        tokio::time::sleep(HEARTBEAT).await;
+    }
+}
+
+async fn wait_for_service(world: &World, record: &Record) -> std::result::Result<(), String> {
+    for edge in EDGES {
+        let started = Instant::now();
+        let mut number = 0;
+        loop {
+            number += 1;
+            let id = format!("probe-{edge}-{number}");
+            record.note(Asked {
+                id: id.clone(),
+                ..Asked::default()
+            });
+            if world.deployment.request(edge, "/safe/probe", &id).await == 200 {
+                break;
+            }
+            if started.elapsed() > WITHIN {
+                return Err(format!("daemon {edge} does not serve after the faults"));
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    }
+    Ok(())
+}
+
+/// Plays one seed; an error names the promise that was broken.
+async fn play(seed: u64, seconds: u64) -> std::result::Result<usize, String> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let deployment = Deployment::new(&CONTROLS);
+    let logs = deployment.data_folder(0);
+    let mut world = World {
+        processes: Processes::new(&logs),
+        deployment,
+        relays: Vec::new(),
+        acknowledged: BTreeMap::new(),
+    };
+    for host in CONTROLS {
+        world.start(host, true);
+    }
+    for host in EDGES {
+        world.start(host, true);
+    }
+    let first = first_items();
+    let status = world.deployment.patch(&CONTROLS, &first).await;
+    assert_eq!(status, 200, "the first items are refused");
+    let mut backends = Vec::new();
+    let mut heartbeats = Vec::new();
+    for number in 0..BACKENDS {
+        let backend = ScriptedBackend::start(script(&mut random), Behaviour::Answer(200))
+            .await
+            .expect("a back end");
+        let relay = Relay::start(backend.address()).await;
+        let id = format!("backend-{number}");
+        let news = heartbeat_of(&id, relay.address(), 0, InstancePhase::Ready);
+        heartbeats.push((id, serde_json::to_string(&news).expect("JSON")));
+        backends.push(backend);
+        world.relays.push(relay);
+    }
+    let record = Arc::new(Record::default());
+    let urls = CONTROLS.map(|host| world.deployment.control_url(host));
+    let beating = tokio::spawn(send_heartbeats(
+        Arc::clone(&record),
+        urls.to_vec(),
+        heartbeats,
+    ));
+    wait_for_service(&world, &record).await?;
+    let fronts = EDGES.map(|host| world.deployment.front(host)).to_vec();
+    let calling: Vec<_> = (0..CALLERS)
+        .map(|caller| tokio::spawn(call(Arc::clone(&record), fronts.clone(), caller)))
+        .collect();
+    let end = Instant::now() + Duration::from_secs(seconds);
+    let mut faults = Faults::new(random);
+    while Instant::now() < end {
+        faults.next(&mut world).await?;
+    }
+    faults.heal(&mut world).await?;
+    let served = wait_for_service(&world, &record).await;
+    record.end();
+    for task in calling {
+        task.await.expect("a caller ended");
+    }
+    beating.await.expect("the heartbeats ended");
+    served?;
+    if let Some(host) = world.processes.ended_by_themselves().first() {
+        return Err(format!("process {host} ended by itself"));
+    }
+    for (route, version) in &world.acknowledged {
+        let read = world.deployment.read(CONTROLS[0]).await;
+        let held = read.get(&key_of(route)).copied().unwrap_or_default();
+        if held < *version {
+            return Err(format!(
+                "route {route} has version {held}, {version} was acknowledged"
+            ));
+        }
+    }
+    judge(&record.asked(), &backends)
+}
+
+/// Checks what callers got against what back ends ran. Returns how many requests
+/// were served.
+fn judge(asked: &[Asked], backends: &[ScriptedBackend]) -> std::result::Result<usize, String> {
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for run in backends.iter().flat_map(ScriptedBackend::runs) {
+        *runs.entry(run.id).or_default() += 1;
+    }
+    let asked_for: BTreeMap<&str, &Asked> =
+        asked.iter().map(|one| (one.id.as_str(), one)).collect();
+    for (id, count) in &runs {
+        let Some(one) = asked_for.get(id.as_str()) else {
+            return Err(format!("{id} was run and never asked"));
+        };
+        if id.starts_with("once") && *count > 1 {
+            return Err(format!("{id} was run {count} times"));
+        }
+        if PROMISES.contains(&one.status) {
+            return Err(format!("{id} was run, its answer was {}", one.status));
+        }
+    }
+    for one in asked.iter().filter(|one| one.status == 200) {
+        let is_own = one.echoed.as_deref() == Some(&one.id);
+        if !is_own || one.body != format!("body of {}", one.id) {
+            return Err(format!("{one:?} is not the answer to its request"));
+        }
+    }
+    Ok(asked.iter().filter(|one| one.status == 200).count())
+}
+
+fn seeds() -> Vec<u64> {
+    let Ok(range) = std::env::var("COURSESTAND_SOAK_SEEDS") else {
+        return SEEDS.to_vec();
+    };
+    let (first, end) = range.split_once("..").expect("FIRST..END");
+    (first.parse().expect("a number")..end.parse().expect("a number")).collect()
+}
+
+fn seconds() -> u64 {
+    let text = std::env::var("COURSESTAND_SOAK_SECONDS").ok();
+    text.map_or(DEFAULT_SECONDS, |text| text.parse().expect("a number"))
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn promises_hold_under_faults_from_outside() {
+    let mut broken = Vec::new();
+    for seed in seeds() {
+        match play(seed, seconds()).await {
+            Ok(served) => {
+                println!("seed {seed}: {served} requests served");
+                expect_that!(served, gt(0));
+            }
+            Err(reason) => broken.push(format!("seed {seed}: {reason}")),
+        }
+    }
+    expect_that!(broken, is_empty());
+}
+
+/// The judge must be able to fail: each promise, broken by hand.
+#[gtest]
+#[tokio::test]
+async fn the_judge_sees_each_broken_promise() {
+    let backend = ScriptedBackend::start(vec![], Behaviour::Answer(200))
+        .await
+        .expect("a back end");
+    let http = reqwest::Client::new();
+    for id in ["once-1", "once-1", "once-3", "safe-2"] {
+        let url = format!("http://{}/once/1", backend.address());
+        let sent = http.post(url).header("x-request-id", id).body("a").send();
+        sent.await.expect("an answer");
+    }
+    let backends = [backend];
+    let asked = |id: &str, status, echoed: &str| Asked {
+        id: id.to_owned(),
+        status,
+        echoed: Some(echoed.to_owned()),
+        body: format!("body of {echoed}"),
+    };
+    let all = |first: Asked| {
+        vec![
+            first,
+            asked("once-3", 200, "once-3"),
+            asked("safe-2", 200, "safe-2"),
+        ]
+    };
+    let judged = |asked: Vec<Asked>| judge(&asked, &backends).expect_err("broken");
+    expect_that!(
+        judged(all(asked("once-1", 200, "once-1"))),
+        contains_substring("run 2 times")
+    );
+    expect_that!(judged(vec![]), contains_substring("never asked"));
+    // A back end that ran nothing, and one that ran a request that was refused.
+    let idle = ScriptedBackend::start(vec![], Behaviour::Answer(200))
+        .await
+        .expect("a back end");
+    let foreign = judge(&[asked("safe-4", 200, "safe-6")], &[idle]);
+    expect_that!(foreign, err(contains_substring("is not the answer")));
+    let one = ScriptedBackend::start(vec![], Behaviour::Answer(200))
+        .await
+        .expect("a back end");
+    let url = format!("http://{}/once/1", one.address());
+    let sent = http.post(url).header("x-request-id", "once-5").body("a");
+    sent.send().await.expect("an answer");
+    let refused = judge(&[asked("once-5", 503, "")], &[one]);
+    expect_that!(refused, err(contains_substring("its answer was 503")));
+}
--- /dev/null
+++ b/crates/coursestand-daemon/tests/soak/processes.rs
@@ -0,0 +1,109 @@
+//! The real programs as processes, and signals to them by their ids.
+
+use std::collections::BTreeMap;
+use std::fs::File;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+
+use coursestand_model::fleet::FleetSettings;
+
+/// A signal as `kill` names it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    Stop,
+    Continue,
+    Terminate,
+    Hangup,
+}
+
+impl Signal {
+    fn name(self) -> &'static str {
+        match self {
+            Signal::Stop => "-STOP",
+            Signal::Continue => "-CONT",
+            Signal::Terminate => "-TERM",
+            Signal::Hangup => "-HUP",
+        }
+    }
+}
+
+/// Processes by host. Dropped, it ends those that it started.
+pub struct Processes {
+    folder: PathBuf,
+    children: BTreeMap<u8, Child>,
+    starts: u32,
+}
+
+impl Processes {
+    pub fn new(folder: &Path) -> Processes {
+        std::fs::create_dir_all(folder).expect("a folder");
+        Processes {
+            folder: folder.to_owned(),
+            children: BTreeMap::new(),
+            starts: 0,
+        }
+    }
+
+    /// Starts the daemon with these settings; its log goes to a file.
+    pub fn start(&mut self, host: u8, settings: &FleetSettings) {
+        self.starts += 1;
+        let file = self.folder.join(format!("{host}.json"));
+        let text = serde_json::to_string(settings).expect("JSON");
+        std::fs::write(&file, text).expect("written");
+        let log = self.folder.join(format!("{host}-{}.log", self.starts));
+        let log = File::create(log).expect("a log");
+        let child = Command::new(env!("CARGO_BIN_EXE_coursestandd"))
+            .arg("--fleet")
+            .arg(&file)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("a handle"))
+            .stderr(log)
+            .spawn()
+            .expect("started");
+        self.children.insert(host, child);
+    }
+
+    pub fn signal(&self, host: u8, signal: Signal) {
+        if let Some(child) = self.children.get(&host) {
+            let id = child.id().to_string();
+            let status = Command::new("kill").arg(signal.name()).arg(id).status();
+            assert!(status.is_ok_and(|status| status.success()), "no signal");
+        }
+    }
+
+    /// Ends a process at once.
+    pub fn kill(&mut self, host: u8) {
+        if let Some(mut child) = self.children.remove(&host) {
+            // One that has ended by itself is waited for all the same.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Whether a process that was told to end has done so.
+    pub fn has_ended(&mut self, host: u8) -> bool {
+        let child = self.children.get_mut(&host).expect("it was started");
+        let has_ended = child.try_wait().expect("a status").is_some();
+        if has_ended {
+            self.children.remove(&host);
+        }
+        has_ended
+    }
+
+    /// Hosts whose processes ended though nobody ended them.
+    pub fn ended_by_themselves(&mut self) -> Vec<u8> {
+        let children = self.children.iter_mut();
+        children
+            .filter_map(|(host, child)| child.try_wait().ok().flatten().map(|_| *host))
+            .collect()
+    }
+}
+
+impl Drop for Processes {
+    fn drop(&mut self) {
+        let hosts: Vec<u8> = self.children.keys().copied().collect();
+        for host in hosts {
+            self.kill(host);
+        }
+    }
+}
