Keep entry daemons in look-ups that are only cut off from control

Ruled out: full back ends (no busy answers there), dead daemons (19 others were without power, and stayed unnamed).

Change: a daemon that falls silent is a suspect; each control process asks one connected entry daemon a second whether the suspect's admin interface says that it is ready, and names it for 2.5 s after each yes.

The test fails without the probe.

--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -11,12 +11,15 @@
 use coursestand_proxy::EdgeState;
 use coursestand_routing::hash::{combine, hash_of};
 use coursestand_transport::stream::{self, StreamError};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use log::info;
 use serde_json::{Value, json};
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::fleet::prober::Prober;
 use crate::fleet::wire::{ToControl, ToEdge};
 
 const LOG: &str = "follower";
@@ -52,6 +55,7 @@
     controls: Mutex<BTreeSet<SocketAddr>>,
     followed: Mutex<BTreeMap<SocketAddr, Followed>>,
     news: Notify,
+    prober: Prober,
 }
 
 impl EdgeFollower {
@@ -70,6 +74,7 @@
             controls: Mutex::default(),
             followed: Mutex::default(),
             news: Notify::new(),
+            prober: Prober::default(),
         }
     }
 
@@ -171,7 +176,8 @@
 
     fn take(&self, from: SocketAddr, message: ToEdge) {
         match message {
-            ToEdge::Pong => {}
+            // The connection that brought it answers it.
+            ToEdge::Probe(_) | ToEdge::Pong => {}
             ToEdge::Catalog(delta) => {
                 let version = delta.version;
                 let items = delta.items.len();
@@ -280,6 +286,7 @@
     let mut ping = tokio::time::interval(PING);
     let mut heard_at = Instant::now();
     let mut is_known = false;
+    let mut probes = FuturesUnordered::new();
     loop {
         tokio::select! {
             message = receiver.next() => {
@@ -290,7 +297,10 @@
                     follower.note(control, |one| one.is_connected = true);
                     info!(target: LOG, control:% = control; "control process followed");
                 }
-                follower.take(control, message);
+                match message {
+                    ToEdge::Probe(suspect) => probes.push(follower.prober.find_ready(suspect)),
+                    other => follower.take(control, other),
+                }
             }
             changed = phase.changed() => {
                 if changed.is_err() {
@@ -298,6 +308,11 @@
                 }
                 sender.send(&ToControl::Edge(follower.record())).await?;
             }
+            Some(found) = probes.next(), if !probes.is_empty() => {
+                if let Some(found) = found {
+                    sender.send(&found).await?;
+                }
+            }
             _ = ping.tick() => {
                 let link_use = follower.link_use.load(Ordering::Relaxed);
                 sender.send(&ToControl::EdgePing(link_use)).await?;
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -190,6 +190,7 @@
             name: self.settings.name.clone(),
             incarnation: rand::random(),
             address: role.listen,
+            admin_address: self.settings.admin_listen,
             zone: self.settings.zone.clone(),
             region: self.settings.region.clone(),
             phase: EdgePhase::Starting,
--- a/crates/coursestand-daemon/src/fleet/hub.rs
+++ b/crates/coursestand-daemon/src/fleet/hub.rs
@@ -340,9 +340,43 @@
 
     /// Addresses of entry daemons for a client.
     pub fn lookup(&self, region: &RegionId, zone: &ZoneId) -> Vec<SocketAddr> {
+        let now = self.clock.now();
         self.state()
             .directory
-            .resolve(region, zone, MOST_ADDRESSES, rand::random)
+            .resolve(now, region, zone, MOST_ADDRESSES, rand::random)
+    }
+
+    /// An entry daemon fell silent: others are to find out whether it serves on.
+    pub fn suspect_edge(&self, record: &EdgeRecord) {
+        let now = self.clock.now();
+        self.state().directory.suspect(now, record);
+        info!(target: LOG, edge = record.name, incarnation = record.incarnation;
+            "an entry daemon fell silent");
+    }
+
+    /// Another entry daemon reached the one that fell silent.
+    pub fn vouch_for_edge(&self, name: &str, incarnation: u64) {
+        let now = self.clock.now();
+        self.state().directory.vouch(now, name, incarnation);
+    }
+
+    /// Asks one entry daemon for each suspect, another one each time.
+    fn probe_suspects(&self, now: Millis) {
+        let suspects = self.state().directory.suspects(now);
+        for suspect in suspects {
+            let Ok(frame) = encode(&ToEdge::Probe(suspect)) else {
+                continue;
+            };
+            let followers = self
+                .followers
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            let chosen = rand::random_range(0..followers.len().max(1));
+            if let Some(follower) = followers.values().nth(chosen) {
+                // A full queue ends the connection at the next news.
+                let _ = follower.try_send(Bytes::from(frame));
+            }
+        }
     }
 
     /// An entry daemon that this process is connected with told how much of its
@@ -367,6 +401,7 @@
         }
         self.drop_silent_peers(now);
         self.expire_instances(now);
+        self.probe_suspects(now);
     }
 
     fn drop_silent_peers(&self, now: Millis) {
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -196,6 +196,9 @@
         .await;
     hub.unfollow(number);
     hub.note_edge(&record, false);
+    if result.as_ref().is_err_and(StreamError::is_silence) {
+        hub.suspect_edge(&record);
+    }
     result
 }
 
@@ -238,6 +241,9 @@
                 message = receiver.next() => {
                     heard_at = Instant::now();
                     match message? {
+                        ToControl::FoundReady { name, incarnation } => {
+                            hub.vouch_for_edge(&name, incarnation);
+                        }
                         ToControl::EdgePing(link_use) => {
                             hub.note_link_use(record, link_use);
                             sender.send(&ToEdge::Pong).await?;
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod node;
 pub mod peer_links;
+mod prober;
 pub mod seeds;
 pub mod wire;
 
--- a/crates/coursestand-daemon/src/fleet/wire.rs
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -26,6 +26,14 @@
     Edge(EdgeRecord),
     /// The sender lives.
     Ping,
+    /// The entry daemon found this run of another one ready, as it was asked to
+    /// look.
+    FoundReady {
+        /// Name of the other one.
+        name: String,
+        /// Its run.
+        incarnation: u64,
+    },
     /// The entry daemon lives, and uses this much of its link.
     EdgePing(LinkUse),
 }
@@ -137,4 +145,6 @@
     Edges(EdgeChange),
     /// Addresses of all control processes.
     Controls(Vec<SocketAddr>),
+    /// Look whether this entry daemon is ready; control can't reach it.
+    Probe(EdgeRecord),
 }
--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -317,6 +317,20 @@
             .collect()
     }
 
+    /// Waits until a look-up at `host` answers as it should.
+    pub async fn wait_for_lookup(&self, host: u8, what: &str, is_so: impl Fn(&[String]) -> bool) {
+        let started = std::time::Instant::now();
+        while !is_so(&self.lookup(host).await) {
+            assert!(started.elapsed() < WITHIN, "not in time: {what}");
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Where a host takes exchanges of other processes.
+    pub fn internal(&self, host: u8) -> SocketAddr {
+        self.address(host, INTERNAL)
+    }
+
     pub async fn metrics(&self, host: u8) -> String {
         let url = format!("http://{}/metrics", self.address(host, ADMIN));
         let answer = self.http.get(url).send().await.expect("an answer");
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -3,12 +3,14 @@
 #![allow(missing_docs)]
 
 mod deployment;
+mod silent_edge;
 
 use coursestand_discovery::InstancePhase;
 use coursestand_lab::scripted::{Behaviour, ScriptedBackend};
 use googletest::prelude::*;
 
 use crate::deployment::{Deployment, first_items, heartbeat_of, key_of, one_route};
+use crate::silent_edge::SilentEdge;
 
 const SEEDS: [u8; 3] = [1, 2, 3];
 const ALL: [u8; 5] = [1, 2, 3, 4, 5];
@@ -237,3 +239,34 @@
         .collect();
     expect_that!(listed, eq(&served));
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_control_cannot_reach_is_named_while_another_one_reaches_it() {
+    let mut deployment = formed(&SEEDS).await;
+    expect_that!(deployment.patch(&SEEDS, &first_items()).await, eq(200));
+    deployment.start_edge(EDGE).await;
+    let silent = SilentEdge::start(SEEDS.map(|host| deployment.internal(host))).await;
+    let named = silent.record().address.to_string();
+    deployment
+        .wait_for_lookup(1, "connected, it is named", |names| names.contains(&named))
+        .await;
+    silent.fall_silent();
+    // First nobody knows of it, then the other daemon has reached it.
+    deployment
+        .wait_for_lookup(1, "silent, it is not named", |names| {
+            !names.contains(&named)
+        })
+        .await;
+    deployment
+        .wait_for_lookup(1, "reached by another, it is named", |names| {
+            names.contains(&named)
+        })
+        .await;
+    silent.set_ready(false);
+    deployment
+        .wait_for_lookup(1, "no longer ready, it is not named", |names| {
+            !names.contains(&named)
+        })
+        .await;
+}
--- a/crates/coursestand-discovery/src/directory.rs
+++ b/crates/coursestand-discovery/src/directory.rs
@@ -26,6 +26,8 @@
     pub incarnation: u64,
     /// Where callers reach it.
     pub address: SocketAddr,
+    /// Where its admin interface tells whether it is ready.
+    pub admin_address: SocketAddr,
     /// Its zone.
     pub zone: ZoneId,
     /// Its region.
@@ -65,8 +67,24 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     runs: BTreeMap<Run, Entry>,
+    /// Runs that fell silent and may only be cut off from control.
+    suspects: BTreeMap<Run, Suspect>,
 }
 
+/// A run that fell silent, with what other entry daemons say of it.
+#[derive(Clone, Debug)]
+struct Suspect {
+    record: EdgeRecord,
+    since: Millis,
+    /// Until when it is named, because another one reached it.
+    vouched_until: Millis,
+}
+
+/// A suspect is named for this long after another entry daemon found it ready.
+const VOUCH_MS: Millis = 2_500;
+/// A suspect that nobody vouches for any more is given up after this time.
+const SUSPICION_MS: Millis = 20_000;
+
 impl Directory {
     /// `witness` is connected with this run of the daemon, and with no other run
     /// of it any more. Returns whether that is news.
@@ -78,6 +96,7 @@
             }
         }
         self.runs.retain(|_, entry| !entry.witnesses.is_empty());
+        self.suspects.retain(|other, _| other.0 != run.0);
         let entry = self.runs.entry(run).or_insert_with(|| Entry {
             record: record.clone(),
             link_use: None,
@@ -106,6 +125,39 @@
         is_news
     }
 
+    /// A ready run fell silent. It may be dead, or cut off from control and serving
+    /// on: other entry daemons are to find out (indirect probes, after SWIM by Das,
+    /// Gupta and Motivala, 2002).
+    pub fn suspect(&mut self, now: Millis, record: &EdgeRecord) {
+        if record.phase != EdgePhase::Ready {
+            return;
+        }
+        let run = (record.name.clone(), record.incarnation);
+        self.suspects.entry(run).or_insert_with(|| Suspect {
+            record: record.clone(),
+            since: now,
+            vouched_until: now,
+        });
+    }
+
+    /// Another entry daemon found the suspect ready.
+    pub fn vouch(&mut self, now: Millis, name: &str, incarnation: u64) {
+        let run = (name.to_owned(), incarnation);
+        if let Some(suspect) = self.suspects.get_mut(&run) {
+            suspect.vouched_until = now + VOUCH_MS;
+        }
+    }
+
+    /// Suspects that want a probe, less those that were given up.
+    pub fn suspects(&mut self, now: Millis) -> Vec<EdgeRecord> {
+        self.suspects.retain(|_, suspect| {
+            let last = suspect.vouched_until.max(suspect.since);
+            now < last + SUSPICION_MS
+        });
+        let suspects = self.suspects.values();
+        suspects.map(|suspect| suspect.record.clone()).collect()
+    }
+
     /// `witness` is no longer heard: what it said counts no more.
     pub fn drop_witness(&mut self, witness: Witness) {
         self.runs.retain(|_, entry| {
@@ -141,34 +193,31 @@
     /// `draw` gives numbers in `0.0..1.0` by chance.
     pub fn resolve(
         &self,
+        now: Millis,
         region: &RegionId,
         zone: &ZoneId,
         most: usize,
         mut draw: impl FnMut() -> f64,
     ) -> Vec<SocketAddr> {
-        let ready: Vec<&Entry> = self
-            .runs
-            .values()
-            .filter(|entry| entry.record.phase == EdgePhase::Ready)
-            .collect();
-        let mut near: Vec<&Entry> = ready
+        let ready = self.ready(now);
+        let mut near: Vec<Candidate<'_>> = ready
             .iter()
             .copied()
-            .filter(|entry| entry.record.region == *region)
+            .filter(|candidate| candidate.record.region == *region)
             .collect();
         if near.is_empty() {
             near = ready;
         }
-        near.sort_by_key(|entry| entry.record.zone != *zone);
+        near.sort_by_key(|candidate| candidate.record.zone != *zone);
         let mean = mean_link_use(&near);
         let mut addresses: Vec<SocketAddr> = Vec::new();
         let mut left_out: Vec<SocketAddr> = Vec::new();
-        for entry in near {
-            let address = entry.record.address;
+        for candidate in near {
+            let address = candidate.record.address;
             if addresses.contains(&address) || addresses.len() >= most {
                 continue;
             }
-            if draw() < entry.excess(mean) {
+            if draw() < candidate.excess(mean) {
                 left_out.push(address);
             } else {
                 addresses.push(address);
@@ -179,9 +228,35 @@
         }
         addresses
     }
+
+    /// Daemons that take requests: those that control is connected with, and
+    /// suspects that others vouch for.
+    fn ready(&self, now: Millis) -> Vec<Candidate<'_>> {
+        let connected = self.runs.values().map(|entry| Candidate {
+            record: &entry.record,
+            link_use: entry.link_use,
+        });
+        let vouched = self.suspects.values().filter_map(|suspect| {
+            (now < suspect.vouched_until).then_some(Candidate {
+                record: &suspect.record,
+                link_use: None,
+            })
+        });
+        connected
+            .chain(vouched)
+            .filter(|candidate| candidate.record.phase == EdgePhase::Ready)
+            .collect()
+    }
+}
+
+/// A daemon that a look-up may name.
+#[derive(Clone, Copy, Debug)]
+struct Candidate<'a> {
+    record: &'a EdgeRecord,
+    link_use: Option<LinkUse>,
 }
 
-impl Entry {
+impl Candidate<'_> {
     /// Part of the answers that leave this daemon out, so that the use of the
     /// links evens out.
     fn excess(&self, mean: f64) -> f64 {
@@ -195,10 +270,10 @@
 }
 
 /// The mean of those whose use is known.
-fn mean_link_use(entries: &[&Entry]) -> f64 {
-    let known: Vec<f64> = entries
+fn mean_link_use(candidates: &[Candidate<'_>]) -> f64 {
+    let known: Vec<f64> = candidates
         .iter()
-        .filter_map(|entry| entry.link_use.map(f64::from))
+        .filter_map(|candidate| candidate.link_use.map(f64::from))
         .collect();
     known.iter().sum::<f64>() / known.len().max(1) as f64
 }
--- a/crates/coursestand-discovery/tests/directory.rs
+++ b/crates/coursestand-discovery/tests/directory.rs
@@ -16,6 +16,7 @@
         name: format!("edge-{host}"),
         incarnation,
         address: address(host),
+        admin_address: address(host),
         zone: ZoneId::from(zone),
         region: RegionId::from(zone.split('-').next().unwrap_or_default()),
         phase,
@@ -24,7 +25,7 @@
 
 fn resolve(directory: &Directory, zone: &str) -> Vec<SocketAddr> {
     let region = RegionId::from(zone.split('-').next().unwrap_or_default());
-    directory.resolve(&region, &ZoneId::from(zone), 64, || 0.0)
+    directory.resolve(0, &region, &ZoneId::from(zone), 64, || 0.0)
 }
 
 const FIRST: u8 = 101;
@@ -87,7 +88,7 @@
             number = number.wrapping_add(2_654_435_769);
             f64::from(number) / f64::from(u32::MAX)
         };
-        let answer = directory.resolve(&RegionId::from("a"), &ZoneId::from("a-1"), 64, draw);
+        let answer = directory.resolve(0, &RegionId::from("a"), &ZoneId::from("a-1"), 64, draw);
         for host in 1..=count {
             times[usize::from(host) - 1] += usize::from(answer.contains(&address(host)));
         }
@@ -126,7 +127,7 @@
 #[gtest]
 fn a_look_up_is_never_empty_for_crowded_links() {
     let directory = directory_with_use(&[90, 20]);
-    let ready = directory.resolve(&RegionId::from("a"), &ZoneId::from("a-1"), 1, || 0.0);
+    let ready = directory.resolve(0, &RegionId::from("a"), &ZoneId::from("a-1"), 1, || 0.0);
     expect_that!(ready, len(eq(1)));
     let mut alone = directory_with_use(&[90]);
     alone.connect(address(FIRST), &edge(2, 1, "b-1", EdgePhase::Ready));
@@ -164,7 +165,7 @@
         let directory = directory_with_use(&link_use);
         for daemon in &mut chosen {
             let answer =
-                directory.resolve(&RegionId::from("a"), &ZoneId::from("a-1"), 64, &mut draw);
+                directory.resolve(0, &RegionId::from("a"), &ZoneId::from("a-1"), 64, &mut draw);
             if !answer.contains(&address(*daemon)) {
                 let next = answer[(draw() * answer.len() as f64) as usize];
                 let SocketAddr::V4(next) = next else { continue };
@@ -175,3 +176,48 @@
     expect_that!(spreads[0], ge(2.0));
     expect_that!(spreads[15..], each(le(&1.6)));
 }
+
+fn named_at(directory: &Directory, now: u64) -> Vec<SocketAddr> {
+    directory.resolve(now, &RegionId::from("a"), &ZoneId::from("a-1"), 64, || 0.0)
+}
+
+fn directory_with_a_suspect() -> Directory {
+    let mut directory = Directory::default();
+    for host in [1, 2] {
+        directory.connect(address(FIRST), &edge(host, 1, "a-1", EdgePhase::Ready));
+    }
+    directory.disconnect(address(FIRST), "edge-2", 1);
+    directory.suspect(1_000, &edge(2, 1, "a-1", EdgePhase::Ready));
+    directory
+}
+
+#[gtest]
+fn a_daemon_that_fell_silent_is_named_only_while_others_reach_it() {
+    let mut directory = directory_with_a_suspect();
+    expect_that!(named_at(&directory, 1_000), len(eq(1)));
+    expect_that!(directory.suspects(1_500), len(eq(1)));
+    directory.vouch(1_500, "edge-2", 1);
+    expect_that!(named_at(&directory, 3_000), contains(eq(&address(2))));
+    // Nobody reaches it any more.
+    expect_that!(named_at(&directory, 4_500), len(eq(1)));
+    expect_that!(directory.suspects(60_000), is_empty());
+    directory.vouch(60_000, "edge-2", 1);
+    expect_that!(named_at(&directory, 60_001), len(eq(1)));
+}
+
+#[gtest]
+fn the_next_run_of_a_suspect_ends_the_suspicion() {
+    let mut directory = directory_with_a_suspect();
+    directory.vouch(1_500, "edge-2", 1);
+    directory.connect(address(FIRST), &edge(2, 7, "a-1", EdgePhase::Starting));
+    expect_that!(named_at(&directory, 1_600), len(eq(1)));
+    expect_that!(directory.suspects(1_600), is_empty());
+}
+
+#[gtest]
+fn a_daemon_that_was_leaving_is_no_suspect() {
+    let mut directory = Directory::default();
+    directory.suspect(0, &edge(1, 1, "a-1", EdgePhase::Draining));
+    directory.vouch(0, "edge-1", 1);
+    expect_that!(named_at(&directory, 1), is_empty());
+}
--- a/crates/coursestand-transport/src/stream.rs
+++ b/crates/coursestand-transport/src/stream.rs
@@ -53,6 +53,18 @@
     Ended,
 }
 
+impl StreamError {
+    /// Whether the peer fell silent, as one without power or behind a cut does. One
+    /// whose process ended resets or ends its connections.
+    pub fn is_silence(&self) -> bool {
+        match self {
+            StreamError::Silent { .. } => true,
+            StreamError::Connection { source } => source.kind() == io::ErrorKind::TimedOut,
+            _ => false,
+        }
+    }
+}
+
 /// Receives messages of one type.
 pub struct Receiver<T> {
     frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
