Split the exchange and the driver by concern

Change: bodies of requests, of long answers and their collection are modules of their own; names of failures stand with the failures; events of the driver and proposals with their answers are modules of their own. No behaviour changes: answers still leave after the state is announced.

--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -1,7 +1,6 @@
 //! Drives the consensus core of one replica on a thread of its own: takes
 //! messages and proposals, syncs, sends, applies.
 
-use std::collections::BTreeMap;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
@@ -9,8 +8,8 @@
 
 use coursestand_consensus::wal::WriteAheadLog;
 use coursestand_consensus::{
-    Batch, Config, Entry, HardState, Membership, Message, Payload, Ready, Replica, ReplicaId,
-    Restored, Snapshot, Storage,
+    Batch, Config, Entry, HardState, Membership, Payload, Ready, Replica, ReplicaId, Restored,
+    Snapshot, Storage,
 };
 use coursestand_coordination::command::StampedCommand;
 use coursestand_coordination::{Command, CommandAnswer, ControlState};
@@ -18,11 +17,12 @@
 use coursestand_model::Millis;
 use log::{error, info, warn};
 use snafu::ResultExt;
-use tokio::sync::oneshot;
 
 use crate::control::error::{ControlError, LogSnafu, ProposeSnafu};
+use crate::control::event::{Event, Proposed};
 use crate::control::identity::{self, Identity};
 use crate::control::peers::PeerSender;
+use crate::control::proposals::Proposals;
 use crate::control::shared::{ControlShared, ReplicaStatus};
 use crate::control::status::status_of;
 
@@ -37,47 +37,6 @@
 /// Pause before a replica whose storage failed starts again.
 const RESTART_PAUSE: Duration = Duration::from_millis(500);
 
-/// Reply to a proposal.
-pub type Proposed = oneshot::Sender<Result<CommandAnswer, ControlError>>;
-
-/// What a driver is asked to do.
-pub enum Event {
-    /// A message of another replica.
-    Message {
-        /// The sender.
-        from: ReplicaId,
-        /// What it says.
-        message: Message,
-    },
-    /// A command for the state machine.
-    Propose {
-        /// The command.
-        command: Box<Command>,
-        /// Gets the answer once it is committed and applied.
-        reply: Proposed,
-    },
-    /// A change of the group.
-    ChangeMembers {
-        /// The new members.
-        next: Membership,
-        /// Gets `Done` once it is committed.
-        reply: Proposed,
-    },
-    /// Makes a blank replica a member.
-    Join {
-        /// Its identity.
-        identity: Identity,
-        /// The first voters; for a learner the members that it can answer.
-        voters: Vec<(ReplicaId, String)>,
-        /// Gets the result.
-        reply: oneshot::Sender<Result<(), ControlError>>,
-    },
-    /// Hands the leadership to another voter, for a planned stop.
-    HandOver,
-    /// Ends the driver.
-    Stop,
-}
-
 /// The driver of one replica.
 pub struct Driver {
     shared: Arc<ControlShared>,
@@ -93,21 +52,12 @@
     identity: Identity,
     replica: Replica,
     log: WriteAheadLog,
-    /// Proposals that are not committed yet, by index, with their term.
-    waiting: BTreeMap<u64, (u64, Proposed)>,
-    /// Answers to commands that are committed and not yet on enough disks.
-    held_answers: Vec<HeldAnswer>,
+    /// Proposals that are not answered yet.
+    proposals: Proposals,
     /// The replicated clock and our own when this replica began to lead.
     clock_base: Option<(Millis, Millis)>,
 }
 
-/// The answer to a committed command.
-struct HeldAnswer {
-    index: u64,
-    reply: Proposed,
-    answer: CommandAnswer,
-}
-
 /// Whether the driver goes on.
 enum Next {
     GoOn,
@@ -167,8 +117,7 @@
             identity,
             replica: Replica::new(config, restored, now),
             log,
-            waiting: BTreeMap::new(),
-            held_answers: Vec::new(),
+            proposals: Proposals::default(),
             clock_base: None,
         });
     }
@@ -330,7 +279,7 @@
         match group.replica.propose(now, payload).context(ProposeSnafu) {
             Ok(index) => {
                 let term = group.replica.term();
-                group.waiting.insert(index, (term, reply));
+                group.proposals.add(index, term, reply);
             }
             Err(failure) => {
                 let _ = reply.send(Err(failure));
@@ -409,36 +358,24 @@
         // What is committed is on a majority of the disks, whoever leads by now.
         let needs_more_copies = self.min_copies > group.replica.membership().quorum();
         let mut state = self.shared.state_mut();
-        let mut answers = Vec::new();
         for entry in committed {
-            let answer = match &entry.payload {
-                Payload::Empty | Payload::Membership(_) => CommandAnswer::Done,
+            let (answer, needs_more_copies) = match &entry.payload {
+                Payload::Empty | Payload::Membership(_) => (CommandAnswer::Done, false),
                 Payload::Command(bytes) => match postcard::from_bytes(bytes) {
-                    Ok(stamped) => state.apply(entry.index, &stamped),
-                    Err(failure) => CommandAnswer::Refused(failure.to_string()),
+                    Ok(stamped) => (state.apply(entry.index, &stamped), needs_more_copies),
+                    Err(failure) => {
+                        let answer = CommandAnswer::Refused(failure.to_string());
+                        (answer, needs_more_copies)
+                    }
                 },
             };
-            if let Some((term, reply)) = group.waiting.remove(&entry.index) {
-                if term != entry.term {
-                    // Another entry at this place: ours was lost with our
-                    // leadership.
-                    answers.push((reply, Err(ControlError::Lost)));
-                } else if needs_more_copies && matches!(entry.payload, Payload::Command(_)) {
-                    group.held_answers.push(HeldAnswer {
-                        index: entry.index,
-                        reply,
-                        answer,
-                    });
-                } else {
-                    answers.push((reply, Ok(answer)));
-                }
-            }
+            group
+                .proposals
+                .applied(entry.index, entry.term, answer, needs_more_copies);
         }
         drop(state);
         self.shared.announce_versions();
-        for (reply, result) in answers {
-            let _ = reply.send(result);
-        }
+        group.proposals.answer();
     }
 
     fn shorten_log(&mut self) -> Result<(), ControlError> {
@@ -492,15 +429,9 @@
             }
             _ => {}
         }
-        if group.replica.is_leader() {
-            release_answers(group, self.min_copies);
-        } else {
-            for (_, (_, reply)) in std::mem::take(&mut group.waiting) {
-                let _ = reply.send(Err(ControlError::Lost));
-            }
-            for held in std::mem::take(&mut group.held_answers) {
-                let _ = held.reply.send(Err(ControlError::Lost));
-            }
+        match group.replica.progress() {
+            Some(progress) => group.proposals.release(progress, self.min_copies),
+            None => group.proposals.lose_all(),
         }
         self.shared.set_lease(group.replica.term(), lease_end);
         self.shared
@@ -520,28 +451,6 @@
     }
 }
 
-/// Answers the proposers whose commands are on enough synced disks.
-fn release_answers(group: &mut Group, min_copies: usize) {
-    let Some(progress) = group.replica.progress() else {
-        return;
-    };
-    // What was applied here is synced here.
-    let copies_of = |index: u64| {
-        1 + progress
-            .values()
-            .filter(|progress| progress.matched >= index)
-            .count()
-    };
-    let (ready, held): (Vec<_>, Vec<_>) = std::mem::take(&mut group.held_answers)
-        .into_iter()
-        .partition(|held| copies_of(held.index) >= min_copies);
-    group.held_answers = held;
-    for one in ready {
-        let HeldAnswer { reply, answer, .. } = one;
-        let _ = reply.send(Ok(answer));
-    }
-}
-
 fn save(log: &mut WriteAheadLog, ready: &mut Ready) -> Result<(), ControlError> {
     let batch = Batch {
         hard_state: ready.hard_state,
--- a/crates/coursestand-daemon/src/control/exchange.rs
+++ b/crates/coursestand-daemon/src/control/exchange.rs
@@ -9,8 +9,8 @@
 use coursestand_coordination::{Command, CommandAnswer};
 use coursestand_transport::Handler;
 
-use crate::control::driver::Event;
 use crate::control::error::ControlError;
+use crate::control::event::Event;
 use crate::control::handle::ControlHandle;
 use crate::control::peers::Envelope;
 
--- a/crates/coursestand-daemon/src/control/handle.rs
+++ b/crates/coursestand-daemon/src/control/handle.rs
@@ -7,8 +7,8 @@
 use coursestand_coordination::{Command, CommandAnswer};
 use tokio::sync::{Notify, oneshot};
 
-use crate::control::driver::Event;
 use crate::control::error::ControlError;
+use crate::control::event::Event;
 use crate::control::identity::Identity;
 use crate::control::shared::ControlShared;
 use crate::control::tenure::Tenure;
--- a/crates/coursestand-daemon/src/control/mod.rs
+++ b/crates/coursestand-daemon/src/control/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod driver;
 pub mod error;
+pub mod event;
 pub mod exchange;
 pub mod handle;
 pub mod identity;
@@ -9,6 +10,7 @@
 pub mod operators;
 pub mod peers;
 pub mod platform;
+mod proposals;
 pub mod replica;
 pub mod shared;
 pub mod status;
--- a/crates/coursestand-daemon/src/control/replica.rs
+++ b/crates/coursestand-daemon/src/control/replica.rs
@@ -12,7 +12,8 @@
 use serde_json::{Value, json};
 use tokio::runtime::Handle;
 
-use crate::control::driver::{Driver, Event};
+use crate::control::driver::Driver;
+use crate::control::event::Event;
 use crate::control::exchange::ControlExchange;
 use crate::control::handle::ControlHandle;
 use crate::control::peers::Peers;
--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -14,7 +14,8 @@
 use tokio::net::TcpListener;
 use tokio::sync::watch;
 
-use crate::control::driver::{Driver, Event};
+use crate::control::driver::Driver;
+use crate::control::event::Event;
 use crate::control::handle::ControlHandle;
 use crate::control::shared::ControlShared;
 use crate::fleet::formation::{Formation, FormationRules};
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -14,8 +14,8 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use crate::control::driver::Event;
 use crate::control::error::ControlError;
+use crate::control::event::Event;
 use crate::control::handle::ControlHandle;
 use crate::control::peers::Envelope;
 use crate::fleet::formation::Formation;
--- a/crates/coursestand-proxy/src/answer.rs
+++ b/crates/coursestand-proxy/src/answer.rs
@@ -7,7 +7,7 @@
 use http::{HeaderMap, Response, StatusCode};
 use http_body_util::{Either, Full};
 
-use crate::exchange::StreamedBody;
+use crate::streamed_body::StreamedBody;
 
 /// A daemon without a catalog has just started. When all of the fleet has, it
 /// takes the control group an election and the hand-over of the catalog to make it
--- a/crates/coursestand-proxy/src/exchange.rs
+++ b/crates/coursestand-proxy/src/exchange.rs
@@ -1,20 +1,19 @@
 //! Runs the phases of a request and does the I/O between them.
 
-use std::pin::Pin;
 use std::sync::{Arc, OnceLock};
-use std::task::{Context, Poll};
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, HOST, HeaderValue};
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt, Either, Full};
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use http_body_util::{Either, Full};
+use hyper::body::{Body, Incoming};
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::{AnswerBody, Reason, own_answer, passed_on};
 use crate::caller_limits::SharedLimits;
+use crate::collect::{Collected, HELD_BYTES, collect};
 use crate::connect_times::ConnectTimes;
 use crate::header_names::HeaderNames;
 use crate::headers::{
@@ -22,16 +21,14 @@
 };
 use crate::link_meter::LinkMeter;
 use crate::metrics::ProxyMetrics;
-use crate::passing_body::PassingBody;
 use crate::phases::{AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target};
 use crate::pool::{Connection, Pool, RequestBody};
+use crate::prepared_body::PreparedBody;
 use crate::story::Story;
+use crate::streamed_body::StreamedBody;
 use crate::verdict::{Verdict, judge};
 
 const LOG: &str = "proxy";
-/// Bodies up to this many bytes are held whole: a request so that it can be sent
-/// again, an answer so that a broken one never looks complete.
-const HELD_BYTES: usize = 1024 * 1024;
 /// Part of the time left that making a connection may take.
 const CONNECT_PART: u32 = 3;
 /// A back end stops at the deadline; its word of that needs a moment to arrive.
@@ -59,22 +56,6 @@
     deadline: Instant,
 }
 
-enum PreparedBody {
-    Held(Bytes),
-    /// Too long to be held; sent at most once.
-    Passing(Option<PassingBody>),
-}
-
-impl PreparedBody {
-    /// Bytes of it, as far as they are known before it has passed.
-    fn size(&self) -> u64 {
-        match self {
-            PreparedBody::Held(bytes) => bytes.len() as u64,
-            PreparedBody::Passing(body) => body.as_ref().map_or(0, |body| body.size_hint().lower()),
-        }
-    }
-}
-
 /// A back end's answer.
 struct Received {
     status: StatusCode,
@@ -207,7 +188,8 @@
         if deadline <= arrived {
             return Err(Reason::Stopping);
         }
-        let body = self.read_body(&parts.headers, body, deadline).await?;
+        let longest = self.limits.get().body_bytes;
+        let body = PreparedBody::read(&parts.headers, body, longest, deadline).await?;
         self.link.count(body.size());
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(&self.names.deadline);
@@ -242,41 +224,6 @@
         }
     }
 
-    async fn read_body(
-        &self,
-        headers: &HeaderMap,
-        body: Incoming,
-        deadline: Instant,
-    ) -> Result<PreparedBody, Reason> {
-        let longest = self.limits.get().body_bytes;
-        let length: Option<u64> =
-            text_of(headers, &CONTENT_LENGTH).and_then(|text| text.parse().ok());
-        if length.is_some_and(|length| length > longest) {
-            return Err(Reason::BodyTooLong);
-        }
-        if length.is_some_and(|length| length > HELD_BYTES as u64) {
-            let passing = PassingBody::new(Bytes::new(), body, longest);
-            return Ok(PreparedBody::Passing(Some(passing)));
-        }
-        if body.is_end_stream() {
-            return Ok(PreparedBody::Held(Bytes::new()));
-        }
-        let held = longest.min(HELD_BYTES as u64) as usize;
-        let collected = timeout_at(deadline, collect(body, held)).await;
-        match collected {
-            Ok(Ok(Collected::Whole(bytes))) => Ok(PreparedBody::Held(bytes)),
-            Ok(Ok(Collected::Part(first, _))) if first.len() as u64 > longest => {
-                Err(Reason::BodyTooLong)
-            }
-            Ok(Ok(Collected::Part(first, rest))) => {
-                let passing = PassingBody::new(first, rest, longest);
-                Ok(PreparedBody::Passing(Some(passing)))
-            }
-            Ok(Err(_)) => Err(Reason::BodyBroken),
-            Err(_) => Err(Reason::DeadlinePassed),
-        }
-    }
-
     async fn carry_out(
         &self,
         mut prepared: Prepared,
@@ -314,8 +261,7 @@
             }
             drop(started);
             let left = prepared.deadline.saturating_duration_since(Instant::now());
-            let is_sent = matches!(prepared.body, PreparedBody::Passing(None));
-            let may_retry = !is_sent
+            let may_retry = !prepared.body.is_spent()
                 && self
                     .phases
                     .may_retry(&prepared.matched, &attempts, failure, left);
@@ -337,7 +283,7 @@
         failure: AttemptFailure,
     ) {
         self.phases.failed(target, failure);
-        let kind = failure_name(failure);
+        let kind = failure.name();
         self.metrics.failures.with_label_values(&[kind]).inc();
         let left = prepared.deadline.saturating_duration_since(Instant::now());
         log::info!(target: LOG,
@@ -402,11 +348,9 @@
                 }
                 Either::Left(Full::new(bytes))
             }
-            Collected::Part(first, rest) => Either::Right(StreamedBody {
-                first: Some(first),
-                rest,
-                _connection: connection,
-            }),
+            Collected::Part(first, rest) => {
+                Either::Right(StreamedBody::new(first, rest, connection))
+            }
         };
         let received = Received {
             status: head.status,
@@ -456,7 +400,7 @@
             match error.take_message() {
                 Some(unsent) if is_reused => request = unsent,
                 Some(unsent) => {
-                    restore_body(prepared, unsent);
+                    prepared.body.give_back(unsent.into_body());
                     return Err(FailedAttempt::of(AttemptFailure::Unreachable));
                 }
                 None => return Err(FailedAttempt::of(AttemptFailure::Lost)),
@@ -483,12 +427,8 @@
         prepared: &mut Prepared,
         target: &Target,
     ) -> Result<Request<RequestBody>, FailedAttempt> {
-        let body = match &mut prepared.body {
-            PreparedBody::Held(bytes) => Either::Left(Full::new(bytes.clone())),
-            PreparedBody::Passing(body) => match body.take() {
-                Some(body) => Either::Right(body),
-                None => return Err(FailedAttempt::of(AttemptFailure::Lost)),
-            },
+        let Some(body) = prepared.body.take() else {
+            return Err(FailedAttempt::of(AttemptFailure::Lost));
         };
         let mut request = Request::new(body);
         *request.method_mut() = prepared.parts.method.clone();
@@ -512,24 +452,6 @@
     }
 }
 
-/// A body that was not sent can be sent to another back end.
-fn restore_body(prepared: &mut Prepared, unsent: Request<RequestBody>) {
-    if let Either::Right(body) = unsent.into_body() {
-        prepared.body = PreparedBody::Passing(Some(body));
-    }
-}
-
-fn failure_name(failure: AttemptFailure) -> &'static str {
-    match failure {
-        AttemptFailure::Unreachable => "unreachable",
-        AttemptFailure::Shed => "shed",
-        AttemptFailure::Misdirected => "misdirected",
-        AttemptFailure::Lost => "lost",
-        AttemptFailure::TimedOut => "timed-out",
-        AttemptFailure::Failed => "failed",
-    }
-}
-
 /// The reason when no further back end was chosen.
 fn reason_after(attempts: &Attempts, reason: Reason) -> Reason {
     if attempts.may_have_run {
@@ -549,70 +471,3 @@
         _ => Reason::Shed,
     }
 }
-
-enum Collected {
-    Whole(Bytes),
-    /// What has come so far is longer than may be held.
-    Part(Bytes, Incoming),
-}
-
-/// Reads a body up to its end, or until it is longer than `longest` bytes.
-async fn collect(mut body: Incoming, longest: usize) -> Result<Collected, hyper::Error> {
-    let mut first: Option<Bytes> = None;
-    let mut whole = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let Ok(data) = frame?.into_data() else {
-            continue;
-        };
-        // Most bodies come in one piece, which need not be copied.
-        match first.take() {
-            None if whole.is_empty() => first = Some(data),
-            None => whole.extend_from_slice(&data),
-            Some(earlier) => {
-                whole.extend_from_slice(&earlier);
-                whole.extend_from_slice(&data);
-            }
-        }
-        let length = first.as_ref().map_or(whole.len(), Bytes::len);
-        if length > longest {
-            let part = first.unwrap_or_else(|| whole.freeze());
-            return Ok(Collected::Part(part, body));
-        }
-    }
-    Ok(Collected::Whole(first.unwrap_or_else(|| whole.freeze())))
-}
-
-/// A long answer on its way through. An end that is not whole breaks the caller's
-/// connection off, so that it never looks complete.
-pub struct StreamedBody {
-    first: Option<Bytes>,
-    rest: Incoming,
-    /// Closed with the body: its state after a long answer is not looked into.
-    _connection: Connection,
-}
-
-impl Body for StreamedBody {
-    type Data = Bytes;
-    type Error = hyper::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
-        if let Some(first) = self.first.take()
-            && !first.is_empty()
-        {
-            return Poll::Ready(Some(Ok(Frame::data(first))));
-        }
-        Pin::new(&mut self.rest).poll_frame(context)
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        let held = self.first.as_ref().map_or(0, Bytes::len) as u64;
-        let mut hint = self.rest.size_hint();
-        if let Some(exact) = hint.exact() {
-            hint.set_exact(exact + held);
-        }
-        hint
-    }
-}
--- a/crates/coursestand-proxy/src/lib.rs
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod answer;
 pub mod caller_limits;
+mod collect;
 pub mod connect;
 pub mod connect_times;
 pub mod edge_state;
@@ -19,10 +20,12 @@
 pub mod passing_body;
 pub mod phases;
 pub mod pool;
+mod prepared_body;
 mod rest;
 pub mod router;
 pub mod server;
 mod story;
+pub mod streamed_body;
 pub mod verdict;
 
 pub use edge_state::EdgeState;
--- a/crates/coursestand-proxy/src/phases.rs
+++ b/crates/coursestand-proxy/src/phases.rs
@@ -68,6 +68,18 @@
 }
 
 impl AttemptFailure {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            AttemptFailure::Unreachable => "unreachable",
+            AttemptFailure::Shed => "shed",
+            AttemptFailure::Misdirected => "misdirected",
+            AttemptFailure::Lost => "lost",
+            AttemptFailure::TimedOut => "timed-out",
+            AttemptFailure::Failed => "failed",
+        }
+    }
+
     /// Whether the request may have run.
     pub fn may_have_run(self) -> bool {
         matches!(
