Believe the load that a refusing back end tells

Each refusal made its back end count as full, so that the following requests were refused by the entry daemon too: 340 of 870 in two seconds. Ruled out: full queues (told waiting is 0), the retry budget (most of these requests met a daemon's own refusal and no back end at all). Change: a refusal's told load is believed; a back end that refused though nothing waits there may get the same request again, paid from the budget. Tests fail without it: 2 of 14 in attempts.rs.

--- a/crates/coursestand-lab/src/scripted.rs
+++ b/crates/coursestand-lab/src/scripted.rs
@@ -23,6 +23,9 @@
     Slow(Duration),
     /// Refuses it, with the proof that it was not run.
     Shed,
+    /// Refuses it with the proof that it was not run, and tells this load:
+    /// `running,waiting,slots`.
+    ShedTelling(&'static str),
     /// Is another instance than the one that was meant; does not run it.
     Misdirected,
     /// Runs it and answers 503 without the proof that it was not run.
@@ -271,7 +274,7 @@
         }
         let runs = !matches!(
             behaviour,
-            Behaviour::Shed | Behaviour::Misdirected | Behaviour::Early
+            Behaviour::Shed | Behaviour::ShedTelling(_) | Behaviour::Misdirected | Behaviour::Early
         );
         if runs {
             lock(script).runs.push(head.run.clone());
@@ -298,6 +301,10 @@
         Behaviour::Shed => {
             format!("HTTP/1.1 503 X\r\n{proof}content-length: 0\r\n\r\n")
         }
+        Behaviour::ShedTelling(load) => {
+            let told = format!("{}: {load}\r\n", names.server_load);
+            format!("HTTP/1.1 503 X\r\n{proof}{told}content-length: 0\r\n\r\n")
+        }
         Behaviour::Misdirected => "HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n".to_owned(),
         Behaviour::UnprovenRefusal => "HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n".to_owned(),
         Behaviour::Slow(pause) => {
--- a/crates/coursestand-proxy/src/exchange.rs
+++ b/crates/coursestand-proxy/src/exchange.rs
@@ -27,6 +27,7 @@
 use crate::story::Story;
 use crate::streamed_body::StreamedBody;
 use crate::verdict::{Verdict, judge};
+use coursestand_routing::LoadReport;
 
 const LOG: &str = "proxy";
 /// Part of the time left that making a connection may take.
@@ -68,6 +69,8 @@
     failure: AttemptFailure,
     /// The back end's own answer, to be passed on when there is no other attempt.
     answer: Option<Box<Received>>,
+    /// Load that the back end told, if it answered.
+    load: Option<LoadReport>,
 }
 
 impl FailedAttempt {
@@ -75,8 +78,16 @@
         FailedAttempt {
             failure,
             answer: None,
+            load: None,
         }
     }
+
+    /// Whether the back end refused the request though it says that nothing waits
+    /// there: it may take the same request the next time, and knows its object.
+    fn is_chance_refusal(&self) -> bool {
+        let is_idle = self.load.is_some_and(|load| load.waiting == 0);
+        self.failure == AttemptFailure::Shed && is_idle
+    }
 }
 
 /// Keeps a back end counted as having the request until dropped.
@@ -247,12 +258,17 @@
                 target,
             };
             let result = self.attempt(&mut prepared, &started).await;
-            let FailedAttempt { failure, answer } = match result {
+            let failed = match result {
                 Ok(received) => return Ok(received),
                 Err(failed) => failed,
             };
-            self.note_failure(&prepared, &started.target, &attempts, failure);
-            attempts.tried.push(started.target.pick.id.clone());
+            self.note_failure(&prepared, &started.target, &attempts, &failed);
+            if !failed.is_chance_refusal() {
+                attempts.tried.push(started.target.pick.id.clone());
+            }
+            let FailedAttempt {
+                failure, answer, ..
+            } = failed;
             attempts.may_have_run |= failure.may_have_run();
             if failure == AttemptFailure::Unreachable {
                 attempts.unreachable += 1;
@@ -280,10 +296,10 @@
         prepared: &Prepared,
         target: &Target,
         attempts: &Attempts,
-        failure: AttemptFailure,
+        failed: &FailedAttempt,
     ) {
-        self.phases.failed(target, failure);
-        let kind = failure.name();
+        self.phases.failed(target, failed.failure, failed.load);
+        let kind = failed.failure.name();
         self.metrics.failures.with_label_values(&[kind]).inc();
         let left = prepared.deadline.saturating_duration_since(Instant::now());
         log::info!(target: LOG,
@@ -297,6 +313,8 @@
             cold = target.pick.is_cold,
             attempt = attempts.arrived + attempts.unreachable + 1,
             left_ms = left.as_millis() as u64,
+            told_running = failed.load.map(|load| load.running),
+            told_waiting = failed.load.map(|load| load.waiting),
             outcome = kind;
             "an attempt failed");
     }
@@ -358,7 +376,10 @@
             body,
         };
         match verdict {
-            Verdict::Shed => Err(FailedAttempt::of(AttemptFailure::Shed)),
+            Verdict::Shed => Err(FailedAttempt {
+                load,
+                ..FailedAttempt::of(AttemptFailure::Shed)
+            }),
             Verdict::Misdirected => Err(FailedAttempt::of(AttemptFailure::Misdirected)),
             _ => {
                 self.phases.answered(target, load);
@@ -367,6 +388,7 @@
                     return Err(FailedAttempt {
                         failure: AttemptFailure::Failed,
                         answer: Some(Box::new(received)),
+                        load,
                     });
                 }
                 Ok(received)
--- a/crates/coursestand-proxy/src/phases.rs
+++ b/crates/coursestand-proxy/src/phases.rs
@@ -92,7 +92,7 @@
 /// What has been tried for a request so far.
 #[derive(Clone, Debug, Default)]
 pub struct Attempts {
-    /// Back ends that it was offered to.
+    /// Back ends that are not to get it again.
     pub tried: Vec<BackendId>,
     /// Attempts that reached a back end.
     pub arrived: u32,
@@ -114,8 +114,9 @@
     /// A back end answered, with its load if it told it.
     fn answered(&self, target: &Target, load: Option<LoadReport>);
 
-    /// An attempt failed.
-    fn failed(&self, target: &Target, failure: AttemptFailure);
+    /// An attempt failed. `load` is what the back end told with its answer, if it
+    /// answered.
+    fn failed(&self, target: &Target, failure: AttemptFailure, load: Option<LoadReport>);
 
     /// The back end no longer has the request.
     fn finished(&self, target: &Target);
--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -124,7 +124,7 @@
         self.state.beliefs().backends.note_answer(now, id, load);
     }
 
-    fn failed(&self, target: &Target, failure: AttemptFailure) {
+    fn failed(&self, target: &Target, failure: AttemptFailure, load: Option<LoadReport>) {
         let now = self.state.now();
         let id: &BackendId = &target.pick.id;
         let mut beliefs = self.state.beliefs();
@@ -132,7 +132,7 @@
             AttemptFailure::Unreachable | AttemptFailure::Misdirected => {
                 beliefs.backends.note_unreachable(now, id);
             }
-            AttemptFailure::Shed => beliefs.backends.note_full(now, id),
+            AttemptFailure::Shed => beliefs.backends.note_shed(now, id, load),
             AttemptFailure::Lost | AttemptFailure::TimedOut => {
                 beliefs.backends.note_failure(now, id);
             }
--- a/crates/coursestand-proxy/tests/attempts.rs
+++ b/crates/coursestand-proxy/tests/attempts.rs
@@ -48,8 +48,8 @@
     fn answered(&self, target: &Target, load: Option<LoadReport>) {
         self.0.answered(target, load);
     }
-    fn failed(&self, target: &Target, failure: AttemptFailure) {
-        self.0.failed(target, failure);
+    fn failed(&self, target: &Target, failure: AttemptFailure, load: Option<LoadReport>) {
+        self.0.failed(target, failure, load);
     }
     fn finished(&self, target: &Target) {
         self.0.finished(target);
@@ -107,6 +107,34 @@
     }
 }
 
+#[gtest]
+#[tokio::test]
+async fn a_back_end_that_refuses_though_it_is_idle_gets_the_request_again() {
+    let script = vec![Behaviour::ShedTelling("1,0,4")];
+    let edge = Edge::start(Rules::default(), vec![(script, GOOD)]).await;
+    expect_that!(edge.ask("/once/a", "r1").await.status, eq(200));
+    expect_that!(edge.runs_of("r1"), eq(1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn a_back_end_that_refuses_because_requests_wait_does_not_get_it_again() {
+    let script = vec![Behaviour::ShedTelling("4,12,4")];
+    let edge = Edge::start(Rules::default(), vec![(script, GOOD)]).await;
+    expect_that!(edge.ask("/once/a", "r1").await.status, eq(503));
+    expect_that!(edge.arrivals(), eq(1));
+}
+
+#[gtest]
+#[tokio::test]
+async fn refusals_of_an_idle_back_end_do_not_make_it_count_as_full() {
+    let script = vec![Behaviour::ShedTelling("0,0,4"); 2];
+    let edge = Edge::start(Rules::default(), vec![(script, GOOD)]).await;
+    // Both attempts of the first request are refused; the next one is served.
+    expect_that!(edge.ask("/once/a", "r1").await.status, eq(503));
+    expect_that!(edge.ask("/once/a", "r2").await.status, eq(200));
+}
+
 #[gtest]
 #[tokio::test]
 async fn once_any_attempt_may_have_run_the_answer_promises_nothing() {
--- a/crates/coursestand-routing/src/backends.rs
+++ b/crates/coursestand-routing/src/backends.rs
@@ -239,9 +239,14 @@
         }
     }
 
-    /// The back end refused a request because it is full.
-    pub fn note_full(&mut self, now: Millis, id: &BackendId) {
+    /// The back end refused a request. The load that it tells is believed; without
+    /// it, the back end counts as full.
+    pub fn note_shed(&mut self, now: Millis, id: &BackendId, report: Option<LoadReport>) {
         if let Some(backend) = self.backends.get_mut(id) {
+            if let Some(report) = report {
+                backend.take_report(now, report);
+                return;
+            }
             let slots = f64::from(backend.instance.capacity);
             backend.others = backend.others.max(4.0 * slots);
             backend.reported_at = now;
