--- a/crates/coursestand-routing/tests/routing.rs
+++ b/crates/coursestand-routing/tests/routing.rs
@@ -11,7 +11,7 @@
 use coursestand_discovery::{Instance, InstanceNews, InstancePhase};
 use coursestand_model::{BackendId, RegionId, ServiceId, ZoneId};
 use coursestand_routing::backends::ReportTrust;
-use coursestand_routing::cold::{ColdGate, ColdLimits, OwnerViews, owner};
+use coursestand_routing::cold::{ColdLimits, OwnerViews, owner};
 use coursestand_routing::hash::hash_of;
 use coursestand_routing::picker::{Balance, Place};
 use coursestand_routing::shares::RegionShares;
@@ -325,33 +325,6 @@
         prop_assert!(retries <= limits.ratio * requests + limits.extra);
     }
 
-    /// Two daemons that both believe to own a cold back end stay within what it
-    /// bears in any second.
-    #[test]
-    fn two_owners_stay_within_what_a_cold_back_end_bears(
-        per_second in 1.0..200.0_f64,
-        times in proptest::collection::vec(0..5_000_u64, 1..800),
-    ) {
-        let limits = ColdLimits { overage: 1.5, slack: 5.0 };
-        let share = limits.share_of_owner(per_second);
-        let id = BackendId::from("i");
-        let mut times = times;
-        times.sort_unstable();
-        let mut gates = [ColdGate::default(), ColdGate::default()];
-        let mut sent = Vec::new();
-        for (number, at) in times.into_iter().enumerate() {
-            let gate = &mut gates[number % 2];
-            if gate.has_room(at, &id, share) {
-                gate.note(at, &id);
-                sent.push(at);
-            }
-        }
-        for from in &sent {
-            let window = sent.iter().filter(|at| **at >= *from && **at < from + 1_000).count();
-            prop_assert!(window as f64 <= per_second * limits.overage + limits.slack);
-        }
-    }
-
     #[test]
     fn a_split_divides_evenly_over_any_stretch(
         weights in proptest::collection::vec(1..100_u32, 1..5),
@@ -492,69 +465,3 @@
     expect_that!(load(20_000), ge(11.0));
     expect_that!(load(22_000), le(3.0));
 }
-
-/// Five of twelve daemons lose control one after the other within a second, and
-/// each goes on to believe in the view that it had for two and a half seconds.
-#[gtest]
-fn daemons_that_go_in_a_row_do_not_add_up_at_a_cold_back_end() {
-    const HAND_OVER_MS: u64 = 3_500;
-    const SILENCE_MS: u64 = 2_500;
-    let limits = ColdLimits {
-        overage: 1.5,
-        slack: 5.0,
-    };
-    let per_second = 9.9;
-    let share = limits.share_of_owner(per_second);
-    let id = BackendId::from("cold");
-    let names: Vec<String> = daemons().into_iter().collect();
-    let mut views = vec![OwnerViews::new(HAND_OVER_MS); names.len()];
-    let mut gates = vec![ColdGate::default(); names.len()];
-    // The owners by rendezvous, in their order, go in a row.
-    let mut left = daemons();
-    let mut cut_at = BTreeMap::new();
-    for number in 0..5 {
-        let first = owner(&id, left.iter().map(String::as_str))
-            .expect("one")
-            .to_owned();
-        left.remove(&first);
-        cut_at.insert(first, 10_000 + number * 200);
-    }
-    let mut sent = Vec::new();
-    for now in (0..20_000_u64).step_by(10) {
-        let connected: BTreeSet<String> = names
-            .iter()
-            .filter(|name| cut_at.get(*name).is_none_or(|at| now < *at))
-            .cloned()
-            .collect();
-        for (number, name) in names.iter().enumerate() {
-            let view = match cut_at.get(name) {
-                Some(at) if now >= at + SILENCE_MS => None,
-                // It hears nothing new, and believes what it knew last.
-                Some(at) if now >= *at => continue_view(&views[number]),
-                _ => Some(connected.clone()),
-            };
-            views[number].set(now, view);
-            let may_send = views[number].is_owner(now, name, &id);
-            if may_send && gates[number].has_room(now, &id, share) {
-                gates[number].note(now, &id);
-                sent.push(now);
-            }
-        }
-    }
-    expect_that!(
-        sent.iter().any(|at| *at >= 10_000 + 800 + HAND_OVER_MS),
-        eq(true)
-    );
-    let bound = per_second * limits.overage + limits.slack;
-    for from in &sent {
-        let window = sent
-            .iter()
-            .filter(|at| **at >= *from && **at < from + 1_000)
-            .count();
-        expect_that!(window as f64, le(bound));
-    }
-}
-
-fn continue_view(views: &OwnerViews) -> Option<BTreeSet<String>> {
-    views.current().cloned()
-}
