--- a/crates/coursestand-routing/src/picker.rs
+++ b/crates/coursestand-routing/src/picker.rs
@@ -10,11 +10,13 @@
 use crate::completion::{Candidate, choose};
 use crate::hash::{combine, hash_of, unit_point};
 use crate::knowledge::Knowledge;
-use crate::ranking::rank;
+use crate::ranking::first_ranked;
 use crate::shares::RegionShares;
 use crate::work_times::{Work, WorkTimes};
 
-/// Back ends among which a key chooses, in its order.
+/// Back ends among which a key chooses, in its order. More than one matter only
+/// where a first run is cheap against a queue: with an affinity gain of a tenth,
+/// three are worth 0.02 more than one on the ledger customer's days.
 const CHOICES: usize = 3;
 
 /// What a pick depends on.
@@ -318,14 +320,11 @@
         if group.is_empty() {
             return Err(Refusal::NoBackend);
         }
-        let ranked = rank(
-            request.key,
-            group.iter().map(|backend| {
-                let weight = f64::from(backend.instance.capacity.max(1));
-                (*backend, backend.hash, weight)
-            }),
-        );
-        let chosen: Vec<&Backend> = ranked.into_iter().take(CHOICES).collect();
+        let weighted = group.iter().map(|backend| {
+            let weight = f64::from(backend.instance.capacity.max(1));
+            (*backend, backend.hash, weight)
+        });
+        let chosen: Vec<&Backend> = first_ranked(request.key, weighted, CHOICES);
         let candidates: Vec<Candidate> = chosen
             .iter()
             .enumerate()
--- a/crates/coursestand-routing/src/ranking.rs
+++ b/crates/coursestand-routing/src/ranking.rs
@@ -12,11 +12,21 @@
     -weight / point.ln()
 }
 
-/// The candidates in the order of the key, each with its hash and weight.
-pub fn rank<T: Copy>(key: u64, candidates: impl Iterator<Item = (T, u64, f64)>) -> Vec<T> {
-    let mut scored: Vec<(f64, T)> = candidates
-        .map(|(candidate, hash, weight)| (score(key, hash, weight), candidate))
-        .collect();
-    scored.sort_unstable_by(|left, right| right.0.total_cmp(&left.0));
-    scored.into_iter().map(|(_, candidate)| candidate).collect()
+/// The first `count` candidates in the order of the key, each given with its hash
+/// and weight. Takes one pass: `count` is small, and candidates may be hundreds.
+pub fn first_ranked<T: Copy>(
+    key: u64,
+    candidates: impl Iterator<Item = (T, u64, f64)>,
+    count: usize,
+) -> Vec<T> {
+    let mut best: Vec<(f64, T)> = Vec::with_capacity(count + 1);
+    for (candidate, hash, weight) in candidates {
+        let scored = score(key, hash, weight);
+        let place = best.partition_point(|(other, _)| *other >= scored);
+        if place < count {
+            best.insert(place, (scored, candidate));
+            best.truncate(count);
+        }
+    }
+    best.into_iter().map(|(_, candidate)| candidate).collect()
 }
--- a/crates/coursestand-routing/tests/completion.rs
+++ b/crates/coursestand-routing/tests/completion.rs
@@ -3,6 +3,7 @@
 
 use coursestand_routing::completion::{Candidate, choose};
 use coursestand_routing::knowledge::Knowledge;
+use coursestand_routing::ranking::{first_ranked, score};
 use coursestand_routing::work_times::{Average, Quantile, Work, WorkTimes};
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -159,6 +160,20 @@
         }
     }
 
+    /// The first ranks of a full sort.
+    #[test]
+    fn the_first_ranks_are_those_of_a_full_sort(
+        key in any::<u64>(),
+        hashes in proptest::collection::vec(any::<u64>(), 0..60),
+        count in 1..5_usize,
+    ) {
+        let candidates = || hashes.iter().map(|hash| (*hash, *hash, 1.0));
+        let mut sorted: Vec<u64> = hashes.clone();
+        sorted.sort_by(|left, right| score(key, *right, 1.0).total_cmp(&score(key, *left, 1.0)));
+        sorted.truncate(count);
+        prop_assert_eq!(first_ranked(key, candidates(), count), sorted);
+    }
+
     /// The share of times below a quantile is about its share.
     #[test]
     fn a_quantile_follows_the_times(
