Bound the views of the fleet that are kept; refuse the setting that is gone by name

Cause: found on reading: while daemons come and go in large fleets, every view of the last 3.5 s was kept; two threads could set an old result of whether control is followed; a file that sets balance.soft_load was refused without naming what is left. Ruled out: nothing. Change: at most 16 earlier views, beyond which a daemon owns nothing for that time; the result is set under the lock that it was computed under; the setting is refused with a word on what replaces it.

--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -30,9 +30,11 @@
 const PING: Duration = Duration::from_millis(1_000);
 /// A control process that sends nothing for this long is lost.
 const SILENCE: Duration = Duration::from_millis(2_500);
-/// Time after which a daemon that was cut off owns no cold back end any more: its
-/// longest silence, and a second for the news of it to arrive everywhere.
-pub const HAND_OVER_MS: Millis = 3_500;
+/// Time in which news of a lost daemon arrives at all others: changes are told at
+/// most every 200 ms, over the ways between the farthest regions.
+const NEWS_LAG: Duration = Duration::from_millis(1_000);
+/// Time after which a daemon that was cut off owns no cold back end any more.
+pub const HAND_OVER_MS: Millis = (SILENCE.as_millis() + NEWS_LAG.as_millis()) as Millis;
 /// Pause before a lost connection is made again.
 const PAUSE: Duration = Duration::from_millis(200);
 /// Time between two looks at which control processes to follow.
@@ -214,19 +216,21 @@
 
     fn note(&self, control: SocketAddr, change: impl FnOnce(&mut Followed)) {
         change(self.followed().entry(control).or_default());
-        self.state.set_following(self.follows_majority());
+        self.update_following();
     }
 
-    /// Whether it is connected with more than half of the control processes. Any
-    /// two daemons that are have one of them in common, and know of each other.
-    fn follows_majority(&self) -> bool {
+    /// Tells whether this daemon is connected with more than half of the control
+    /// processes. Any two daemons that are have one of them in common, and know of
+    /// each other.
+    fn update_following(&self) {
         let controls = self.controls().clone();
+        // Held until the end, so that an older result never replaces a newer one.
         let followed = self.followed();
         let connected = followed
             .iter()
             .filter(|(address, one)| one.is_connected && controls.contains(address))
             .count();
-        connected > controls.len() / 2
+        self.state.set_following(connected > controls.len() / 2);
     }
 
     fn merge_edges(&self) {
@@ -237,7 +241,7 @@
             .flat_map(|one| one.edges.iter().cloned())
             .collect();
         self.state.set_daemons(&self.record.name, names.into_iter());
-        self.state.set_following(self.follows_majority());
+        self.update_following();
     }
 
     /// Control processes that it is connected with.
--- a/crates/coursestand-model/src/fleet.rs
+++ b/crates/coursestand-model/src/fleet.rs
@@ -67,6 +67,10 @@
     /// Load over capacity from which on a back end gets nothing more, unless the
     /// request is expected to be done within its objective all the same.
     pub hard_load: f64,
+    /// Gone; only here so that a file that sets it is told what to do.
+    #[serde(skip_serializing)]
+    #[schemars(skip)]
+    pub soft_load: Option<f64>,
     /// A load report counts in full for this long.
     pub report_hold: Span,
     /// After that, it loses half of its weight in this time.
@@ -77,6 +81,7 @@
     fn default() -> Self {
         BalanceSettings {
             hard_load: 1.6,
+            soft_load: None,
             report_hold: Span(250),
             report_half_life: Span(400),
         }
@@ -175,6 +180,10 @@
             return Err(InvalidValue::new("link_mbps", found, "a speed over 0"));
         }
         let balance = &self.balance;
+        if let Some(soft_load) = balance.soft_load {
+            let allowed = "nothing: learned times decide now; `balance.hard_load` is left";
+            return Err(InvalidValue::new("balance.soft_load", soft_load, allowed));
+        }
         let has_hard_load = balance.hard_load > 0.0;
         if !has_hard_load {
             let allowed = "a load over 0";
--- a/crates/coursestand-routing/src/cold.rs
+++ b/crates/coursestand-routing/src/cold.rs
@@ -3,8 +3,9 @@
 //!
 //! Views of the fleet differ for a while when daemons come and go, and several may
 //! go one after the other. Who takes a back end over from another daemon waits
-//! until that one must have noticed that it is cut off, so at most two own one at
-//! any time: the old owner and the new one. Each keeps to half of what it bears.
+//! until that one must have noticed that it is cut off, so one acts at a time. Each
+//! keeps to half of what the back end bears all the same: a daemon that was frozen
+//! may act once more before it notices.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
@@ -46,6 +47,10 @@
         .map(|(_, daemon)| daemon)
 }
 
+/// Earlier views that are kept. At 3,500 daemons each takes about 0.2 MB; where more
+/// come within the hand-over time, the daemon owns nothing until they are past.
+const MOST_PAST_VIEWS: usize = 16;
+
 /// Names of the entry daemons, as one of them knows them.
 pub type Daemons = BTreeSet<String>;
 
@@ -87,6 +92,12 @@
         }
         let ended = std::mem::replace(&mut self.current, view);
         self.past.push_back((now, ended));
+        if self.past.len() > MOST_PAST_VIEWS {
+            self.past.pop_front();
+            if let Some((_, oldest)) = self.past.front_mut() {
+                *oldest = None;
+            }
+        }
     }
 
     /// The view that it holds.
--- a/crates/coursestand-routing/src/completion.rs
+++ b/crates/coursestand-routing/src/completion.rs
@@ -1,9 +1,8 @@
 //! Chooses among a key's back ends by when each would have the request done.
 //!
 //! Completion is the queue ahead, plus the work, which is several times longer
-//! where the object is not known. A first run is paid once and makes later requests
-//! for the object quick, so it counts in parts against a queue that each of them
-//! would meet.
+//! where the object is not known. A run at another back end than the first of the
+//! key's order costs more than itself: see `FIRST_RUNS_ELSEWHERE`.
 
 use crate::work_times::Work;
 
--- a/crates/coursestand-routing/tests/cold.rs
+++ b/crates/coursestand-routing/tests/cold.rs
@@ -93,6 +93,26 @@
     sent.iter().map(|start| from(*start)).max().unwrap_or(0)
 }
 
+#[gtest]
+fn a_daemon_that_saw_too_many_views_owns_nothing_until_they_are_past() {
+    const HAND_OVER_MS: u64 = 3_500;
+    let id = BackendId::from("cold");
+    let names = daemons();
+    let own = owner(&id, names.iter().map(String::as_str)).expect("an owner");
+    let mut views = OwnerViews::new(HAND_OVER_MS);
+    views.set(0, Some(names.clone()));
+    expect_that!(views.is_owner(10_000, own, &id), eq(true));
+    // One that is never the owner comes and goes.
+    let mut others = names.clone();
+    others.retain(|name| name == own);
+    for number in 0..40 {
+        let view = if number % 2 == 0 { &others } else { &names };
+        views.set(10_000 + number, Some(view.clone()));
+    }
+    expect_that!(views.is_owner(10_100, own, &id), eq(false));
+    expect_that!(views.is_owner(14_000, own, &id), eq(true));
+}
+
 #[gtest]
 fn daemons_that_go_in_a_row_do_not_add_up_at_a_cold_back_end() {
     const HAND_OVER_MS: u64 = 3_500;
