--- a/crates/coursestand-consensus/src/replica/mod.rs
+++ b/crates/coursestand-consensus/src/replica/mod.rs
@@ -308,6 +308,16 @@
                 };
                 self.send_after_sync(from, Body::AppendAnswer(answer));
             }
+            // A leader that sends nothing but a snapshot has to hear of the newer term
+            // as well, or this replica never comes back into the group.
+            Body::Snapshot(chunk) => {
+                let answer = Body::SnapshotAnswer {
+                    index: chunk.last.index,
+                    received: 0,
+                    sent_at: chunk.sent_at,
+                };
+                self.send_after_sync(from, answer);
+            }
             Body::Vote { .. } => self.send_after_sync(from, Body::VoteAnswer { granted: false }),
             _ => {}
         }
