--- a/crates/coursestand-routing/src/picker.rs
+++ b/crates/coursestand-routing/src/picker.rs
@@ -15,8 +15,7 @@
 use crate::work_times::{Work, WorkTimes};
 
 /// Back ends among which a key chooses, in its order. More than one matter only
-/// where a first run is cheap against a queue: with an affinity gain of a tenth,
-/// three are worth 0.02 more than one on the ledger customer's days.
+/// where a first run is cheap against a queue (design note 0007).
 const CHOICES: usize = 3;
 
 /// What a pick depends on.
