Wait until a stopped server has closed before the test asks it

Cause: Server::stop closes in a thread of its own; the test took it as done at once, so beside load the first request after it could still be answered. Change: the test waits until the address refuses connections, which comes after the contexts are closed, and then checks the same ten requests.

--- a/crates/coursestand-transport/tests/exchange.rs
+++ b/crates/coursestand-transport/tests/exchange.rs
@@ -90,6 +90,12 @@
     let answer = client.exchange(&(4, 0), LONG).await;
     expect_that!(answer.expect("an answer"), eq(8));
     first.stop();
+    // It closes in a thread of its own: its contexts first, the listener last.
+    let end = std::time::Instant::now() + LONG;
+    while tokio::net::TcpStream::connect(address).await.is_ok() {
+        assert!(std::time::Instant::now() < end, "it goes on listening");
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
     for _ in 0..10 {
         // Requests that meet nobody, as heartbeats to a dead replica do.
         let nobody = client.exchange(&(1, 0), Duration::from_millis(100)).await;
