Tell how old a daemon's catalog is, and how long control takes to answer

Cause: on the incident only losses of control processes were logged, so a busy link, a silent one and a control process that is behind looked the same. Ruled out: nothing yet. No decision changes. Change: a sign of life is answered with the end of the replica's log and what it has applied; from a quorum of these an entry daemon proves up to which moment its catalog lacks nothing (a quorum read without the leader). Metrics: catalog age, round trips, lost connections. Logs: late answers, why a daemon's connection ended, which group was told.

--- /dev/null
+++ b/crates/coursestand-coordination/src/freshness.rs
@@ -0,0 +1,104 @@
+//! Proves how new a follower's copy of the replicated state is.
+//!
+//! A change is acknowledged only once it is in the logs of a quorum of the replicas,
+//! and an entry that a quorum holds never leaves a log again. So when each replica of
+//! a quorum, asked at some moment or later, says that its log ends at or below an
+//! index that the copy covers, the copy holds every change that was acknowledged
+//! before that moment. This is a quorum read without the leader: it holds while the
+//! group has none, and costs one number in answers that are sent anyway.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use coursestand_model::Millis;
+
+use crate::tables::ControlVersion;
+
+/// What one replica said of its log.
+#[derive(Clone, Copy, Debug)]
+struct LogEnd {
+    /// When it was asked, on the follower's clock.
+    asked_at: Millis,
+    /// Last index of its log when it answered.
+    index: ControlVersion,
+}
+
+/// How new a follower's copy is, from what the replicas say of their logs.
+#[derive(Clone, Debug)]
+pub struct Freshness<Replica> {
+    members: BTreeSet<Replica>,
+    /// Commit index of the replica that told the members, when it did.
+    members_as_of: ControlVersion,
+    log_ends: BTreeMap<Replica, LogEnd>,
+    /// All changes up to this index are in the copy.
+    covered: ControlVersion,
+    proven_at: Option<Millis>,
+}
+
+impl<Replica> Default for Freshness<Replica> {
+    fn default() -> Self {
+        Freshness {
+            members: BTreeSet::new(),
+            members_as_of: 0,
+            log_ends: BTreeMap::new(),
+            covered: 0,
+            proven_at: None,
+        }
+    }
+}
+
+impl<Replica: Clone + Ord> Freshness<Replica> {
+    /// The members of the group, as a replica that had committed up to `as_of` tells
+    /// them. A list that is older than the one held changes nothing. Returns whether
+    /// it was taken.
+    pub fn set_members(&mut self, members: BTreeSet<Replica>, as_of: ControlVersion) -> bool {
+        if members.is_empty() || as_of < self.members_as_of {
+            return false;
+        }
+        self.members = members;
+        self.members_as_of = as_of;
+        true
+    }
+
+    /// The members of the group.
+    pub fn members(&self) -> &BTreeSet<Replica> {
+        &self.members
+    }
+
+    /// The copy holds all changes up to `index`.
+    pub fn cover(&mut self, index: ControlVersion) {
+        self.covered = self.covered.max(index);
+        self.prove();
+    }
+
+    /// `replica` was asked at `asked_at` and answered that its log ends at `index`.
+    pub fn note_log_end(&mut self, replica: Replica, asked_at: Millis, index: ControlVersion) {
+        self.log_ends.insert(replica, LogEnd { asked_at, index });
+        self.prove();
+    }
+
+    /// The latest moment before which every acknowledged change is in the copy.
+    pub fn proven_at(&self) -> Option<Millis> {
+        self.proven_at
+    }
+
+    /// Replicas that make a quorum of the members.
+    pub fn quorum(&self) -> usize {
+        self.members.len() / 2 + 1
+    }
+
+    fn prove(&mut self) {
+        if self.members.is_empty() {
+            return;
+        }
+        let mut asked_at: Vec<Millis> = self
+            .log_ends
+            .iter()
+            .filter(|(replica, end)| self.members.contains(replica) && end.index <= self.covered)
+            .map(|(_, end)| end.asked_at)
+            .collect();
+        // The newest first: the last one of a quorum bounds the moment.
+        asked_at.sort_unstable_by(|left, right| right.cmp(left));
+        let proven = asked_at.get(self.quorum() - 1).copied();
+        self.proven_at = self.proven_at.max(proven);
+    }
+}
--- a/crates/coursestand-coordination/src/lib.rs
+++ b/crates/coursestand-coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod bundles;
 pub mod command;
 pub mod followers;
+pub mod freshness;
 pub mod once;
 pub mod planner;
 pub mod shares;
@@ -20,5 +21,6 @@
 pub mod wire;
 
 pub use command::{Command, CommandAnswer};
+pub use freshness::Freshness;
 pub use state::ControlState;
 pub use tables::{ControlVersion, Delta, Tables};
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -8,8 +8,8 @@
 
 use coursestand_consensus::wal::WriteAheadLog;
 use coursestand_consensus::{
-    Batch, Config, Entry, HardState, Membership, Payload, Ready, Replica, ReplicaId, Restored,
-    Snapshot, Storage,
+    Batch, Config, Entry, HardState, LogIndex, Membership, Payload, Ready, Replica, ReplicaId,
+    Restored, Snapshot, Storage,
 };
 use coursestand_coordination::command::StampedCommand;
 use coursestand_coordination::{Command, CommandAnswer, ControlState};
@@ -23,7 +23,7 @@
 use crate::control::identity::{self, Identity};
 use crate::control::peers::PeerSender;
 use crate::control::proposals::Proposals;
-use crate::control::shared::{ControlShared, ReplicaStatus};
+use crate::control::shared::{ControlShared, LogReach, ReplicaStatus};
 use crate::control::status::status_of;
 
 const LOG: &str = "consensus";
@@ -51,6 +51,9 @@
 struct Group {
     identity: Identity,
     replica: Replica,
+    /// Last index that the shared state holds; the replica counts entries as applied
+    /// once it hands them out.
+    applied: LogIndex,
     log: WriteAheadLog,
     /// Proposals that are not answered yet.
     proposals: Proposals,
@@ -58,6 +61,17 @@
     clock_base: Option<(Millis, Millis)>,
 }
 
+impl Group {
+    /// How far the log reaches, if this replica is a voter by it.
+    fn reach(&self) -> Option<LogReach> {
+        let is_voter = self.replica.membership().is_voter(self.identity.replica);
+        is_voter.then(|| LogReach {
+            end: self.replica.log().persisted(),
+            applied: self.applied,
+        })
+    }
+}
+
 /// Whether the driver goes on.
 enum Next {
     GoOn,
@@ -90,6 +104,7 @@
     /// Starts from what is on disk.
     fn restart(&mut self) -> Result<(), ControlError> {
         let found = identity::read(&self.folder)?;
+        self.shared.set_log_reach(None);
         // The log is applied from its start or from its snapshot on.
         *self.shared.state_mut() = ControlState::default();
         if let Some(identity) = found {
@@ -113,13 +128,17 @@
             identity.replica, restored.hard_state.term, restored.entries.len()
         );
         let config = Config::new(identity.replica, rand::random());
-        self.group = Some(Group {
+        let replica = Replica::new(config, restored, now);
+        let group = Group {
             identity,
-            replica: Replica::new(config, restored, now),
+            applied: replica.applied_index(),
+            replica,
             log,
             proposals: Proposals::default(),
             clock_base: None,
-        });
+        };
+        self.shared.set_log_reach(group.reach());
+        self.group = Some(group);
     }
 
     /// Runs until it is told to stop. When storage fails, the replica leaves its
@@ -324,16 +343,27 @@
             save(&mut group.log, &mut ready)?;
         }
         group.replica.persisted(self.shared.clock.now(), &ready);
+        // Before the leader hears of this copy and can count it.
+        self.shared.set_log_reach(group.reach());
         let messages = std::mem::take(&mut ready.messages_after_sync);
         busy |= needs_sync || !messages.is_empty() || !ready.committed.is_empty();
         self.peers.send(cluster, own, &membership, messages);
         if let Some(snapshot) = &ready.snapshot {
             self.restore(snapshot);
+            self.note_applied(snapshot.index);
         }
         self.apply(ready.committed);
         Ok(busy)
     }
 
+    /// The shared state holds everything up to `index`.
+    fn note_applied(&mut self, index: LogIndex) {
+        if let Some(group) = &mut self.group {
+            group.applied = index;
+            self.shared.set_log_reach(group.reach());
+        }
+    }
+
     fn restore(&self, snapshot: &Snapshot) {
         if snapshot.data.is_empty() {
             return;
@@ -374,8 +404,12 @@
                 .applied(entry.index, entry.term, answer, needs_more_copies);
         }
         drop(state);
+        let applied = group.replica.applied_index();
+        self.note_applied(applied);
         self.shared.announce_versions();
-        group.proposals.answer();
+        if let Some(group) = &mut self.group {
+            group.proposals.answer();
+        }
     }
 
     fn shorten_log(&mut self) -> Result<(), ControlError> {
@@ -434,8 +468,9 @@
             None => group.proposals.lose_all(),
         }
         self.shared.set_lease(group.replica.term(), lease_end);
-        self.shared
-            .set_membership(group.replica.membership().clone());
+        let log = group.replica.log();
+        let (changed_at, membership) = log.membership_up_to(log.last_index());
+        self.shared.set_membership(changed_at, membership.clone());
         self.shared
             .set_status(status_of(group.identity, &group.replica, now));
     }
@@ -443,6 +478,7 @@
     fn fail(&mut self, failure: &ControlError) {
         self.group = None;
         self.shared.set_lease(0, None);
+        self.shared.set_log_reach(None);
         self.shared.set_status(ReplicaStatus {
             role: "failed",
             failure: Some(failure.to_string()),
--- a/crates/coursestand-daemon/src/control/shared.rs
+++ b/crates/coursestand-daemon/src/control/shared.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
-use coursestand_consensus::Membership;
+use coursestand_consensus::{LogIndex, Membership};
 use coursestand_coordination::{ControlState, ControlVersion, Delta};
 use coursestand_kernel::MonotonicClock;
 use coursestand_model::{DaemonId, Millis};
@@ -69,15 +69,27 @@
     pub silent_ms: Option<u64>,
 }
 
+/// How far a voter's log reaches.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, serde::Deserialize)]
+pub struct LogReach {
+    /// Last index on the synced disk. Raised before the replica tells the leader of
+    /// it, so that what was acknowledged with its help is never above.
+    pub end: LogIndex,
+    /// Last index that the applied state holds.
+    pub applied: LogIndex,
+}
+
 /// State shared by the parts of a control replica.
 pub struct ControlShared {
     /// Clock of the process.
     pub clock: MonotonicClock,
     state: RwLock<ControlState>,
     status: RwLock<ReplicaStatus>,
-    membership: RwLock<Membership>,
+    /// Members, and the log index that made them so.
+    membership: RwLock<(LogIndex, Membership)>,
     lease_end: AtomicU64,
     term: AtomicU64,
+    log_reach: Mutex<Option<LogReach>>,
     version: watch::Sender<ControlVersion>,
     catalog_version: watch::Sender<ControlVersion>,
     /// The newest delta for each version that followers asked from. Nearly all
@@ -95,6 +107,7 @@
             membership: RwLock::default(),
             lease_end: AtomicU64::new(0),
             term: AtomicU64::new(0),
+            log_reach: Mutex::default(),
             version: watch::Sender::new(0),
             catalog_version: watch::Sender::new(0),
             deltas: Mutex::default(),
@@ -124,17 +137,38 @@
 
     /// Members of the group.
     pub fn membership(&self) -> Membership {
+        self.membership_and_index().1
+    }
+
+    /// Members of the group, and the log index of the change that made them so.
+    pub fn membership_and_index(&self) -> (LogIndex, Membership) {
         self.membership
             .read()
             .unwrap_or_else(PoisonError::into_inner)
             .clone()
     }
 
-    pub(crate) fn set_membership(&self, membership: Membership) {
+    pub(crate) fn set_membership(&self, index: LogIndex, membership: Membership) {
         *self
             .membership
             .write()
-            .unwrap_or_else(PoisonError::into_inner) = membership;
+            .unwrap_or_else(PoisonError::into_inner) = (index, membership);
+    }
+
+    /// How far this replica's log reaches; `None` unless it is a voter by its own log.
+    /// One that lost its disk knows nothing of what its predecessor acknowledged.
+    pub fn log_reach(&self) -> Option<LogReach> {
+        *self
+            .log_reach
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn set_log_reach(&self, reach: Option<LogReach>) {
+        *self
+            .log_reach
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = reach;
     }
 
     /// Publishes the leader lease: the term first, so that whoever sees the
--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -1,12 +1,13 @@
 //! Follows the control processes: keeps connections to a majority of them, and
 //! feeds what they tell into the beliefs of the entry daemon.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use coursestand_coordination::Freshness;
 use coursestand_discovery::{EdgePhase, EdgeRecord, LinkUse};
 use coursestand_model::Millis;
 use coursestand_proxy::EdgeState;
@@ -20,8 +21,10 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::control::shared::LogReach;
+use crate::fleet::follower_metrics::FollowerMetrics;
 use crate::fleet::prober::Prober;
-use crate::fleet::wire::{ToControl, ToEdge};
+use crate::fleet::wire::{ControlGroup, ToControl, ToEdge};
 
 const LOG: &str = "follower";
 /// Control processes up to which all are followed.
@@ -37,6 +40,8 @@
 pub const HAND_OVER_MS: Millis = (SILENCE.as_millis() + NEWS_LAG.as_millis()) as Millis;
 /// Pause before a lost connection is made again.
 const PAUSE: Duration = Duration::from_millis(200);
+/// A round trip to control that takes longer is logged: changes come as late.
+const SLOW_ROUND_TRIP: Duration = Duration::from_millis(500);
 /// Time between two looks at which control processes to follow.
 const ROUND: Duration = Duration::from_millis(1_000);
 
@@ -59,6 +64,9 @@
     seeds: watch::Receiver<Vec<SocketAddr>>,
     /// Control processes as the group itself tells.
     controls: Mutex<BTreeSet<SocketAddr>>,
+    /// How new the catalog is.
+    freshness: Mutex<Freshness<SocketAddr>>,
+    metrics: FollowerMetrics,
     followed: Mutex<BTreeMap<SocketAddr, Followed>>,
     news: Notify,
     prober: Prober,
@@ -70,6 +78,7 @@
         state: Arc<EdgeState>,
         record: EdgeRecord,
         seeds: watch::Receiver<Vec<SocketAddr>>,
+        metrics: FollowerMetrics,
     ) -> EdgeFollower {
         EdgeFollower {
             state,
@@ -78,6 +87,8 @@
             link_use: AtomicU8::new(0),
             seeds,
             controls: Mutex::default(),
+            freshness: Mutex::default(),
+            metrics,
             followed: Mutex::default(),
             news: Notify::new(),
             prober: Prober::default(),
@@ -113,6 +124,42 @@
         self.controls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    fn freshness(&self) -> MutexGuard<'_, Freshness<SocketAddr>> {
+        self.freshness
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Milliseconds since the moment before which every acknowledged change is known
+    /// to be in force here; `None` before that was proven once.
+    pub fn catalog_age_ms(&self) -> Option<Millis> {
+        let proven_at = self.freshness().proven_at();
+        proven_at.map(|proven_at| self.state.now().saturating_sub(proven_at))
+    }
+
+    /// Brings the gauges up to date.
+    pub fn update_metrics(&self) {
+        self.metrics
+            .update(self.followed_count(), self.catalog_age_ms());
+    }
+
+    /// A control process answered the sign of life that was sent `round_trip` ago.
+    fn note_pong(&self, control: SocketAddr, round_trip: Duration, reach: Option<LogReach>) {
+        self.metrics.round_trip.observe(round_trip.as_secs_f64());
+        let round_trip_ms = round_trip.as_millis() as Millis;
+        if round_trip > SLOW_ROUND_TRIP {
+            info!(target: LOG, control:% = control, round_trip_ms = round_trip_ms,
+                catalog_age_ms = self.catalog_age_ms(); "control answered late");
+        }
+        let Some(reach) = reach else {
+            return;
+        };
+        let asked_at = self.state.now().saturating_sub(round_trip_ms);
+        let mut freshness = self.freshness();
+        freshness.cover(reach.applied);
+        freshness.note_log_end(control, asked_at, reach.end);
+    }
+
     /// Follows until it is dropped.
     pub async fn run(self: Arc<Self>) {
         let mut links: BTreeMap<SocketAddr, Link> = BTreeMap::new();
@@ -183,7 +230,7 @@
     fn take(&self, from: SocketAddr, message: ToEdge) {
         match message {
             // The connection that brought it answers it.
-            ToEdge::Probe(_) | ToEdge::Pong => {}
+            ToEdge::Probe(_) | ToEdge::Pong { .. } => {}
             ToEdge::Catalog(delta) => {
                 let version = delta.version;
                 let items = delta.items.len();
@@ -204,16 +251,23 @@
                 });
                 self.merge_edges();
             }
-            ToEdge::Controls(addresses) => {
-                let addresses: BTreeSet<SocketAddr> = addresses.into_iter().collect();
-                if !addresses.is_empty() {
-                    *self.controls() = addresses;
-                }
+            ToEdge::Controls(group) => {
+                self.take_group(from, group);
                 self.news.notify_one();
             }
         }
     }
 
+    fn take_group(&self, from: SocketAddr, group: ControlGroup) {
+        info!(target: LOG, control:% = from, members = group.members.len(),
+            voters = group.voters.len(), changed_at = group.changed_at;
+            "the control group was told");
+        self.freshness().set_members(group.voters, group.changed_at);
+        if !group.members.is_empty() {
+            *self.controls() = group.members;
+        }
+    }
+
     fn note(&self, control: SocketAddr, change: impl FnOnce(&mut Followed)) {
         change(self.followed().entry(control).or_default());
         self.update_following();
@@ -260,6 +314,7 @@
         json!({
             "phase": format!("{:?}", self.phase()),
             "controls": *self.controls(),
+            "catalog_age_ms": self.catalog_age_ms(),
             "followed": followed,
         })
     }
@@ -283,7 +338,11 @@
             *one = Followed::default();
         });
         if let (true, Err(error)) = (was_connected, result) {
-            info!(target: LOG, control:% = control; "control process lost: {error}");
+            info!(target: LOG, control:% = control, followed = follower.followed_count(),
+                catalog = follower.state.beliefs().catalog.version(),
+                catalog_age_ms = follower.catalog_age_ms();
+                "control process lost: {error}");
+            follower.metrics.lost.inc();
             follower.news.notify_one();
         }
         tokio::time::sleep(PAUSE).await;
@@ -291,6 +350,7 @@
 }
 
 async fn follow(follower: &EdgeFollower, control: SocketAddr) -> Result<(), StreamError> {
+    let started = Instant::now();
     let (mut receiver, mut sender) = stream::connect::<ToEdge, ToControl>(control).await?;
     let mut phase = follower.phase.subscribe();
     phase.mark_unchanged();
@@ -304,6 +364,8 @@
     let mut heard_at = Instant::now();
     let mut is_known = false;
     let mut probes = FuturesUnordered::new();
+    // Signs of life that were not answered yet.
+    let mut pings = VecDeque::new();
     loop {
         tokio::select! {
             message = receiver.next() => {
@@ -312,9 +374,16 @@
                 if !is_known {
                     is_known = true;
                     follower.note(control, |one| one.is_connected = true);
-                    info!(target: LOG, control:% = control; "control process followed");
+                    info!(target: LOG, control:% = control, took_ms = started.elapsed().as_millis() as u64;
+                        "control process followed");
                 }
                 match message {
+                    ToEdge::Pong { reach } => {
+                        let sent_at: Option<Instant> = pings.pop_front();
+                        if let Some(sent_at) = sent_at {
+                            follower.note_pong(control, sent_at.elapsed(), reach);
+                        }
+                    }
                     ToEdge::Probe(suspect) => probes.push(follower.prober.find_ready(suspect)),
                     other => follower.take(control, other),
                 }
@@ -332,6 +401,7 @@
             }
             _ = ping.tick() => {
                 let link_use = follower.link_use.load(Ordering::Relaxed);
+                pings.push_back(Instant::now());
                 sender.send(&ToControl::EdgePing(link_use)).await?;
             },
             () = tokio::time::sleep_until(heard_at + SILENCE) => {
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -31,6 +31,7 @@
 
 use crate::fleet::control_api::lookup_ttl;
 use crate::fleet::edge_follower::{EdgeFollower, HAND_OVER_MS};
+use crate::fleet::follower_metrics::FollowerMetrics;
 use crate::fleet::metrics::EdgeMetrics;
 use crate::names;
 
@@ -84,9 +85,7 @@
         self.metrics
             .ejected
             .set(count(&|backend| backend.is_ejected(now)));
-        self.metrics
-            .followed
-            .set(self.follower.followed_count() as i64);
+        self.follower.update_metrics();
         self.metrics.idle.set(self.pool.idle_count() as i64);
     }
 
@@ -199,6 +198,7 @@
             Arc::clone(&state),
             record,
             self.seeds.clone(),
+            FollowerMetrics::new(registry.metrics()).map_err(|error| failed(&error))?,
         ));
         let ready = serve_readiness(
             role.ready_listen,
--- /dev/null
+++ b/crates/coursestand-daemon/src/fleet/follower_metrics.rs
@@ -0,0 +1,59 @@
+//! Metrics of an entry daemon's connections with the control group.
+
+use coursestand_model::Millis;
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntGauge, Registry};
+
+/// Upper bounds of the round trips that are told apart, in seconds: between regions
+/// one takes some 40 ms; from 0.5 s on changes come late.
+const ROUND_TRIP_BUCKETS: [f64; 8] = [0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0];
+/// Told as the age of a catalog that was never proven to be the newest.
+const UNKNOWN_AGE: i64 = -1;
+
+/// Metrics of the follower.
+pub struct FollowerMetrics {
+    /// Control processes that it is connected with.
+    pub followed: IntGauge,
+    /// Milliseconds since the catalog was proven to be the newest.
+    pub catalog_age: IntGauge,
+    /// Connections to control processes that were lost.
+    pub lost: IntCounter,
+    /// From a sign of life to its answer, in seconds.
+    pub round_trip: Histogram,
+}
+
+impl FollowerMetrics {
+    /// Metrics known to `registry`.
+    pub fn new(registry: &Registry) -> Result<FollowerMetrics, prometheus::Error> {
+        let followed = IntGauge::new("coursestand_edge_followed", "Control processes followed")?;
+        let catalog_age = IntGauge::new(
+            "coursestand_edge_catalog_age_ms",
+            "Milliseconds since the catalog was proven to be the newest",
+        )?;
+        let lost = IntCounter::new(
+            "coursestand_edge_control_lost_total",
+            "Connections to control processes that were lost",
+        )?;
+        let options = HistogramOpts::new(
+            "coursestand_edge_control_round_trip_seconds",
+            "From a sign of life to its answer",
+        );
+        let round_trip = Histogram::with_opts(options.buckets(ROUND_TRIP_BUCKETS.to_vec()))?;
+        registry.register(Box::new(followed.clone()))?;
+        registry.register(Box::new(catalog_age.clone()))?;
+        registry.register(Box::new(lost.clone()))?;
+        registry.register(Box::new(round_trip.clone()))?;
+        Ok(FollowerMetrics {
+            followed,
+            catalog_age,
+            lost,
+            round_trip,
+        })
+    }
+
+    /// Brings the gauges up to date.
+    pub fn update(&self, followed: usize, catalog_age_ms: Option<Millis>) {
+        self.followed.set(followed as i64);
+        let age = catalog_age_ms.map_or(UNKNOWN_AGE, |age| age as i64);
+        self.catalog_age.set(age);
+    }
+}
--- a/crates/coursestand-daemon/src/fleet/formation.rs
+++ b/crates/coursestand-daemon/src/fleet/formation.rs
@@ -23,7 +23,7 @@
 use crate::control::shared::{MemberStatus, ReplicaStatus};
 use crate::fleet::hub::Hub;
 use crate::fleet::peer_links::PeerLinks;
-use crate::fleet::wire::{Answer, Question};
+use crate::fleet::wire::{Answer, ControlGroup, Question};
 
 const LOG: &str = "formation";
 /// Time between two looks at the group.
@@ -155,26 +155,41 @@
     }
 
     fn member_addresses(&self) -> BTreeSet<SocketAddr> {
-        let membership = self.control.shared.membership();
-        let members = membership.members.values();
-        members
-            .filter_map(|member| member.address.parse().ok())
-            .collect()
+        self.group().members
+    }
+
+    fn group(&self) -> ControlGroup {
+        let (changed_at, membership) = self.control.shared.membership_and_index();
+        let mut group = ControlGroup {
+            changed_at,
+            ..ControlGroup::default()
+        };
+        for member in membership.members.values() {
+            let Ok(address) = member.address.parse() else {
+                warn!(target: LOG, address = member.address; "a member has no address");
+                continue;
+            };
+            group.members.insert(address);
+            if member.is_voter {
+                group.voters.insert(address);
+            }
+        }
+        group
     }
 
     /// Keeps connections to the seeds and to all members.
     fn keep_links(&self) {
-        let members = self.member_addresses();
+        let group = self.group();
         if let Some(links) = self.links() {
             for seed in self.seeds.borrow().iter() {
                 links.keep(*seed);
             }
-            for member in &members {
+            for member in &group.members {
                 links.keep(*member);
             }
         }
-        if !members.is_empty() {
-            self.hub.set_controls(members);
+        if !group.members.is_empty() {
+            self.hub.set_controls(group);
         }
     }
 
--- a/crates/coursestand-daemon/src/fleet/hub.rs
+++ b/crates/coursestand-daemon/src/fleet/hub.rs
@@ -22,7 +22,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::fleet::peer_links::PeerLinks;
-use crate::fleet::wire::{PeerMessage, ToEdge};
+use crate::fleet::wire::{ControlGroup, PeerMessage, ToEdge};
 
 const LOG: &str = "hub";
 /// News that wait for an entry daemon; one with more is cut off, and gets all
@@ -63,7 +63,7 @@
     numbers: AtomicU64,
     links: OnceLock<Arc<PeerLinks>>,
     /// Members of the control group by address.
-    controls: watch::Sender<BTreeSet<SocketAddr>>,
+    controls: watch::Sender<ControlGroup>,
     /// Names of the entry daemons that are connected.
     edges: watch::Sender<EdgeNames>,
 }
@@ -79,7 +79,7 @@
             followers: Mutex::default(),
             numbers: AtomicU64::new(0),
             links: OnceLock::new(),
-            controls: watch::Sender::new(BTreeSet::new()),
+            controls: watch::Sender::default(),
             edges: watch::Sender::default(),
         }
     }
@@ -99,7 +99,7 @@
     }
 
     /// Members of the control group, as they change.
-    pub fn controls(&self) -> watch::Receiver<BTreeSet<SocketAddr>> {
+    pub fn controls(&self) -> watch::Receiver<ControlGroup> {
         self.controls.subscribe()
     }
 
@@ -108,11 +108,11 @@
         self.edges.subscribe()
     }
 
-    /// The members of the control group are these.
-    pub fn set_controls(&self, addresses: BTreeSet<SocketAddr>) {
+    /// The control group is this one.
+    pub fn set_controls(&self, group: ControlGroup) {
         self.controls.send_if_modified(|known| {
-            let changed = *known != addresses;
-            *known = addresses;
+            let changed = *known != group;
+            *known = group;
             changed
         });
     }
@@ -206,7 +206,7 @@
 
     /// Returns once a majority of the control processes has the news.
     async fn spread_surely(&self, news: InstanceNews) -> Result<(), NotSpread> {
-        let members = self.controls.borrow().clone();
+        let members = self.controls.borrow().members.clone();
         let Some(links) = self.links() else {
             return Err(NotSpread);
         };
@@ -475,7 +475,7 @@
         json!({
             "instances": instances,
             "edges": edges,
-            "controls": *self.controls.borrow(),
+            "controls": self.controls.borrow().members,
         })
     }
 }
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -9,7 +9,7 @@
 use coursestand_discovery::EdgeRecord;
 use coursestand_kernel::Tasks;
 use coursestand_transport::stream::{self, Receiver, Sender, StreamError};
-use log::{debug, warn};
+use log::{debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -190,12 +190,17 @@
         serving,
         queue,
         have,
+        has_told_catalog: false,
     };
     let result = follower
         .run(&mut record, instances, &mut receiver, &mut sender)
         .await;
     hub.unfollow(number);
     hub.note_edge(&record, false);
+    if let Err(error) = &result {
+        info!(target: LOG, edge = record.name, incarnation = record.incarnation,
+            catalog = follower.have; "an entry daemon's connection ended: {error}");
+    }
     if result.as_ref().is_err_and(StreamError::is_silence) {
         hub.suspect_edge(&record);
     }
@@ -214,6 +219,8 @@
     queue: mpsc::Receiver<bytes::Bytes>,
     /// Newest change of the catalog that was sent.
     have: u64,
+    /// Something of the catalog was sent on this connection.
+    has_told_catalog: bool,
 }
 
 impl EdgeConnection<'_> {
@@ -246,7 +253,10 @@
                         }
                         ToControl::EdgePing(link_use) => {
                             hub.note_link_use(record, link_use);
-                            sender.send(&ToEdge::Pong).await?;
+                            // Read first: what it says is applied is then sent.
+                            let reach = self.serving.control.shared.log_reach();
+                            self.send_catalog(sender).await?;
+                            sender.send(&ToEdge::Pong { reach }).await?;
                         }
                         ToControl::Edge(next) => {
                             *record = next;
@@ -269,8 +279,8 @@
                     if changed.is_err() {
                         return Err(StreamError::Ended);
                     }
-                    let addresses = controls.borrow_and_update().iter().copied().collect();
-                    sender.send(&ToEdge::Controls(addresses)).await?;
+                    let group = controls.borrow_and_update().clone();
+                    sender.send(&ToEdge::Controls(group)).await?;
                 }
                 changed = edges.changed(), if !tells_edges => {
                     if changed.is_err() {
@@ -293,16 +303,16 @@
     }
 
     async fn send_catalog(&mut self, sender: &mut Sender<ToEdge>) -> Result<(), StreamError> {
-        let delta = self
-            .serving
-            .control
-            .shared
-            .state()
-            .catalog()
-            .delta(self.have);
-        if delta.version == 0 {
-            return Ok(());
-        }
+        let delta = {
+            let state = self.serving.control.shared.state();
+            let catalog = state.catalog();
+            let is_news = catalog.version() > self.have || !self.has_told_catalog;
+            if catalog.version() == 0 || !is_news {
+                return Ok(());
+            }
+            catalog.delta(self.have)
+        };
+        self.has_told_catalog = true;
         self.have = self.have.max(delta.version);
         sender.send(&ToEdge::Catalog(delta)).await
     }
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -99,8 +99,6 @@
 pub struct EdgeMetrics {
     /// Newest change of the catalog.
     pub catalog: IntGauge,
-    /// Control processes that it follows.
-    pub followed: IntGauge,
     /// Back ends that it knows and that have not ended.
     pub backends: IntGauge,
     /// Back ends among them that are cold.
@@ -119,7 +117,6 @@
         let gauge = |name, help| gauge(registry, name, help);
         Ok(EdgeMetrics {
             catalog: gauge("coursestand_edge_catalog_version", "Change in force here")?,
-            followed: gauge("coursestand_edge_followed", "Control processes followed")?,
             backends: gauge("coursestand_edge_backends", "Back ends known")?,
             cold: gauge("coursestand_edge_cold_backends", "Back ends that are cold")?,
             ejected: gauge("coursestand_edge_ejected_backends", "Back ends left out")?,
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub mod control_service;
 pub mod edge_follower;
 pub mod edge_service;
+pub mod follower_metrics;
 pub mod formation;
 pub mod hub;
 pub mod listener;
--- a/crates/coursestand-daemon/src/fleet/wire.rs
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -1,5 +1,6 @@
 //! Messages between the processes of a fleet.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use coursestand_catalog::CatalogDelta;
@@ -8,6 +9,8 @@
 use coursestand_model::BackendId;
 use serde::{Deserialize, Serialize};
 
+use crate::control::shared::LogReach;
+
 /// What a control process receives on a connection.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ToControl {
@@ -131,11 +134,26 @@
     pub went: Vec<String>,
 }
 
+/// The control processes by address, as one of them knows them.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ControlGroup {
+    /// All of them.
+    pub members: BTreeSet<SocketAddr>,
+    /// Those that vote.
+    pub voters: BTreeSet<SocketAddr>,
+    /// Log index of the change that made the group this one.
+    pub changed_at: u64,
+}
+
 /// What an entry daemon receives from a control process.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum ToEdge {
-    /// The other lives.
-    Pong,
+    /// Answer to one sign of life, in their order. What the control process had
+    /// applied when it got the sign was sent before.
+    Pong {
+        /// How far its log reached then; `None` when it is no voter.
+        reach: Option<LogReach>,
+    },
     /// Changes of the catalog.
     Catalog(CatalogDelta),
     /// News of back ends.
@@ -143,8 +161,8 @@
     /// How the entry daemons that are connected with the control group changed
     /// since the last such message on this connection; at first there are none.
     Edges(EdgeChange),
-    /// Addresses of all control processes.
-    Controls(Vec<SocketAddr>),
+    /// The control group.
+    Controls(ControlGroup),
     /// Look whether this entry daemon is ready; control can't reach it.
     Probe(EdgeRecord),
 }
