Show by failing tests how a daemon comes to serve by an old catalog

Cause: a daemon gives up a connection with control after 2.5 s of silence and control gives up after 1.5 s without a confirmation, whatever the link takes; a connection that falls silent is noticed after up to 2.5 s and made again after 0.2 s more; ready means that a majority told some catalog, and the list told last makes the majority. Ruled out: nothing further.

--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 
 mod deployment;
 mod silent_edge;
+mod stale_catalog;
 
 use coursestand_discovery::InstancePhase;
 use coursestand_lab::scripted::{Behaviour, ScriptedBackend};
--- /dev/null
+++ b/crates/coursestand-daemon/tests/following/main.rs
@@ -0,0 +1,6 @@
+//! What an entry daemon believes of the catalog while its connections with the control
+//! group are slow, silent, or lead to processes that are behind.
+#![allow(missing_docs)]
+
+mod scripted_control;
+mod stale_catalog;
--- /dev/null
+++ b/crates/coursestand-daemon/tests/following/scripted_control.rs
@@ -0,0 +1,233 @@
+//! Control processes of a script: each tells what the test has it apply, over a link
+//! with a delay, and can let the connections that are open fall silent for good.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use coursestand_catalog::{Catalog, Patch, RouteKind};
+use coursestand_daemon::control::shared::LogReach;
+use coursestand_daemon::fleet::wire::{ControlGroup, ToControl, ToEdge};
+use coursestand_lab::items;
+use coursestand_transport::stream::{self, Receiver, Sender};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, watch};
+use tokio::time::Instant;
+
+/// Index of the change that the catalog of every script begins with.
+pub const FIRST_CHANGE: u64 = 1;
+
+struct Script {
+    catalog: Catalog,
+    reach: Option<LogReach>,
+    group: ControlGroup,
+}
+
+/// One control process of a script; it lives as long as the test.
+pub struct ScriptedControl {
+    pub address: SocketAddr,
+    script: Arc<Mutex<Script>>,
+    applied: Arc<watch::Sender<u64>>,
+    /// Connections accepted up to this number are silent.
+    silent_up_to: Arc<AtomicU64>,
+    accepted: Arc<AtomicU64>,
+}
+
+fn route_patch(version: u64) -> Patch {
+    let route = items::route("a", "s", RouteKind::Repeatable, 2_000);
+    let mut upserts = vec![items::route_item("a", version, route)];
+    if version == FIRST_CHANGE {
+        upserts.push(items::service("s"));
+        upserts.push(items::limits());
+    }
+    Patch {
+        upserts,
+        removals: Vec::new(),
+    }
+}
+
+impl ScriptedControl {
+    /// Listens; everything takes `delay` in each direction.
+    pub async fn start(delay: Duration) -> ScriptedControl {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let mut catalog = Catalog::default();
+        catalog
+            .merge(&route_patch(FIRST_CHANGE), FIRST_CHANGE)
+            .expect("valid");
+        let control = ScriptedControl {
+            address,
+            script: Arc::new(Mutex::new(Script {
+                catalog,
+                reach: Some(LogReach {
+                    end: FIRST_CHANGE,
+                    applied: FIRST_CHANGE,
+                }),
+                group: ControlGroup::default(),
+            })),
+            applied: Arc::new(watch::Sender::new(FIRST_CHANGE)),
+            silent_up_to: Arc::default(),
+            accepted: Arc::default(),
+        };
+        tokio::spawn(accept(listener, control.shared(), delay));
+        control
+    }
+
+    fn shared(&self) -> Shared {
+        Shared {
+            script: Arc::clone(&self.script),
+            applied: self.applied.subscribe(),
+            silent_up_to: Arc::clone(&self.silent_up_to),
+            accepted: Arc::clone(&self.accepted),
+        }
+    }
+
+    fn script(&self) -> MutexGuard<'_, Script> {
+        self.script.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells this group from now on, to new connections.
+    pub fn set_group(&self, voters: &[SocketAddr], changed_at: u64) {
+        let members: BTreeSet<SocketAddr> = voters.iter().copied().collect();
+        self.script().group = ControlGroup {
+            voters: members.clone(),
+            members,
+            changed_at,
+        };
+    }
+
+    /// Its log holds the entry `index`, which it does not know to be committed.
+    pub fn append(&self, index: u64) {
+        if let Some(reach) = &mut self.script().reach {
+            reach.end = index;
+        }
+    }
+
+    /// It applies the change `index`, which sets the route to that version.
+    pub fn apply(&self, index: u64) {
+        {
+            let mut script = self.script();
+            script
+                .catalog
+                .merge(&route_patch(index), index)
+                .expect("valid");
+            script.reach = Some(LogReach {
+                end: index,
+                applied: index,
+            });
+        }
+        self.applied.send_replace(index);
+    }
+
+    /// All connections that are open fall silent for good; new ones work.
+    pub fn silence_connections(&self) {
+        let accepted = self.accepted.load(Ordering::SeqCst);
+        self.silent_up_to.store(accepted, Ordering::SeqCst);
+    }
+
+    /// Connections that were made so far.
+    pub fn accepted(&self) -> u64 {
+        self.accepted.load(Ordering::SeqCst)
+    }
+}
+
+#[derive(Clone)]
+struct Shared {
+    script: Arc<Mutex<Script>>,
+    applied: watch::Receiver<u64>,
+    silent_up_to: Arc<AtomicU64>,
+    accepted: Arc<AtomicU64>,
+}
+
+impl Shared {
+    fn script(&self) -> MutexGuard<'_, Script> {
+        self.script.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn accept(listener: TcpListener, shared: Shared, delay: Duration) {
+    while let Ok((connection, _)) = listener.accept().await {
+        let number = shared.accepted.fetch_add(1, Ordering::SeqCst) + 1;
+        tokio::spawn(serve(connection, shared.clone(), number, delay));
+    }
+}
+
+type Timed<T> = (Instant, T);
+
+/// Takes messages off the connection; each is handed on once it has travelled.
+async fn receive(
+    mut receiver: Receiver<ToControl>,
+    travelling: mpsc::UnboundedSender<Timed<ToControl>>,
+    delay: Duration,
+) {
+    while let Ok(message) = receiver.next().await {
+        if travelling.send((Instant::now() + delay, message)).is_err() {
+            return;
+        }
+    }
+}
+
+async fn send(mut sender: Sender<ToEdge>, mut travelling: mpsc::UnboundedReceiver<Timed<ToEdge>>) {
+    while let Some((due, message)) = travelling.recv().await {
+        tokio::time::sleep_until(due).await;
+        if sender.send(&message).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn serve(connection: TcpStream, mut shared: Shared, number: u64, delay: Duration) {
+    let (receiver, sender) = stream::split(connection).expect("a connection");
+    let (arriving, mut arrived) = mpsc::unbounded_channel();
+    let (leaving, to_send) = mpsc::unbounded_channel();
+    let receiving = tokio::spawn(receive(receiver, arriving, delay));
+    let sending = tokio::spawn(send(sender, to_send));
+    let mut told = 0;
+    loop {
+        let message = tokio::select! {
+            message = arrived.recv() => message,
+            changed = shared.applied.changed() => {
+                changed.expect("the control process lives");
+                None
+            }
+        };
+        let mut replies = Vec::new();
+        match message {
+            Some((due, message)) => {
+                tokio::time::sleep_until(due).await;
+                if matches!(message, ToControl::EdgeHello { .. }) {
+                    replies.push(ToEdge::Controls(shared.script().group.clone()));
+                }
+                let reach = shared.script().reach;
+                replies.extend(news(&shared, &mut told));
+                if matches!(message, ToControl::EdgePing(_)) {
+                    replies.push(ToEdge::Pong { reach });
+                }
+            }
+            None if receiving.is_finished() => break,
+            None => replies.extend(news(&shared, &mut told)),
+        }
+        if number <= shared.silent_up_to.load(Ordering::SeqCst) {
+            // The connection stays open and carries nothing any more.
+            std::future::pending::<()>().await;
+        }
+        for reply in replies {
+            // The other side may have gone.
+            let _ = leaving.send((Instant::now() + delay, reply));
+        }
+    }
+    sending.abort();
+}
+
+/// What the connection was not told yet of the catalog.
+fn news(shared: &Shared, told: &mut u64) -> Option<ToEdge> {
+    let script = shared.script();
+    let delta = script.catalog.delta(*told);
+    if delta.version <= *told {
+        return None;
+    }
+    *told = delta.version;
+    Some(ToEdge::Catalog(delta))
+}
--- /dev/null
+++ b/crates/coursestand-daemon/tests/following/stale_catalog.rs
@@ -0,0 +1,208 @@
+//! Entry daemons were seen to serve by a catalog that was five seconds behind while
+//! control confirmed changes and everything else within 0.2 s. Most of the fleet had
+//! gone dark, so the daemons that stayed had all the requests on their narrow links, and
+//! an answer of control took over a second there. A daemon gave a connection up sooner
+//! than a slow link delivers, made it anew and lost it again; and whoever was told any
+//! catalog by a majority called itself ready, whatever the majority had committed since.
+//! The round trips in the daemons' metrics showed the slow links.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coursestand_daemon::fleet::edge_follower::{EdgeFollower, HAND_OVER_MS};
+use coursestand_daemon::fleet::follower_metrics::FollowerMetrics;
+use coursestand_discovery::{EdgePhase, EdgeRecord};
+use coursestand_kernel::MonotonicClock;
+use coursestand_model::{RegionId, ZoneId};
+use coursestand_proxy::EdgeState;
+use coursestand_proxy::edge_state::EdgeBounds;
+use coursestand_routing::RetryLimits;
+use coursestand_routing::backends::ReportTrust;
+use coursestand_routing::cold::ColdLimits;
+use coursestand_routing::picker::{Balance, Place};
+use googletest::prelude::*;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::scripted_control::{FIRST_CHANGE, ScriptedControl};
+
+const CONTROLS: usize = 5;
+const LOOK: Duration = Duration::from_millis(5);
+/// Nothing here should come near it.
+const WITHIN: Duration = Duration::from_secs(30);
+
+struct Daemon {
+    state: Arc<EdgeState>,
+    follower: Arc<EdgeFollower>,
+    /// Kept, since the follower ends without it.
+    _seeds: watch::Sender<Vec<SocketAddr>>,
+}
+
+fn state() -> EdgeState {
+    let place = Place {
+        daemon: "edge".to_owned(),
+        region: RegionId::from("z"),
+        zones: BTreeMap::from([(ZoneId::from("z-1"), RegionId::from("z"))]),
+        cold: ColdLimits {
+            overage: 1.5,
+            slack: 5.0,
+        },
+        balance: Balance {
+            hard_load: 2.0,
+            trust: ReportTrust {
+                hold_ms: 500,
+                half_life_ms: 500,
+            },
+        },
+    };
+    let bounds = EdgeBounds {
+        retries: RetryLimits {
+            ratio: 0.2,
+            extra: 64.0,
+            window_ms: 10_000,
+        },
+        settle_ms: 3_000,
+        hand_over_ms: HAND_OVER_MS,
+    };
+    EdgeState::new(MonotonicClock::default(), place, bounds)
+}
+
+impl Daemon {
+    fn start(seeds: &[SocketAddr]) -> Daemon {
+        let state = Arc::new(state());
+        let nowhere = SocketAddr::from(([127, 0, 0, 1], 9));
+        let record = EdgeRecord {
+            name: "edge".to_owned(),
+            incarnation: 1,
+            address: nowhere,
+            admin_address: nowhere,
+            zone: ZoneId::from("z-1"),
+            region: RegionId::from("z"),
+            phase: EdgePhase::Starting,
+        };
+        let (seeds, seeds_seen) = watch::channel(seeds.to_vec());
+        let metrics = FollowerMetrics::new(&prometheus::Registry::new()).expect("metrics");
+        let follower = EdgeFollower::new(Arc::clone(&state), record, seeds_seen, metrics);
+        let follower = Arc::new(follower);
+        tokio::spawn(Arc::clone(&follower).run());
+        Daemon {
+            state,
+            follower,
+            _seeds: seeds,
+        }
+    }
+
+    fn catalog(&self) -> u64 {
+        self.state.beliefs().catalog.version()
+    }
+
+    fn is_ready(&self) -> bool {
+        self.follower.phase() == EdgePhase::Ready
+    }
+}
+
+async fn controls(delay: Duration) -> Vec<ScriptedControl> {
+    let mut controls = Vec::new();
+    for _ in 0..CONTROLS {
+        controls.push(ScriptedControl::start(delay).await);
+    }
+    let addresses = addresses(&controls);
+    for control in &controls {
+        control.set_group(&addresses, FIRST_CHANGE);
+    }
+    controls
+}
+
+fn addresses(controls: &[ScriptedControl]) -> Vec<SocketAddr> {
+    controls.iter().map(|control| control.address).collect()
+}
+
+/// How long it takes until something is so.
+async fn time_until(what: &str, is_so: impl Fn() -> bool) -> Duration {
+    let started = Instant::now();
+    while !is_so() {
+        assert!(started.elapsed() < WITHIN, "not in time: {what}");
+        tokio::time::sleep(LOOK).await;
+    }
+    started.elapsed()
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_behind_a_slow_link_gets_every_change() {
+    // Longer there and back than any limit on silence that suits an idle link.
+    let delay = Duration::from_millis(1_600);
+    let controls = controls(delay).await;
+    let daemon = Daemon::start(&addresses(&controls));
+    time_until("the daemon is ready", || daemon.is_ready()).await;
+    for change in FIRST_CHANGE + 1..FIRST_CHANGE + 6 {
+        for control in &controls {
+            control.apply(change);
+        }
+        let took = time_until("the change is there", || daemon.catalog() >= change).await;
+        expect_that!(took, lt(delay + Duration::from_millis(500)));
+    }
+    let accepted: u64 = controls.iter().map(ScriptedControl::accepted).sum();
+    // Each may be given up a few times until the daemon has learned its pace.
+    expect_that!(accepted, lt(4 * CONTROLS as u64));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn connections_that_fall_silent_do_not_hold_a_change_up() {
+    // Between regions.
+    let controls = controls(Duration::from_millis(20)).await;
+    let daemon = Daemon::start(&addresses(&controls));
+    time_until("the daemon is ready", || daemon.is_ready()).await;
+    for change in FIRST_CHANGE + 1..FIRST_CHANGE + 6 {
+        for control in &controls {
+            control.silence_connections();
+        }
+        for control in &controls {
+            control.apply(change);
+        }
+        let took = time_until("the change is there", || daemon.catalog() >= change).await;
+        // Half a second less than the shortest time in which a change must be in force.
+        expect_that!(took, lt(Duration::from_millis(1_500)), "change {change}");
+        // The round of signs of life meets the silence at another moment each time.
+        tokio::time::sleep(Duration::from_millis(1_130)).await;
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_is_not_ready_by_a_catalog_that_may_be_old() {
+    let controls = controls(Duration::ZERO).await;
+    // The first two applied a change that all of the majority may have acknowledged.
+    let change = FIRST_CHANGE + 1;
+    for control in &controls[..3] {
+        control.append(change);
+    }
+    let daemon = Daemon::start(&addresses(&controls[..3]));
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    // Two of the five, which do not hold it, are no majority.
+    expect_that!(daemon.is_ready(), eq(false));
+    controls[0].apply(change);
+    time_until("the daemon is ready", || daemon.is_ready()).await;
+    expect_that!(daemon.catalog(), eq(change));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_old_list_of_the_group_makes_no_majority() {
+    let controls = controls(Duration::ZERO).await;
+    // The last one was cut off when it was alone in the group.
+    let last = &controls[CONTROLS - 1];
+    last.set_group(&[last.address], FIRST_CHANGE);
+    for control in &controls[..CONTROLS - 1] {
+        control.set_group(&addresses(&controls), FIRST_CHANGE + 1);
+        control.append(FIRST_CHANGE + 2);
+    }
+    let daemon = Daemon::start(&addresses(&controls));
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    expect_that!(daemon.is_ready(), eq(false));
+    controls[0].apply(FIRST_CHANGE + 2);
+    time_until("the daemon is ready", || daemon.is_ready()).await;
+}
