Keep control within reach of daemons whose links are slow or silent

Cause: an entry daemon and a control process each gave up a connection by a fixed limit (2.5 s of silence, 1.5 s without a confirmation, 0.5 s to connect), whatever the daemon's link took; a new connection began with the table of all back ends; ready meant that a majority had told some catalog; and the end of an old connection took a daemon out that had a new one. Ruled out: refusing requests while the catalog may be old. Change: an answer is overdue by the round trips measured (1 s at least); the old connection is kept while a second is tried, and the one that speaks first is used; tries wait longer each time. Signs of life are spread over the second. Connecting may take 3 s. Control suspects a daemon after 2 s but gives its connection up only after 10 s, tells the catalog before the table, and counts a daemon's connections. Ready is a quorum read of the logs. Probes of suspects go only to daemons that are heard.

--- /dev/null
+++ b/crates/coursestand-daemon/src/fleet/control_link.rs
@@ -0,0 +1,258 @@
+//! A kept connection of an entry daemon with one control process.
+//!
+//! A connection may be dead without a sign, or alive behind a link that is full, and
+//! neither tells which. So one whose answer is overdue is kept while a second one is
+//! tried, and whichever says something first is used on. Each try that hears nothing
+//! lets the next one wait longer.
+
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coursestand_discovery::EdgePhase;
+use coursestand_transport::stream::{self, Receiver, Sender, StreamError};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use log::info;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::fleet::edge_follower::EdgeFollower;
+use crate::fleet::wire::{ToControl, ToEdge};
+
+const LOG: &str = "follower";
+/// Pause before a connection that failed is made again.
+const PAUSE: Duration = Duration::from_millis(200);
+/// An answer to a sign of life is overdue after this time where round trips are short.
+/// With signs of life spread over the second, connections that fall silent together are
+/// noticed after 1.2 s at most.
+const OVERDUE: Duration = Duration::from_millis(1_000);
+/// Round trips after which an answer is overdue, where that is longer.
+const OVERDUE_ROUND_TRIPS: u32 = 3;
+/// Longest wait for an answer, whatever the link took before.
+const LONGEST_OVERDUE: Duration = Duration::from_millis(8_000);
+/// A connection whose bytes are not confirmed for this long has ended.
+const LINK_SILENCE: Duration = Duration::from_millis(10_000);
+
+/// How long an answer may take.
+#[derive(Clone, Copy, Debug, Default)]
+struct Patience {
+    /// Newest round trip.
+    round_trip: Duration,
+    /// Tries in a row that heard nothing.
+    silent_tries: u32,
+}
+
+impl Patience {
+    fn limit(&self) -> Duration {
+        let usual = OVERDUE.max(self.round_trip * OVERDUE_ROUND_TRIPS);
+        // A few doublings reach the longest limit.
+        let doublings = self.silent_tries.min(u32::BITS / 4);
+        (usual * 2_u32.pow(doublings)).min(LONGEST_OVERDUE)
+    }
+}
+
+/// A connection on which a control process was greeted.
+struct Session {
+    receiver: Receiver<ToEdge>,
+    sender: Sender<ToControl>,
+    phases: watch::Receiver<EdgePhase>,
+    /// When the signs of life that were not answered yet were sent.
+    unanswered: VecDeque<Instant>,
+    next_ping: Instant,
+    heard_at: Instant,
+}
+
+/// Why a session is not used on for now.
+enum Interruption {
+    /// An answer is overdue.
+    Overdue,
+    /// The connection failed.
+    Failed(StreamError),
+}
+
+/// Keeps following `control` until it is dropped.
+pub(super) async fn keep_following(follower: Arc<EdgeFollower>, control: SocketAddr) {
+    loop {
+        let mut patience = Patience::default();
+        let error = match Session::open(&follower, control).await {
+            Ok(session) => follow(&follower, control, session, &mut patience).await,
+            Err(error) => error,
+        };
+        follower.note_lost(control, &error);
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Follows until no connection is left.
+async fn follow(
+    follower: &EdgeFollower,
+    control: SocketAddr,
+    mut session: Session,
+    patience: &mut Patience,
+) -> StreamError {
+    loop {
+        match session.run(follower, control, patience).await {
+            Interruption::Failed(error) => return error,
+            Interruption::Overdue => {}
+        }
+        let started = Instant::now();
+        tokio::select! {
+            // The old connection knows all that it was told: it goes first.
+            biased;
+            message = session.receiver.next() => match message {
+                Ok(message) => session.take(follower, control, message, patience),
+                Err(error) => return error,
+            },
+            renewed = Session::open_and_hear(follower, control, patience.limit()) => match renewed {
+                Ok((renewed, message)) => {
+                    info!(target: LOG, control:% = control,
+                        silent_ms = session.heard_at.elapsed().as_millis() as u64,
+                        took_ms = started.elapsed().as_millis() as u64;
+                        "a connection that fell silent was replaced");
+                    follower.note_renewed(control);
+                    session = renewed;
+                    session.take(follower, control, message, patience);
+                }
+                Err(error) => {
+                    patience.silent_tries += 1;
+                    info!(target: LOG, control:% = control,
+                        silent_ms = session.heard_at.elapsed().as_millis() as u64,
+                        tries = patience.silent_tries;
+                        "control is silent: {error}");
+                    if session.heard_at.elapsed() > LINK_SILENCE {
+                        return error;
+                    }
+                }
+            },
+        }
+    }
+}
+
+impl Session {
+    /// Connects and greets.
+    async fn open(follower: &EdgeFollower, control: SocketAddr) -> Result<Session, StreamError> {
+        let (receiver, mut sender) = stream::connect::<ToEdge, ToControl>(control).await?;
+        sender.bear_silence(LINK_SILENCE)?;
+        let mut phases = follower.phases();
+        phases.mark_unchanged();
+        let hello = ToControl::EdgeHello {
+            record: follower.record(),
+            have: follower.catalog_version(),
+        };
+        sender.send(&hello).await?;
+        let now = Instant::now();
+        Ok(Session {
+            receiver,
+            sender,
+            phases,
+            unanswered: VecDeque::new(),
+            next_ping: now,
+            heard_at: now,
+        })
+    }
+
+    /// Connects, greets, and waits `limit` for a first message.
+    async fn open_and_hear(
+        follower: &EdgeFollower,
+        control: SocketAddr,
+        limit: Duration,
+    ) -> Result<(Session, ToEdge), StreamError> {
+        let mut session = Session::open(follower, control).await?;
+        let message = session.receiver.next_within(limit).await?;
+        Ok((session, message))
+    }
+
+    /// Runs until an answer is overdue or the connection fails.
+    async fn run(
+        &mut self,
+        follower: &EdgeFollower,
+        control: SocketAddr,
+        patience: &mut Patience,
+    ) -> Interruption {
+        let result = self.exchange(follower, control, patience).await;
+        match result {
+            Ok(()) => Interruption::Overdue,
+            Err(error) => Interruption::Failed(error),
+        }
+    }
+
+    async fn exchange(
+        &mut self,
+        follower: &EdgeFollower,
+        control: SocketAddr,
+        patience: &mut Patience,
+    ) -> Result<(), StreamError> {
+        let mut probes = FuturesUnordered::new();
+        loop {
+            let overdue_at = self.overdue_at(patience.limit());
+            tokio::select! {
+                // A message that waits counts before the time that went by without it,
+                // as when this process stood still.
+                biased;
+                message = self.receiver.next() => match message? {
+                    ToEdge::Probe(suspect) => probes.push(follower.prober().find_ready(suspect)),
+                    message => self.take(follower, control, message, patience),
+                },
+                changed = self.phases.changed() => {
+                    if changed.is_err() {
+                        return Err(StreamError::Ended);
+                    }
+                    self.sender.send(&ToControl::Edge(follower.record())).await?;
+                }
+                Some(found) = probes.next(), if !probes.is_empty() => {
+                    if let Some(found) = found {
+                        self.sender.send(&found).await?;
+                    }
+                }
+                () = tokio::time::sleep_until(self.next_ping) => {
+                    self.ping(follower, control).await?;
+                }
+                () = tokio::time::sleep_until(overdue_at.unwrap_or(self.next_ping)),
+                    if overdue_at.is_some() => return Ok(()),
+            }
+        }
+    }
+
+    /// When an answer is overdue, if one is waited for.
+    fn overdue_at(&self, limit: Duration) -> Option<Instant> {
+        let sent_at = self.unanswered.front()?;
+        Some((*sent_at).max(self.heard_at) + limit)
+    }
+
+    async fn ping(
+        &mut self,
+        follower: &EdgeFollower,
+        control: SocketAddr,
+    ) -> Result<(), StreamError> {
+        let now = Instant::now();
+        self.unanswered.push_back(now);
+        self.next_ping = now + Duration::from_millis(follower.next_ping_in_ms(control));
+        let ping = ToControl::EdgePing(follower.link_use());
+        self.sender.send(&ping).await
+    }
+
+    fn take(
+        &mut self,
+        follower: &EdgeFollower,
+        control: SocketAddr,
+        message: ToEdge,
+        patience: &mut Patience,
+    ) {
+        self.heard_at = Instant::now();
+        patience.silent_tries = 0;
+        if follower.phase() == EdgePhase::Starting && matches!(message, ToEdge::Catalog(_)) {
+            // The answer tells whether there is anything newer: the daemon waits for it.
+            self.next_ping = self.heard_at;
+        }
+        let ToEdge::Pong { reach } = message else {
+            follower.take(control, message);
+            return;
+        };
+        if let Some(sent_at) = self.unanswered.pop_front() {
+            patience.round_trip = sent_at.elapsed();
+            follower.note_pong(control, patience.round_trip, reach);
+        }
+    }
+}
--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -1,7 +1,7 @@
 //! Follows the control processes: keeps connections to a majority of them, and
 //! feeds what they tell into the beliefs of the entry daemon.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -12,34 +12,37 @@
 use coursestand_model::Millis;
 use coursestand_proxy::EdgeState;
 use coursestand_routing::hash::{combine, hash_of};
-use coursestand_transport::stream::{self, StreamError};
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
+use coursestand_transport::stream::StreamError;
 use log::info;
 use serde_json::{Value, json};
 use tokio::sync::{Notify, watch};
 use tokio::task::JoinHandle;
-use tokio::time::Instant;
 
 use crate::control::shared::LogReach;
+use crate::fleet::control_link::keep_following;
 use crate::fleet::follower_metrics::FollowerMetrics;
 use crate::fleet::prober::Prober;
-use crate::fleet::wire::{ControlGroup, ToControl, ToEdge};
+use crate::fleet::wire::{ControlGroup, ToEdge};
 
 const LOG: &str = "follower";
 /// Control processes up to which all are followed.
 const FOLLOW_ALL: usize = 5;
-/// Time between two signs of life.
-const PING: Duration = Duration::from_millis(1_000);
-/// A control process that sends nothing for this long is lost.
-const SILENCE: Duration = Duration::from_millis(2_500);
+/// Time between two signs of life to one control process.
+const PING_MS: Millis = 1_000;
+/// The same while the daemon starts: it is ready at the answer that follows the newest
+/// commit.
+const STARTING_PING_MS: Millis = 150;
+/// A control process counts as connected for this long after a sign of life was sent
+/// that it answered. Fixed, whatever the link takes: others take cold back ends over by it.
+const CONNECTED_MS: Millis = 2_500;
+/// A daemon that starts is ready by a proof of its catalog of this age at most: the
+/// answer that proves it may take as long as a connection may be silent.
+const PROOF_LIFETIME_MS: Millis = 10_000;
 /// Time in which news of a lost daemon arrives at all others: changes are told at
 /// most every 200 ms, over the ways between the farthest regions.
 const NEWS_LAG: Duration = Duration::from_millis(1_000);
 /// Time after which a daemon that was cut off owns no cold back end any more.
-pub const HAND_OVER_MS: Millis = (SILENCE.as_millis() + NEWS_LAG.as_millis()) as Millis;
-/// Pause before a lost connection is made again.
-const PAUSE: Duration = Duration::from_millis(200);
+pub const HAND_OVER_MS: Millis = CONNECTED_MS + NEWS_LAG.as_millis() as Millis;
 /// A round trip to control that takes longer is logged: changes come as late.
 const SLOW_ROUND_TRIP: Duration = Duration::from_millis(500);
 /// Time between two looks at which control processes to follow.
@@ -48,12 +51,18 @@
 /// What is known of one control process.
 #[derive(Clone, Debug, Default)]
 struct Followed {
-    /// It has told its catalog on the present connection.
-    has_told_catalog: bool,
-    is_connected: bool,
+    /// When the newest sign of life was sent that it answered on the present connection.
+    answered_at: Option<Millis>,
     edges: BTreeSet<String>,
 }
 
+impl Followed {
+    fn is_connected(&self, now: Millis) -> bool {
+        self.answered_at
+            .is_some_and(|answered_at| now.saturating_sub(answered_at) < CONNECTED_MS)
+    }
+}
+
 /// Follows the control processes.
 pub struct EdgeFollower {
     state: Arc<EdgeState>,
@@ -120,6 +129,40 @@
         self.followed.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// When the next sign of life to `control` is due, in milliseconds. Those to the
+    /// control processes are spread evenly, so that connections which fall silent
+    /// together are noticed by the first of them.
+    pub(super) fn next_ping_in_ms(&self, control: SocketAddr) -> Millis {
+        if self.phase() == EdgePhase::Starting {
+            return STARTING_PING_MS;
+        }
+        let controls = self.controls();
+        let place = controls.iter().position(|known| *known == control);
+        let place = place.unwrap_or(0) as Millis;
+        let offset = PING_MS * place / controls.len().max(1) as Millis;
+        let since = (self.state.now() + PING_MS - offset) % PING_MS;
+        PING_MS - since
+    }
+
+    /// What is told with the next sign of life.
+    pub(super) fn link_use(&self) -> LinkUse {
+        self.link_use.load(Ordering::Relaxed)
+    }
+
+    /// The daemon's phase, as it changes.
+    pub(super) fn phases(&self) -> watch::Receiver<EdgePhase> {
+        self.phase.subscribe()
+    }
+
+    /// Newest change of the catalog that is in force here.
+    pub(super) fn catalog_version(&self) -> u64 {
+        self.state.beliefs().catalog.version()
+    }
+
+    pub(super) fn prober(&self) -> &Prober {
+        &self.prober
+    }
+
     fn controls(&self) -> MutexGuard<'_, BTreeSet<SocketAddr>> {
         self.controls.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -144,20 +187,66 @@
     }
 
     /// A control process answered the sign of life that was sent `round_trip` ago.
-    fn note_pong(&self, control: SocketAddr, round_trip: Duration, reach: Option<LogReach>) {
+    pub(super) fn note_pong(
+        &self,
+        control: SocketAddr,
+        round_trip: Duration,
+        reach: Option<LogReach>,
+    ) {
         self.metrics.round_trip.observe(round_trip.as_secs_f64());
         let round_trip_ms = round_trip.as_millis() as Millis;
         if round_trip > SLOW_ROUND_TRIP {
             info!(target: LOG, control:% = control, round_trip_ms = round_trip_ms,
                 catalog_age_ms = self.catalog_age_ms(); "control answered late");
         }
-        let Some(reach) = reach else {
-            return;
+        let now = self.state.now();
+        let asked_at = now.saturating_sub(round_trip_ms);
+        if let Some(reach) = reach {
+            let mut freshness = self.freshness();
+            freshness.cover(reach.applied);
+            freshness.note_log_end(control, asked_at, reach.end);
+        }
+        self.note_answered(control, now, asked_at);
+        self.become_ready();
+    }
+
+    fn note_answered(&self, control: SocketAddr, now: Millis, asked_at: Millis) {
+        let is_news = {
+            let mut followed = self.followed();
+            let one = followed.entry(control).or_default();
+            let was_connected = one.is_connected(now);
+            one.answered_at = one.answered_at.max(Some(asked_at));
+            one.is_connected(now) != was_connected
+        };
+        if is_news {
+            info!(target: LOG, control:% = control, followed = self.followed_count();
+                "control process followed");
+            self.merge_edges();
+        }
+    }
+
+    /// A connection was lost, and with it what it told of the fleet.
+    pub(super) fn note_lost(&self, control: SocketAddr, error: &StreamError) {
+        let was_connected = {
+            let mut followed = self.followed();
+            let before = followed.insert(control, Followed::default());
+            before.is_some_and(|one| one.answered_at.is_some())
         };
-        let asked_at = self.state.now().saturating_sub(round_trip_ms);
-        let mut freshness = self.freshness();
-        freshness.cover(reach.applied);
-        freshness.note_log_end(control, asked_at, reach.end);
+        self.update_following();
+        if was_connected {
+            info!(target: LOG, control:% = control, followed = self.followed_count(),
+                catalog = self.state.beliefs().catalog.version(),
+                catalog_age_ms = self.catalog_age_ms();
+                "control process lost: {error}");
+            self.metrics.lost.inc();
+            self.news.notify_one();
+        }
+    }
+
+    /// A new connection tells the fleet from its beginning.
+    pub(super) fn note_renewed(&self, control: SocketAddr) {
+        self.followed().insert(control, Followed::default());
+        self.update_following();
     }
 
     /// Follows until it is dropped.
@@ -173,7 +262,7 @@
                     Link(tokio::spawn(keep_following(Arc::clone(&self), address)))
                 });
             }
-            self.become_ready();
+            self.update_following();
             // Either news or the end of the pause.
             let _ = tokio::time::timeout(ROUND, self.news.notified()).await;
         }
@@ -194,42 +283,40 @@
         }
         let mut wanted: BTreeSet<SocketAddr> = wanted.into_iter().collect();
         // With none of them connected, the seeds may know the present group.
-        let is_alone = !self.followed().values().any(|one| one.is_connected);
+        let is_alone = self.followed_count() == 0;
         if is_alone {
             wanted.extend(self.seeds.borrow().iter().copied());
         }
         wanted
     }
 
-    /// Ready once a majority of the control processes told their catalogs: one
-    /// of them has every change that was ever acknowledged.
+    /// Ready once the catalog is proven to hold every acknowledged change. Answers of
+    /// a majority alone would not do: what one of them has applied may be older.
     fn become_ready(&self) {
         if self.phase() != EdgePhase::Starting || self.state.beliefs().catalog.is_empty() {
             return;
         }
-        let controls = self.controls().clone();
-        let told = self
-            .followed()
-            .iter()
-            .filter(|(address, one)| one.has_told_catalog && controls.contains(address))
-            .count();
-        if !controls.is_empty() && told > controls.len() / 2 {
-            info!(target: LOG, catalog = self.state.beliefs().catalog.version();
-                "this daemon is ready");
+        let is_newest = self
+            .catalog_age_ms()
+            .is_some_and(|age_ms| age_ms < PROOF_LIFETIME_MS);
+        if is_newest {
+            info!(target: LOG, catalog = self.state.beliefs().catalog.version(),
+                catalog_age_ms = self.catalog_age_ms(); "this daemon is ready");
             self.set_phase(EdgePhase::Ready);
         }
     }
 
-    fn record(&self) -> EdgeRecord {
+    pub(super) fn record(&self) -> EdgeRecord {
         EdgeRecord {
             phase: self.phase(),
             ..self.record.clone()
         }
     }
 
-    fn take(&self, from: SocketAddr, message: ToEdge) {
+    /// Takes in what a control process tells.
+    pub(super) fn take(&self, from: SocketAddr, message: ToEdge) {
         match message {
-            // The connection that brought it answers it.
+            // The connection that brought it deals with it.
             ToEdge::Probe(_) | ToEdge::Pong { .. } => {}
             ToEdge::Catalog(delta) => {
                 let version = delta.version;
@@ -238,17 +325,17 @@
                     info!(target: LOG, control:% = from, catalog = version, items = items;
                         "the catalog changed");
                 }
-                self.note(from, |one| one.has_told_catalog = true);
-                self.news.notify_one();
             }
             ToEdge::Instances(news) => self.state.adopt_instances(news),
             ToEdge::Edges(change) => {
-                self.note(from, |one| {
+                {
+                    let mut followed = self.followed();
+                    let one = followed.entry(from).or_default();
                     one.edges.extend(change.came);
                     for name in &change.went {
                         one.edges.remove(name);
                     }
-                });
+                }
                 self.merge_edges();
             }
             ToEdge::Controls(group) => {
@@ -268,11 +355,6 @@
         }
     }
 
-    fn note(&self, control: SocketAddr, change: impl FnOnce(&mut Followed)) {
-        change(self.followed().entry(control).or_default());
-        self.update_following();
-    }
-
     /// Tells whether this daemon is connected with more than half of the control
     /// processes. Any two daemons that are have one of them in common, and know of
     /// each other.
@@ -280,18 +362,20 @@
         let controls = self.controls().clone();
         // Held until the end, so that an older result never replaces a newer one.
         let followed = self.followed();
+        let now = self.state.now();
         let connected = followed
             .iter()
-            .filter(|(address, one)| one.is_connected && controls.contains(address))
+            .filter(|(address, one)| one.is_connected(now) && controls.contains(address))
             .count();
         self.state.set_following(connected > controls.len() / 2);
     }
 
     fn merge_edges(&self) {
+        let now = self.state.now();
         let names: BTreeSet<String> = self
             .followed()
             .values()
-            .filter(|one| one.is_connected)
+            .filter(|one| one.is_connected(now))
             .flat_map(|one| one.edges.iter().cloned())
             .collect();
         self.state.set_daemons(&self.record.name, names.into_iter());
@@ -300,16 +384,21 @@
 
     /// Control processes that it is connected with.
     pub fn followed_count(&self) -> usize {
+        let now = self.state.now();
         let followed = self.followed();
-        followed.values().filter(|one| one.is_connected).count()
+        followed
+            .values()
+            .filter(|one| one.is_connected(now))
+            .count()
     }
 
     /// What the follower knows, for the dump.
     pub fn dump(&self) -> Value {
+        let now = self.state.now();
         let followed: BTreeMap<String, bool> = self
             .followed()
             .iter()
-            .map(|(address, one)| (address.to_string(), one.is_connected))
+            .map(|(address, one)| (address.to_string(), one.is_connected(now)))
             .collect();
         json!({
             "phase": format!("{:?}", self.phase()),
@@ -328,85 +417,3 @@
         self.0.abort();
     }
 }
-
-async fn keep_following(follower: Arc<EdgeFollower>, control: SocketAddr) {
-    loop {
-        let result = follow(&follower, control).await;
-        let mut was_connected = false;
-        follower.note(control, |one| {
-            was_connected = one.is_connected;
-            *one = Followed::default();
-        });
-        if let (true, Err(error)) = (was_connected, result) {
-            info!(target: LOG, control:% = control, followed = follower.followed_count(),
-                catalog = follower.state.beliefs().catalog.version(),
-                catalog_age_ms = follower.catalog_age_ms();
-                "control process lost: {error}");
-            follower.metrics.lost.inc();
-            follower.news.notify_one();
-        }
-        tokio::time::sleep(PAUSE).await;
-    }
-}
-
-async fn follow(follower: &EdgeFollower, control: SocketAddr) -> Result<(), StreamError> {
-    let started = Instant::now();
-    let (mut receiver, mut sender) = stream::connect::<ToEdge, ToControl>(control).await?;
-    let mut phase = follower.phase.subscribe();
-    phase.mark_unchanged();
-    let have = follower.state.beliefs().catalog.version();
-    let hello = ToControl::EdgeHello {
-        record: follower.record(),
-        have,
-    };
-    sender.send(&hello).await?;
-    let mut ping = tokio::time::interval(PING);
-    let mut heard_at = Instant::now();
-    let mut is_known = false;
-    let mut probes = FuturesUnordered::new();
-    // Signs of life that were not answered yet.
-    let mut pings = VecDeque::new();
-    loop {
-        tokio::select! {
-            message = receiver.next() => {
-                let message = message?;
-                heard_at = Instant::now();
-                if !is_known {
-                    is_known = true;
-                    follower.note(control, |one| one.is_connected = true);
-                    info!(target: LOG, control:% = control, took_ms = started.elapsed().as_millis() as u64;
-                        "control process followed");
-                }
-                match message {
-                    ToEdge::Pong { reach } => {
-                        let sent_at: Option<Instant> = pings.pop_front();
-                        if let Some(sent_at) = sent_at {
-                            follower.note_pong(control, sent_at.elapsed(), reach);
-                        }
-                    }
-                    ToEdge::Probe(suspect) => probes.push(follower.prober.find_ready(suspect)),
-                    other => follower.take(control, other),
-                }
-            }
-            changed = phase.changed() => {
-                if changed.is_err() {
-                    return Ok(());
-                }
-                sender.send(&ToControl::Edge(follower.record())).await?;
-            }
-            Some(found) = probes.next(), if !probes.is_empty() => {
-                if let Some(found) = found {
-                    sender.send(&found).await?;
-                }
-            }
-            _ = ping.tick() => {
-                let link_use = follower.link_use.load(Ordering::Relaxed);
-                pings.push_back(Instant::now());
-                sender.send(&ToControl::EdgePing(link_use)).await?;
-            },
-            () = tokio::time::sleep_until(heard_at + SILENCE) => {
-                return Err(StreamError::Silent { limit_ms: SILENCE.as_millis() });
-            }
-        }
-    }
-}
--- a/crates/coursestand-daemon/src/fleet/hub.rs
+++ b/crates/coursestand-daemon/src/fleet/hub.rs
@@ -18,6 +18,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use log::info;
+use rand::seq::IndexedRandom;
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, watch};
 
@@ -49,6 +50,9 @@
     directory: Directory,
     /// Back ends heard since the last digest.
     heard: HashSet<BackendId>,
+    /// Connections on which each run of an entry daemon is heard, by its name and
+    /// incarnation.
+    edge_links: HashMap<(String, u64), HashSet<u64>>,
     /// When the other control processes were heard last.
     peers: BTreeMap<SocketAddr, Millis>,
 }
@@ -245,7 +249,13 @@
     }
 
     /// Another control process is connected with an entry daemon, or no longer.
-    pub fn take_peer_edge(&self, peer: SocketAddr, record: &EdgeRecord, is_connected: bool) {
+    /// Returns whether that is news.
+    pub fn take_peer_edge(
+        &self,
+        peer: SocketAddr,
+        record: &EdgeRecord,
+        is_connected: bool,
+    ) -> bool {
         let changed = {
             let mut state = self.state();
             if is_connected {
@@ -259,11 +269,47 @@
         if changed {
             self.publish_edges();
         }
+        changed
+    }
+
+    /// The connection `number` with an entry daemon is heard, or no longer. The daemon
+    /// may have another one: it makes a new one before it gives up one that is silent.
+    pub fn note_edge(&self, number: u64, record: &EdgeRecord, is_connected: bool) {
+        if self.note_edge_link(number, record, is_connected) {
+            self.tell_edge(record, is_connected);
+        }
+    }
+
+    /// Returns whether the daemon is connected after this as `is_connected` says.
+    fn note_edge_link(&self, number: u64, record: &EdgeRecord, is_connected: bool) -> bool {
+        let run = (record.name.clone(), record.incarnation);
+        let mut state = self.state();
+        let links = state.edge_links.entry(run.clone()).or_default();
+        if is_connected {
+            links.insert(number);
+            return true;
+        }
+        let was_connected = links.remove(&number);
+        let is_gone = links.is_empty();
+        if is_gone {
+            state.edge_links.remove(&run);
+        }
+        was_connected && is_gone
+    }
+
+    /// The connection `number` with an entry daemon has been silent for long: when it
+    /// has no other, others are to find out whether the daemon serves on.
+    pub fn note_silent_edge(&self, number: u64, record: &EdgeRecord) {
+        if self.note_edge_link(number, record, false) {
+            self.tell_edge(record, false);
+            self.suspect_edge(record);
+        }
     }
 
-    /// This process is connected with an entry daemon, or no longer.
-    pub fn note_edge(&self, record: &EdgeRecord, is_connected: bool) {
-        self.take_peer_edge(self.own, record, is_connected);
+    fn tell_edge(&self, record: &EdgeRecord, is_connected: bool) {
+        if !self.take_peer_edge(self.own, record, is_connected) {
+            return;
+        }
         info!(target: LOG, edge = record.name, incarnation = record.incarnation,
             phase:? = record.phase, connected = is_connected; "an entry daemon changed");
         if let Some(links) = self.links() {
@@ -347,7 +393,7 @@
     }
 
     /// An entry daemon fell silent: others are to find out whether it serves on.
-    pub fn suspect_edge(&self, record: &EdgeRecord) {
+    fn suspect_edge(&self, record: &EdgeRecord) {
         let now = self.clock.now();
         self.state().directory.suspect(now, record);
         info!(target: LOG, edge = record.name, incarnation = record.incarnation;
@@ -360,19 +406,23 @@
         self.state().directory.vouch(now, name, incarnation);
     }
 
-    /// Asks one entry daemon for each suspect, another one each time.
+    /// Asks one entry daemon that is heard for each suspect, another one each time.
     fn probe_suspects(&self, now: Millis) {
-        let suspects = self.state().directory.suspects(now);
+        let (suspects, heard) = {
+            let mut state = self.state();
+            let heard: Vec<u64> = state.edge_links.values().flatten().copied().collect();
+            (state.directory.suspects(now), heard)
+        };
         for suspect in suspects {
             let Ok(frame) = encode(&ToEdge::Probe(suspect)) else {
                 continue;
             };
+            let chosen = heard.choose(&mut rand::rng());
             let followers = self
                 .followers
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner);
-            let chosen = rand::random_range(0..followers.len().max(1));
-            if let Some(follower) = followers.values().nth(chosen) {
+            if let Some(follower) = chosen.and_then(|number| followers.get(number)) {
                 // A full queue ends the connection at the next news.
                 let _ = follower.try_send(Bytes::from(frame));
             }
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -23,8 +23,14 @@
 use crate::fleet::wire::{Answer, EdgeChange, PeerMessage, PeerReply, Question, ToControl, ToEdge};
 
 const LOG: &str = "mesh";
-/// A peer or entry daemon that sends nothing for this long is lost.
+/// A peer that sends nothing for this long is lost.
 const SILENCE: Duration = Duration::from_millis(3_000);
+/// An entry daemon that gave no sign of life for this long, twice the time between two,
+/// is not named in look-ups unless another daemon reaches it.
+const EDGE_SUSPICION: Duration = Duration::from_millis(2_000);
+/// An entry daemon's connection is given up after this silence. Behind a full link what
+/// it says comes late, and a new connection would begin with all there is to tell.
+const EDGE_SILENCE: Duration = Duration::from_millis(10_000);
 /// Replies that wait to be sent.
 const REPLY_QUEUE: usize = 1_024;
 /// Changes of the connected entry daemons are told at most this often.
@@ -63,7 +69,7 @@
 async fn serve(connection: TcpStream, serving: &Arc<Serving>) -> Result<(), StreamError> {
     // The first message tells what is sent back on the connection.
     let (mut receiver, sender) = stream::split::<ToControl, ()>(connection)?;
-    match receiver.next_within(SILENCE).await? {
+    match receiver.next_within(EDGE_SILENCE).await? {
         ToControl::PeerHello(peer) => serve_peer(peer, receiver, sender.retyped(), serving).await,
         ToControl::EdgeHello { record, have } => {
             serve_edge(record, have, receiver, sender.retyped(), serving).await
@@ -121,7 +127,9 @@
         PeerMessage::Edge {
             record,
             is_connected,
-        } => serving.hub.take_peer_edge(peer, &record, is_connected),
+        } => {
+            serving.hub.take_peer_edge(peer, &record, is_connected);
+        }
         PeerMessage::Ask { number, question } => {
             let serving = Arc::clone(serving);
             let replies = replies.clone();
@@ -184,10 +192,12 @@
     serving: &Arc<Serving>,
 ) -> Result<(), StreamError> {
     let hub = &serving.hub;
-    hub.note_edge(&record, true);
+    sender.bear_silence(EDGE_SILENCE)?;
     let (number, queue, instances) = hub.follow();
+    hub.note_edge(number, &record, true);
     let mut follower = EdgeConnection {
         serving,
+        number,
         queue,
         have,
         has_told_catalog: false,
@@ -196,14 +206,11 @@
         .run(&mut record, instances, &mut receiver, &mut sender)
         .await;
     hub.unfollow(number);
-    hub.note_edge(&record, false);
+    hub.note_edge(number, &record, false);
     if let Err(error) = &result {
         info!(target: LOG, edge = record.name, incarnation = record.incarnation,
             catalog = follower.have; "an entry daemon's connection ended: {error}");
     }
-    if result.as_ref().is_err_and(StreamError::is_silence) {
-        hub.suspect_edge(&record);
-    }
     result
 }
 
@@ -216,6 +223,8 @@
 
 struct EdgeConnection<'a> {
     serving: &'a Serving,
+    /// Of this connection among the hub's.
+    number: u64,
     queue: mpsc::Receiver<bytes::Bytes>,
     /// Newest change of the catalog that was sent.
     have: u64,
@@ -235,19 +244,34 @@
         let mut catalog = self.serving.control.shared.catalog_versions();
         let mut controls = hub.controls();
         let mut edges = hub.edges();
-        controls.mark_changed();
-        edges.mark_changed();
-        let mut told = EdgeNames::default();
+        // The catalog comes before the many back ends: it must be in force soon. The
+        // first answer to a sign of life follows all of this: with it the daemon counts
+        // as connected, and must know the others by then.
+        let group = controls.borrow_and_update().clone();
+        sender.send(&ToEdge::Controls(group)).await?;
+        catalog.borrow_and_update();
+        self.send_catalog(sender).await?;
+        let mut told = Arc::clone(&edges.borrow_and_update());
+        let all = change_between(&EdgeNames::default(), &told);
+        sender.send(&ToEdge::Edges(all)).await?;
         sender.send(&ToEdge::Instances(instances)).await?;
-        catalog.mark_changed();
         let mut heard_at = Instant::now();
-        let mut edges_at = Instant::now();
+        let mut is_suspect = false;
+        let mut edges_at = Instant::now() + EDGES_PAUSE;
         let mut tells_edges = false;
         loop {
             tokio::select! {
+                // What the daemon says counts before its silence, and the catalog goes
+                // before the news of back ends.
+                biased;
                 message = receiver.next() => {
+                    let message = message?;
                     heard_at = Instant::now();
-                    match message? {
+                    if is_suspect {
+                        is_suspect = false;
+                        hub.note_edge(self.number, record, true);
+                    }
+                    match message {
                         ToControl::FoundReady { name, incarnation } => {
                             hub.vouch_for_edge(&name, incarnation);
                         }
@@ -260,15 +284,11 @@
                         }
                         ToControl::Edge(next) => {
                             *record = next;
-                            hub.note_edge(record, true);
+                            hub.note_edge(self.number, record, true);
                         }
                         _ => return Err(StreamError::Ended),
                     }
                 }
-                frame = self.queue.recv() => match frame {
-                    Some(frame) => sender.send_frame(frame).await?,
-                    None => return Err(StreamError::Ended),
-                },
                 changed = catalog.changed() => {
                     if changed.is_err() {
                         return Err(StreamError::Ended);
@@ -295,8 +315,17 @@
                     sender.send(&ToEdge::Edges(change_between(&told, &now))).await?;
                     told = now;
                 }
-                () = tokio::time::sleep_until(heard_at + SILENCE) => {
-                    return Err(StreamError::Silent { limit_ms: SILENCE.as_millis() });
+                frame = self.queue.recv() => match frame {
+                    Some(frame) => sender.send_frame(frame).await?,
+                    None => return Err(StreamError::Ended),
+                },
+                () = tokio::time::sleep_until(heard_at + EDGE_SUSPICION), if !is_suspect => {
+                    is_suspect = true;
+                    hub.note_silent_edge(self.number, record);
+                }
+                () = tokio::time::sleep_until(heard_at + EDGE_SILENCE) => {
+                    let limit_ms = EDGE_SILENCE.as_millis();
+                    return Err(StreamError::Silent { limit_ms });
                 }
             }
         }
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -4,6 +4,7 @@
 //! `docs/design/0006-fleet-on-a-platform.md` tells which part serves what.
 
 pub mod control_api;
+mod control_link;
 pub mod control_service;
 pub mod edge_follower;
 pub mod edge_service;
--- a/crates/coursestand-daemon/tests/fleet/stale_catalog.rs
+++ b/crates/coursestand-daemon/tests/fleet/stale_catalog.rs
@@ -86,3 +86,35 @@
         })
         .await;
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_renewed_its_connection_outlives_the_old_one() {
+    let deployment = formed(&SEEDS).await;
+    expect_that!(deployment.patch(&SEEDS, &first_items()).await, eq(200));
+    let (_, old) = follow(&deployment, 1).await;
+    let (_receiver, mut sender) = follow(&deployment, 1).await;
+    deployment
+        .wait_until("both connections are known", || {
+            edges_at(&deployment, 1) == ["late"]
+        })
+        .await;
+    drop(old);
+    let started = Instant::now();
+    while started.elapsed() < Duration::from_secs(3) {
+        sender.send(&ToControl::EdgePing(0)).await.expect("sent");
+        expect_that!(edges_at(&deployment, 1), elements_are![eq("late")]);
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Names of the entry daemons that `host` is connected with.
+fn edges_at(deployment: &Deployment, host: u8) -> Vec<String> {
+    let dump = deployment.nodes[&host].kernel().dump();
+    let edges = dump["hub"]["soft_state"]["edges"].as_array().cloned();
+    let names = edges.unwrap_or_default();
+    names
+        .iter()
+        .filter_map(|edge| edge["name"].as_str().map(str::to_owned))
+        .collect()
+}
--- a/crates/coursestand-transport/src/stream.rs
+++ b/crates/coursestand-transport/src/stream.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures::future::select_ok;
+use futures::stream::FuturesUnordered;
 use futures::{SinkExt, StreamExt};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -24,8 +24,10 @@
 
 /// A peer that confirms no bytes for this long is lost.
 pub const SILENCE: Duration = Duration::from_millis(1_500);
-/// Longest time to make a connection.
-pub const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Longest time to make a connection. Over a link that is full, the first packet and
+/// its answer wait in queues: 1.3 s were measured at entry daemons that had ten times
+/// their usual requests, and a limit of 0.5 s kept such daemons from control.
+pub const CONNECT_LIMIT: Duration = Duration::from_millis(3_000);
 
 /// Why a stream ended.
 #[derive(Debug, Snafu)]
@@ -54,18 +56,6 @@
     Ended,
 }
 
-impl StreamError {
-    /// Whether the peer fell silent, as one without power or behind a cut does. One
-    /// whose process ended resets or ends its connections.
-    pub fn is_silence(&self) -> bool {
-        match self {
-            StreamError::Silent { .. } => true,
-            StreamError::Connection { source } => source.kind() == io::ErrorKind::TimedOut,
-            _ => false,
-        }
-    }
-}
-
 /// Receives messages of one type.
 pub struct Receiver<T> {
     frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
@@ -78,27 +68,19 @@
     message: PhantomData<T>,
 }
 
-/// Times at which attempts to connect begin. A machine that comes back does not
-/// answer what was sent to it before, and the system repeats that a second later:
-/// a fresh attempt finds it sooner.
-const ATTEMPTS: [Duration; 3] = [
-    Duration::ZERO,
-    Duration::from_millis(150),
-    Duration::from_millis(300),
-];
-
-async fn connect_after(pause: Duration, address: SocketAddr) -> io::Result<TcpStream> {
-    tokio::time::sleep(pause).await;
-    TcpStream::connect(address).await
-}
+/// Time between two attempts to connect. A machine that comes back does not answer
+/// what was sent to it before, and the system repeats that a second later: a fresh
+/// attempt finds it sooner. Earlier attempts go on, for those whose answer is slow.
+const ATTEMPT_PAUSE: Duration = Duration::from_millis(200);
+/// Attempts after which refusals alone are an error: nobody listens there.
+const MOST_REFUSALS: usize = 3;
 
 /// Connects to `address`: the first attempt that succeeds counts.
 pub async fn connect<In, Out>(
     address: SocketAddr,
 ) -> Result<(Receiver<In>, Sender<Out>), StreamError> {
-    let attempts = ATTEMPTS.map(|pause| Box::pin(connect_after(pause, address)));
-    let connecting = tokio::time::timeout(CONNECT_LIMIT, select_ok(attempts));
-    let (stream, _) = connecting
+    let connecting = tokio::time::timeout(CONNECT_LIMIT, attempt_until_connected(address));
+    let stream = connecting
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))
         .context(ConnectionSnafu)?
@@ -106,12 +88,37 @@
     split(stream)
 }
 
+async fn attempt_until_connected(address: SocketAddr) -> io::Result<TcpStream> {
+    let mut attempts = FuturesUnordered::new();
+    let mut pause = tokio::time::interval(ATTEMPT_PAUSE);
+    let mut refusals = 0;
+    loop {
+        tokio::select! {
+            _ = pause.tick() => attempts.push(TcpStream::connect(address)),
+            Some(result) = attempts.next(), if !attempts.is_empty() => match result {
+                Ok(stream) => return Ok(stream),
+                Err(error) => {
+                    refusals += 1;
+                    if refusals >= MOST_REFUSALS && attempts.is_empty() {
+                        return Err(error);
+                    }
+                }
+            },
+        }
+    }
+}
+
+/// Ends the connection when the peer confirms no bytes for `silence`.
+fn set_silence(stream: &TcpStream, silence: Duration) -> Result<(), StreamError> {
+    SockRef::from(stream)
+        .set_tcp_user_timeout(Some(silence))
+        .context(ConnectionSnafu)
+}
+
 /// Messages over a connection that was made or accepted.
 pub fn split<In, Out>(stream: TcpStream) -> Result<(Receiver<In>, Sender<Out>), StreamError> {
     stream.set_nodelay(true).context(ConnectionSnafu)?;
-    SockRef::from(&stream)
-        .set_tcp_user_timeout(Some(SILENCE))
-        .context(ConnectionSnafu)?;
+    set_silence(&stream, SILENCE)?;
     let (read, write) = stream.into_split();
     let receiver = Receiver {
         frames: FramedRead::new(read, codec()),
@@ -150,6 +157,12 @@
 }
 
 impl<T> Sender<T> {
+    /// Waits this long for the peer to confirm bytes, in place of [`SILENCE`]: for a
+    /// peer behind a link that may be full.
+    pub fn bear_silence(&self, silence: Duration) -> Result<(), StreamError> {
+        set_silence(self.frames.get_ref().as_ref(), silence)
+    }
+
     /// The same connection for messages of another type, once the first message
     /// from the peer has told which it expects.
     pub fn retyped<U>(self) -> Sender<U> {
--- a/crates/coursestand-transport/tests/streams.rs
+++ b/crates/coursestand-transport/tests/streams.rs
@@ -34,6 +34,39 @@
     drop(listening.await.expect("a listener"));
 }
 
+/// Fills the queue of connections that wait to be accepted, so that the next one's
+/// opening packets get no answer, as behind a link that is full.
+async fn fill_queue(address: SocketAddr) -> Vec<tokio::net::TcpStream> {
+    let mut waiting = Vec::new();
+    let limit = Duration::from_millis(100);
+    while let Ok(connected) =
+        tokio::time::timeout(limit, tokio::net::TcpStream::connect(address)).await
+    {
+        waiting.push(connected.expect("a connection"));
+    }
+    waiting
+}
+
+#[gtest]
+#[tokio::test]
+async fn an_answer_that_takes_over_a_second_is_waited_for() {
+    let socket = TcpSocket::new_v4().expect("a socket");
+    socket.bind(free_address()).expect("bound");
+    let listener = socket.listen(1).expect("listening");
+    let address = listener.local_addr().expect("an address");
+    let waiting = fill_queue(address).await;
+    tokio::spawn(async move {
+        tokio::time::sleep(Duration::from_millis(1_300)).await;
+        let mut kept_open = Vec::new();
+        while let Ok((accepted, _)) = listener.accept().await {
+            kept_open.push(accepted);
+        }
+    });
+    let connected = stream::connect::<u8, u8>(address).await;
+    expect_that!(connected.is_ok(), eq(true));
+    drop(waiting);
+}
+
 #[gtest]
 #[tokio::test]
 async fn nobody_at_the_address_is_an_error() {
