Plan the steps of a shift by the clock of now

Cause: the planner read the replicated clock from the state, where it is that of the last command. While nothing is committed it stands still, so a shift whose window had passed went on only when some other command (slots, a confirmation of another service) moved the clock by chance. Traced in a failing run of a region's loss: the second step was committed at 148.418 s and confirmed at 148.464 s, with a window of 2 s; the third came at 154.739 s in place of 150.5 s, the fourth at 160.777 s, each right after a change of slots. Without any traffic a drain never went on. Ruled out: the search for the leader (no exchange failed and no term ended in the traced runs), reports and down back ends (all of the region known as down 0.5 s after the first step), confirmations (46 ms), load alone (steps were seconds late with idle duties). Change: the leader's clock is shared by the driver with the duties; a step is planned for the clock that its command will be stamped with. The state machine still checks the cap against the stamped clock. Two tests that fail first: one of the planner, one of six processes that drain a zone without traffic. A held request still delays each confirmation by up to 1 s.

--- a/crates/coursestand-coordination/src/planner.rs
+++ b/crates/coursestand-coordination/src/planner.rs
@@ -5,7 +5,7 @@
 
 use coursestand_model::bundle::{Bundle, Policy, Service};
 use coursestand_model::platform::{BackendState, PlatformBackend};
-use coursestand_model::{BackendId, ServiceId, ZoneId};
+use coursestand_model::{BackendId, Millis, ServiceId, ZoneId};
 
 use crate::shares::{ShareKey, ShareVector};
 use crate::state::ControlState;
@@ -117,10 +117,13 @@
     }
 }
 
-/// The next steps towards what the policies want, each within its shift cap.
+/// The next steps towards what the policies want, each within its shift cap, for
+/// a command that would be stamped with the replicated clock `clock`. The clock of
+/// `state` is that of its last command and stands still while nothing is committed.
 pub fn plan_steps(
     state: &ControlState,
     down: &BTreeSet<BackendId>,
+    clock: Millis,
 ) -> Vec<(ShareKey, ShareVector)> {
     let Some(bundle) = state.bundle() else {
         return Vec::new();
@@ -136,7 +139,7 @@
                 service: service.id.clone(),
                 origin: origin.clone(),
             };
-            if let Some(next) = next_shares(state, service, &key, target) {
+            if let Some(next) = next_shares(state, service, &key, target, clock) {
                 steps.push((key, next));
             }
         }
@@ -149,13 +152,12 @@
     service: &Service,
     key: &ShareKey,
     target: ShareVector,
+    clock: Millis,
 ) -> Option<ShareVector> {
     let Some(held) = state.tables().shares.get(key) else {
         return Some(target);
     };
-    let budget = state
-        .shift_ledger()
-        .budget(key, service.shift_cap, state.clock());
+    let budget = state.shift_ledger().budget(key, service.shift_cap, clock);
     let next = held.step_towards(&target, budget);
     (next != *held).then_some(next)
 }
--- a/crates/coursestand-coordination/tests/followers.rs
+++ b/crates/coursestand-coordination/tests/followers.rs
@@ -62,7 +62,7 @@
         for (number, (index, epoch, leaving)) in changes.into_iter().enumerate() {
             let state = if leaving { BackendState::Leaving } else { BackendState::Live };
             machine.apply(Command::UpdateBackends(vec![backend(index, epoch, state)]));
-            let steps = plan_steps(&machine.state, &BTreeSet::new());
+            let steps = plan_steps(&machine.state, &BTreeSet::new(), machine.clock);
             if !steps.is_empty() {
                 machine.apply(Command::AdvanceShares(steps));
             }
--- a/crates/coursestand-coordination/tests/shift_cap.rs
+++ b/crates/coursestand-coordination/tests/shift_cap.rs
@@ -130,7 +130,7 @@
 impl Run {
     fn new(skips_confirmation: bool) -> Run {
         let mut machine = Machine::started(BACKENDS, DAEMONS);
-        let steps = plan_steps(&machine.state, &BTreeSet::new());
+        let steps = plan_steps(&machine.state, &BTreeSet::new(), machine.clock);
         machine.apply(Command::AdvanceShares(steps));
         let first = machine
             .state
@@ -190,6 +190,10 @@
         }
     }
 
+    fn plan(&self) -> Vec<(ShareKey, ShareVector)> {
+        plan_steps(&self.machine.state, &self.down, self.machine.clock)
+    }
+
     fn hear(&mut self, index: usize) {
         let tables = self.machine.state.tables();
         let shares = tables.shares.get(&share_key()).expect("shares").clone();
@@ -214,7 +218,7 @@
             all,
             daemons: Vec::new(),
         });
-        let steps = plan_steps(&self.machine.state, &self.down);
+        let steps = self.plan();
         if !steps.is_empty() {
             self.machine.apply(Command::AdvanceShares(steps));
         }
@@ -274,6 +278,26 @@
     expect_that!(run.observer.largest_gain(), gt(CAP.share_bp));
 }
 
+/// The clock of the state stands still while nothing is committed; a leader that
+/// plans by it waits for some other command before it goes on with a shift.
+#[gtest]
+fn the_next_step_is_due_once_its_window_has_passed_though_nothing_else_is_committed() {
+    let mut run = Run::new(false);
+    run.take(&Step::Drain { zone: 0, on: true });
+    run.pass();
+    (0..DAEMONS).for_each(|index| run.hear(index));
+    run.pass();
+    // Nothing is committed from the confirmation on.
+    let confirmed_at = run.machine.state.clock();
+    run.machine.clock = confirmed_at + CAP.window_ms - 1;
+    expect_that!(run.plan(), is_empty());
+    run.machine.clock = confirmed_at + CAP.window_ms;
+    let steps = run.plan();
+    expect_that!(steps, not(is_empty()));
+    let answer = run.machine.apply(Command::AdvanceShares(steps));
+    expect_that!(answer, matches_pattern!(CommandAnswer::Done));
+}
+
 #[gtest]
 fn a_drain_is_done_step_by_step() {
     let mut run = Run::new(false);
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -14,7 +14,6 @@
 use coursestand_coordination::command::StampedCommand;
 use coursestand_coordination::{Command, CommandAnswer, ControlState};
 use coursestand_kernel::clock::wall_ms;
-use coursestand_model::Millis;
 use log::{error, info, warn};
 use snafu::ResultExt;
 
@@ -23,7 +22,7 @@
 use crate::control::identity::{self, Identity};
 use crate::control::peers::PeerSender;
 use crate::control::proposals::Proposals;
-use crate::control::shared::{ControlShared, ReplicaStatus};
+use crate::control::shared::{ControlShared, LeadingClock, ReplicaStatus};
 use crate::control::status::status_of;
 
 const LOG: &str = "consensus";
@@ -54,8 +53,6 @@
     log: WriteAheadLog,
     /// Proposals that are not answered yet.
     proposals: Proposals,
-    /// The replicated clock and our own when this replica began to lead.
-    clock_base: Option<(Millis, Millis)>,
 }
 
 /// Whether the driver goes on.
@@ -118,7 +115,6 @@
             replica: Replica::new(config, restored, now),
             log,
             proposals: Proposals::default(),
-            clock_base: None,
         });
     }
 
@@ -250,14 +246,12 @@
 
     /// Stamps a command with the leader's clocks and proposes it.
     fn propose_command(&mut self, command: Command, reply: Proposed) {
-        let now = self.shared.clock.now();
-        let base = self.group.as_ref().and_then(|group| group.clock_base);
-        let Some((replicated, own)) = base else {
+        let Some(clock) = self.shared.replicated_clock() else {
             let _ = reply.send(Err(ControlError::NotLeader));
             return;
         };
         let stamped = StampedCommand {
-            clock: replicated + now.saturating_sub(own),
+            clock,
             wall_ms: wall_ms(),
             command,
         };
@@ -417,14 +411,15 @@
             return;
         };
         let lease_end = group.replica.lease_end(now);
-        match (lease_end, group.clock_base) {
+        match (lease_end, self.shared.leading_clock()) {
             (Some(_), None) => {
                 let replicated = self.shared.state().clock();
-                group.clock_base = Some((replicated, now));
+                let clock = LeadingClock::new(replicated, now);
+                self.shared.set_leading_clock(Some(clock));
                 info!(target: LOG, "this replica leads in term {}", group.replica.term());
             }
             (None, Some(_)) => {
-                group.clock_base = None;
+                self.shared.set_leading_clock(None);
                 info!(target: LOG, "this replica no longer leads");
             }
             _ => {}
@@ -442,6 +437,7 @@
 
     fn fail(&mut self, failure: &ControlError) {
         self.group = None;
+        self.shared.set_leading_clock(None);
         self.shared.set_lease(0, None);
         self.shared.set_status(ReplicaStatus {
             role: "failed",
--- a/crates/coursestand-daemon/src/control/leader.rs
+++ b/crates/coursestand-daemon/src/control/leader.rs
@@ -225,7 +225,8 @@
         let (guard, now) = control.tenure()?;
         guard.as_ref()?.down(now)
     };
-    let steps = plan_steps(&control.shared.state(), &down);
+    let clock = control.shared.replicated_clock()?;
+    let steps = plan_steps(&control.shared.state(), &down, clock);
     (!steps.is_empty()).then_some(Command::AdvanceShares(steps))
 }
 
--- a/crates/coursestand-daemon/src/control/shared.rs
+++ b/crates/coursestand-daemon/src/control/shared.rs
@@ -69,6 +69,28 @@
     pub silent_ms: Option<u64>,
 }
 
+/// The replicated clock as a leader moves it: from its value in the log when the
+/// replica began to lead, by the clock of the process.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LeadingClock {
+    /// The replicated clock when this replica began to lead.
+    replicated: Millis,
+    /// The clock of the process at that moment.
+    own: Millis,
+}
+
+impl LeadingClock {
+    /// Begins to move the clock from `replicated` at `own`.
+    pub(crate) fn new(replicated: Millis, own: Millis) -> LeadingClock {
+        LeadingClock { replicated, own }
+    }
+
+    /// The replicated clock when the clock of the process shows `now`.
+    pub(crate) fn at(self, now: Millis) -> Millis {
+        self.replicated + now.saturating_sub(self.own)
+    }
+}
+
 /// State shared by the parts of a control replica.
 pub struct ControlShared {
     /// Clock of the process.
@@ -76,6 +98,7 @@
     state: RwLock<ControlState>,
     status: RwLock<ReplicaStatus>,
     membership: RwLock<Membership>,
+    leading_clock: RwLock<Option<LeadingClock>>,
     lease_end: AtomicU64,
     term: AtomicU64,
     version: watch::Sender<ControlVersion>,
@@ -93,6 +116,7 @@
             state: RwLock::default(),
             status: RwLock::default(),
             membership: RwLock::default(),
+            leading_clock: RwLock::default(),
             lease_end: AtomicU64::new(0),
             term: AtomicU64::new(0),
             version: watch::Sender::new(0),
@@ -137,6 +161,28 @@
             .unwrap_or_else(PoisonError::into_inner) = membership;
     }
 
+    /// The clock that this replica moves while it leads.
+    pub(crate) fn leading_clock(&self) -> Option<LeadingClock> {
+        *self
+            .leading_clock
+            .read()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn set_leading_clock(&self, clock: Option<LeadingClock>) {
+        *self
+            .leading_clock
+            .write()
+            .unwrap_or_else(PoisonError::into_inner) = clock;
+    }
+
+    /// The replicated clock that a command proposed now would be stamped with, or
+    /// `None` while this replica doesn't lead.
+    pub fn replicated_clock(&self) -> Option<Millis> {
+        let now = self.clock.now();
+        self.leading_clock().map(|clock| clock.at(now))
+    }
+
     /// Publishes the leader lease: the term first, so that whoever sees the
     /// lease sees its term or a later one.
     pub(crate) fn set_lease(&self, term: u64, end: Option<Millis>) {
--- a/crates/coursestand-daemon/tests/shifting.rs
+++ b/crates/coursestand-daemon/tests/shifting.rs
@@ -15,8 +15,8 @@
 use coursestand_lab::callers::Finding;
 use coursestand_lab::load::errand;
 use coursestand_lab::verdict::starts_by_zone;
-use coursestand_model::Bundle;
 use coursestand_model::bundle::Policy;
+use coursestand_model::{Bundle, FULL_SHARE};
 use googletest::prelude::*;
 
 const RATE: u64 = 80;
@@ -27,6 +27,9 @@
 /// Offered requests of one bucket may start in the next one; and each of the
 /// daemons rounds to whole requests.
 const SLACK: f64 = 0.10;
+/// Time for the confirmations of all steps of a shift: a held request for each,
+/// and some for a busy machine.
+const CONFIRMATIONS: Duration = Duration::from_millis(6_000);
 
 fn small_cap(bundle: &mut Bundle) {
     for service in &mut bundle.services {
@@ -117,6 +120,36 @@
     expect_that!(unknown, eq(0));
 }
 
+/// Whether a zone still has a share of the requests, as daemon 0 decides.
+async fn has_share(fleet: &Fleet, zone: &str) -> bool {
+    let follower = fleet.dump(0, "follower").await;
+    let rows = follower["shares"].as_array().expect("shares");
+    let row = rows
+        .iter()
+        .find(|row| row["service"] == SERVICE && row["origin"] == ORIGIN)
+        .expect("shares of the service");
+    row["shares"].get(zone).is_some()
+}
+
+/// Without traffic nothing else is committed while a window passes, and no
+/// daemon has a reason to ask again before its held request is answered.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_drain_goes_on_from_window_to_window_without_any_traffic() {
+    let fleet = Fleet::start(6, |deployment| small_cap(&mut deployment.bundle)).await;
+    let target = DrainTarget::Zone(ORIGIN.into());
+    let began = Instant::now();
+    fleet.order(OrderAction::Drain { target }).await;
+    common::until("the zone has no share", || async {
+        !has_share(&fleet, ORIGIN).await
+    })
+    .await;
+    let steps = FULL_SHARE.div_ceil(SHARE_BP);
+    let windows = Duration::from_millis(WINDOW_MS) * (steps - 1);
+    expect_that!(began.elapsed(), ge(windows));
+    expect_that!(began.elapsed(), le(windows + CONFIRMATIONS));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_region_that_dies_in_a_rollout_does_not_lift_the_cap() {
