Give each deployment of the tests a loopback network of its own

Cause: the networks of fleet tests and soaks were counted from 1 in each process, so two soaks side by side used the same addresses, with ports that the system gave each of them on 127.0.0.1, where the other one's are free. When the two had a port in common, a daemon could not start. Traced in a trial, log of daemon 11: "not started: service edge: cannot listen on 127.77.1.11:40697: Address already in use"; another soak had 40697. In a second trial the control processes met the same (port 35749): "no clear answer". Change: a deployment takes a network by a socket that it holds as long as it lives. The soak tells at once that a process ended by itself, and whether a daemon does not serve before or after the faults. Nothing is checked less.

--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -5,7 +5,6 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::time::Duration;
 
 use coursestand_catalog::patch::Upsert;
@@ -32,11 +31,46 @@
 const READY: usize = 5;
 const PORTS: usize = 6;
 
-/// Each deployment has a network of its own, so that tests can run side by side.
-static NETWORKS: AtomicU8 = AtomicU8::new(1);
+/// Networks to choose from: the third byte of 127.78.0.0/16.
+const NETWORKS: u8 = 254;
+/// Host of a network whose socket tells that the network is taken; no node has it.
+const GUARD_HOST: u8 = 254;
+/// Port of that socket, below those that the system gives out.
+const GUARD_PORT: u16 = 20_000;
+
+/// A loopback network that no other deployment has, neither of this process nor of
+/// another one: ports that are free on one address may be taken on the next.
+struct Network {
+    number: u8,
+    /// Held as long as the network is in use.
+    _guard: TcpListener,
+}
+
+impl Network {
+    /// Takes a free network.
+    fn take() -> Network {
+        let first = std::process::id() % u32::from(NETWORKS);
+        (0..u32::from(NETWORKS))
+            .map(|offset| (first + offset) % u32::from(NETWORKS))
+            .find_map(|number| Network::try_take(number as u8))
+            .expect("a free network")
+    }
+
+    fn try_take(number: u8) -> Option<Network> {
+        let guard = TcpListener::bind((ip_in(number, GUARD_HOST), GUARD_PORT)).ok()?;
+        Some(Network {
+            number,
+            _guard: guard,
+        })
+    }
+}
+
+fn ip_in(network: u8, host: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 78, network, host))
+}
 
 pub struct Deployment {
-    network: u8,
+    network: Network,
     ports: [u16; PORTS],
     seeds: Vec<u8>,
     pub folder: tempfile::TempDir,
@@ -58,10 +92,8 @@
 
 impl Deployment {
     pub fn new(seeds: &[u8]) -> Deployment {
-        // Another test process may use the same networks, with other ports.
-        let network = NETWORKS.fetch_add(1, Ordering::Relaxed);
         Deployment {
-            network,
+            network: Network::take(),
             ports: free_ports(),
             seeds: seeds.to_vec(),
             folder: tempfile::tempdir().expect("a folder"),
@@ -75,8 +107,8 @@
         }
     }
 
-    fn ip(&self, host: u8) -> IpAddr {
-        IpAddr::V4(Ipv4Addr::new(127, 77, self.network, host))
+    pub fn ip(&self, host: u8) -> IpAddr {
+        ip_in(self.network.number, host)
     }
 
     fn address(&self, host: u8, port: usize) -> SocketAddr {
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -26,6 +26,14 @@
     deployment
 }
 
+/// Deployments of other processes are kept apart by the same sockets.
+#[gtest]
+fn no_two_deployments_have_a_network_in_common() {
+    let first = Deployment::new(&SEEDS);
+    let second = Deployment::new(&SEEDS);
+    expect_that!(second.ip(EDGE), not(eq(first.ip(EDGE))));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn the_group_forms_from_seeds_in_any_start_order() {
--- a/crates/coursestand-daemon/tests/soak/main.rs
+++ b/crates/coursestand-daemon/tests/soak/main.rs
@@ -52,8 +52,9 @@
 
 /// What a fault's schedule acts on.
 pub struct World {
-    pub deployment: Deployment,
+    /// Ended before the deployment's network is given back.
     pub processes: Processes,
+    pub deployment: Deployment,
     pub relays: Vec<Relay>,
     /// Newest acknowledged version of each route.
     pub acknowledged: BTreeMap<String, u64>,
@@ -120,7 +121,12 @@
     }
 }
 
-async fn wait_for_service(world: &World, record: &Record) -> std::result::Result<(), String> {
+/// Waits until each entry daemon has served a request; `when` tells when it is.
+async fn wait_for_service(
+    world: &mut World,
+    record: &Record,
+    when: &str,
+) -> std::result::Result<(), String> {
     for edge in EDGES {
         let started = Instant::now();
         let mut number = 0;
@@ -134,8 +140,9 @@
             if world.deployment.request(edge, "/safe/probe", &id).await == 200 {
                 break;
             }
+            check_processes(world)?;
             if started.elapsed() > WITHIN {
-                return Err(format!("daemon {edge} does not serve after the faults"));
+                return Err(format!("daemon {edge} does not serve {when}"));
             }
             tokio::time::sleep(Duration::from_millis(50)).await;
         }
@@ -143,6 +150,14 @@
     Ok(())
 }
 
+/// No process ended that was not told to.
+fn check_processes(world: &mut World) -> std::result::Result<(), String> {
+    match world.processes.ended_by_themselves().first() {
+        Some(host) => Err(format!("process {host} ended by itself")),
+        None => Ok(()),
+    }
+}
+
 /// Plays one seed; an error names the promise that was broken, and where the logs are.
 async fn play(seed: u64, seconds: u64) -> std::result::Result<usize, String> {
     let random = StdRng::seed_from_u64(seed);
@@ -196,7 +211,7 @@
         urls.to_vec(),
         heartbeats,
     ));
-    wait_for_service(world, &record).await?;
+    wait_for_service(world, &record, "before the faults").await?;
     let fronts = EDGES.map(|host| world.deployment.front(host)).to_vec();
     let calling: Vec<_> = (0..CALLERS)
         .map(|caller| tokio::spawn(call(Arc::clone(&record), fronts.clone(), caller)))
@@ -207,15 +222,13 @@
         faults.next(world).await?;
     }
     faults.heal(world).await?;
-    let served = wait_for_service(world, &record).await;
+    let served = wait_for_service(world, &record, "after the faults").await;
     record.end();
     for task in calling {
         task.await.expect("a caller ended");
     }
     beating.await.expect("the heartbeats ended");
-    if let Some(host) = world.processes.ended_by_themselves().first() {
-        return Err(format!("process {host} ended by itself"));
-    }
+    check_processes(world)?;
     served?;
     for (route, version) in &world.acknowledged {
         let read = world.deployment.read(CONTROLS[0]).await;
