--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use coursestand_consensus::wal::WriteAheadLog;
 use coursestand_consensus::{
@@ -30,6 +30,9 @@
 const TICK: Duration = Duration::from_millis(10);
 /// Events taken in before the next sync: they share it.
 const MAX_EVENTS_PER_SYNC: usize = 1024;
+/// A sync that takes longer is told: the replica answers nobody meanwhile, and its
+/// lease is not renewed.
+const SLOW_SYNC: Duration = Duration::from_millis(500);
 /// Entries after which the state machine is saved and the log is shortened.
 const ENTRIES_PER_SNAPSHOT: u64 = 20_000;
 
@@ -453,5 +456,11 @@
         snapshot: ready.snapshot.clone(),
         entries: std::mem::take(&mut ready.entries),
     };
-    log.save(&batch).context(LogSnafu)
+    let started = Instant::now();
+    log.save(&batch).context(LogSnafu)?;
+    let took = started.elapsed();
+    if took > SLOW_SYNC {
+        warn!(target: LOG, "the disk took {} ms to sync the log", took.as_millis());
+    }
+    Ok(())
 }
