--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use coursestand_consensus::wal::WriteAheadLog;
 use coursestand_consensus::{
@@ -14,7 +14,6 @@
 use coursestand_coordination::command::StampedCommand;
 use coursestand_coordination::{Command, CommandAnswer, ControlState};
 use coursestand_kernel::clock::wall_ms;
-use coursestand_model::Millis;
 use log::{error, info, warn};
 use snafu::ResultExt;
 
@@ -23,7 +22,7 @@
 use crate::control::identity::{self, Identity};
 use crate::control::peers::PeerSender;
 use crate::control::proposals::Proposals;
-use crate::control::shared::{ControlShared, LogReach, ReplicaStatus};
+use crate::control::shared::{ControlShared, LeadingClock, LogReach, ReplicaStatus};
 use crate::control::status::status_of;
 
 const LOG: &str = "consensus";
@@ -31,6 +30,9 @@
 const TICK: Duration = Duration::from_millis(10);
 /// Events taken in before the next sync: they share it.
 const MAX_EVENTS_PER_SYNC: usize = 1024;
+/// A sync that takes longer is told: the replica answers nobody meanwhile, and its
+/// lease is not renewed.
+const SLOW_SYNC: Duration = Duration::from_millis(500);
 /// Entries after which the state machine is saved and the log is shortened.
 const ENTRIES_PER_SNAPSHOT: u64 = 20_000;
 
@@ -57,8 +59,6 @@
     log: WriteAheadLog,
     /// Proposals that are not answered yet.
     proposals: Proposals,
-    /// The replicated clock and our own when this replica began to lead.
-    clock_base: Option<(Millis, Millis)>,
 }
 
 impl Group {
@@ -135,7 +135,6 @@
             replica,
             log,
             proposals: Proposals::default(),
-            clock_base: None,
         };
         self.shared.set_log_reach(group.reach());
         self.group = Some(group);
@@ -269,14 +268,12 @@
 
     /// Stamps a command with the leader's clocks and proposes it.
     fn propose_command(&mut self, command: Command, reply: Proposed) {
-        let now = self.shared.clock.now();
-        let base = self.group.as_ref().and_then(|group| group.clock_base);
-        let Some((replicated, own)) = base else {
+        let Some(clock) = self.shared.replicated_clock() else {
             let _ = reply.send(Err(ControlError::NotLeader));
             return;
         };
         let stamped = StampedCommand {
-            clock: replicated + now.saturating_sub(own),
+            clock,
             wall_ms: wall_ms(),
             command,
         };
@@ -451,14 +448,15 @@
             return;
         };
         let lease_end = group.replica.lease_end(now);
-        match (lease_end, group.clock_base) {
+        match (lease_end, self.shared.leading_clock()) {
             (Some(_), None) => {
                 let replicated = self.shared.state().clock();
-                group.clock_base = Some((replicated, now));
+                let clock = LeadingClock::new(replicated, now);
+                self.shared.set_leading_clock(Some(clock));
                 info!(target: LOG, "this replica leads in term {}", group.replica.term());
             }
             (None, Some(_)) => {
-                group.clock_base = None;
+                self.shared.set_leading_clock(None);
                 info!(target: LOG, "this replica no longer leads");
             }
             _ => {}
@@ -477,6 +475,7 @@
 
     fn fail(&mut self, failure: &ControlError) {
         self.group = None;
+        self.shared.set_leading_clock(None);
         self.shared.set_lease(0, None);
         self.shared.set_log_reach(None);
         self.shared.set_status(ReplicaStatus {
@@ -493,5 +492,11 @@
         snapshot: ready.snapshot.clone(),
         entries: std::mem::take(&mut ready.entries),
     };
-    log.save(&batch).context(LogSnafu)
+    let started = Instant::now();
+    log.save(&batch).context(LogSnafu)?;
+    let took = started.elapsed();
+    if took > SLOW_SYNC {
+        warn!(target: LOG, "the disk took {} ms to sync the log", took.as_millis());
+    }
+    Ok(())
 }
