Show what connections to back ends that fall silent cost

Cause: a request that is written to a kept connection whose peer has fallen silent without a reset waits until its deadline, and each kept connection costs another request that. Ruled out: a fault of the relay: new connections through it are answered at once. Change: the lab gets a relay whose open connections can fall silent in three ways (answers lost, all bytes lost but confirmed, no segment arriving, by a socket filter), and the proxy tests of what is to hold then. Conclusion: failing tests ahead of their mend.

--- a/crates/coursestand-lab/src/lib.rs
+++ b/crates/coursestand-lab/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod report;
 pub mod scale;
 pub mod scripted;
+pub mod silent_relay;
 pub mod verdict;
 
 pub use deployment::Deployment;
--- a/crates/coursestand-proxy/tests/common/mod.rs
+++ b/crates/coursestand-proxy/tests/common/mod.rs
@@ -221,6 +221,15 @@
     }
 
     pub async fn send(&mut self, path: &str, id: &str, headers: &str, body: &[u8]) {
+        self.send_keyed(path, id, "k", headers, body).await;
+    }
+
+    /// Asks about the object `key`.
+    pub async fn send_about(&mut self, path: &str, id: &str, key: &str) {
+        self.send_keyed(path, id, key, "", b"a body").await;
+    }
+
+    async fn send_keyed(&mut self, path: &str, id: &str, key: &str, headers: &str, body: &[u8]) {
         let names = HeaderNames::default();
         let method = if path.starts_with("/once/") {
             "POST"
@@ -232,7 +241,7 @@
             _ => (format!("content-length: {}\r\n", body.len()), body),
         };
         let head = format!(
-            "{method} {path} HTTP/1.1\r\nhost: h.example\r\n{}: {id}\r\n{}: k\r\n{headers}{length}\r\n",
+            "{method} {path} HTTP/1.1\r\nhost: h.example\r\n{}: {id}\r\n{}: {key}\r\n{headers}{length}\r\n",
             names.request_id, names.affinity_key
         );
         // The daemon may answer and close before it has read everything.
