--- a/crates/coursestand-lab/src/scripted.rs
+++ b/crates/coursestand-lab/src/scripted.rs
@@ -14,6 +14,11 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+/// Length of an answer that comes in pieces: more than a daemon holds.
+const TRICKLED_BYTES: usize = 4 * 1024 * 1024;
+const TRICKLED_PIECE: [u8; 4096] = [b'x'; 4096];
+const TRICKLE_PAUSE: Duration = Duration::from_millis(20);
+
 /// What the back end does with one request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Behaviour {
@@ -52,6 +57,8 @@
     Double,
     /// Answers before the body is in, then reads on.
     Early,
+    /// Runs it and sends a long answer in pieces with pauses between them.
+    Trickle,
 }
 
 /// A request that the back end ran.
@@ -354,6 +361,12 @@
         ),
         Behaviour::Encoded => answer(&id, 200, "content-encoding: gzip\r\n"),
         Behaviour::Double => format!("{}{}", answer(&id, 200, ""), answer(&id, 200, "")),
+        Behaviour::Trickle => {
+            if trickle(stream, &id).await.is_err() {
+                closing.send_modify(|closed| *closed += 1);
+            }
+            return Ok(false);
+        }
         Behaviour::Early => {
             stream.write_all(answer(&id, 400, "").as_bytes()).await?;
             read_body(stream, head).await?;
@@ -364,6 +377,21 @@
     Ok(true)
 }
 
+/// Sends pieces until the caller closes.
+async fn trickle(stream: &mut TcpStream, id: &str) -> std::io::Result<()> {
+    let names = HeaderNames::default();
+    let head = format!(
+        "HTTP/1.1 200 X\r\n{}: {id}\r\n{}: s\r\ncontent-length: {TRICKLED_BYTES}\r\n\r\n",
+        names.request_id, names.signature
+    );
+    stream.write_all(head.as_bytes()).await?;
+    for _ in 0..TRICKLED_BYTES / TRICKLED_PIECE.len() {
+        stream.write_all(&TRICKLED_PIECE).await?;
+        tokio::time::sleep(TRICKLE_PAUSE).await;
+    }
+    Ok(())
+}
+
 /// Waits this long; false when the caller closes before.
 async fn waits_for(stream: &mut TcpStream, pause: Duration) -> bool {
     let mut piece = [0; 1];
