--- a/crates/coursestand-proxy/tests/common/mod.rs
+++ b/crates/coursestand-proxy/tests/common/mod.rs
@@ -249,6 +249,21 @@
         let _ = self.stream.write_all(body).await;
     }
 
+    /// Sends the first `part` bytes of a body of `length`.
+    pub async fn send_part(&mut self, path: &str, id: &str, length: usize, part: usize) {
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: h.example\r\n{}: {id}\r\ncontent-length: {length}\r\n\r\n",
+            HeaderNames::default().request_id
+        );
+        let _ = self.stream.write_all(head.as_bytes()).await;
+        self.send_rest(part).await;
+    }
+
+    /// Sends so many more bytes of a body. Returns whether the daemon took them.
+    pub async fn send_rest(&mut self, count: usize) -> bool {
+        self.stream.write_all(&vec![b'x'; count]).await.is_ok()
+    }
+
     /// Sends a body in chunks, without telling its length before.
     pub async fn send_chunked(&mut self, path: &str, id: &str, body: &[u8]) {
         let names = HeaderNames::default();
