Take new callers when descriptors are spent, and say when that can't be done

Cause: connections of callers were unbounded. Once resting ones held all descriptors, accepting failed every 20 ms until their idle time-out (15 to 20 s), and readiness said ready meanwhile. Ruled out: a descriptor kept in reserve (it lets one caller in to be told off, and the request still has none for its back end); refusing at the bound (callers that rest would shut out those that ask). Change: callers may hold half of the process's descriptors. Beyond that, or when the system refuses one, connections that rested longest are closed, a sixteenth of the bound at once, none that rests for under 0.1 s or has a request; connections to back ends that rest go as well. When nobody could be taken for 0.5 s, readiness says so. How a daemon's descriptors are shared is by the limit that the system tells.

--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -63,7 +63,7 @@
     follower: Arc<EdgeFollower>,
     pool: Arc<Pool>,
     exchange: Arc<Exchange>,
-    server: ProxyServer,
+    server: Arc<ProxyServer>,
     ready: HttpServer,
     metrics: EdgeMetrics,
 }
@@ -186,6 +186,7 @@
         let server = ProxyServer::start(role.listen, Arc::clone(&exchange))
             .await
             .map_err(|error| failed(&error))?;
+        let server = Arc::new(server);
         let record = EdgeRecord {
             name: self.settings.name.clone(),
             incarnation: rand::random(),
@@ -204,6 +205,7 @@
             role.ready_listen,
             Arc::clone(&self.dialect),
             Arc::clone(&follower),
+            Arc::clone(&server),
         )
         .await
         .map_err(|error| failed(&error))?;
@@ -303,11 +305,13 @@
     address: SocketAddr,
     dialect: Arc<dyn Dialect>,
     follower: Arc<EdgeFollower>,
+    server: Arc<ProxyServer>,
 ) -> Result<HttpServer, coursestand_kernel::http::HttpError> {
     let endpoint = poem::endpoint::make_sync(move |request: Request| {
         let call = dialect.parse(request.method(), request.original_uri(), &[]);
+        let is_ready = follower.phase() == EdgePhase::Ready && server.takes_callers();
         let status = match call {
-            Ok(Call::Ready) if follower.phase() == EdgePhase::Ready => StatusCode::OK,
+            Ok(Call::Ready) if is_ready => StatusCode::OK,
             Ok(Call::Ready) => StatusCode::SERVICE_UNAVAILABLE,
             _ => StatusCode::NOT_FOUND,
         };
--- a/crates/coursestand-proxy/src/exchange.rs
+++ b/crates/coursestand-proxy/src/exchange.rs
@@ -156,6 +156,11 @@
         &self.limits
     }
 
+    /// Closes connections to back ends that rest, for want of descriptors.
+    pub fn close_idle(&self) {
+        self.pool.close_idle(|_| false);
+    }
+
     /// Counts what passes the machine's link.
     pub fn link(&self) -> &LinkMeter {
         &self.link
--- a/crates/coursestand-proxy/src/lib.rs
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answer;
 mod answer_times;
 pub mod caller_limits;
+mod callers;
 mod collect;
 pub mod connect;
 pub mod connect_times;
--- a/crates/coursestand-proxy/src/server.rs
+++ b/crates/coursestand-proxy/src/server.rs
@@ -16,9 +16,9 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::answer::close_after;
+use crate::callers::{Callers, Seat, most_by_limit};
 use crate::connect::prepare;
 use crate::exchange::Exchange;
-use crate::rest::Rest;
 
 /// Bytes that are read at most before headers are whole. What the catalog allows
 /// less than this is checked once they are read.
@@ -51,16 +51,28 @@
 pub struct ProxyServer {
     address: SocketAddr,
     mode: watch::Sender<Mode>,
+    callers: Arc<Callers>,
     tasks: Arc<Tasks>,
     /// Closed once no connection is left.
     ended: tokio::sync::Mutex<mpsc::Receiver<()>>,
 }
 
 impl ProxyServer {
-    /// Listens on `address` and answers with `exchange`.
+    /// Listens on `address` and answers with `exchange`. Callers may hold half of the
+    /// descriptors of the process.
     pub async fn start(
         address: SocketAddr,
         exchange: Arc<Exchange>,
+    ) -> Result<ProxyServer, ListenError> {
+        ProxyServer::start_bounded(address, exchange, most_by_limit()).await
+    }
+
+    /// Listens on `address` and answers with `exchange`; callers may hold
+    /// `most_connections`.
+    pub async fn start_bounded(
+        address: SocketAddr,
+        exchange: Arc<Exchange>,
+        most_connections: usize,
     ) -> Result<ProxyServer, ListenError> {
         let listener = TcpListener::bind(address)
             .await
@@ -69,11 +81,19 @@
         let (mode, watching) = watch::channel(Mode::Serving);
         let (alive, ended) = mpsc::channel(1);
         let tasks = Arc::new(Tasks::default());
-        let accepting = accept(listener, exchange, watching, alive, Arc::clone(&tasks));
-        tasks.start(accepting);
+        let callers = Arc::new(Callers::new(most_connections));
+        let entrance = Entrance {
+            listener,
+            exchange,
+            callers: Arc::clone(&callers),
+            alive,
+            tasks: Arc::clone(&tasks),
+        };
+        tasks.start(entrance.accept(watching));
         Ok(ProxyServer {
             address,
             mode,
+            callers,
             tasks,
             ended: tokio::sync::Mutex::new(ended),
         })
@@ -84,6 +104,12 @@
         self.address
     }
 
+    /// Whether new connections are taken. While they are not, for want of descriptors
+    /// or of places, the daemon isn't ready.
+    pub fn takes_callers(&self) -> bool {
+        self.callers.are_taken()
+    }
+
     /// Serves on, and asks callers to leave.
     pub fn announce_stop(&self) {
         self.mode.send_replace(Mode::Draining);
@@ -104,33 +130,50 @@
     }
 }
 
-async fn accept(
+/// Where callers come in.
+struct Entrance {
     listener: TcpListener,
     exchange: Arc<Exchange>,
-    mut mode: watch::Receiver<Mode>,
+    callers: Arc<Callers>,
     alive: mpsc::Sender<()>,
     tasks: Arc<Tasks>,
-) {
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = mode.wait_for(|mode| *mode == Mode::Closing) => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let connection = serve(stream, Arc::clone(&exchange), mode.clone(), alive.clone());
-                tasks.start(connection);
-            }
-            Err(error) => {
-                log::warn!(target: "proxy", "no connection was accepted: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
+}
+
+impl Entrance {
+    async fn accept(self, mut mode: watch::Receiver<Mode>) {
+        loop {
+            let accepted = tokio::select! {
+                accepted = self.accept_one() => accepted,
+                _ = mode.wait_for(|mode| *mode == Mode::Closing) => return,
+            };
+            match accepted {
+                Ok(stream) => {
+                    let exchange = Arc::clone(&self.exchange);
+                    let seat = self.callers.take();
+                    let connection =
+                        serve(stream, seat, exchange, mode.clone(), self.alive.clone());
+                    self.tasks.start(connection);
+                }
+                Err(error) => {
+                    log::warn!(target: "proxy", "no connection was accepted: {error}");
+                    self.callers.refused();
+                    self.exchange.close_idle();
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
             }
         }
     }
+
+    async fn accept_one(&self) -> std::io::Result<TcpStream> {
+        self.callers.have_place().await;
+        let (stream, _) = self.listener.accept().await?;
+        Ok(stream)
+    }
 }
 
 async fn serve(
     stream: TcpStream,
+    seat: Seat,
     exchange: Arc<Exchange>,
     mut mode: watch::Receiver<Mode>,
     _alive: mpsc::Sender<()>,
@@ -139,7 +182,7 @@
         return;
     }
     let answering = mode.clone();
-    let rest = Arc::new(Rest::default());
+    let rest = Arc::clone(&seat.rest);
     let serving = (Arc::clone(&exchange), Arc::clone(&rest));
     let service = service_fn(move |request: Request<Incoming>| {
         let (exchange, rest) = serving.clone();
--- a/crates/coursestand-proxy/tests/common/mod.rs
+++ b/crates/coursestand-proxy/tests/common/mod.rs
@@ -214,8 +214,12 @@
 
 impl Caller {
     pub async fn connect(address: SocketAddr) -> Caller {
+        Caller::of(TcpStream::connect(address).await.expect("connected"))
+    }
+
+    pub fn of(stream: TcpStream) -> Caller {
         Caller {
-            stream: TcpStream::connect(address).await.expect("connected"),
+            stream,
             unread: Vec::new(),
         }
     }
