Test that a back end that joins has its share within seconds

Cause: the rule had no test over several daemons. Ruled out: a fault: the share is there two seconds after the cold time, and the cold limit holds at two to eight requests every 10 ms, over six daemons and five back ends. Change: a test only. Conclusion: held.

--- /dev/null
+++ b/crates/coursestand-routing/tests/joining.rs
@@ -0,0 +1,236 @@
+//! A back end that joins, over all daemons: nothing beyond what it bears while it is
+//! cold, and its share of the requests within two seconds after that.
+#![allow(missing_docs)]
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use coursestand_catalog::patch::Upsert;
+use coursestand_catalog::{Catalog, Item, ItemKey, Patch, ServiceItem};
+use coursestand_discovery::{Instance, InstanceNews, InstancePhase};
+use coursestand_model::{BackendId, Millis, RegionId, ServiceId, ZoneId};
+use coursestand_routing::backends::ReportTrust;
+use coursestand_routing::cold::{ColdLimits, OwnerViews};
+use coursestand_routing::picker::{Asked, Balance, Place};
+use coursestand_routing::{Backends, LoadReport, PickRequest, Picker};
+use googletest::prelude::*;
+
+const DAEMONS: usize = 6;
+const OLD: usize = 4;
+const SLOTS: u32 = 4;
+const COLD_MS: Millis = 3_000;
+const PER_SECOND: f64 = 9.0;
+const LIMITS: ColdLimits = ColdLimits {
+    overage: 1.5,
+    slack: 5.0,
+};
+const JOINED_AT: Millis = 10_000;
+const END: Millis = 20_000;
+const OBJECTS: u64 = 400;
+/// What a request takes at a back end, without a queue.
+const WORK_MS: Millis = 40;
+
+fn id(number: usize) -> BackendId {
+    BackendId(format!("i-{number}"))
+}
+
+fn news(number: usize, cold_ms: Millis) -> InstanceNews {
+    InstanceNews {
+        instance: Instance {
+            id: id(number),
+            service: ServiceId::from("s"),
+            address: SocketAddr::from(([10, 0, 0, number as u8 + 1], 80)),
+            zone: ZoneId::from("z"),
+            capacity: SLOTS,
+            software: "v1".to_owned(),
+            sequence: 1,
+            phase: InstancePhase::Ready,
+        },
+        cold_ms,
+    }
+}
+
+fn catalog() -> Catalog {
+    let service = ServiceItem {
+        health_path: String::new(),
+        max_connections: 10,
+        cold_start_ms: COLD_MS,
+        cold_per_second: PER_SECOND,
+        notation: String::new(),
+    };
+    let patch = Patch {
+        upserts: vec![Upsert {
+            key: ItemKey::Service(ServiceId::from("s")),
+            version: 1,
+            item: Item::Service(service),
+        }],
+        removals: Vec::new(),
+    };
+    let mut catalog = Catalog::default();
+    catalog.merge(&patch, 1).expect("valid");
+    catalog
+}
+
+struct Daemon {
+    backends: Backends,
+    picker: Picker,
+    owners: OwnerViews,
+    /// Requests under way, by when they end.
+    working: Vec<(Millis, Millis, Asked)>,
+}
+
+impl Daemon {
+    fn new(number: usize) -> Daemon {
+        let names: BTreeSet<String> = (0..DAEMONS).map(|one| format!("edge-{one}")).collect();
+        let mut owners = OwnerViews::new(0);
+        owners.set(0, Some(names));
+        let picker = Picker::new(Place {
+            daemon: format!("edge-{number}"),
+            region: RegionId::from("r"),
+            zones: BTreeMap::from([(ZoneId::from("z"), RegionId::from("r"))]),
+            cold: LIMITS,
+            balance: Balance {
+                hard_load: 1.6,
+                trust: ReportTrust {
+                    hold_ms: 250,
+                    half_life_ms: 400,
+                },
+            },
+        });
+        let mut backends = Backends::default();
+        (0..OLD).for_each(|number| {
+            backends.merge(0, news(number, 0));
+        });
+        Daemon {
+            backends,
+            picker,
+            owners,
+            working: Vec::new(),
+        }
+    }
+
+    fn join(&mut self, now: Millis) {
+        self.backends.merge(now, news(OLD, COLD_MS));
+        self.picker.invalidate(now);
+    }
+
+    fn end_requests(&mut self, now: Millis, loads: &[u32]) {
+        let working = std::mem::take(&mut self.working);
+        let (ended, working): (Vec<_>, Vec<_>) =
+            working.into_iter().partition(|(end, _, _)| *end <= now);
+        self.working = working;
+        for (end, began, asked) in ended {
+            let id = &asked.pick.id;
+            let number: usize = id.as_str()[2..].parse().expect("a number");
+            let report = LoadReport {
+                running: loads[number].min(SLOTS),
+                waiting: loads[number].saturating_sub(SLOTS),
+            };
+            self.backends.note_answer(now, id, Some(report));
+            if let Some(backend) = self.backends.get(id) {
+                let took = (end - began) as f64;
+                self.picker.note_answer(now, backend, &asked, took);
+            }
+            self.backends.finish(id);
+        }
+    }
+
+    fn ask(&mut self, now: Millis, catalog: &Catalog, object: u64, loads: &[u32]) -> Option<usize> {
+        let service = ServiceId::from("s");
+        let request = PickRequest {
+            service: &service,
+            key: coursestand_routing::hash::hash_of(&object.to_string()),
+            has_object: true,
+            objective_ms: 400,
+            allowed_regions: &[],
+            excluded: &[],
+            now,
+        };
+        let picked = self
+            .picker
+            .pick(&self.backends, catalog, &self.owners, &request);
+        let pick = picked.ok()?;
+        let number: usize = pick.id.as_str()[2..].parse().expect("a number");
+        let backend = self.backends.get(&pick.id)?;
+        self.picker.note_sent(now, backend);
+        self.backends.start(&pick.id);
+        let queue = Millis::from(loads[number] / SLOTS) * WORK_MS;
+        let asked = Asked {
+            object: Some(request.key),
+            pick,
+        };
+        self.working.push((now + WORK_MS + queue, now, asked));
+        Some(number)
+    }
+}
+
+/// When each request went to the back end that joined, and how many were sent in all
+/// after it had ceased to be cold for two seconds, with so many requests every 10 ms.
+fn play(requests: u64) -> (Vec<Millis>, usize) {
+    let catalog = catalog();
+    let mut daemons: Vec<Daemon> = (0..DAEMONS).map(Daemon::new).collect();
+    let mut joined = Vec::new();
+    let mut late = 0;
+    let mut number: u64 = 0;
+    for now in (0..END).step_by(10) {
+        if now == JOINED_AT {
+            daemons.iter_mut().for_each(|daemon| daemon.join(now));
+        }
+        let mut loads = [0_u32; OLD + 1];
+        for (_, _, asked) in daemons.iter().flat_map(|daemon| &daemon.working) {
+            let number: usize = asked.pick.id.as_str()[2..].parse().expect("a number");
+            loads[number] += 1;
+        }
+        for daemon in &mut daemons {
+            daemon.end_requests(now, &loads);
+        }
+        for _ in 0..requests {
+            number += 1;
+            let daemon = &mut daemons[number as usize % DAEMONS];
+            // A step that is prime to the objects visits all of them.
+            let object = number * 7_919 % OBJECTS;
+            let went = daemon.ask(now, &catalog, object, &loads);
+            if went == Some(OLD) {
+                joined.push(now);
+            }
+            let is_late = now >= JOINED_AT + COLD_MS + 2_000;
+            late += usize::from(is_late && went.is_some());
+        }
+    }
+    (joined, late)
+}
+
+#[gtest]
+fn a_back_end_that_joins_has_its_share_two_seconds_after_it_is_warm() {
+    // Half of what all of them bear, and nearly all of it.
+    for requests in [2, 3] {
+        let (joined, late) = play(requests);
+        let warm = JOINED_AT + COLD_MS + 2_000;
+        let own = joined.iter().filter(|at| **at >= warm).count();
+        let share = own as f64 / late as f64;
+        let fair = 1.0 / (OLD + 1) as f64;
+        expect_that!(share, ge(0.6 * fair), "{requests}");
+        expect_that!(share, le(1.6 * fair), "{requests}");
+    }
+}
+
+#[gtest]
+fn while_it_is_cold_all_daemons_together_keep_to_what_it_bears() {
+    // Up to twice of what the others bear.
+    for requests in [2, 4, 8] {
+        let (joined, _) = play(requests);
+        let bound = (PER_SECOND * LIMITS.overage + LIMITS.slack) as usize;
+        let cold: Vec<Millis> = joined
+            .into_iter()
+            .filter(|at| *at < JOINED_AT + COLD_MS)
+            .collect();
+        for start in (JOINED_AT..JOINED_AT + COLD_MS).step_by(10) {
+            let window = start..start + 1_000;
+            let count = cold.iter().filter(|at| window.contains(at)).count();
+            expect_that!(count, le(bound), "{requests} from {start}");
+        }
+        if requests == 8 {
+            expect_that!(cold.len(), ge(10), "the others have no room left");
+        }
+    }
+}
