Forget that nobody could be taken, and suspect silence where no repeat fits

Cause: tests beside ten to sixteen busy loops. (1) A server that had waited for a place said that it takes nobody until the next caller came, though places were free. (2) Whether a connection is suspected hung on whether a repeat still fitted into the request's time, so a slow machine's request that runs once told nothing of the other kept connections. Ruled out: longer times alone: they hide (1). Change: want of places or descriptors counts while it is noticed again within 0.25 s. The limit of silence no longer has the repeat's part in it; a repeat needs as much time left as was waited.

--- a/crates/coursestand-proxy/src/answer_times.rs
+++ b/crates/coursestand-proxy/src/answer_times.rs
@@ -20,8 +20,6 @@
 /// Least time after which an answer counts as missing: back ends that answer within
 /// milliseconds stop for longer than that now and then.
 const LEAST_LIMIT: Duration = Duration::from_millis(500);
-/// Part of the time left that must remain for the repeat.
-const REPEAT_PART: u32 = 2;
 /// A process that stood still finds its timers due before it has read what came
 /// meanwhile; this long it reads before it believes them.
 pub(crate) const READING_GRACE: Duration = Duration::from_millis(20);
@@ -29,8 +27,9 @@
 /// Times from a request to the first bytes of its answer, by service and zone.
 ///
 /// An answer counts as missing after [`Self::silence_limit`]: three times the usual
-/// limit (smoothed time and four deviations), half a second at least and half of the
-/// request's time at most. So a request that may be repeated, on a connection that has
+/// limit (smoothed time and four deviations), half a second at least. A request is
+/// repeated then if as much of its time is left, so it waits half of its time at most.
+/// So a request that may be repeated, on a connection that has
 /// fallen silent, waits that long and one answer's time more, instead of until its
 /// deadline: 0.53 s instead of 4.08 s at back ends that answer within 30 ms
 /// (`tests/silent_connections.rs`).
@@ -55,17 +54,10 @@
         }
     }
 
-    /// How long to wait until a connection counts as silent, for a request with `left`
-    /// of its time. None where nothing is known, or where too little would be left
-    /// for a repeat.
-    pub(crate) fn silence_limit(
-        &self,
-        service: &ServiceId,
-        zone: &ZoneId,
-        left: Duration,
-    ) -> Option<Duration> {
+    /// How long to wait until a connection counts as silent. None where nothing is
+    /// known.
+    pub(crate) fn silence_limit(&self, service: &ServiceId, zone: &ZoneId) -> Option<Duration> {
         let usual = self.times().get(service)?.get(zone)?.limit();
-        let limit = (usual * FACTOR).max(LEAST_LIMIT);
-        (limit <= left / REPEAT_PART).then_some(limit)
+        Some((usual * FACTOR).max(LEAST_LIMIT))
     }
 }
--- a/crates/coursestand-proxy/src/callers.rs
+++ b/crates/coursestand-proxy/src/callers.rs
@@ -28,6 +28,9 @@
 /// A listener that took nobody for this long is not able to.
 const STUCK: Duration = Duration::from_millis(500);
 
+/// While nobody can be taken that is noticed again within this time.
+const STUCK_NOTICED_AGAIN: Duration = Duration::from_millis(250);
+
 /// The connections of callers.
 pub(crate) struct Callers {
     most: usize,
@@ -39,8 +42,20 @@
 struct Seats {
     next: u64,
     taken: HashMap<u64, Arc<Rest>>,
-    /// Since when no connection could be taken, while that is so.
-    stuck_since: Option<Instant>,
+    stuck: Option<Stuck>,
+}
+
+/// No connection could be taken from `since` on, last noticed at `noticed_at`.
+#[derive(Clone, Copy)]
+struct Stuck {
+    since: Instant,
+    noticed_at: Instant,
+}
+
+impl Stuck {
+    fn is_noticed(&self, now: Instant) -> bool {
+        now - self.noticed_at < STUCK_NOTICED_AGAIN
+    }
 }
 
 /// One connection. Dropped, its place is free.
@@ -95,7 +110,7 @@
     /// A connection was accepted.
     pub(crate) fn take(self: &Arc<Self>) -> Seat {
         let mut seats = self.seats();
-        seats.stuck_since = None;
+        seats.stuck = None;
         seats.next += 1;
         let number = seats.next;
         let rest = Arc::new(Rest::default());
@@ -114,13 +129,20 @@
     }
 
     fn note_stuck(&self) {
-        self.seats().stuck_since.get_or_insert_with(Instant::now);
+        let now = Instant::now();
+        let mut seats = self.seats();
+        let lasting = seats.stuck.filter(|stuck| stuck.is_noticed(now));
+        seats.stuck = Some(Stuck {
+            since: lasting.map_or(now, |stuck| stuck.since),
+            noticed_at: now,
+        });
     }
 
     /// Whether new connections are taken.
     pub(crate) fn are_taken(&self) -> bool {
-        let stuck_since = self.seats().stuck_since;
-        stuck_since.is_none_or(|since| since.elapsed() < STUCK)
+        let now = Instant::now();
+        let stuck = self.seats().stuck;
+        !stuck.is_some_and(|stuck| stuck.is_noticed(now) && now - stuck.since >= STUCK)
     }
 
     /// Closes those that rested longest.
--- a/crates/coursestand-proxy/src/exchange.rs
+++ b/crates/coursestand-proxy/src/exchange.rs
@@ -66,6 +66,12 @@
     deadline: Instant,
 }
 
+impl Prepared {
+    fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
 /// A back end's answer.
 struct Received {
     status: StatusCode,
@@ -502,7 +508,7 @@
                 return Ok(outcome);
             }
             self.pool.distrust(target.id(), sent_at);
-            if self.may_repeat_silent(prepared, attempts) {
+            if self.may_repeat_silent(prepared, attempts, limit) {
                 attempts.silence = Some(Silence {
                     backend: target.id().clone(),
                     sent_at,
@@ -526,22 +532,29 @@
         if attempts.silence.is_some() || prepared.body.is_spent() {
             return None;
         }
-        let left = prepared.deadline.saturating_duration_since(Instant::now());
         self.answer_times
-            .silence_limit(&target.service, &target.zone, left)
+            .silence_limit(&target.service, &target.zone)
+            .filter(|limit| *limit < prepared.left())
     }
 
-    /// Whether a request that got no answer so far may be sent on a new connection.
-    /// Takes what that costs from the budget.
-    fn may_repeat_silent(&self, prepared: &Prepared, attempts: &Attempts) -> bool {
-        let left = prepared.deadline.saturating_duration_since(Instant::now());
+    /// Whether a request that got no answer for `waited` may be sent on a new
+    /// connection. Takes what that costs from the budget.
+    fn may_repeat_silent(
+        &self,
+        prepared: &Prepared,
+        attempts: &Attempts,
+        waited: Duration,
+    ) -> bool {
+        let left = prepared.left();
         let failed = Attempts {
             arrived: attempts.arrived + 1,
             ..attempts.clone()
         };
         let silent = AttemptFailure::Silent;
-        self.phases
-            .may_retry(&prepared.matched, &failed, silent, left)
+        left >= waited
+            && self
+                .phases
+                .may_retry(&prepared.matched, &failed, silent, left)
     }
 
     /// Learns from an answer how long answers take, and that an earlier connection
--- a/crates/coursestand-proxy/tests/common/mod.rs
+++ b/crates/coursestand-proxy/tests/common/mod.rs
@@ -32,6 +32,8 @@
 pub const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// Generous: nothing here should come near it.
 pub const WITHIN: Duration = Duration::from_secs(20);
+/// Far below the time-out of connections that rest.
+const SOON: Duration = Duration::from_secs(8);
 
 pub struct Edge {
     pub state: Arc<EdgeState>,
@@ -336,3 +338,18 @@
         answer
     }
 }
+
+/// Callers that are connected before the server, which runs on this thread, sees any.
+pub fn pile_up(address: SocketAddr, count: usize) -> Vec<std::net::TcpStream> {
+    let connect = |_| std::net::TcpStream::connect(address).expect("connected");
+    (0..count).map(connect).collect()
+}
+
+/// The status that a caller gets which was connected before, if it gets one soon.
+pub async fn asks(stream: std::net::TcpStream) -> Option<u16> {
+    stream.set_nonblocking(true).expect("set");
+    let mut caller = Caller::of(TcpStream::from_std(stream).expect("a stream"));
+    let asked = caller.ask("/safe/a", "late", "");
+    let answer = tokio::time::timeout(SOON, asked).await;
+    answer.ok().map(|answer| answer.status)
+}
--- a/crates/coursestand-proxy/tests/silent_connections.rs
+++ b/crates/coursestand-proxy/tests/silent_connections.rs
@@ -18,11 +18,9 @@
 const GOOD: Behaviour = Behaviour::Answer(200);
 /// Long against the time within which a silence is to be noticed.
 const TIMEOUT: Duration = Duration::from_secs(4);
-/// Back ends here answer within milliseconds, so a silence is noticed by the least
-/// limit, half a second; the rest is for a busy machine.
-const NOTICED: Duration = Duration::from_millis(1_200);
-/// Shorter than any limit: nothing was lost.
-const AT_ONCE: Duration = Duration::from_millis(400);
+/// A request is repeated once half of its time has passed at the latest, half a second
+/// where nothing else keeps the machine busy; the rest is for the answer.
+const NOTICED: Duration = Duration::from_millis(2_500);
 
 /// Back ends behind relays, and a daemon in front of them.
 struct Fleet {
@@ -70,6 +68,12 @@
         self.relays.iter().map(SilentRelay::connections).sum()
     }
 
+    /// Requests that were repeated for a silence so far.
+    fn repeated(&self) -> u64 {
+        let failures = &self.edge.exchange.metrics().failures;
+        failures.with_label_values(&["silent"]).get()
+    }
+
     fn runs_of(&self, id: &str) -> usize {
         let runs = self.backends.iter().flat_map(ScriptedBackend::runs);
         runs.filter(|run| run.id == id).count()
@@ -121,10 +125,10 @@
         expect_that!(answer.status, eq(200), "{carriage:?}");
         expect_that!(took, lt(NOTICED), "{carriage:?}");
         for number in 0..4 {
-            let (answer, took) = fleet.ask("/safe/a", &format!("later{number}")).await;
+            let (answer, _) = fleet.ask("/safe/a", &format!("later{number}")).await;
             expect_that!(answer.status, eq(200), "{carriage:?}");
-            expect_that!(took, lt(AT_ONCE), "{carriage:?}");
         }
+        expect_that!(fleet.repeated(), eq(1), "{carriage:?}");
     }
 }
 
@@ -160,9 +164,9 @@
         let (answer, took) = fleet.ask("/safe/a", &format!("first{round}")).await;
         expect_that!(answer.status, eq(200));
         expect_that!(took, lt(NOTICED));
-        let (answer, took) = fleet.ask("/safe/a", &format!("second{round}")).await;
+        let (answer, _) = fleet.ask("/safe/a", &format!("second{round}")).await;
         expect_that!(answer.status, eq(200));
-        expect_that!(took, lt(AT_ONCE));
+        expect_that!(fleet.repeated(), eq(round + 1));
     }
 }
 
@@ -176,7 +180,7 @@
     ] {
         let fleet = Fleet::start(
             Rules {
-                timeout_ms: 1_500,
+                timeout_ms: 2_500,
                 ..rules()
             },
             vec![(vec![], slow())],
@@ -193,9 +197,8 @@
         expect_that!(PROMISES.contains(&answer.status), eq(false));
         // Its silence told of the others that were kept.
         for number in 0..3 {
-            let (answer, took) = fleet.ask("/once/a", &format!("later{number}")).await;
+            let (answer, _) = fleet.ask("/once/a", &format!("later{number}")).await;
             expect_that!(answer.status, eq(200), "{carriage:?}");
-            expect_that!(took, lt(AT_ONCE), "{carriage:?}");
         }
     }
 }
@@ -215,13 +218,11 @@
     expect_that!(warm.count(), eq(6));
     fleet.silence(Carriage::Nothing);
     settle().await;
-    let mut late = 0;
     for number in 0..20 {
-        let (answer, took) = fleet.ask("/safe/a", &format!("r{number}")).await;
+        let (answer, _) = fleet.ask("/safe/a", &format!("r{number}")).await;
         expect_that!(answer.status, eq(200));
-        late += usize::from(took > AT_ONCE);
     }
-    expect_that!(late, le(2));
+    expect_that!(fleet.repeated(), eq(2));
 }
 
 #[gtest]
@@ -274,7 +275,7 @@
     fleet.silence(Carriage::NoSegment);
     // Within the time for which an idle connection is kept.
     tokio::time::sleep(Duration::from_millis(2_500)).await;
-    let (answer, took) = fleet.ask("/once/a", "r1").await;
+    let (answer, _) = fleet.ask("/once/a", "r1").await;
     expect_that!(answer.status, eq(200));
-    expect_that!(took, lt(AT_ONCE));
+    expect_that!(fleet.connections(), eq(2));
 }
