--- a/crates/coursestand-proxy/src/lib.rs
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -7,10 +7,13 @@
 //! them and does the I/O.
 
 pub mod answer;
+mod answer_times;
 pub mod caller_limits;
+mod callers;
 mod collect;
 pub mod connect;
 pub mod connect_times;
+mod discard;
 pub mod edge_state;
 pub mod exchange;
 pub mod header_names;
@@ -24,6 +27,7 @@
 mod rest;
 pub mod router;
 pub mod server;
+mod smoothed_time;
 mod story;
 pub mod streamed_body;
 pub mod verdict;
--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -118,6 +118,7 @@
             },
             chosen_at: now,
             address,
+            service: matched.service.clone(),
             zone,
         })
     }
@@ -141,14 +142,14 @@
         let id = target.id();
         let mut beliefs = self.state.beliefs();
         match failure {
-            AttemptFailure::Unreachable | AttemptFailure::Misdirected => {
-                beliefs.backends.note_unreachable(now, id);
-            }
+            AttemptFailure::Unreachable => beliefs.backends.note_unreachable(now, id),
+            AttemptFailure::Misdirected => beliefs.backends.note_misdirected(id),
             AttemptFailure::Shed => beliefs.backends.note_shed(now, id, load),
             AttemptFailure::Lost | AttemptFailure::TimedOut => {
                 beliefs.backends.note_failure(now, id);
             }
-            AttemptFailure::Failed => {}
+            // A silent connection says nothing of its back end.
+            AttemptFailure::Failed | AttemptFailure::Silent => {}
         }
     }
 
--- a/crates/coursestand-proxy/tests/common/mod.rs
+++ b/crates/coursestand-proxy/tests/common/mod.rs
@@ -32,6 +32,8 @@
 pub const PROMISES: [u16; 4] = [408, 421, 429, 503];
 /// Generous: nothing here should come near it.
 pub const WITHIN: Duration = Duration::from_secs(20);
+/// Far below the time-out of connections that rest.
+const SOON: Duration = Duration::from_secs(8);
 
 pub struct Edge {
     pub state: Arc<EdgeState>,
@@ -214,13 +216,26 @@
 
 impl Caller {
     pub async fn connect(address: SocketAddr) -> Caller {
+        Caller::of(TcpStream::connect(address).await.expect("connected"))
+    }
+
+    pub fn of(stream: TcpStream) -> Caller {
         Caller {
-            stream: TcpStream::connect(address).await.expect("connected"),
+            stream,
             unread: Vec::new(),
         }
     }
 
     pub async fn send(&mut self, path: &str, id: &str, headers: &str, body: &[u8]) {
+        self.send_keyed(path, id, "k", headers, body).await;
+    }
+
+    /// Asks about the object `key`.
+    pub async fn send_about(&mut self, path: &str, id: &str, key: &str) {
+        self.send_keyed(path, id, key, "", b"a body").await;
+    }
+
+    async fn send_keyed(&mut self, path: &str, id: &str, key: &str, headers: &str, body: &[u8]) {
         let names = HeaderNames::default();
         let method = if path.starts_with("/once/") {
             "POST"
@@ -232,7 +247,7 @@
             _ => (format!("content-length: {}\r\n", body.len()), body),
         };
         let head = format!(
-            "{method} {path} HTTP/1.1\r\nhost: h.example\r\n{}: {id}\r\n{}: k\r\n{headers}{length}\r\n",
+            "{method} {path} HTTP/1.1\r\nhost: h.example\r\n{}: {id}\r\n{}: {key}\r\n{headers}{length}\r\n",
             names.request_id, names.affinity_key
         );
         // The daemon may answer and close before it has read everything.
@@ -240,6 +255,21 @@
         let _ = self.stream.write_all(body).await;
     }
 
+    /// Sends the first `part` bytes of a body of `length`.
+    pub async fn send_part(&mut self, path: &str, id: &str, length: usize, part: usize) {
+        let head = format!(
+            "POST {path} HTTP/1.1\r\nhost: h.example\r\n{}: {id}\r\ncontent-length: {length}\r\n\r\n",
+            HeaderNames::default().request_id
+        );
+        let _ = self.stream.write_all(head.as_bytes()).await;
+        self.send_rest(part).await;
+    }
+
+    /// Sends so many more bytes of a body. Returns whether the daemon took them.
+    pub async fn send_rest(&mut self, count: usize) -> bool {
+        self.stream.write_all(&vec![b'x'; count]).await.is_ok()
+    }
+
     /// Sends a body in chunks, without telling its length before.
     pub async fn send_chunked(&mut self, path: &str, id: &str, body: &[u8]) {
         let names = HeaderNames::default();
@@ -308,3 +338,18 @@
         answer
     }
 }
+
+/// Callers that are connected before the server, which runs on this thread, sees any.
+pub fn pile_up(address: SocketAddr, count: usize) -> Vec<std::net::TcpStream> {
+    let connect = |_| std::net::TcpStream::connect(address).expect("connected");
+    (0..count).map(connect).collect()
+}
+
+/// The status that a caller gets which was connected before, if it gets one soon.
+pub async fn asks(stream: std::net::TcpStream) -> Option<u16> {
+    stream.set_nonblocking(true).expect("set");
+    let mut caller = Caller::of(TcpStream::from_std(stream).expect("a stream"));
+    let asked = caller.ask("/safe/a", "late", "");
+    let answer = tokio::time::timeout(SOON, asked).await;
+    answer.ok().map(|answer| answer.status)
+}
