Admit requests by the room on the link, and name far daemons for what it can't carry

Cause: behind links of 2 Mbit/s goodput collapsed under load. Requests waited in the link's queue, connections to back ends timed out in it, and callers asked again. Ruled out: the processor (0.016 of 0.1 cores at most). Refusing alone: a refused caller sends its whole request once more, so under four times the load requests alone fill the region's links. Change: LinkAdmission keeps virtual queues of both directions and refuses before the body is read; its rate falls while new connections to back ends come up late. Daemons tell the demand for their links; look-ups name daemons of other regions for what a region's links can't carry, as far as theirs have room.

--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use coursestand_dialect::{Call, Dialect};
-use coursestand_discovery::{EdgePhase, EdgeRecord, LinkUse};
+use coursestand_discovery::{EdgePhase, EdgeRecord, FULL_LINK, LinkUse};
 use coursestand_kernel::http::HttpServer;
 use coursestand_kernel::{Health, MonotonicClock, Registry, Service, ServiceError, Tasks};
 use coursestand_model::fleet::FleetSettings;
@@ -90,13 +90,19 @@
         self.metrics.idle.set(self.pool.idle_count() as i64);
     }
 
-    /// Tells how much of the machine's link is used, when its speed is known.
-    fn update_link_use(&self, link_mbps: Option<f64>) {
-        let used_mbps = self.exchange.link().sample();
-        let Some(link_mbps) = link_mbps else {
+    /// Tells how much of the machine's link the requests need, when its speed is known.
+    fn update_link_use(&self) {
+        let Some(demand) = self.exchange.gate().sample_demand() else {
             return;
         };
-        let percent = (used_mbps / link_mbps * 100.0).min(f64::from(LinkUse::MAX));
+        // A look-up does not tell which route its caller wants, so all callers stay
+        // while one of them is bound to some regions.
+        let most = if self.exchange.gate().serves_bound_routes() {
+            FULL_LINK
+        } else {
+            LinkUse::MAX
+        };
+        let percent = (demand * 100.0).min(f64::from(most));
         self.metrics.link_use.set(percent as i64);
         self.follower.set_link_use(percent as LinkUse);
     }
@@ -183,6 +189,9 @@
             Arc::clone(&pool),
             metrics,
         ));
+        if let Some(link_mbps) = self.settings.link_mbps {
+            exchange.gate().set_speed(link_mbps);
+        }
         let server = ProxyServer::start(role.listen, Arc::clone(&exchange))
             .await
             .map_err(|error| failed(&error))?;
@@ -217,8 +226,7 @@
             ready,
             metrics: EdgeMetrics::new(registry.metrics()).map_err(|error| failed(&error))?,
         });
-        self.tasks
-            .start(run_rounds(Arc::clone(&running), self.settings.link_mbps));
+        self.tasks.start(run_rounds(Arc::clone(&running)));
         *self.running.lock().unwrap_or_else(PoisonError::into_inner) = Some(running);
         Ok(())
     }
@@ -316,10 +324,10 @@
     HttpServer::start(address, endpoint, Duration::ZERO).await
 }
 
-async fn run_rounds(running: Arc<Running>, link_mbps: Option<f64>) {
+async fn run_rounds(running: Arc<Running>) {
     loop {
         running.update_metrics();
-        running.update_link_use(link_mbps);
+        running.update_link_use();
         tokio::time::sleep(ROUND).await;
         let (known, limits) = {
             let beliefs = running.state.beliefs();
--- a/crates/coursestand-discovery/src/directory.rs
+++ b/crates/coursestand-discovery/src/directory.rs
@@ -6,6 +6,8 @@
 use coursestand_model::{Millis, RegionId, ZoneId};
 use serde::{Deserialize, Serialize};
 
+use crate::overflow::Overflows;
+
 /// Whether an entry daemon takes requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum EdgePhase {
@@ -36,8 +38,8 @@
     pub phase: EdgePhase,
 }
 
-/// Part of its link's speed that an entry daemon uses, in percent. More than 100
-/// can't be measured for long.
+/// Part of its link's speed that the requests which reach an entry daemon need, in
+/// percent: more than 100 when it refuses some for want of room.
 pub type LinkUse = u8;
 
 /// Up to this use nobody waits for the link, and evening out gains nothing.
@@ -69,6 +71,7 @@
     runs: BTreeMap<Run, Entry>,
     /// Runs that fell silent and may only be cut off from control.
     suspects: BTreeMap<Run, Suspect>,
+    overflows: Overflows,
 }
 
 /// A run that fell silent, with what other entry daemons say of it.
@@ -184,9 +187,24 @@
         let run = (name.to_owned(), incarnation);
         if let Some(entry) = self.runs.get_mut(&run) {
             entry.link_use = Some(link_use);
+            let region = entry.record.region.clone();
+            self.adapt_overflow(&region);
         }
     }
 
+    fn adapt_overflow(&mut self, region: &RegionId) {
+        let uses = self.runs.values().filter_map(|entry| {
+            let is_near = entry.record.region == *region;
+            entry
+                .link_use
+                .map(|link_use| (is_near, f64::from(link_use)))
+        });
+        let (near, far): (Vec<_>, Vec<_>) = uses.partition(|(is_near, _)| *is_near);
+        let near: Vec<f64> = near.into_iter().map(|(_, link_use)| link_use).collect();
+        let far: Vec<f64> = far.into_iter().map(|(_, link_use)| link_use).collect();
+        self.overflows.adapt(region, &near, &far);
+    }
+
     /// Addresses for a client in `zone` of `region`: the ready daemons of its
     /// region, those of its zone first; when there are none, all ready ones. Those
     /// whose links are used more than the others' are left out of some answers;
@@ -200,24 +218,41 @@
         mut draw: impl FnMut() -> f64,
     ) -> Vec<SocketAddr> {
         let ready = self.ready(now);
-        let mut near: Vec<Candidate<'_>> = ready
-            .iter()
-            .copied()
-            .filter(|candidate| candidate.record.region == *region)
-            .collect();
+        let (mut near, far): (Vec<Candidate<'_>>, Vec<Candidate<'_>>) = ready
+            .into_iter()
+            .partition(|candidate| candidate.record.region == *region);
         if near.is_empty() {
-            near = ready;
+            near = far;
+            near.sort_by_key(|candidate| candidate.record.zone != *zone);
+            return self.spread(&near, 1.0, most, &mut draw);
         }
         near.sort_by_key(|candidate| candidate.record.zone != *zone);
-        let mean = mean_link_use(&near);
+        let named = self.overflows.named(region, near.len(), far.len());
+        let mut far: Vec<Candidate<'_>> = far.into_iter().filter(|_| draw() < named.far).collect();
+        far.truncate(most / 2);
+        let mut addresses = self.spread(&near, named.near, most - far.len(), &mut draw);
+        addresses.extend(far.iter().map(|candidate| candidate.record.address));
+        addresses
+    }
+
+    /// Addresses of a `part` of these daemons, less of those whose links are used more
+    /// than the others'; one at least.
+    fn spread(
+        &self,
+        candidates: &[Candidate<'_>],
+        part: f64,
+        most: usize,
+        mut draw: impl FnMut() -> f64,
+    ) -> Vec<SocketAddr> {
+        let mean = mean_link_use(candidates);
         let mut addresses: Vec<SocketAddr> = Vec::new();
         let mut left_out: Vec<SocketAddr> = Vec::new();
-        for candidate in near {
+        for candidate in candidates {
             let address = candidate.record.address;
             if addresses.contains(&address) || addresses.len() >= most {
                 continue;
             }
-            if draw() < candidate.excess(mean) {
+            if draw() < 1.0 - part * (1.0 - candidate.excess(mean)) {
                 left_out.push(address);
             } else {
                 addresses.push(address);
--- a/crates/coursestand-discovery/src/lib.rs
+++ b/crates/coursestand-discovery/src/lib.rs
@@ -7,8 +7,10 @@
 
 pub mod directory;
 pub mod instance;
+mod overflow;
 pub mod table;
 
 pub use directory::{Directory, EdgePhase, EdgeRecord, LinkUse};
 pub use instance::{Instance, InstanceNews, InstancePhase};
+pub use overflow::FULL_LINK;
 pub use table::InstanceTable;
--- a/crates/coursestand-lab/src/scripted.rs
+++ b/crates/coursestand-lab/src/scripted.rs
@@ -19,6 +19,8 @@
 pub enum Behaviour {
     /// Runs it and answers properly with this status.
     Answer(u16),
+    /// Runs it and answers properly with a body of this many bytes.
+    Sized(usize),
     /// Runs it and answers properly after this time.
     Slow(Duration),
     /// Refuses it, with the proof that it was not run.
@@ -246,8 +248,11 @@
 
 /// A proper answer to the request with identity `id`; its body names it.
 fn answer(id: &str, status: u16, extra: &str) -> String {
+    answer_with(id, status, extra, &format!("body of {id}"))
+}
+
+fn answer_with(id: &str, status: u16, extra: &str, body: &str) -> String {
     let names = HeaderNames::default();
-    let body = format!("body of {id}");
     format!(
         "HTTP/1.1 {status} X\r\n{}: {id}\r\n{}: signed-{id}\r\n{extra}content-length: {}\r\n\r\n{body}",
         names.request_id,
@@ -298,6 +303,7 @@
     let proof = format!("{}: 1\r\n", names.not_executed);
     let text = match behaviour {
         Behaviour::Answer(status) => answer(&id, *status, ""),
+        Behaviour::Sized(bytes) => answer_with(&id, 200, "", &"x".repeat(*bytes)),
         Behaviour::Shed => {
             format!("HTTP/1.1 503 X\r\n{proof}content-length: 0\r\n\r\n")
         }
--- a/crates/coursestand-proxy/src/answer.rs
+++ b/crates/coursestand-proxy/src/answer.rs
@@ -53,6 +53,11 @@
         /// After which that is likely to have changed, in milliseconds.
         drained_in_ms: Millis,
     },
+    /// The machine's link has no room for it.
+    LinkFull {
+        /// After which that is likely to have changed, in milliseconds.
+        drained_in_ms: Millis,
+    },
     /// Back ends refused it, and no further attempt was allowed.
     Shed,
     /// No back end could be reached, and no further attempt was allowed.
@@ -76,6 +81,7 @@
             Reason::Stopping => "stopping",
             Reason::NoBackend => "no-backend",
             Reason::Busy { .. } => "busy",
+            Reason::LinkFull { .. } => "link-full",
             Reason::Shed => "shed",
             Reason::Unreachable => "unreachable",
             Reason::AnswerLost => "answer-lost",
@@ -96,6 +102,7 @@
             | Reason::Stopping
             | Reason::NoBackend
             | Reason::Busy { .. }
+            | Reason::LinkFull { .. }
             | Reason::Shed
             | Reason::Unreachable => StatusCode::SERVICE_UNAVAILABLE,
             Reason::AnswerLost => StatusCode::BAD_GATEWAY,
@@ -109,7 +116,9 @@
         match self {
             Reason::NoCatalog => Some(STARTING_PAUSE),
             Reason::NoBackend => Some(NO_BACKEND_PAUSE),
-            Reason::Busy { drained_in_ms } => Some(Duration::from_millis(drained_in_ms)),
+            Reason::Busy { drained_in_ms } | Reason::LinkFull { drained_in_ms } => {
+                Some(Duration::from_millis(drained_in_ms))
+            }
             Reason::Shed => Some(SHED_PAUSE),
             Reason::Unreachable | Reason::DeadlinePassed | Reason::Stopping => {
                 Some(ELSEWHERE_PAUSE)
--- a/crates/coursestand-proxy/src/connect_times.rs
+++ b/crates/coursestand-proxy/src/connect_times.rs
@@ -23,6 +23,8 @@
 struct Estimate {
     time: f64,
     deviation: f64,
+    /// The least time, with nothing waiting on the way.
+    least: f64,
 }
 
 impl Estimate {
@@ -30,6 +32,7 @@
         Estimate {
             time: took,
             deviation: took / 2.0,
+            least: took,
         }
     }
 
@@ -37,6 +40,7 @@
         let error = took - self.time;
         self.deviation += (error.abs() - self.deviation) * DEVIATION_GAIN;
         self.time += error * TIME_GAIN;
+        self.least = self.least.min(took);
     }
 }
 
@@ -49,16 +53,16 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// A connection to a back end in `zone` was made in this time.
-    pub fn note(&self, zone: &ZoneId, took: Duration) {
+    /// A connection to a back end in `zone` was made in this time. Returns how much
+    /// longer that was than the least time seen.
+    pub fn note(&self, zone: &ZoneId, took: Duration) -> Duration {
         let took = took.as_secs_f64();
         let mut estimates = self.estimates();
-        match estimates.get_mut(zone) {
-            Some(estimate) => estimate.take(took),
-            None => {
-                estimates.insert(zone.clone(), Estimate::first(took));
-            }
-        }
+        let estimate = estimates
+            .entry(zone.clone())
+            .or_insert_with(|| Estimate::first(took));
+        estimate.take(took);
+        Duration::from_secs_f64(took - estimate.least)
     }
 
     /// How long a connection to a back end in `zone` may take.
--- a/crates/coursestand-proxy/src/exchange.rs
+++ b/crates/coursestand-proxy/src/exchange.rs
@@ -17,9 +17,10 @@
 use crate::connect_times::ConnectTimes;
 use crate::header_names::HeaderNames;
 use crate::headers::{
-    closes_connection, keep_alive_of, load_of, millis_of, strip_connection_headers, text_of,
+    closes_connection, keep_alive_of, load_of, millis_of, size_of, strip_connection_headers,
+    text_of,
 };
-use crate::link_meter::LinkMeter;
+use crate::link_gate::{LinkGate, LinkPermit};
 use crate::metrics::ProxyMetrics;
 use crate::phases::{AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target};
 use crate::pool::{Connection, Pool, RequestBody};
@@ -41,7 +42,7 @@
     names: HeaderNames,
     pool: Arc<Pool>,
     metrics: ProxyMetrics,
-    link: LinkMeter,
+    gate: Arc<LinkGate>,
     connect_times: ConnectTimes,
     limits: SharedLimits,
     /// When the process ends, once a planned stop has begun.
@@ -55,6 +56,7 @@
     id: Option<String>,
     matched: Matched,
     deadline: Instant,
+    permit: LinkPermit,
 }
 
 /// A back end's answer.
@@ -64,6 +66,13 @@
     body: AnswerBody,
 }
 
+impl Received {
+    /// Bytes of its head and its body, as far as they are known.
+    fn size(&self) -> u64 {
+        size_of(&self.headers) + self.body.size_hint().lower()
+    }
+}
+
 /// An attempt without an answer that settles the request.
 struct FailedAttempt {
     failure: AttemptFailure,
@@ -115,7 +124,7 @@
             names,
             pool,
             metrics,
-            link: LinkMeter::default(),
+            gate: Arc::new(LinkGate::default()),
             connect_times: ConnectTimes::default(),
             limits: SharedLimits::default(),
             end: OnceLock::new(),
@@ -142,9 +151,9 @@
         &self.limits
     }
 
-    /// Counts what passes the machine's link.
-    pub fn link(&self) -> &LinkMeter {
-        &self.link
+    /// Admits requests by the room on the machine's link.
+    pub fn gate(&self) -> &LinkGate {
+        &self.gate
     }
 
     /// Metrics of the exchange.
@@ -164,7 +173,6 @@
         match result {
             Ok(received) => {
                 story.end("served", received.status);
-                self.link.count(received.body.size_hint().lower());
                 passed_on(received.status, received.headers, received.body)
             }
             Err(reason) => {
@@ -199,9 +207,9 @@
         if deadline <= arrived {
             return Err(Reason::Stopping);
         }
+        let permit = self.admit(&parts, &body, &matched)?;
         let longest = self.limits.get().body_bytes;
         let body = PreparedBody::read(&parts.headers, body, longest, deadline).await?;
-        self.link.count(body.size());
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(&self.names.deadline);
         parts.headers.remove(&self.names.target_instance);
@@ -218,9 +226,25 @@
             id: head.id,
             matched,
             deadline,
+            permit,
         })
     }
 
+    /// Asks for room on the link, before the body is read.
+    fn admit(
+        &self,
+        parts: &Parts,
+        body: &Incoming,
+        matched: &Matched,
+    ) -> Result<LinkPermit, Reason> {
+        let target = parts
+            .uri
+            .path_and_query()
+            .map_or(0, |path| path.as_str().len());
+        let bytes = target as u64 + size_of(&parts.headers) + body.size_hint().lower();
+        self.gate.admit(&matched.route, bytes)
+    }
+
     fn head_of(&self, parts: &Parts) -> RequestHead {
         let host = text_of(&parts.headers, &HOST)
             .or_else(|| parts.uri.host())
@@ -259,7 +283,10 @@
             };
             let result = self.attempt(&mut prepared, &started).await;
             let failed = match result {
-                Ok(received) => return Ok(received),
+                Ok(received) => {
+                    prepared.permit.answered(received.size());
+                    return Ok(received);
+                }
                 Err(failed) => failed,
             };
             self.note_failure(&prepared, &started.target, &attempts, &failed);
@@ -440,7 +467,8 @@
             .open(target.address, limit.min(left / CONNECT_PART))
             .await
             .map_err(|_| FailedAttempt::of(AttemptFailure::Unreachable))?;
-        self.connect_times.note(&target.zone, started.elapsed());
+        let delay = self.connect_times.note(&target.zone, started.elapsed());
+        self.gate.note_delay(delay.as_secs_f64() * 1_000.0);
         Ok(connection)
     }
 
--- a/crates/coursestand-proxy/src/headers.rs
+++ b/crates/coursestand-proxy/src/headers.rs
@@ -76,3 +76,12 @@
         .flat_map(|value| value.split(','))
         .any(|token| token.trim().eq_ignore_ascii_case("close"))
 }
+
+/// Bytes that headers take on the wire: `name: value` and the end of the line.
+pub fn size_of(headers: &HeaderMap) -> u64 {
+    const SEPARATORS: usize = 4;
+    let sizes = headers
+        .iter()
+        .map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS);
+    sizes.sum::<usize>() as u64
+}
--- a/crates/coursestand-proxy/src/lib.rs
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -15,7 +15,7 @@
 pub mod exchange;
 pub mod header_names;
 pub mod headers;
-pub mod link_meter;
+pub mod link_gate;
 pub mod metrics;
 pub mod passing_body;
 pub mod phases;
--- a/crates/coursestand-proxy/src/prepared_body.rs
+++ b/crates/coursestand-proxy/src/prepared_body.rs
@@ -58,14 +58,6 @@
         }
     }
 
-    /// Bytes of it, as far as they are known before it has passed.
-    pub(crate) fn size(&self) -> u64 {
-        match self {
-            PreparedBody::Held(bytes) => bytes.len() as u64,
-            PreparedBody::Passing(body) => body.as_ref().map_or(0, |body| body.size_hint().lower()),
-        }
-    }
-
     /// Whether it went to a back end and can't be sent again.
     pub(crate) fn is_spent(&self) -> bool {
         matches!(self, PreparedBody::Passing(None))
--- a/crates/coursestand-proxy/tests/common/mod.rs
+++ b/crates/coursestand-proxy/tests/common/mod.rs
@@ -2,6 +2,8 @@
 //! a raw socket.
 #![allow(dead_code, missing_docs)]
 
+pub mod narrow_link;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -45,6 +47,7 @@
 pub struct Rules {
     pub max_attempts: u32,
     pub timeout_ms: u64,
+    pub objective_ms: u64,
     pub retry_extra: f64,
 }
 
@@ -53,6 +56,7 @@
         Rules {
             max_attempts: 2,
             timeout_ms: 5_000,
+            objective_ms: 100,
             retry_extra: 100.0,
         }
     }
@@ -62,6 +66,7 @@
     let route = |name: &str, kind| {
         let route = Route {
             max_attempts: rules.max_attempts,
+            target_latency_ms: rules.objective_ms,
             ..items::route(name, "s", kind, rules.timeout_ms)
         };
         items::route_item(name, 1, route)
@@ -221,6 +226,18 @@
     }
 
     pub async fn send(&mut self, path: &str, id: &str, headers: &str, body: &[u8]) {
+        self.send_about("k", path, id, headers, body).await;
+    }
+
+    /// Sends a request that concerns this object.
+    pub async fn send_about(
+        &mut self,
+        object: &str,
+        path: &str,
+        id: &str,
+        headers: &str,
+        body: &[u8],
+    ) {
         let names = HeaderNames::default();
         let method = if path.starts_with("/once/") {
             "POST"
@@ -232,7 +249,7 @@
             _ => (format!("content-length: {}\r\n", body.len()), body),
         };
         let head = format!(
-            "{method} {path} HTTP/1.1\r\nhost: h.example\r\n{}: {id}\r\n{}: k\r\n{headers}{length}\r\n",
+            "{method} {path} HTTP/1.1\r\nhost: h.example\r\n{}: {id}\r\n{}: {object}\r\n{headers}{length}\r\n",
             names.request_id, names.affinity_key
         );
         // The daemon may answer and close before it has read everything.
--- a/crates/coursestand-routing/src/lib.rs
+++ b/crates/coursestand-routing/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod completion;
 pub mod hash;
 pub mod knowledge;
+pub mod link_admission;
 pub mod picker;
 pub mod ranking;
 pub mod retry_budget;
@@ -20,6 +21,7 @@
 pub mod work_times;
 
 pub use backends::{Backend, Backends, LoadReport};
+pub use link_admission::LinkAdmission;
 pub use picker::{Pick, PickRequest, Picker, Refusal};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route_table::{RouteEntry, RouteTable};
