--- a/crates/coursestand-proxy/src/connect_times.rs
+++ b/crates/coursestand-proxy/src/connect_times.rs
@@ -23,15 +23,15 @@
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// A connection to a back end in `zone` was made in this time.
-    pub fn note(&self, zone: &ZoneId, took: Duration) {
+    /// A connection to a back end in `zone` was made in this time. Returns how much
+    /// longer that was than the least time seen.
+    pub fn note(&self, zone: &ZoneId, took: Duration) -> Duration {
         let mut times = self.times();
-        match times.get_mut(zone) {
-            Some(time) => time.take(took),
-            None => {
-                times.insert(zone.clone(), SmoothedTime::first(took));
-            }
-        }
+        let time = times
+            .entry(zone.clone())
+            .and_modify(|time| time.take(took))
+            .or_insert_with(|| SmoothedTime::first(took));
+        took.saturating_sub(time.least())
     }
 
     /// How long a connection to a back end in `zone` may take.
--- a/crates/coursestand-proxy/src/exchange.rs
+++ b/crates/coursestand-proxy/src/exchange.rs
@@ -20,9 +20,10 @@
 use crate::discard::discard;
 use crate::header_names::HeaderNames;
 use crate::headers::{
-    closes_connection, keep_alive_of, load_of, millis_of, strip_connection_headers, text_of,
+    closes_connection, keep_alive_of, load_of, millis_of, size_of, strip_connection_headers,
+    text_of,
 };
-use crate::link_meter::LinkMeter;
+use crate::link_gate::{LinkGate, LinkPermit};
 use crate::metrics::ProxyMetrics;
 use crate::phases::{
     AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Silence, Target,
@@ -49,7 +50,7 @@
     names: HeaderNames,
     pool: Arc<Pool>,
     metrics: ProxyMetrics,
-    link: LinkMeter,
+    gate: Arc<LinkGate>,
     connect_times: ConnectTimes,
     answer_times: AnswerTimes,
     limits: SharedLimits,
@@ -64,6 +65,7 @@
     id: Option<String>,
     matched: Matched,
     deadline: Instant,
+    permit: LinkPermit,
 }
 
 impl Prepared {
@@ -79,6 +81,13 @@
     body: AnswerBody,
 }
 
+impl Received {
+    /// Bytes of its head and its body, as far as they are known.
+    fn size(&self) -> u64 {
+        size_of(&self.headers) + self.body.size_hint().lower()
+    }
+}
+
 /// An attempt without an answer that settles the request.
 struct FailedAttempt {
     failure: AttemptFailure,
@@ -134,7 +143,7 @@
             names,
             pool,
             metrics,
-            link: LinkMeter::default(),
+            gate: Arc::new(LinkGate::default()),
             connect_times: ConnectTimes::default(),
             answer_times: AnswerTimes::default(),
             limits: SharedLimits::default(),
@@ -167,9 +176,9 @@
         self.pool.close_idle(|_| false);
     }
 
-    /// Counts what passes the machine's link.
-    pub fn link(&self) -> &LinkMeter {
-        &self.link
+    /// Admits requests by the room on the machine's link.
+    pub fn gate(&self) -> &LinkGate {
+        &self.gate
     }
 
     /// Metrics of the exchange.
@@ -189,7 +198,6 @@
         match result {
             Ok(received) => {
                 story.end("served", received.status);
-                self.link.count(received.body.size_hint().lower());
                 passed_on(received.status, received.headers, received.body)
             }
             Err(reason) => {
@@ -206,7 +214,7 @@
     ) -> Result<Prepared, Reason> {
         let (mut parts, body) = request.into_parts();
         let head = self.head_of(&parts);
-        let (matched, deadline) = match self.admit(&parts, &head, arrived) {
+        let (matched, deadline, permit) = match self.admit(&parts, &body, &head, arrived) {
             Ok(admitted) => admitted,
             Err(reason) => {
                 discard(body);
@@ -215,7 +223,6 @@
         };
         let longest = self.limits.get().body_bytes;
         let body = PreparedBody::read(&parts.headers, body, longest, deadline).await?;
-        self.link.count(body.size());
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(&self.names.deadline);
         parts.headers.remove(&self.names.target_instance);
@@ -232,16 +239,19 @@
             id: head.id,
             matched,
             deadline,
+            permit,
         })
     }
 
-    /// The route and the deadline of a request of which the head was read.
+    /// The route and the deadline of a request of which the head was read, and its room
+    /// on the link.
     fn admit(
         &self,
         parts: &Parts,
+        body: &Incoming,
         head: &RequestHead,
         arrived: Instant,
-    ) -> Result<(Matched, Instant), Reason> {
+    ) -> Result<(Matched, Instant, LinkPermit), Reason> {
         if self.limits.get().are_too_long(&parts.headers) {
             return Err(Reason::HeadersTooLong);
         }
@@ -256,7 +266,23 @@
         if deadline <= arrived {
             return Err(Reason::Stopping);
         }
-        Ok((matched, deadline))
+        let permit = self.make_room(parts, body, &matched)?;
+        Ok((matched, deadline, permit))
+    }
+
+    /// Asks for room on the link, before the body is read.
+    fn make_room(
+        &self,
+        parts: &Parts,
+        body: &Incoming,
+        matched: &Matched,
+    ) -> Result<LinkPermit, Reason> {
+        let target = parts
+            .uri
+            .path_and_query()
+            .map_or(0, |path| path.as_str().len());
+        let bytes = target as u64 + size_of(&parts.headers) + body.size_hint().lower();
+        self.gate.admit(&matched.route, bytes)
     }
 
     fn head_of(&self, parts: &Parts) -> RequestHead {
@@ -297,7 +323,10 @@
             };
             let result = self.attempt(&mut prepared, &started, &mut attempts).await;
             let failed = match result {
-                Ok(received) => return Ok(received),
+                Ok(received) => {
+                    prepared.permit.answered(received.size());
+                    return Ok(received);
+                }
                 Err(failed) => failed,
             };
             self.note_failure(&prepared, &started.target, &attempts, &failed);
@@ -588,7 +617,8 @@
             .open(target.address, limit.min(left / CONNECT_PART))
             .await
             .map_err(|_| FailedAttempt::of(AttemptFailure::Unreachable))?;
-        self.connect_times.note(&target.zone, started.elapsed());
+        let delay = self.connect_times.note(&target.zone, started.elapsed());
+        self.gate.note_delay(delay.as_secs_f64() * 1_000.0);
         Ok(connection)
     }
 
--- a/crates/coursestand-proxy/src/smoothed_time.rs
+++ b/crates/coursestand-proxy/src/smoothed_time.rs
@@ -14,6 +14,8 @@
 pub(crate) struct SmoothedTime {
     time: f64,
     deviation: f64,
+    /// The least time, with nothing waiting on the way.
+    least: f64,
 }
 
 impl SmoothedTime {
@@ -23,14 +25,22 @@
         SmoothedTime {
             time: took,
             deviation: took / 2.0,
+            least: took,
         }
     }
 
     /// Takes another time in.
     pub(crate) fn take(&mut self, took: Duration) {
-        let error = took.as_secs_f64() - self.time;
+        let took = took.as_secs_f64();
+        let error = took - self.time;
         self.deviation += (error.abs() - self.deviation) * DEVIATION_GAIN;
         self.time += error * TIME_GAIN;
+        self.least = self.least.min(took);
+    }
+
+    /// The least time that was seen.
+    pub(crate) fn least(&self) -> Duration {
+        Duration::from_secs_f64(self.least)
     }
 
     /// A time that usual ones stay below.
--- a/crates/coursestand-proxy/tests/common/mod.rs
+++ b/crates/coursestand-proxy/tests/common/mod.rs
@@ -2,6 +2,8 @@
 //! a raw socket.
 #![allow(dead_code, missing_docs)]
 
+pub mod narrow_link;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -47,6 +49,7 @@
 pub struct Rules {
     pub max_attempts: u32,
     pub timeout_ms: u64,
+    pub objective_ms: u64,
     pub retry_extra: f64,
 }
 
@@ -55,6 +58,7 @@
         Rules {
             max_attempts: 2,
             timeout_ms: 5_000,
+            objective_ms: 100,
             retry_extra: 100.0,
         }
     }
@@ -64,6 +68,7 @@
     let route = |name: &str, kind| {
         let route = Route {
             max_attempts: rules.max_attempts,
+            target_latency_ms: rules.objective_ms,
             ..items::route(name, "s", kind, rules.timeout_ms)
         };
         items::route_item(name, 1, route)
@@ -235,7 +240,14 @@
         self.send_keyed(path, id, key, "", b"a body").await;
     }
 
-    async fn send_keyed(&mut self, path: &str, id: &str, key: &str, headers: &str, body: &[u8]) {
+    pub async fn send_keyed(
+        &mut self,
+        path: &str,
+        id: &str,
+        key: &str,
+        headers: &str,
+        body: &[u8],
+    ) {
         let names = HeaderNames::default();
         let method = if path.starts_with("/once/") {
             "POST"
