Take overflow between regions out of the look-ups again

Bound routes: the deployment has some, without traffic. Change: directory and look-ups as before, the demand is told for evening out. The test of the demand is as strict as that of the meter that it replaced.

--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -7,7 +7,7 @@
 
 use async_trait::async_trait;
 use coursestand_dialect::{Call, Dialect};
-use coursestand_discovery::{EdgePhase, EdgeRecord, FULL_LINK, LinkUse};
+use coursestand_discovery::{EdgePhase, EdgeRecord, LinkUse};
 use coursestand_kernel::http::HttpServer;
 use coursestand_kernel::{Health, MonotonicClock, Registry, Service, ServiceError, Tasks};
 use coursestand_model::fleet::FleetSettings;
@@ -94,14 +94,7 @@
         let Some(demand) = self.exchange.gate().sample_demand() else {
             return;
         };
-        // A look-up does not tell which route its caller wants, so all callers stay
-        // while one of them is bound to some regions.
-        let most = if self.exchange.gate().serves_bound_routes() {
-            FULL_LINK
-        } else {
-            LinkUse::MAX
-        };
-        let percent = (demand * 100.0).min(f64::from(most));
+        let percent = (demand * 100.0).min(f64::from(LinkUse::MAX));
         self.metrics.link_use.set(percent as i64);
         self.follower.set_link_use(percent as LinkUse);
     }
--- a/crates/coursestand-discovery/src/directory.rs
+++ b/crates/coursestand-discovery/src/directory.rs
@@ -6,8 +6,6 @@
 use coursestand_model::{Millis, RegionId, ZoneId};
 use serde::{Deserialize, Serialize};
 
-use crate::overflow::Overflows;
-
 /// Whether an entry daemon takes requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum EdgePhase {
@@ -71,7 +69,6 @@
     runs: BTreeMap<Run, Entry>,
     /// Runs that fell silent and may only be cut off from control.
     suspects: BTreeMap<Run, Suspect>,
-    overflows: Overflows,
 }
 
 /// A run that fell silent, with what other entry daemons say of it.
@@ -187,24 +184,9 @@
         let run = (name.to_owned(), incarnation);
         if let Some(entry) = self.runs.get_mut(&run) {
             entry.link_use = Some(link_use);
-            let region = entry.record.region.clone();
-            self.adapt_overflow(&region);
         }
     }
 
-    fn adapt_overflow(&mut self, region: &RegionId) {
-        let uses = self.runs.values().filter_map(|entry| {
-            let is_near = entry.record.region == *region;
-            entry
-                .link_use
-                .map(|link_use| (is_near, f64::from(link_use)))
-        });
-        let (near, far): (Vec<_>, Vec<_>) = uses.partition(|(is_near, _)| *is_near);
-        let near: Vec<f64> = near.into_iter().map(|(_, link_use)| link_use).collect();
-        let far: Vec<f64> = far.into_iter().map(|(_, link_use)| link_use).collect();
-        self.overflows.adapt(region, &near, &far);
-    }
-
     /// Addresses for a client in `zone` of `region`: the ready daemons of its
     /// region, those of its zone first; when there are none, all ready ones. Those
     /// whose links are used more than the others' are left out of some answers;
@@ -218,41 +200,24 @@
         mut draw: impl FnMut() -> f64,
     ) -> Vec<SocketAddr> {
         let ready = self.ready(now);
-        let (mut near, far): (Vec<Candidate<'_>>, Vec<Candidate<'_>>) = ready
-            .into_iter()
-            .partition(|candidate| candidate.record.region == *region);
+        let mut near: Vec<Candidate<'_>> = ready
+            .iter()
+            .copied()
+            .filter(|candidate| candidate.record.region == *region)
+            .collect();
         if near.is_empty() {
-            near = far;
-            near.sort_by_key(|candidate| candidate.record.zone != *zone);
-            return self.spread(&near, 1.0, most, &mut draw);
+            near = ready;
         }
         near.sort_by_key(|candidate| candidate.record.zone != *zone);
-        let named = self.overflows.named(region, near.len(), far.len());
-        let mut far: Vec<Candidate<'_>> = far.into_iter().filter(|_| draw() < named.far).collect();
-        far.truncate(most / 2);
-        let mut addresses = self.spread(&near, named.near, most - far.len(), &mut draw);
-        addresses.extend(far.iter().map(|candidate| candidate.record.address));
-        addresses
-    }
-
-    /// Addresses of a `part` of these daemons, less of those whose links are used more
-    /// than the others'; one at least.
-    fn spread(
-        &self,
-        candidates: &[Candidate<'_>],
-        part: f64,
-        most: usize,
-        mut draw: impl FnMut() -> f64,
-    ) -> Vec<SocketAddr> {
-        let mean = mean_link_use(candidates);
+        let mean = mean_link_use(&near);
         let mut addresses: Vec<SocketAddr> = Vec::new();
         let mut left_out: Vec<SocketAddr> = Vec::new();
-        for candidate in candidates {
+        for candidate in near {
             let address = candidate.record.address;
             if addresses.contains(&address) || addresses.len() >= most {
                 continue;
             }
-            if draw() < 1.0 - part * (1.0 - candidate.excess(mean)) {
+            if draw() < candidate.excess(mean) {
                 left_out.push(address);
             } else {
                 addresses.push(address);
--- a/crates/coursestand-discovery/src/lib.rs
+++ b/crates/coursestand-discovery/src/lib.rs
@@ -8,10 +8,8 @@
 mod claims;
 pub mod directory;
 pub mod instance;
-mod overflow;
 pub mod table;
 
 pub use directory::{Directory, EdgePhase, EdgeRecord, LinkUse};
 pub use instance::{Instance, InstanceNews, InstancePhase};
-pub use overflow::FULL_LINK;
 pub use table::InstanceTable;
--- a/crates/coursestand-proxy/src/link_gate.rs
+++ b/crates/coursestand-proxy/src/link_gate.rs
@@ -49,12 +49,6 @@
         self.admission().sample_demand(self.clock.now())
     }
 
-    /// Whether a part of the requests that counts is for routes that only some regions
-    /// may serve.
-    pub fn serves_bound_routes(&self) -> bool {
-        self.admission().serves_bound_routes()
-    }
-
     /// Admits a request with so many bytes of head and body, or refuses it.
     pub(crate) fn admit(
         self: &Arc<Self>,
--- a/crates/coursestand-routing/src/link_admission.rs
+++ b/crates/coursestand-routing/src/link_admission.rs
@@ -63,8 +63,8 @@
 const FIRST_ANSWER_BYTES: f64 = 4_000.0;
 /// Weight of a new answer in the size that a route's answers are expected to have.
 const SIZE_GAIN: f64 = 1.0 / 16.0;
-/// Part of the requests that a route must have for its objective, its priority and its
-/// regions to count: a handful of requests with a tight objective must not halve what
+/// Part of the requests that a route must have for its objective and its priority to
+/// count: a handful of requests with a tight objective must not halve what
 /// all others may use of the link.
 const LEAST_PART_OF_REQUESTS: f64 = 0.02;
 /// Part of a route's count of requests that is left after an interval.
@@ -126,8 +126,6 @@
     objective_ms: Millis,
     priority: u32,
     services: Vec<ServiceId>,
-    /// Whether only some regions may serve it.
-    is_bound: bool,
     /// Requests in the last intervals, fading.
     requests: f64,
     /// Factor of the queue that its requests bear, from 1 to 2.
@@ -146,7 +144,6 @@
                 .iter()
                 .map(|(service, _)| (*service).clone())
                 .collect(),
-            is_bound: !route.route.allowed_regions.is_empty(),
             requests: 0.0,
             patience: 1.0,
         }
@@ -199,7 +196,6 @@
     /// Priorities of the routes in use, most urgent first.
     priorities: Vec<u32>,
     tightest_ms: Option<Millis>,
-    serves_bound_routes: bool,
     drained_at: Millis,
     interval: Interval,
     demand: Demand,
@@ -235,7 +231,6 @@
             routes: HashMap::new(),
             priorities: Vec::new(),
             tightest_ms: None,
-            serves_bound_routes: false,
             drained_at: 0,
             interval: Interval::default(),
             demand: Demand::default(),
@@ -248,11 +243,6 @@
         self.rate
     }
 
-    /// Whether a route in use may be served by some regions only.
-    pub fn serves_bound_routes(&self) -> bool {
-        self.serves_bound_routes
-    }
-
     /// A request came. It is admitted, or refused with a chance that grows with the
     /// queue; `draw` is a random number from 0 to 1.
     pub fn admit(
@@ -371,7 +361,6 @@
             .or_insert_with(|| RouteTraffic::of(route, request_bytes));
         traffic.objective_ms = route.route.target_latency_ms;
         traffic.priority = route.route.priority;
-        traffic.is_bound = !route.route.allowed_regions.is_empty();
         traffic.requests += 1.0;
         traffic.request_bytes += (request_bytes - traffic.request_bytes) * SIZE_GAIN;
         traffic
@@ -402,7 +391,6 @@
             .map(|route| route.objective_ms)
             .filter(|objective_ms| *objective_ms > 0)
             .min();
-        self.serves_bound_routes = in_use().any(|route| route.is_bound);
         self.priorities = priorities.into_iter().collect();
         self.compare_savings(all);
     }
--- a/crates/coursestand-routing/tests/link_admission.rs
+++ b/crates/coursestand-routing/tests/link_admission.rs
@@ -4,7 +4,7 @@
 #![allow(missing_docs)]
 
 use coursestand_catalog::{Route, RouteKind, RouteTarget};
-use coursestand_model::{RegionId, ServiceId};
+use coursestand_model::ServiceId;
 use coursestand_routing::RouteEntry;
 use coursestand_routing::link_admission::{Arrival, LinkAdmission};
 use googletest::prelude::*;
@@ -221,9 +221,9 @@
         }
         demands.push(admission.sample_demand((second + 1) * 1_000));
     }
-    expect_that!(demands[0], some(near(1.0, 0.05)));
-    expect_that!(demands[5], some(near(2.0, 0.05)));
-    expect_that!(admission.sample_demand(7_000), some(near(1.0, 0.05)));
+    expect_that!(demands[0], some(near(1.0, 0.001)));
+    expect_that!(demands[5], some(near(2.0, 0.02)));
+    expect_that!(admission.sample_demand(7_000), some(near(1.0, 0.02)));
     let mut free = LinkAdmission::new(None);
     expect_that!(free.sample_demand(1_000), none());
 }
@@ -244,18 +244,3 @@
     admission.abandoned(2_020, second);
     expect_that!(admission.admit(2_100, &arrival, 0.99), ok(anything()));
 }
-
-#[gtest]
-fn a_bound_route_counts_once_it_has_a_part_of_the_requests() {
-    let mut bound = route("bound", 0);
-    bound.route.allowed_regions = vec![RegionId::from("a")];
-    let mut mostly_free = vec![(route("free", 0), ANSWER_BYTES); 99];
-    mostly_free.push((bound.clone(), ANSWER_BYTES));
-    let mut admission = LinkAdmission::new(Some(NARROW));
-    offer(&mut admission, &mostly_free, 40, 0.0);
-    expect_that!(admission.serves_bound_routes(), eq(false));
-    let mixed = [(route("free", 0), ANSWER_BYTES), (bound, ANSWER_BYTES)];
-    let mut admission = LinkAdmission::new(Some(NARROW));
-    offer(&mut admission, &mixed, 40, 0.0);
-    expect_that!(admission.serves_bound_routes(), eq(true));
-}
