Lock what a daemon believes and what it knows of control in one order

Cause: metrics and the dump held the beliefs and then locked what is known of control; news of control locked the two the other way round. As old as the metrics; now met more often, since the round of the follower locks both each second. Daemons of a fleet run on one thread and can't meet it; what embeds them on several can. Ruled out: control (all changes were committed), the disk (syncs of 84 us). Change: the follower is asked before the beliefs are locked. Conclusion: mended.

--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -235,7 +235,7 @@
         self.update_following();
         if was_connected {
             info!(target: LOG, control:% = control, followed = self.followed_count(),
-                catalog = self.state.beliefs().catalog.version(),
+                catalog = self.catalog_version(),
                 catalog_age_ms = self.catalog_age_ms();
                 "control process lost: {error}");
             self.metrics.lost.inc();
@@ -300,7 +300,7 @@
             .catalog_age_ms()
             .is_some_and(|age_ms| age_ms < PROOF_LIFETIME_MS);
         if is_newest {
-            info!(target: LOG, catalog = self.state.beliefs().catalog.version(),
+            info!(target: LOG, catalog = self.catalog_version(),
                 catalog_age_ms = self.catalog_age_ms(); "this daemon is ready");
             self.set_phase(EdgePhase::Ready);
         }
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -71,6 +71,8 @@
 
 impl Running {
     fn update_metrics(&self) {
+        self.follower.update_metrics();
+        self.metrics.idle.set(self.pool.idle_count() as i64);
         let now = self.state.now();
         let beliefs = self.state.beliefs();
         let count = |is_counted: &dyn Fn(&Backend) -> bool| {
@@ -85,8 +87,6 @@
         self.metrics
             .ejected
             .set(count(&|backend| backend.is_ejected(now)));
-        self.follower.update_metrics();
-        self.metrics.idle.set(self.pool.idle_count() as i64);
     }
 
     /// Tells how much of the machine's link the requests need, when its speed is known.
@@ -265,6 +265,8 @@
             return Value::Null;
         };
         let trust = self.balance().trust;
+        let follower = running.follower.dump();
+        let idle_connections = running.pool.idle_count();
         let beliefs = running.state.beliefs();
         let now = running.state.now();
         let backends: Vec<Value> = beliefs
@@ -284,11 +286,11 @@
             })
             .collect();
         json!({
-            "follower": running.follower.dump(),
+            "follower": follower,
             "catalog_version": beliefs.catalog.version(),
             "daemons": beliefs.daemons,
             "backends": backends,
-            "idle_connections": running.pool.idle_count(),
+            "idle_connections": idle_connections,
         })
     }
 
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -5,6 +5,7 @@
 mod deployment;
 mod silent_edge;
 mod stale_catalog;
+mod state_dump;
 
 use coursestand_discovery::InstancePhase;
 use coursestand_lab::scripted::{Behaviour, ScriptedBackend};
--- a/crates/coursestand-proxy/src/edge_state.rs
+++ b/crates/coursestand-proxy/src/edge_state.rs
@@ -83,7 +83,8 @@
         &self.bounds
     }
 
-    /// The beliefs. Never held over a wait.
+    /// The beliefs. Never held over a wait, nor while anything else is locked: the
+    /// follower locks them while it holds what it knows of control.
     pub fn beliefs(&self) -> MutexGuard<'_, Beliefs> {
         self.beliefs.lock().unwrap_or_else(PoisonError::into_inner)
     }
