--- a/crates/coursestand-coordination/src/freshness.rs
+++ b/crates/coursestand-coordination/src/freshness.rs
@@ -7,12 +7,16 @@
 //! before that moment. This is a quorum read without the leader: it holds while the
 //! group has none, and costs one number in answers that are sent anyway.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use coursestand_model::Millis;
 
 use crate::tables::ControlVersion;
 
+/// Answers of one replica that are kept: while the log grows, the newest one tells of
+/// entries that the copy does not cover yet, and an earlier one may prove something.
+const MOST_ANSWERS: usize = 8;
+
 /// What one replica said of its log.
 #[derive(Clone, Copy, Debug)]
 struct LogEnd {
@@ -26,9 +30,9 @@
 #[derive(Clone, Debug)]
 pub struct Freshness<Replica> {
     members: BTreeSet<Replica>,
-    /// Commit index of the replica that told the members, when it did.
+    /// Log index of the change that made the members these.
     members_as_of: ControlVersion,
-    log_ends: BTreeMap<Replica, LogEnd>,
+    log_ends: BTreeMap<Replica, VecDeque<LogEnd>>,
     /// All changes up to this index are in the copy.
     covered: ControlVersion,
     proven_at: Option<Millis>,
@@ -47,9 +51,8 @@
 }
 
 impl<Replica: Clone + Ord> Freshness<Replica> {
-    /// The members of the group, as a replica that had committed up to `as_of` tells
-    /// them. A list that is older than the one held changes nothing. Returns whether
-    /// it was taken.
+    /// The members of the group, made so by the change at `as_of`. A list that is older
+    /// than the one held changes nothing. Returns whether it was taken.
     pub fn set_members(&mut self, members: BTreeSet<Replica>, as_of: ControlVersion) -> bool {
         if members.is_empty() || as_of < self.members_as_of {
             return false;
@@ -72,7 +75,11 @@
 
     /// `replica` was asked at `asked_at` and answered that its log ends at `index`.
     pub fn note_log_end(&mut self, replica: Replica, asked_at: Millis, index: ControlVersion) {
-        self.log_ends.insert(replica, LogEnd { asked_at, index });
+        let answers = self.log_ends.entry(replica).or_default();
+        answers.push_back(LogEnd { asked_at, index });
+        if answers.len() > MOST_ANSWERS {
+            answers.pop_front();
+        }
         self.prove();
     }
 
@@ -86,6 +93,11 @@
         self.members.len() / 2 + 1
     }
 
+    fn newest_covered(&self, answers: &VecDeque<LogEnd>) -> Option<Millis> {
+        let covered = answers.iter().filter(|end| end.index <= self.covered);
+        covered.map(|end| end.asked_at).max()
+    }
+
     fn prove(&mut self) {
         if self.members.is_empty() {
             return;
@@ -93,8 +105,8 @@
         let mut asked_at: Vec<Millis> = self
             .log_ends
             .iter()
-            .filter(|(replica, end)| self.members.contains(replica) && end.index <= self.covered)
-            .map(|(_, end)| end.asked_at)
+            .filter(|(replica, _)| self.members.contains(replica))
+            .filter_map(|(_, answers)| self.newest_covered(answers))
             .collect();
         // The newest first: the last one of a quorum bounds the moment.
         asked_at.sort_unstable_by(|left, right| right.cmp(left));
--- a/crates/coursestand-coordination/tests/freshness.rs
+++ b/crates/coursestand-coordination/tests/freshness.rs
@@ -169,3 +169,15 @@
     }
     expect_that!(freshness.proven_at(), none());
 }
+
+#[gtest]
+fn a_growing_log_does_not_keep_the_proof_away() {
+    let mut freshness = Freshness::default();
+    freshness.set_members(BTreeSet::from([1, 2, 3]), 1);
+    // Two of three answer, and each has applied all but its newest entries.
+    for round in 0..20 {
+        freshness.cover(round);
+        freshness.note_log_end(1 + (round % 2) as u8, round * 75, round + 2);
+    }
+    expect_that!(freshness.proven_at(), some(ge(16 * 75)));
+}
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -345,8 +345,9 @@
         let messages = std::mem::take(&mut ready.messages_after_sync);
         busy |= needs_sync || !messages.is_empty() || !ready.committed.is_empty();
         self.peers.send(cluster, own, &membership, messages);
-        if let Some(snapshot) = &ready.snapshot {
-            self.restore(snapshot);
+        if let Some(snapshot) = &ready.snapshot
+            && self.restore(snapshot)
+        {
             self.note_applied(snapshot.index);
         }
         self.apply(ready.committed);
@@ -361,17 +362,22 @@
         }
     }
 
-    fn restore(&self, snapshot: &Snapshot) {
+    /// Returns whether the shared state is that of the snapshot.
+    fn restore(&self, snapshot: &Snapshot) -> bool {
         if snapshot.data.is_empty() {
-            return;
+            return true;
         }
         match postcard::from_bytes::<ControlState>(&snapshot.data) {
             Ok(mut state) => {
                 state.restore_derived();
                 *self.shared.state_mut() = state;
                 self.shared.announce_versions();
+                true
+            }
+            Err(failure) => {
+                error!(target: LOG, "a snapshot can't be decoded: {failure}");
+                false
             }
-            Err(failure) => error!(target: LOG, "a snapshot can't be decoded: {failure}"),
         }
     }
 
--- a/crates/coursestand-daemon/src/fleet/control_link.rs
+++ b/crates/coursestand-daemon/src/fleet/control_link.rs
@@ -32,6 +32,8 @@
 const OVERDUE_ROUND_TRIPS: u32 = 3;
 /// Longest wait for an answer, whatever the link took before.
 const LONGEST_OVERDUE: Duration = Duration::from_millis(8_000);
+/// Tries after which the limit grows no more: it is the longest by then.
+const MOST_DOUBLINGS: u32 = 3;
 /// A connection whose bytes are not confirmed for this long has ended.
 const LINK_SILENCE: Duration = Duration::from_millis(10_000);
 
@@ -47,8 +49,7 @@
 impl Patience {
     fn limit(&self) -> Duration {
         let usual = OVERDUE.max(self.round_trip * OVERDUE_ROUND_TRIPS);
-        // A few doublings reach the longest limit.
-        let doublings = self.silent_tries.min(u32::BITS / 4);
+        let doublings = self.silent_tries.min(MOST_DOUBLINGS);
         (usual * 2_u32.pow(doublings)).min(LONGEST_OVERDUE)
     }
 }
@@ -64,12 +65,13 @@
     heard_at: Instant,
 }
 
-/// Why a session is not used on for now.
-enum Interruption {
+/// What a session is run for.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Until {
     /// An answer is overdue.
     Overdue,
-    /// The connection failed.
-    Failed(StreamError),
+    /// Something is heard.
+    Heard,
 }
 
 /// Keeps following `control` until it is dropped.
@@ -93,25 +95,32 @@
     patience: &mut Patience,
 ) -> StreamError {
     loop {
-        match session.run(follower, control, patience).await {
-            Interruption::Failed(error) => return error,
-            Interruption::Overdue => {}
+        let overdue = session.exchange(follower, control, patience, Until::Overdue);
+        if let Err(error) = overdue.await {
+            return error;
         }
         let started = Instant::now();
+        let limit = patience.limit();
         tokio::select! {
-            // The old connection knows all that it was told: it goes first.
+            // The old connection knows all that it was told: it goes first. It still
+            // carries signs of life and the daemon's phase.
             biased;
-            message = session.receiver.next() => match message {
-                Ok(message) => session.take(follower, control, message, patience),
-                Err(error) => return error,
-            },
-            renewed = Session::open_and_hear(follower, control, patience.limit()) => match renewed {
+            heard = session.exchange(follower, control, patience, Until::Heard) => {
+                if let Err(error) = heard {
+                    return error;
+                }
+            }
+            renewed = Session::open_and_hear(follower, control, limit) => match renewed {
                 Ok((renewed, message)) => {
                     info!(target: LOG, control:% = control,
                         silent_ms = session.heard_at.elapsed().as_millis() as u64,
                         took_ms = started.elapsed().as_millis() as u64;
                         "a connection that fell silent was replaced");
                     follower.note_renewed(control);
+                    // It has told its first words; whether it is quicker shows at its
+                    // first answer. Without this, a table that takes longer to arrive
+                    // than an answer may is begun anew for ever.
+                    patience.silent_tries += 1;
                     session = renewed;
                     session.take(follower, control, message, patience);
                 }
@@ -164,36 +173,33 @@
         Ok((session, message))
     }
 
-    /// Runs until an answer is overdue or the connection fails.
-    async fn run(
-        &mut self,
-        follower: &EdgeFollower,
-        control: SocketAddr,
-        patience: &mut Patience,
-    ) -> Interruption {
-        let result = self.exchange(follower, control, patience).await;
-        match result {
-            Ok(()) => Interruption::Overdue,
-            Err(error) => Interruption::Failed(error),
-        }
-    }
-
+    /// Carries messages both ways until what it is run for, or until the connection
+    /// fails.
     async fn exchange(
         &mut self,
         follower: &EdgeFollower,
         control: SocketAddr,
         patience: &mut Patience,
+        until: Until,
     ) -> Result<(), StreamError> {
         let mut probes = FuturesUnordered::new();
         loop {
-            let overdue_at = self.overdue_at(patience.limit());
+            let overdue_at = match until {
+                Until::Overdue => self.overdue_at(patience.limit()),
+                Until::Heard => None,
+            };
             tokio::select! {
                 // A message that waits counts before the time that went by without it,
                 // as when this process stood still.
                 biased;
                 message = self.receiver.next() => match message? {
                     ToEdge::Probe(suspect) => probes.push(follower.prober().find_ready(suspect)),
-                    message => self.take(follower, control, message, patience),
+                    message => {
+                        self.take(follower, control, message, patience);
+                        if until == Until::Heard {
+                            return Ok(());
+                        }
+                    }
                 },
                 changed = self.phases.changed() => {
                     if changed.is_err() {
@@ -241,7 +247,6 @@
         patience: &mut Patience,
     ) {
         self.heard_at = Instant::now();
-        patience.silent_tries = 0;
         if follower.phase() == EdgePhase::Starting && matches!(message, ToEdge::Catalog(_)) {
             // The answer tells whether there is anything newer: the daemon waits for it.
             self.next_ping = self.heard_at;
@@ -251,6 +256,7 @@
             return;
         };
         if let Some(sent_at) = self.unanswered.pop_front() {
+            patience.silent_tries = 0;
             patience.round_trip = sent_at.elapsed();
             follower.note_pong(control, patience.round_trip, reach);
         }
--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -35,9 +35,9 @@
 /// A control process counts as connected for this long after a sign of life was sent
 /// that it answered. Fixed, whatever the link takes: others take cold back ends over by it.
 const CONNECTED_MS: Millis = 2_500;
-/// A daemon that starts is ready by a proof of its catalog of this age at most: the
-/// answer that proves it may take as long as a connection may be silent.
-const PROOF_LIFETIME_MS: Millis = 10_000;
+/// A daemon that starts is ready by a proof of its catalog of this age at most: longer
+/// than the slowest round trip that was measured on a full link, 1.9 s, twice.
+const PROOF_LIFETIME_MS: Millis = 5_000;
 /// Time in which news of a lost daemon arrives at all others: changes are told at
 /// most every 200 ms, over the ways between the farthest regions.
 const NEWS_LAG: Duration = Duration::from_millis(1_000);
@@ -46,7 +46,7 @@
 /// A round trip to control that takes longer is logged: changes come as late.
 const SLOW_ROUND_TRIP: Duration = Duration::from_millis(500);
 /// Time between two looks at which control processes to follow.
-const ROUND: Duration = Duration::from_millis(1_000);
+const ROUND: Duration = Duration::from_millis(500);
 
 /// What is known of one control process.
 #[derive(Clone, Debug, Default)]
@@ -349,8 +349,8 @@
         info!(target: LOG, control:% = from, members = group.members.len(),
             voters = group.voters.len(), changed_at = group.changed_at;
             "the control group was told");
-        self.freshness().set_members(group.voters, group.changed_at);
-        if !group.members.is_empty() {
+        let is_newest = self.freshness().set_members(group.voters, group.changed_at);
+        if is_newest && !group.members.is_empty() {
             *self.controls() = group.members;
         }
     }
@@ -371,6 +371,12 @@
     }
 
     fn merge_edges(&self) {
+        // Nobody that is connected tells the daemons: the last list stands. Retry budgets
+        // are shared out by it, and one of this daemon alone would take them whole.
+        if self.followed_count() == 0 {
+            self.update_following();
+            return;
+        }
         let now = self.state.now();
         let names: BTreeSet<String> = self
             .followed()
--- a/crates/coursestand-daemon/src/fleet/hub.rs
+++ b/crates/coursestand-daemon/src/fleet/hub.rs
@@ -249,13 +249,7 @@
     }
 
     /// Another control process is connected with an entry daemon, or no longer.
-    /// Returns whether that is news.
-    pub fn take_peer_edge(
-        &self,
-        peer: SocketAddr,
-        record: &EdgeRecord,
-        is_connected: bool,
-    ) -> bool {
+    pub fn take_peer_edge(&self, peer: SocketAddr, record: &EdgeRecord, is_connected: bool) {
         let changed = {
             let mut state = self.state();
             if is_connected {
@@ -269,47 +263,50 @@
         if changed {
             self.publish_edges();
         }
-        changed
     }
 
     /// The connection `number` with an entry daemon is heard, or no longer. The daemon
     /// may have another one: it makes a new one before it gives up one that is silent.
-    pub fn note_edge(&self, number: u64, record: &EdgeRecord, is_connected: bool) {
-        if self.note_edge_link(number, record, is_connected) {
-            self.tell_edge(record, is_connected);
-        }
-    }
-
-    /// Returns whether the daemon is connected after this as `is_connected` says.
-    fn note_edge_link(&self, number: u64, record: &EdgeRecord, is_connected: bool) -> bool {
-        let run = (record.name.clone(), record.incarnation);
-        let mut state = self.state();
-        let links = state.edge_links.entry(run.clone()).or_default();
-        if is_connected {
-            links.insert(number);
-            return true;
-        }
-        let was_connected = links.remove(&number);
-        let is_gone = links.is_empty();
-        if is_gone {
-            state.edge_links.remove(&run);
+    pub fn note_edge(&self, number: u64, record: &EdgeRecord, is_heard: bool) {
+        if self.change_edge_link(number, record, is_heard) {
+            self.tell_edge(record, is_heard);
         }
-        was_connected && is_gone
     }
 
     /// The connection `number` with an entry daemon has been silent for long: when it
     /// has no other, others are to find out whether the daemon serves on.
     pub fn note_silent_edge(&self, number: u64, record: &EdgeRecord) {
-        if self.note_edge_link(number, record, false) {
+        if self.change_edge_link(number, record, false) {
             self.tell_edge(record, false);
             self.suspect_edge(record);
         }
     }
 
-    fn tell_edge(&self, record: &EdgeRecord, is_connected: bool) {
-        if !self.take_peer_edge(self.own, record, is_connected) {
-            return;
+    /// Notes whether a connection is heard, and at once what that means for the daemon:
+    /// a renewal and the end of the old connection may meet. Returns whether the
+    /// directory changed.
+    fn change_edge_link(&self, number: u64, record: &EdgeRecord, is_heard: bool) -> bool {
+        let run = (record.name.clone(), record.incarnation);
+        let mut state = self.state();
+        if is_heard {
+            state.edge_links.entry(run).or_default().insert(number);
+            return state.directory.connect(self.own, record);
+        }
+        let Some(links) = state.edge_links.get_mut(&run) else {
+            return false;
+        };
+        links.remove(&number);
+        if !links.is_empty() {
+            return false;
         }
+        state.edge_links.remove(&run);
+        state
+            .directory
+            .disconnect(self.own, &record.name, record.incarnation)
+    }
+
+    fn tell_edge(&self, record: &EdgeRecord, is_connected: bool) {
+        self.publish_edges();
         info!(target: LOG, edge = record.name, incarnation = record.incarnation,
             phase:? = record.phase, connected = is_connected; "an entry daemon changed");
         if let Some(links) = self.links() {
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -18,6 +18,7 @@
 use crate::control::event::Event;
 use crate::control::handle::ControlHandle;
 use crate::control::peers::Envelope;
+use crate::control::shared::LogReach;
 use crate::fleet::formation::Formation;
 use crate::fleet::hub::{EdgeNames, Hub};
 use crate::fleet::wire::{Answer, EdgeChange, PeerMessage, PeerReply, Question, ToControl, ToEdge};
@@ -127,9 +128,7 @@
         PeerMessage::Edge {
             record,
             is_connected,
-        } => {
-            serving.hub.take_peer_edge(peer, &record, is_connected);
-        }
+        } => serving.hub.take_peer_edge(peer, &record, is_connected),
         PeerMessage::Ask { number, question } => {
             let serving = Arc::clone(serving);
             let replies = replies.clone();
@@ -280,6 +279,7 @@
                             // Read first: what it says is applied is then sent.
                             let reach = self.serving.control.shared.log_reach();
                             self.send_catalog(sender).await?;
+                            let reach = self.still_applied(reach);
                             sender.send(&ToEdge::Pong { reach }).await?;
                         }
                         ToControl::Edge(next) => {
@@ -331,6 +331,13 @@
         }
     }
 
+    /// The same, unless the replica began anew from its disk meanwhile: what was sent
+    /// may then be older.
+    fn still_applied(&self, reach: Option<LogReach>) -> Option<LogReach> {
+        let now = self.serving.control.shared.log_reach()?;
+        reach.filter(|reach| now.applied >= reach.applied)
+    }
+
     async fn send_catalog(&mut self, sender: &mut Sender<ToEdge>) -> Result<(), StreamError> {
         let delta = {
             let state = self.serving.control.shared.state();
--- a/crates/coursestand-daemon/tests/following/scripted_control.rs
+++ b/crates/coursestand-daemon/tests/following/scripted_control.rs
@@ -9,7 +9,7 @@
 
 use coursestand_catalog::{Catalog, Patch, RouteKind};
 use coursestand_daemon::control::shared::LogReach;
-use coursestand_daemon::fleet::wire::{ControlGroup, ToControl, ToEdge};
+use coursestand_daemon::fleet::wire::{ControlGroup, EdgeChange, ToControl, ToEdge};
 use coursestand_lab::items;
 use coursestand_transport::stream::{self, Receiver, Sender};
 use tokio::net::{TcpListener, TcpStream};
@@ -23,6 +23,9 @@
     catalog: Catalog,
     reach: Option<LogReach>,
     group: ControlGroup,
+    /// Time that all after the group takes to pass on a new connection.
+    table_takes: Duration,
+    names: Vec<String>,
 }
 
 /// One control process of a script; it lives as long as the test.
@@ -66,6 +69,8 @@
                     applied: FIRST_CHANGE,
                 }),
                 group: ControlGroup::default(),
+                table_takes: Duration::ZERO,
+                names: Vec::new(),
             })),
             applied: Arc::new(watch::Sender::new(FIRST_CHANGE)),
             silent_up_to: Arc::default(),
@@ -98,6 +103,12 @@
         };
     }
 
+    pub fn set_table(&self, takes: Duration, names: Vec<String>) {
+        let mut script = self.script();
+        script.table_takes = takes;
+        script.names = names;
+    }
+
     /// Its log holds the entry `index`, which it does not know to be committed.
     pub fn append(&self, index: u64) {
         if let Some(reach) = &mut self.script().reach {
@@ -185,6 +196,7 @@
     let receiving = tokio::spawn(receive(receiver, arriving, delay));
     let sending = tokio::spawn(send(sender, to_send));
     let mut told = 0;
+    let mut passed_at = Instant::now();
     loop {
         let message = tokio::select! {
             message = arrived.recv() => message,
@@ -198,7 +210,12 @@
             Some((due, message)) => {
                 tokio::time::sleep_until(due).await;
                 if matches!(message, ToControl::EdgeHello { .. }) {
-                    replies.push(ToEdge::Controls(shared.script().group.clone()));
+                    let first = ToEdge::Controls(shared.script().group.clone());
+                    let _ = leaving.send((Instant::now() + delay, first));
+                    passed_at = Instant::now() + shared.script().table_takes;
+                    let came = shared.script().names.clone();
+                    let went = Vec::new();
+                    replies.push(ToEdge::Edges(EdgeChange { came, went }));
                 }
                 let reach = shared.script().reach;
                 replies.extend(news(&shared, &mut told));
@@ -215,7 +232,7 @@
         }
         for reply in replies {
             // The other side may have gone.
-            let _ = leaving.send((Instant::now() + delay, reply));
+            let _ = leaving.send((passed_at.max(Instant::now()) + delay, reply));
         }
     }
     sending.abort();
--- a/crates/coursestand-daemon/tests/following/stale_catalog.rs
+++ b/crates/coursestand-daemon/tests/following/stale_catalog.rs
@@ -206,3 +206,64 @@
     controls[0].apply(FIRST_CHANGE + 2);
     time_until("the daemon is ready", || daemon.is_ready()).await;
 }
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_table_that_takes_longer_than_an_answer_may_is_taken() {
+    let controls = controls(Duration::from_millis(50)).await;
+    for control in &controls {
+        control.set_table(Duration::from_millis(2_000), vec!["other".to_owned()]);
+    }
+    let daemon = Daemon::start(&addresses(&controls));
+    time_until("the daemon is ready", || daemon.is_ready()).await;
+    let accepted: u64 = controls.iter().map(ScriptedControl::accepted).sum();
+    // A second one each, while the first one's table is on its way, and some patience.
+    expect_that!(accepted, le(4 * CONTROLS as u64));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_list_of_daemons_does_not_shrink_while_connections_are_renewed() {
+    let controls = controls(Duration::from_millis(300)).await;
+    let names: Vec<String> = (0..64).map(|number| format!("other-{number}")).collect();
+    for control in &controls {
+        control.set_table(Duration::ZERO, names.clone());
+    }
+    let daemon = Daemon::start(&addresses(&controls));
+    let count = || daemon.state.beliefs().daemons.len();
+    time_until("the list is there", || count() == 65).await;
+    time_until("the daemon is ready", || daemon.is_ready()).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for control in &controls {
+        control.silence_connections();
+    }
+    let started = Instant::now();
+    let mut least = 65;
+    while started.elapsed() < Duration::from_secs(6) {
+        least = least.min(count());
+        tokio::time::sleep(LOOK).await;
+    }
+    // Retry budgets are shared out by it.
+    expect_that!(least, eq(65));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_old_list_that_is_told_last_is_not_followed() {
+    let mut controls = controls(Duration::ZERO).await;
+    let late = ScriptedControl::start(Duration::from_millis(300)).await;
+    controls[CONTROLS - 1] = late;
+    let controls = controls;
+    let all = addresses(&controls);
+    let last = &controls[CONTROLS - 1];
+    last.set_group(&[last.address], FIRST_CHANGE);
+    for control in &controls[..CONTROLS - 1] {
+        control.set_group(&all, FIRST_CHANGE + 1);
+    }
+    let daemon = Daemon::start(&all);
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    expect_that!(daemon.follower.followed_count(), ge(3));
+    controls[0].apply(FIRST_CHANGE + 2);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    expect_that!(daemon.catalog(), eq(FIRST_CHANGE + 2));
+}
