Leave a back end out for a while, not for good, when it says once that it is another

Cause: a word that another instance answers at an address ended that back end at the daemon for good. Ruled out: control (it passed all four on as ready), the follower (three control processes). Change: it ends only where another instance is known at that address; else it is left out for a while, as before.

--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -143,7 +143,7 @@
         let mut beliefs = self.state.beliefs();
         match failure {
             AttemptFailure::Unreachable => beliefs.backends.note_unreachable(now, id),
-            AttemptFailure::Misdirected => beliefs.backends.note_misdirected(id),
+            AttemptFailure::Misdirected => beliefs.backends.note_misdirected(now, id),
             AttemptFailure::Shed => beliefs.backends.note_shed(now, id, load),
             AttemptFailure::Lost | AttemptFailure::TimedOut => {
                 beliefs.backends.note_failure(now, id);
--- a/crates/coursestand-routing/src/backends.rs
+++ b/crates/coursestand-routing/src/backends.rs
@@ -261,12 +261,27 @@
         }
     }
 
-    /// Another instance answered at the back end's address: it has ended, whatever
-    /// control processes still say. Where they have forgotten it, nothing else would
-    /// tell this daemon.
-    pub fn note_misdirected(&mut self, id: &BackendId) {
-        self.table.end(id);
-        self.remove(id);
+    /// What answers at the back end's address says that it is another instance. Where
+    /// another one is known to have that address, this one has ended, whatever control
+    /// processes still say: where they have forgotten it, nothing else would tell this
+    /// daemon. Without, it is left out for a while only: a back end that misbehaves may
+    /// say so of itself, and one word would end it here for good.
+    pub fn note_misdirected(&mut self, now: Millis, id: &BackendId) {
+        if self.shares_address(id) {
+            self.table.end(id);
+            self.remove(id);
+        } else {
+            self.note_unreachable(now, id);
+        }
+    }
+
+    fn shares_address(&self, id: &BackendId) -> bool {
+        let Some(backend) = self.backends.get(id) else {
+            return false;
+        };
+        let address = backend.instance.address;
+        let mut others = self.backends.values();
+        others.any(|other| other.instance.id != *id && other.instance.address == address)
     }
 
     /// The back end gave no proper answer.
--- a/crates/coursestand-routing/tests/shared_address.rs
+++ b/crates/coursestand-routing/tests/shared_address.rs
@@ -46,7 +46,7 @@
     let mut backends = Backends::default();
     backends.merge(0, news("new", 1, InstancePhase::Ready));
     backends.merge(1, news("old", 9, InstancePhase::Ready));
-    backends.note_misdirected(&BackendId::from("old"));
+    backends.note_misdirected(2, &BackendId::from("old"));
     expect_that!(is_known(&backends, "old"), eq(false));
     // Nor when another control process still says that it is ready.
     backends.merge(2, news("old", 10, InstancePhase::Ready));
@@ -55,3 +55,20 @@
     let service = ServiceId::from("s");
     expect_that!(backends.of_service(&service).count(), eq(1));
 }
+
+/// Four back ends that misbehaved said once that they were another instance, and a daemon
+/// had none left for good.
+#[gtest]
+fn one_that_has_its_address_alone_comes_back() {
+    let mut backends = Backends::default();
+    backends.merge(0, news("only", 1, InstancePhase::Ready));
+    backends.note_misdirected(1, &BackendId::from("only"));
+    expect_that!(is_known(&backends, "only"), eq(true));
+    let only = BackendId::from("only");
+    let is_ejected = |backends: &Backends, now| {
+        let backend = backends.get(&only).expect("known");
+        backend.is_ejected(now)
+    };
+    expect_that!(is_ejected(&backends, 2), eq(true));
+    expect_that!(is_ejected(&backends, 60_000), eq(false));
+}
