--- a/crates/coursestand-routing/src/link_admission.rs
+++ b/crates/coursestand-routing/src/link_admission.rs
@@ -15,7 +15,7 @@
 //! that grows with the longer queue, least urgent routes first.
 //!
 //! What it buys, in an emulated link of 2 Mbit/s under four times the load that it
-//! carries (`coursestand-proxy/tests/narrow_link.rs`): of 1,120 requests 130 to 156 are
+//! carries (`coursestand-proxy/tests/narrow_link.rs`): of 1,120 requests 117 to 133 are
 //! answered within 400 ms; without it 15 are.
 
 use std::collections::{BTreeSet, HashMap};
