Count what a daemon gets from control, by what it tells

Cause: in the incident of the large change only the machines' own counters told how much passed each link, all traffic together, so copies of a change, tables of connections made anew and requests could not be told apart; the line of an answered order did not say how many items it held. Change: coursestand_edge_control_bytes_total by kind, and the number of items with an order's answer. No logic changes.

--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -223,6 +223,7 @@
     async fn commit(&self, command: Command) -> Response {
         let started = Instant::now();
         let give_up = started + CALL_LIMIT;
+        let items = item_count(&command);
         let answer = loop {
             let answer = self.propose_once(&command, give_up).await;
             let is_final = !matches!(answer, Answer::NotLeader);
@@ -231,7 +232,8 @@
             }
             tokio::time::sleep(PAUSE).await;
         };
-        info!(target: LOG, took_ms = started.elapsed().as_millis() as u64, answer:? = answer;
+        info!(target: LOG, took_ms = started.elapsed().as_millis() as u64, items = items,
+            answer:? = answer;
             "an order was answered");
         match answer {
             Answer::Command(CommandAnswer::Done) => {
@@ -299,6 +301,14 @@
     }
 }
 
+/// Items of the catalog that a command sets or drops.
+fn item_count(command: &Command) -> usize {
+    match command {
+        Command::PatchCatalog(patch) => patch.upserts.len() + patch.removals.len(),
+        _ => 0,
+    }
+}
+
 fn catalog_of(delta: CatalogDelta) -> Catalog {
     let mut catalog = Catalog::default();
     catalog.adopt(delta);
--- a/crates/coursestand-daemon/src/fleet/control_link.rs
+++ b/crates/coursestand-daemon/src/fleet/control_link.rs
@@ -139,6 +139,17 @@
     }
 }
 
+/// The next message, counted by what it tells.
+async fn next_message(
+    follower: &EdgeFollower,
+    receiver: &mut Receiver<ToEdge>,
+) -> Result<ToEdge, StreamError> {
+    let message = receiver.next().await?;
+    let length = receiver.last_length();
+    follower.metrics().count_received(&message, length);
+    Ok(message)
+}
+
 impl Session {
     /// Connects and greets.
     async fn open(follower: &EdgeFollower, control: SocketAddr) -> Result<Session, StreamError> {
@@ -169,7 +180,14 @@
         limit: Duration,
     ) -> Result<(Session, ToEdge), StreamError> {
         let mut session = Session::open(follower, control).await?;
-        let message = session.receiver.next_within(limit).await?;
+        let hearing = next_message(follower, &mut session.receiver);
+        let message = match tokio::time::timeout(limit, hearing).await {
+            Ok(message) => message?,
+            Err(_) => {
+                let limit_ms = limit.as_millis();
+                return Err(StreamError::Silent { limit_ms });
+            }
+        };
         Ok((session, message))
     }
 
@@ -192,7 +210,7 @@
                 // A message that waits counts before the time that went by without it,
                 // as when this process stood still.
                 biased;
-                message = self.receiver.next() => match message? {
+                message = next_message(follower, &mut self.receiver) => match message? {
                     ToEdge::Probe(suspect) => probes.push(follower.prober().find_ready(suspect)),
                     message => {
                         self.take(follower, control, message, patience);
--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -159,6 +159,10 @@
         self.state.beliefs().catalog.version()
     }
 
+    pub(super) fn metrics(&self) -> &FollowerMetrics {
+        &self.metrics
+    }
+
     pub(super) fn prober(&self) -> &Prober {
         &self.prober
     }
--- a/crates/coursestand-daemon/src/fleet/follower_metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/follower_metrics.rs
@@ -1,7 +1,9 @@
 //! Metrics of an entry daemon's connections with the control group.
 
 use coursestand_model::Millis;
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntGauge, Registry};
+use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+
+use crate::fleet::wire::ToEdge;
 
 /// Upper bounds of the round trips that are told apart, in seconds: between regions
 /// one takes some 40 ms; from 0.5 s on changes come late.
@@ -19,6 +21,8 @@
     pub lost: IntCounter,
     /// From a sign of life to its answer, in seconds.
     pub round_trip: Histogram,
+    /// Bytes of messages from control processes, by what they tell.
+    received: IntCounterVec,
 }
 
 impl FollowerMetrics {
@@ -38,6 +42,14 @@
             "From a sign of life to its answer",
         );
         let round_trip = Histogram::with_opts(options.buckets(ROUND_TRIP_BUCKETS.to_vec()))?;
+        let received = IntCounterVec::new(
+            Opts::new(
+                "coursestand_edge_control_bytes_total",
+                "Bytes of messages from control processes, by what they tell",
+            ),
+            &["kind"],
+        )?;
+        registry.register(Box::new(received.clone()))?;
         registry.register(Box::new(followed.clone()))?;
         registry.register(Box::new(catalog_age.clone()))?;
         registry.register(Box::new(lost.clone()))?;
@@ -47,9 +59,22 @@
             catalog_age,
             lost,
             round_trip,
+            received,
         })
     }
 
+    /// Counts a message of this length in bytes.
+    pub fn count_received(&self, message: &ToEdge, length: usize) {
+        let kind = match message {
+            ToEdge::Catalog(_) => "catalog",
+            ToEdge::Instances(_) => "backends",
+            ToEdge::Edges(_) => "daemons",
+            ToEdge::Pong { .. } | ToEdge::Controls(_) | ToEdge::Probe(_) => "other",
+        };
+        let counter = self.received.with_label_values(&[kind]);
+        counter.inc_by(length as u64);
+    }
+
     /// Brings the gauges up to date.
     pub fn update(&self, followed: usize, catalog_age_ms: Option<Millis>) {
         self.followed.set(followed as i64);
--- a/crates/coursestand-transport/src/stream.rs
+++ b/crates/coursestand-transport/src/stream.rs
@@ -59,6 +59,8 @@
 /// Receives messages of one type.
 pub struct Receiver<T> {
     frames: FramedRead<OwnedReadHalf, LengthDelimitedCodec>,
+    /// Length of the newest message in bytes.
+    last_length: usize,
     message: PhantomData<T>,
 }
 
@@ -122,6 +124,7 @@
     let (read, write) = stream.into_split();
     let receiver = Receiver {
         frames: FramedRead::new(read, codec()),
+        last_length: 0,
         message: PhantomData,
     };
     let sender = Sender {
@@ -142,6 +145,7 @@
     pub async fn next(&mut self) -> Result<T, StreamError> {
         let frame = self.frames.next().await.ok_or(StreamError::Ended)?;
         let frame = frame.context(ConnectionSnafu)?;
+        self.last_length = frame.len();
         decode(&frame).context(MessageSnafu)
     }
 
@@ -156,6 +160,13 @@
     }
 }
 
+impl<T> Receiver<T> {
+    /// Length in bytes of the message that came last, without what the network adds.
+    pub fn last_length(&self) -> usize {
+        self.last_length
+    }
+}
+
 impl<T> Sender<T> {
     /// Waits this long for the peer to confirm bytes, in place of [`SILENCE`]: for a
     /// peer behind a link that may be full.
