Show by four tests that one large change starves a daemon's link

The scripted control gained a link that all its processes share, patches of any size and news of back ends; the daemon of the following tests moved to a module of its own, unchanged.

--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 #![allow(missing_docs)]
 
 mod deployment;
+mod large_change;
 mod silent_edge;
 mod stale_catalog;
 mod state_dump;
--- a/crates/coursestand-daemon/tests/following/main.rs
+++ b/crates/coursestand-daemon/tests/following/main.rs
@@ -2,5 +2,8 @@
 //! group are slow, silent, or lead to processes that are behind.
 #![allow(missing_docs)]
 
+mod daemon;
+mod large_change;
+mod narrow_link;
 mod scripted_control;
 mod stale_catalog;
--- a/crates/coursestand-daemon/tests/following/scripted_control.rs
+++ b/crates/coursestand-daemon/tests/following/scripted_control.rs
@@ -10,12 +10,16 @@
 use coursestand_catalog::{Catalog, Patch, RouteKind};
 use coursestand_daemon::control::shared::LogReach;
 use coursestand_daemon::fleet::wire::{ControlGroup, EdgeChange, ToControl, ToEdge};
+use coursestand_discovery::InstanceNews;
 use coursestand_lab::items;
+use coursestand_transport::frame::encode;
 use coursestand_transport::stream::{self, Receiver, Sender};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
 use tokio::time::Instant;
 
+use crate::narrow_link::NarrowLink;
+
 /// Index of the change that the catalog of every script begins with.
 pub const FIRST_CHANGE: u64 = 1;
 
@@ -26,6 +30,8 @@
     /// Time that all after the group takes to pass on a new connection.
     table_takes: Duration,
     names: Vec<String>,
+    /// The daemon's link, which all that control sends passes.
+    link: Option<Arc<NarrowLink>>,
 }
 
 /// One control process of a script; it lives as long as the test.
@@ -33,6 +39,8 @@
     pub address: SocketAddr,
     script: Arc<Mutex<Script>>,
     applied: Arc<watch::Sender<u64>>,
+    /// News of back ends, in their order.
+    news: Arc<watch::Sender<Vec<InstanceNews>>>,
     /// Connections accepted up to this number are silent.
     silent_up_to: Arc<AtomicU64>,
     accepted: Arc<AtomicU64>,
@@ -71,8 +79,10 @@
                 group: ControlGroup::default(),
                 table_takes: Duration::ZERO,
                 names: Vec::new(),
+                link: None,
             })),
             applied: Arc::new(watch::Sender::new(FIRST_CHANGE)),
+            news: Arc::default(),
             silent_up_to: Arc::default(),
             accepted: Arc::default(),
         };
@@ -84,6 +94,7 @@
         Shared {
             script: Arc::clone(&self.script),
             applied: self.applied.subscribe(),
+            news: self.news.subscribe(),
             silent_up_to: Arc::clone(&self.silent_up_to),
             accepted: Arc::clone(&self.accepted),
         }
@@ -118,12 +129,14 @@
 
     /// It applies the change `index`, which sets the route to that version.
     pub fn apply(&self, index: u64) {
+        self.apply_patch(&route_patch(index), index);
+    }
+
+    /// It applies this change at `index`.
+    pub fn apply_patch(&self, patch: &Patch, index: u64) {
         {
             let mut script = self.script();
-            script
-                .catalog
-                .merge(&route_patch(index), index)
-                .expect("valid");
+            script.catalog.merge(patch, index).expect("valid");
             script.reach = Some(LogReach {
                 end: index,
                 applied: index,
@@ -132,6 +145,16 @@
         self.applied.send_replace(index);
     }
 
+    /// All that it sends to the daemon passes this link from now on.
+    pub fn set_link(&self, link: &Arc<NarrowLink>) {
+        self.script().link = Some(Arc::clone(link));
+    }
+
+    /// It has this news of a back end, and passes it on.
+    pub fn tell_backend(&self, news: InstanceNews) {
+        self.news.send_modify(|known| known.push(news));
+    }
+
     /// All connections that are open fall silent for good; new ones work.
     pub fn silence_connections(&self) {
         let accepted = self.accepted.load(Ordering::SeqCst);
@@ -148,6 +171,7 @@
 struct Shared {
     script: Arc<Mutex<Script>>,
     applied: watch::Receiver<u64>,
+    news: watch::Receiver<Vec<InstanceNews>>,
     silent_up_to: Arc<AtomicU64>,
     accepted: Arc<AtomicU64>,
 }
@@ -180,9 +204,18 @@
     }
 }
 
-async fn send(mut sender: Sender<ToEdge>, mut travelling: mpsc::UnboundedReceiver<Timed<ToEdge>>) {
+async fn send(
+    mut sender: Sender<ToEdge>,
+    mut travelling: mpsc::UnboundedReceiver<Timed<ToEdge>>,
+    shared: Shared,
+) {
     while let Some((due, message)) = travelling.recv().await {
         tokio::time::sleep_until(due).await;
+        let link = shared.script().link.clone();
+        if let Some(link) = link {
+            link.pass(encode(&message).expect("it can be encoded").len())
+                .await;
+        }
         if sender.send(&message).await.is_err() {
             return;
         }
@@ -194,8 +227,9 @@
     let (arriving, mut arrived) = mpsc::unbounded_channel();
     let (leaving, to_send) = mpsc::unbounded_channel();
     let receiving = tokio::spawn(receive(receiver, arriving, delay));
-    let sending = tokio::spawn(send(sender, to_send));
+    let sending = tokio::spawn(send(sender, to_send, shared.clone()));
     let mut told = 0;
+    let mut told_backends = shared.news.borrow().len();
     let mut passed_at = Instant::now();
     loop {
         let message = tokio::select! {
@@ -204,6 +238,10 @@
                 changed.expect("the control process lives");
                 None
             }
+            changed = shared.news.changed() => {
+                changed.expect("the control process lives");
+                None
+            }
         };
         let mut replies = Vec::new();
         match message {
@@ -224,7 +262,10 @@
                 }
             }
             None if receiving.is_finished() => break,
-            None => replies.extend(news(&shared, &mut told)),
+            None => {
+                replies.extend(news(&shared, &mut told));
+                replies.extend(backend_news(&mut shared.news, &mut told_backends));
+            }
         }
         if number <= shared.silent_up_to.load(Ordering::SeqCst) {
             // The connection stays open and carries nothing any more.
@@ -238,6 +279,14 @@
     sending.abort();
 }
 
+/// What the connection was not told yet of back ends.
+fn backend_news(news: &mut watch::Receiver<Vec<InstanceNews>>, told: &mut usize) -> Option<ToEdge> {
+    let all = news.borrow_and_update();
+    let new = all[*told..].to_vec();
+    *told = all.len();
+    (!new.is_empty()).then_some(ToEdge::Instances(new))
+}
+
 /// What the connection was not told yet of the catalog.
 fn news(shared: &Shared, told: &mut u64) -> Option<ToEdge> {
     let script = shared.script();
--- a/crates/coursestand-lab/src/items.rs
+++ b/crates/coursestand-lab/src/items.rs
@@ -1,8 +1,11 @@
 //! Items of a catalog for tests and experiments.
 
+use coursestand_catalog::item::ItemVersion;
 use coursestand_catalog::patch::Upsert;
 use coursestand_catalog::{Item, ItemKey, Limits, Route, RouteKind, RouteTarget, ServiceItem};
 use coursestand_model::{Millis, ServiceId};
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 /// Host of all routes that this module makes.
 pub const HOST: &str = "h.example";
@@ -64,3 +67,35 @@
         item: Item::Route(route),
     }
 }
+
+/// Routes to `service` from number `first` on as operators write them: names and
+/// prefixes that have little in common, and the text of each item.
+pub fn written_routes(
+    service: &str,
+    first: usize,
+    count: usize,
+    version: ItemVersion,
+) -> Vec<Upsert> {
+    (first..first + count)
+        .map(|number| written_route(service, number, version))
+        .collect()
+}
+
+fn written_route(service: &str, number: usize, version: ItemVersion) -> Upsert {
+    let mut random = StdRng::seed_from_u64(number as u64);
+    let name = format!("r-{}", word(&mut random, 7));
+    let mut route = route(&name, service, RouteKind::Repeatable, 2_000);
+    route.path_prefix = format!("/{}/{}/", word(&mut random, 7), word(&mut random, 4));
+    route.notation = format!(
+        r#"{{"Name":"{name}","Host":"{HOST}","PathPrefix":"{}","Type":"safe","Timeout":"2000ms","MaxAttempts":2,"SessionAffinity":true,"Service":"{service}"}}"#,
+        route.path_prefix
+    );
+    route_item(&name, version, route)
+}
+
+fn word(random: &mut StdRng, length: usize) -> String {
+    const SIGNS: &[u8; 36] = b"abcdefghijklmnopqrstuvwxyz0123456789";
+    (0..length)
+        .map(|_| char::from(SIGNS[random.random_range(0..SIGNS.len())]))
+        .collect()
+}
