Send a large change of the catalog to each daemon once, packed and in parts

After a restart of all with 4,232 items a control process held 220 to 258 MB of copies and ended by its limit of memory. Ruled out: silence or cuts (no connection was reset, control committed in 50 ms throughout), processors (10% of control's in the worst second, 1% of the daemons'). Change: a change of more than 4 KiB is announced; the daemon asks one control process for it, and the next one only when nothing came for as long as an answer may take. It comes without the operator's text, deflated, in parts of 8 KiB of which four are on their way. A control process keeps one copy for all. Each change tells from which version it leads on, so that none can be skipped; the proof of the newest catalog holds back what a replica has applied until the copy is at its version.

--- a/crates/coursestand-catalog/src/catalog.rs
+++ b/crates/coursestand-catalog/src/catalog.rs
@@ -23,6 +23,16 @@
     pub changed: ChangeIndex,
 }
 
+impl Held {
+    fn without_notation(&self) -> Held {
+        Held {
+            version: self.version,
+            item: self.item.as_ref().map(Item::without_notation),
+            changed: self.changed,
+        }
+    }
+}
+
 /// Whether a zone is evacuated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evacuation {
@@ -43,6 +53,8 @@
 /// What changed since an earlier change.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct CatalogDelta {
+    /// It holds all changes after this one.
+    pub since: ChangeIndex,
     /// Newest change that it covers.
     pub version: ChangeIndex,
     /// Items that changed.
@@ -135,11 +147,20 @@
 
     /// What changed after `since`.
     pub fn delta(&self, since: ChangeIndex) -> CatalogDelta {
+        self.delta_of(since, Held::clone)
+    }
+
+    /// What changed after `since`, as entry daemons decide by it.
+    pub fn steering_delta(&self, since: ChangeIndex) -> CatalogDelta {
+        self.delta_of(since, Held::without_notation)
+    }
+
+    fn delta_of(&self, since: ChangeIndex, copy: impl Fn(&Held) -> Held) -> CatalogDelta {
         let items = self
             .items
             .iter()
             .filter(|(_, held)| held.changed > since)
-            .map(|(key, held)| (key.clone(), held.clone()))
+            .map(|(key, held)| (key.clone(), copy(held)))
             .collect();
         let evacuations = self
             .evacuations
@@ -148,6 +169,7 @@
             .map(|(zone, evacuation)| (zone.clone(), *evacuation))
             .collect();
         CatalogDelta {
+            since,
             version: self.version,
             items,
             evacuations,
@@ -155,8 +177,13 @@
     }
 
     /// Takes in what another holder sent. Never goes back: an item by its
-    /// version, a zone by its change. Returns whether anything changed.
+    /// version, a zone by its change. Changes that it lacks must not be skipped: a
+    /// delta that begins after the newest one held changes nothing. Returns whether
+    /// anything changed.
     pub fn adopt(&mut self, delta: CatalogDelta) -> bool {
+        if delta.since > self.version {
+            return false;
+        }
         let mut changed = false;
         for (key, held) in delta.items {
             let known = self.items.get(&key);
--- a/crates/coursestand-catalog/src/item.rs
+++ b/crates/coursestand-catalog/src/item.rs
@@ -28,6 +28,20 @@
     Limits(Limits),
 }
 
+impl Item {
+    /// The item as an entry daemon decides by it: without the operator's text, which is
+    /// two thirds of a route's bytes and only read back at the control processes.
+    pub fn without_notation(&self) -> Item {
+        let mut item = self.clone();
+        match &mut item {
+            Item::Route(route) => route.notation.clear(),
+            Item::Service(service) => service.notation.clear(),
+            Item::Limits(limits) => limits.notation.clear(),
+        }
+        item
+    }
+}
+
 /// What may be repeated.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RouteKind {
--- a/crates/coursestand-coordination/src/freshness.rs
+++ b/crates/coursestand-coordination/src/freshness.rs
@@ -17,6 +17,10 @@
 /// entries that the copy does not cover yet, and an earlier one may prove something.
 const MOST_ANSWERS: usize = 8;
 
+/// Versions that are awaited at once: one for each change that is told while a large one
+/// is on its way.
+const MOST_AWAITED: usize = 64;
+
 /// What one replica said of its log.
 #[derive(Clone, Copy, Debug)]
 struct LogEnd {
@@ -35,6 +39,11 @@
     log_ends: BTreeMap<Replica, VecDeque<LogEnd>>,
     /// All changes up to this index are in the copy.
     covered: ControlVersion,
+    /// Version of the followed part of the state that the copy has.
+    held: ControlVersion,
+    /// Versions that the copy did not have when a replica told them, and the index up to
+    /// which each is the newest.
+    awaited: BTreeMap<ControlVersion, ControlVersion>,
     proven_at: Option<Millis>,
 }
 
@@ -45,6 +54,8 @@
             members_as_of: 0,
             log_ends: BTreeMap::new(),
             covered: 0,
+            held: 0,
+            awaited: BTreeMap::new(),
             proven_at: None,
         }
     }
@@ -67,6 +78,33 @@
         &self.members
     }
 
+    /// A replica that has applied all up to `index` has the followed part of the state at
+    /// `version`: a copy at that version or a later one holds all changes up to there.
+    pub fn note_applied(&mut self, version: ControlVersion, index: ControlVersion) {
+        if version <= self.held {
+            self.cover(index);
+            return;
+        }
+        let awaited = self.awaited.entry(version).or_default();
+        *awaited = index.max(*awaited);
+        if self.awaited.len() > MOST_AWAITED {
+            self.awaited.pop_first();
+        }
+    }
+
+    /// The copy is at `version`, with all changes up to it.
+    pub fn hold(&mut self, version: ControlVersion) {
+        if version <= self.held {
+            return;
+        }
+        self.held = version;
+        let later = self.awaited.split_off(&(version + 1));
+        let reached = std::mem::replace(&mut self.awaited, later);
+        if let Some(index) = reached.into_values().max() {
+            self.cover(index);
+        }
+    }
+
     /// The copy holds all changes up to `index`.
     pub fn cover(&mut self, index: ControlVersion) {
         self.covered = self.covered.max(index);
--- a/crates/coursestand-coordination/src/lib.rs
+++ b/crates/coursestand-coordination/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod allocator;
 pub mod bundles;
+pub mod catch_up;
 pub mod command;
 pub mod followers;
 pub mod freshness;
@@ -20,6 +21,7 @@
 pub mod tables;
 pub mod wire;
 
+pub use catch_up::CatchUp;
 pub use command::{Command, CommandAnswer};
 pub use freshness::Freshness;
 pub use state::ControlState;
--- a/crates/coursestand-daemon/src/control/shared.rs
+++ b/crates/coursestand-daemon/src/control/shared.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 
 use crate::control::identity::Identity;
+use crate::fleet::catalog_news::CatalogNews;
 
 /// What a replica says of itself.
 #[derive(Clone, Debug, Default, Serialize)]
@@ -118,6 +119,8 @@
     /// The newest delta for each version that followers asked from. Nearly all
     /// ask from the same one, and the driver must not wait for each to read.
     deltas: Mutex<HashMap<ControlVersion, Arc<Delta>>>,
+    /// Changes of the catalog that are ready for entry daemons.
+    catalog_news: CatalogNews,
 }
 
 impl ControlShared {
@@ -135,6 +138,7 @@
             version: watch::Sender::new(0),
             catalog_version: watch::Sender::new(0),
             deltas: Mutex::default(),
+            catalog_news: CatalogNews::default(),
         }
     }
 
@@ -252,6 +256,11 @@
         common.with_slots(slots)
     }
 
+    /// Changes of the catalog that are ready for entry daemons.
+    pub fn catalog_news(&self) -> &CatalogNews {
+        &self.catalog_news
+    }
+
     /// Tells of new versions of the followers' tables.
     pub fn versions(&self) -> watch::Receiver<ControlVersion> {
         self.version.subscribe()
--- a/crates/coursestand-daemon/src/fleet/control_link.rs
+++ b/crates/coursestand-daemon/src/fleet/control_link.rs
@@ -18,8 +18,9 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use crate::fleet::catalog_parts::CatalogParts;
 use crate::fleet::edge_follower::EdgeFollower;
-use crate::fleet::wire::{ToControl, ToEdge};
+use crate::fleet::wire::{CatalogPart, ToControl, ToEdge};
 
 const LOG: &str = "follower";
 /// Pause before a connection that failed is made again.
@@ -63,6 +64,12 @@
     unanswered: VecDeque<Instant>,
     next_ping: Instant,
     heard_at: Instant,
+    /// Changes of the catalog that are on their way in parts.
+    parts: CatalogParts,
+    /// Newest change of the catalog that the control process knows the daemon has.
+    told_have: u64,
+    /// What is sent next. It stays here until it is: sending may be broken off.
+    outgoing: VecDeque<ToControl>,
 }
 
 /// What a session is run for.
@@ -122,7 +129,9 @@
                     // than an answer may is begun anew for ever.
                     patience.silent_tries += 1;
                     session = renewed;
-                    session.take(follower, control, message, patience);
+                    if let Err(error) = session.take(follower, control, message, patience) {
+                        return error;
+                    }
                 }
                 Err(error) => {
                     patience.silent_tries += 1;
@@ -157,9 +166,10 @@
         sender.bear_silence(LINK_SILENCE)?;
         let mut phases = follower.phases();
         phases.mark_unchanged();
+        let have = follower.catalog().version();
         let hello = ToControl::EdgeHello {
             record: follower.record(),
-            have: follower.catalog_version(),
+            have,
         };
         sender.send(&hello).await?;
         let now = Instant::now();
@@ -170,6 +180,9 @@
             unanswered: VecDeque::new(),
             next_ping: now,
             heard_at: now,
+            parts: CatalogParts::default(),
+            told_have: have,
+            outgoing: VecDeque::new(),
         })
     }
 
@@ -202,6 +215,7 @@
     ) -> Result<(), StreamError> {
         let mut probes = FuturesUnordered::new();
         loop {
+            self.send_outgoing().await?;
             let overdue_at = match until {
                 Until::Overdue => self.overdue_at(patience.limit()),
                 Until::Heard => None,
@@ -213,7 +227,7 @@
                 message = next_message(follower, &mut self.receiver) => match message? {
                     ToEdge::Probe(suspect) => probes.push(follower.prober().find_ready(suspect)),
                     message => {
-                        self.take(follower, control, message, patience);
+                        self.take(follower, control, message, patience)?;
                         if until == Until::Heard {
                             return Ok(());
                         }
@@ -245,6 +259,14 @@
         Some((*sent_at).max(self.heard_at) + limit)
     }
 
+    async fn send_outgoing(&mut self) -> Result<(), StreamError> {
+        while let Some(message) = self.outgoing.front() {
+            self.sender.send(message).await?;
+            self.outgoing.pop_front();
+        }
+        Ok(())
+    }
+
     async fn ping(
         &mut self,
         follower: &EdgeFollower,
@@ -253,8 +275,14 @@
         let now = Instant::now();
         self.unanswered.push_back(now);
         self.next_ping = now + Duration::from_millis(follower.next_ping_in_ms(control));
-        let ping = ToControl::EdgePing(follower.link_use());
-        self.sender.send(&ping).await
+        let have = follower.catalog().version();
+        if have > self.told_have {
+            self.told_have = have;
+            self.outgoing.push_back(ToControl::Have(have));
+        }
+        self.outgoing
+            .push_back(ToControl::EdgePing(follower.link_use()));
+        self.send_outgoing().await
     }
 
     fn take(
@@ -263,20 +291,49 @@
         control: SocketAddr,
         message: ToEdge,
         patience: &mut Patience,
-    ) {
+    ) -> Result<(), StreamError> {
         self.heard_at = Instant::now();
-        if follower.phase() == EdgePhase::Starting && matches!(message, ToEdge::Catalog(_)) {
+        let had = follower.catalog().version();
+        match message {
+            ToEdge::Pong { reach, catalog } => {
+                if let Some(sent_at) = self.unanswered.pop_front() {
+                    patience.silent_tries = 0;
+                    patience.round_trip = sent_at.elapsed();
+                    follower.note_pong(control, patience.round_trip, reach, catalog);
+                }
+            }
+            ToEdge::CatalogPart(part) => self.take_part(follower, control, part)?,
+            message => follower.take(control, message),
+        }
+        let has = follower.catalog().version();
+        if follower.phase() == EdgePhase::Starting && has > had {
             // The answer tells whether there is anything newer: the daemon waits for it.
             self.next_ping = self.heard_at;
         }
-        let ToEdge::Pong { reach } = message else {
-            follower.take(control, message);
-            return;
-        };
-        if let Some(sent_at) = self.unanswered.pop_front() {
-            patience.silent_tries = 0;
-            patience.round_trip = sent_at.elapsed();
-            follower.note_pong(control, patience.round_trip, reach);
+        if follower.catalog().should_fetch(control, patience.limit()) {
+            self.outgoing.push_back(ToControl::FetchCatalog(has));
+        }
+        Ok(())
+    }
+
+    /// Takes a part of the catalog in, and asks for the next one. What another control
+    /// process has told meanwhile is asked for no further.
+    fn take_part(
+        &mut self,
+        follower: &EdgeFollower,
+        control: SocketAddr,
+        part: CatalogPart,
+    ) -> Result<(), StreamError> {
+        let version = part.version;
+        if version <= follower.catalog().version() {
+            return Ok(());
+        }
+        follower.catalog().note_part(control);
+        let whole = self.parts.take(part);
+        match whole.map_err(|source| StreamError::Message { source })? {
+            Some(message) => follower.take(control, message),
+            None => self.outgoing.push_back(ToControl::PartTaken(version)),
         }
+        Ok(())
     }
 }
--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -7,7 +7,6 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use coursestand_coordination::Freshness;
 use coursestand_discovery::{EdgePhase, EdgeRecord, LinkUse};
 use coursestand_model::Millis;
 use coursestand_proxy::EdgeState;
@@ -19,6 +18,7 @@
 use tokio::task::JoinHandle;
 
 use crate::control::shared::LogReach;
+use crate::fleet::catalog_follower::CatalogFollower;
 use crate::fleet::control_link::keep_following;
 use crate::fleet::follower_metrics::FollowerMetrics;
 use crate::fleet::prober::Prober;
@@ -73,8 +73,7 @@
     seeds: watch::Receiver<Vec<SocketAddr>>,
     /// Control processes as the group itself tells.
     controls: Mutex<BTreeSet<SocketAddr>>,
-    /// How new the catalog is.
-    freshness: Mutex<Freshness<SocketAddr>>,
+    catalog: CatalogFollower,
     metrics: FollowerMetrics,
     followed: Mutex<BTreeMap<SocketAddr, Followed>>,
     news: Notify,
@@ -90,13 +89,13 @@
         metrics: FollowerMetrics,
     ) -> EdgeFollower {
         EdgeFollower {
+            catalog: CatalogFollower::new(Arc::clone(&state)),
             state,
             phase: watch::Sender::new(record.phase),
             record,
             link_use: AtomicU8::new(0),
             seeds,
             controls: Mutex::default(),
-            freshness: Mutex::default(),
             metrics,
             followed: Mutex::default(),
             news: Notify::new(),
@@ -154,9 +153,9 @@
         self.phase.subscribe()
     }
 
-    /// Newest change of the catalog that is in force here.
-    pub(super) fn catalog_version(&self) -> u64 {
-        self.state.beliefs().catalog.version()
+    /// The daemon's copy of the catalog.
+    pub(super) fn catalog(&self) -> &CatalogFollower {
+        &self.catalog
     }
 
     pub(super) fn metrics(&self) -> &FollowerMetrics {
@@ -171,23 +170,10 @@
         self.controls.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn freshness(&self) -> MutexGuard<'_, Freshness<SocketAddr>> {
-        self.freshness
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Milliseconds since the moment before which every acknowledged change is known
-    /// to be in force here; `None` before that was proven once.
-    pub fn catalog_age_ms(&self) -> Option<Millis> {
-        let proven_at = self.freshness().proven_at();
-        proven_at.map(|proven_at| self.state.now().saturating_sub(proven_at))
-    }
-
     /// Brings the gauges up to date.
     pub fn update_metrics(&self) {
         self.metrics
-            .update(self.followed_count(), self.catalog_age_ms());
+            .update(self.followed_count(), self.catalog.age_ms());
     }
 
     /// A control process answered the sign of life that was sent `round_trip` ago.
@@ -196,19 +182,19 @@
         control: SocketAddr,
         round_trip: Duration,
         reach: Option<LogReach>,
+        catalog: u64,
     ) {
         self.metrics.round_trip.observe(round_trip.as_secs_f64());
         let round_trip_ms = round_trip.as_millis() as Millis;
         if round_trip > SLOW_ROUND_TRIP {
             info!(target: LOG, control:% = control, round_trip_ms = round_trip_ms,
-                catalog_age_ms = self.catalog_age_ms(); "control answered late");
+                catalog_age_ms = self.catalog.age_ms(); "control answered late");
         }
         let now = self.state.now();
         let asked_at = now.saturating_sub(round_trip_ms);
+        self.catalog.note_told(control, catalog);
         if let Some(reach) = reach {
-            let mut freshness = self.freshness();
-            freshness.cover(reach.applied);
-            freshness.note_log_end(control, asked_at, reach.end);
+            self.catalog.note_reach(control, asked_at, reach, catalog);
         }
         self.note_answered(control, now, asked_at);
         self.become_ready();
@@ -231,6 +217,7 @@
 
     /// A connection was lost, and with it what it told of the fleet.
     pub(super) fn note_lost(&self, control: SocketAddr, error: &StreamError) {
+        self.catalog.forget(control);
         let was_connected = {
             let mut followed = self.followed();
             let before = followed.insert(control, Followed::default());
@@ -239,8 +226,8 @@
         self.update_following();
         if was_connected {
             info!(target: LOG, control:% = control, followed = self.followed_count(),
-                catalog = self.catalog_version(),
-                catalog_age_ms = self.catalog_age_ms();
+                catalog = self.catalog.version(),
+                catalog_age_ms = self.catalog.age_ms();
                 "control process lost: {error}");
             self.metrics.lost.inc();
             self.news.notify_one();
@@ -249,6 +236,7 @@
 
     /// A new connection tells the fleet from its beginning.
     pub(super) fn note_renewed(&self, control: SocketAddr) {
+        self.catalog.forget(control);
         self.followed().insert(control, Followed::default());
         self.update_following();
     }
@@ -297,15 +285,16 @@
     /// Ready once the catalog is proven to hold every acknowledged change. Answers of
     /// a majority alone would not do: what one of them has applied may be older.
     fn become_ready(&self) {
-        if self.phase() != EdgePhase::Starting || self.state.beliefs().catalog.is_empty() {
+        if self.phase() != EdgePhase::Starting || self.catalog.is_empty() {
             return;
         }
         let is_newest = self
-            .catalog_age_ms()
+            .catalog
+            .age_ms()
             .is_some_and(|age_ms| age_ms < PROOF_LIFETIME_MS);
         if is_newest {
-            info!(target: LOG, catalog = self.catalog_version(),
-                catalog_age_ms = self.catalog_age_ms(); "this daemon is ready");
+            info!(target: LOG, catalog = self.catalog.version(),
+                catalog_age_ms = self.catalog.age_ms(); "this daemon is ready");
             self.set_phase(EdgePhase::Ready);
         }
     }
@@ -321,15 +310,12 @@
     pub(super) fn take(&self, from: SocketAddr, message: ToEdge) {
         match message {
             // The connection that brought it deals with it.
-            ToEdge::Probe(_) | ToEdge::Pong { .. } => {}
+            ToEdge::Probe(_) | ToEdge::Pong { .. } | ToEdge::CatalogPart(_) => {}
             ToEdge::Catalog(delta) => {
-                let version = delta.version;
-                let items = delta.items.len();
-                if self.state.adopt_catalog(delta) {
-                    info!(target: LOG, control:% = from, catalog = version, items = items;
-                        "the catalog changed");
-                }
+                self.catalog.take(from, delta);
+                self.become_ready();
             }
+            ToEdge::CatalogIsAt(version) => self.catalog.note_told(from, version),
             ToEdge::Instances(news) => self.state.adopt_instances(news),
             ToEdge::Edges(change) => {
                 {
@@ -353,7 +339,7 @@
         info!(target: LOG, control:% = from, members = group.members.len(),
             voters = group.voters.len(), changed_at = group.changed_at;
             "the control group was told");
-        let is_newest = self.freshness().set_members(group.voters, group.changed_at);
+        let is_newest = self.catalog.set_voters(group.voters, group.changed_at);
         if is_newest && !group.members.is_empty() {
             *self.controls() = group.members;
         }
@@ -413,7 +399,7 @@
         json!({
             "phase": format!("{:?}", self.phase()),
             "controls": *self.controls(),
-            "catalog_age_ms": self.catalog_age_ms(),
+            "catalog_age_ms": self.catalog.age_ms(),
             "followed": followed,
         })
     }
--- a/crates/coursestand-daemon/src/fleet/follower_metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/follower_metrics.rs
@@ -66,7 +66,7 @@
     /// Counts a message of this length in bytes.
     pub fn count_received(&self, message: &ToEdge, length: usize) {
         let kind = match message {
-            ToEdge::Catalog(_) => "catalog",
+            ToEdge::Catalog(_) | ToEdge::CatalogPart(_) | ToEdge::CatalogIsAt(_) => "catalog",
             ToEdge::Instances(_) => "backends",
             ToEdge::Edges(_) => "daemons",
             ToEdge::Pong { .. } | ToEdge::Controls(_) | ToEdge::Probe(_) => "other",
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coursestand_catalog::Catalog;
+use coursestand_catalog::{Catalog, CatalogDelta};
 use coursestand_coordination::Command;
 use coursestand_discovery::EdgeRecord;
 use coursestand_kernel::Tasks;
+use coursestand_transport::TransportError;
 use coursestand_transport::stream::{self, Receiver, Sender, StreamError};
 use log::{debug, info, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -18,7 +19,8 @@
 use crate::control::event::Event;
 use crate::control::handle::ControlHandle;
 use crate::control::peers::Envelope;
-use crate::control::shared::LogReach;
+use crate::control::shared::{ControlShared, LogReach};
+use crate::fleet::catalog_news::{CatalogTelling, Telling};
 use crate::fleet::formation::Formation;
 use crate::fleet::hub::{EdgeNames, Hub};
 use crate::fleet::wire::{Answer, EdgeChange, PeerMessage, PeerReply, Question, ToControl, ToEdge};
@@ -198,8 +200,7 @@
         serving,
         number,
         queue,
-        have,
-        has_told_catalog: false,
+        catalog: CatalogTelling::new(have),
     };
     let result = follower
         .run(&mut record, instances, &mut receiver, &mut sender)
@@ -208,7 +209,7 @@
     hub.note_edge(number, &record, false);
     if let Err(error) = &result {
         info!(target: LOG, edge = record.name, incarnation = record.incarnation,
-            catalog = follower.have; "an entry daemon's connection ended: {error}");
+            catalog = follower.catalog.have(); "an entry daemon's connection ended: {error}");
     }
     result
 }
@@ -225,10 +226,8 @@
     /// Of this connection among the hub's.
     number: u64,
     queue: mpsc::Receiver<bytes::Bytes>,
-    /// Newest change of the catalog that was sent.
-    have: u64,
-    /// Something of the catalog was sent on this connection.
-    has_told_catalog: bool,
+    /// What the daemon was told of the catalog.
+    catalog: CatalogTelling,
 }
 
 impl EdgeConnection<'_> {
@@ -276,11 +275,16 @@
                         }
                         ToControl::EdgePing(link_use) => {
                             hub.note_link_use(record, link_use);
-                            // Read first: what it says is applied is then sent.
-                            let reach = self.serving.control.shared.log_reach();
-                            self.send_catalog(sender).await?;
-                            let reach = self.still_applied(reach);
-                            sender.send(&ToEdge::Pong { reach }).await?;
+                            self.answer_ping(sender).await?;
+                        }
+                        ToControl::Have(have) => self.catalog.note_have(have),
+                        ToControl::FetchCatalog(have) => {
+                            self.send_fetched(have, sender).await?;
+                        }
+                        ToControl::PartTaken(version) => {
+                            if let Some(part) = self.catalog.part_taken(version) {
+                                send_telling(part, sender).await?;
+                            }
                         }
                         ToControl::Edge(next) => {
                             *record = next;
@@ -338,18 +342,62 @@
         reach.filter(|reach| now.applied >= reach.applied)
     }
 
+    async fn answer_ping(&mut self, sender: &mut Sender<ToEdge>) -> Result<(), StreamError> {
+        // Read first: what it says is applied is then told.
+        let reach = self.shared().log_reach();
+        self.send_catalog(sender).await?;
+        let reach = self.still_applied(reach);
+        let catalog = self.shared().state().catalog().version();
+        sender.send(&ToEdge::Pong { reach, catalog }).await
+    }
+
     async fn send_catalog(&mut self, sender: &mut Sender<ToEdge>) -> Result<(), StreamError> {
-        let delta = {
-            let state = self.serving.control.shared.state();
-            let catalog = state.catalog();
-            let is_news = catalog.version() > self.have || !self.has_told_catalog;
-            if catalog.version() == 0 || !is_news {
-                return Ok(());
-            }
-            catalog.delta(self.have)
-        };
-        self.has_told_catalog = true;
-        self.have = self.have.max(delta.version);
-        sender.send(&ToEdge::Catalog(delta)).await
+        let shared = &self.serving.control.shared;
+        let version = shared.state().catalog().version();
+        let news = shared.catalog_news();
+        let telling = self
+            .catalog
+            .tell(version, news, |since| read_changes(shared, since));
+        match telling.map_err(unreadable)? {
+            Some(telling) => send_telling(telling, sender).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Sends what the daemon, which has the catalog up to `have`, asks for.
+    async fn send_fetched(
+        &mut self,
+        have: u64,
+        sender: &mut Sender<ToEdge>,
+    ) -> Result<(), StreamError> {
+        let shared = &self.serving.control.shared;
+        let version = shared.state().catalog().version();
+        let news = shared.catalog_news();
+        let fetched = self
+            .catalog
+            .fetch(have, version, news, |since| read_changes(shared, since));
+        for telling in fetched.map_err(unreadable)? {
+            send_telling(telling, sender).await?;
+        }
+        Ok(())
+    }
+
+    fn shared(&self) -> &ControlShared {
+        &self.serving.control.shared
+    }
+}
+
+fn read_changes(shared: &ControlShared, since: u64) -> CatalogDelta {
+    shared.state().catalog().steering_delta(since)
+}
+
+fn unreadable(source: TransportError) -> StreamError {
+    StreamError::Message { source }
+}
+
+async fn send_telling(telling: Telling, sender: &mut Sender<ToEdge>) -> Result<(), StreamError> {
+    match telling {
+        Telling::Frame(frame) => sender.send_frame(frame).await,
+        Telling::Message(message) => sender.send(&message).await,
     }
 }
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -3,6 +3,9 @@
 //!
 //! `docs/design/0006-fleet-on-a-platform.md` tells which part serves what.
 
+pub mod catalog_follower;
+pub mod catalog_news;
+mod catalog_parts;
 pub mod control_api;
 mod control_link;
 pub mod control_service;
--- a/crates/coursestand-daemon/src/fleet/wire.rs
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -39,6 +39,12 @@
     },
     /// The entry daemon lives, and uses this much of its link.
     EdgePing(LinkUse),
+    /// The entry daemon has the catalog up to this change, wherever it has it from.
+    Have(u64),
+    /// Send what the entry daemon lacks of the catalog, which it has up to this change.
+    FetchCatalog(u64),
+    /// A part of the catalog up to this change arrived: send the next one.
+    PartTaken(u64),
 }
 
 /// What one control process tells another.
@@ -103,6 +109,20 @@
     },
 }
 
+/// A part of changes of the catalog, which are a packed `ToEdge::Catalog` frame together.
+/// Parts of one frame come in their order.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct CatalogPart {
+    /// Newest change that the frame holds.
+    pub version: u64,
+    /// Bytes of the whole packed frame.
+    pub length: usize,
+    /// Bytes of it that came before.
+    pub offset: usize,
+    /// These bytes.
+    pub bytes: Vec<u8>,
+}
+
 /// Answer to a question.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Answer {
@@ -153,9 +173,16 @@
     Pong {
         /// How far its log reached then; `None` when it is no voter.
         reach: Option<LogReach>,
+        /// Newest change of the catalog that it had applied, or a later one.
+        catalog: u64,
     },
     /// Changes of the catalog.
     Catalog(CatalogDelta),
+    /// The catalog is at this change; what the entry daemon lacks of it is too large to be
+    /// sent by every control process.
+    CatalogIsAt(u64),
+    /// A part of what the entry daemon asked for.
+    CatalogPart(CatalogPart),
     /// News of back ends.
     Instances(Vec<InstanceNews>),
     /// How the entry daemons that are connected with the control group changed
--- a/crates/coursestand-daemon/tests/following/scripted_control.rs
+++ b/crates/coursestand-daemon/tests/following/scripted_control.rs
@@ -9,10 +9,11 @@
 
 use coursestand_catalog::{Catalog, Patch, RouteKind};
 use coursestand_daemon::control::shared::LogReach;
+use coursestand_daemon::fleet::catalog_news::{CatalogNews, CatalogTelling, Telling};
 use coursestand_daemon::fleet::wire::{ControlGroup, EdgeChange, ToControl, ToEdge};
 use coursestand_discovery::InstanceNews;
 use coursestand_lab::items;
-use coursestand_transport::frame::encode;
+use coursestand_transport::frame::{decode, encode};
 use coursestand_transport::stream::{self, Receiver, Sender};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, watch};
@@ -228,7 +229,8 @@
     let (leaving, to_send) = mpsc::unbounded_channel();
     let receiving = tokio::spawn(receive(receiver, arriving, delay));
     let sending = tokio::spawn(send(sender, to_send, shared.clone()));
-    let mut told = 0;
+    let mut told = CatalogTelling::new(0);
+    let ready = CatalogNews::default();
     let mut told_backends = shared.news.borrow().len();
     let mut passed_at = Instant::now();
     loop {
@@ -256,14 +258,15 @@
                     replies.push(ToEdge::Edges(EdgeChange { came, went }));
                 }
                 let reach = shared.script().reach;
-                replies.extend(news(&shared, &mut told));
+                replies.extend(catalog_replies(&message, &shared, &mut told, &ready));
                 if matches!(message, ToControl::EdgePing(_)) {
-                    replies.push(ToEdge::Pong { reach });
+                    let catalog = shared.script().catalog.version();
+                    replies.push(ToEdge::Pong { reach, catalog });
                 }
             }
             None if receiving.is_finished() => break,
             None => {
-                replies.extend(news(&shared, &mut told));
+                replies.extend(news(&shared, &mut told, &ready));
                 replies.extend(backend_news(&mut shared.news, &mut told_backends));
             }
         }
@@ -287,13 +290,44 @@
     (!new.is_empty()).then_some(ToEdge::Instances(new))
 }
 
-/// What the connection was not told yet of the catalog.
-fn news(shared: &Shared, told: &mut u64) -> Option<ToEdge> {
+/// What the daemon is told of the catalog when it has said this.
+fn catalog_replies(
+    message: &ToControl,
+    shared: &Shared,
+    told: &mut CatalogTelling,
+    ready: &CatalogNews,
+) -> Vec<ToEdge> {
     let script = shared.script();
-    let delta = script.catalog.delta(*told);
-    if delta.version <= *told {
-        return None;
+    let read = |since| script.catalog.steering_delta(since);
+    let version = script.catalog.version();
+    let mut replies = Vec::new();
+    match message {
+        ToControl::EdgeHello { have, .. } | ToControl::Have(have) => told.note_have(*have),
+        ToControl::FetchCatalog(have) => {
+            let fetched = told.fetch(*have, version, ready, read).expect("encoded");
+            replies.extend(fetched.into_iter().map(message_of));
+        }
+        ToControl::PartTaken(version) => {
+            replies.extend(told.part_taken(*version).map(message_of));
+        }
+        _ => {}
+    }
+    let told = told.tell(version, ready, read).expect("encoded");
+    replies.extend(told.map(message_of));
+    replies
+}
+
+fn message_of(telling: Telling) -> ToEdge {
+    match telling {
+        Telling::Frame(frame) => decode(&frame).expect("a message"),
+        Telling::Message(message) => message,
     }
-    *told = delta.version;
-    Some(ToEdge::Catalog(delta))
+}
+
+/// What the connection was not told yet of the catalog.
+fn news(shared: &Shared, told: &mut CatalogTelling, ready: &CatalogNews) -> Option<ToEdge> {
+    let script = shared.script();
+    let read = |since| script.catalog.steering_delta(since);
+    let telling = told.tell(script.catalog.version(), ready, read);
+    telling.expect("encoded").map(message_of)
 }
--- a/crates/coursestand-transport/src/frame.rs
+++ b/crates/coursestand-transport/src/frame.rs
@@ -54,6 +54,12 @@
         /// Length of the frame.
         length: usize,
     },
+    /// A packed frame can't be read or written.
+    #[snafu(display("packed frame: {source}"))]
+    Packed {
+        /// Cause.
+        source: std::io::Error,
+    },
     /// The other side speaks another protocol version.
     #[snafu(display("protocol version {found}, this process has {PROTOCOL_VERSION}"))]
     Version {
--- a/crates/coursestand-transport/src/lib.rs
+++ b/crates/coursestand-transport/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 mod close;
 pub mod frame;
+pub mod packed;
 pub mod server;
 pub mod stream;
 
