Show by a test that disks which stall end the leader's lease

Cause (of the known red test of shifting, traced before from its logs): a replica syncs its log on the thread that answers the leader and renews the lease. The driver takes how to open its storage; WriteAheadLog stays the usual one. Two more tests pass today and must go on passing: a leader whose own disk stalls makes room, a follower whose disk stalls holds nobody up.

--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -1,7 +1,7 @@
 //! Drives the consensus core of one replica on a thread of its own: takes
 //! messages and proposals, syncs, sends, applies.
 
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::time::{Duration, Instant};
@@ -9,7 +9,7 @@
 use coursestand_consensus::wal::WriteAheadLog;
 use coursestand_consensus::{
     Batch, Config, Entry, HardState, LogIndex, Membership, Payload, Ready, Replica, ReplicaId,
-    Restored, Snapshot, Storage,
+    Restored, Snapshot, Storage, StorageError,
 };
 use coursestand_coordination::command::StampedCommand;
 use coursestand_coordination::{Command, CommandAnswer, ControlState};
@@ -39,11 +39,23 @@
 /// Pause before a replica whose storage failed starts again.
 const RESTART_PAUSE: Duration = Duration::from_millis(500);
 
+/// Opens the storage in a folder, and returns what was saved there.
+pub type OpenStorage =
+    Box<dyn Fn(&Path) -> Result<(Box<dyn Storage + Send>, Restored), StorageError> + Send>;
+
+fn open_write_ahead_log(
+    folder: &Path,
+) -> Result<(Box<dyn Storage + Send>, Restored), StorageError> {
+    let (log, restored) = WriteAheadLog::open(folder)?;
+    Ok((Box::new(log), restored))
+}
+
 /// The driver of one replica.
 pub struct Driver {
     shared: Arc<ControlShared>,
     peers: Box<dyn PeerSender>,
     folder: PathBuf,
+    open_storage: OpenStorage,
     /// Synced copies of a command before its proposer is answered.
     min_copies: usize,
     group: Option<Group>,
@@ -56,7 +68,7 @@
     /// Last index that the shared state holds; the replica counts entries as applied
     /// once it hands them out.
     applied: LogIndex,
-    log: WriteAheadLog,
+    log: Box<dyn Storage + Send>,
     /// Proposals that are not answered yet.
     proposals: Proposals,
 }
@@ -89,11 +101,24 @@
         peers: Box<dyn PeerSender>,
         folder: PathBuf,
         min_copies: usize,
+    ) -> Result<Driver, ControlError> {
+        let open_storage = Box::new(open_write_ahead_log);
+        Driver::with_storage(shared, peers, folder, open_storage, min_copies)
+    }
+
+    /// The same with storage of another kind.
+    pub fn with_storage(
+        shared: Arc<ControlShared>,
+        peers: Box<dyn PeerSender>,
+        folder: PathBuf,
+        open_storage: OpenStorage,
+        min_copies: usize,
     ) -> Result<Driver, ControlError> {
         let mut driver = Driver {
             shared,
             peers,
             folder,
+            open_storage,
             min_copies,
             group: None,
         };
@@ -108,7 +133,7 @@
         // The log is applied from its start or from its snapshot on.
         *self.shared.state_mut() = ControlState::default();
         if let Some(identity) = found {
-            let (log, restored) = WriteAheadLog::open(&self.folder).context(LogSnafu)?;
+            let (log, restored) = (self.open_storage)(&self.folder).context(LogSnafu)?;
             self.begin(identity, log, restored);
         } else {
             info!(target: LOG, "this replica is blank and waits to join a group");
@@ -117,7 +142,7 @@
         Ok(())
     }
 
-    fn begin(&mut self, identity: Identity, log: WriteAheadLog, restored: Restored) {
+    fn begin(&mut self, identity: Identity, log: Box<dyn Storage + Send>, restored: Restored) {
         let now = self.shared.clock.now();
         if restored.snapshot.index > 0 {
             self.restore(&restored.snapshot);
@@ -249,7 +274,7 @@
                 replica: group.identity.replica,
             });
         }
-        let (mut log, _) = WriteAheadLog::open(&self.folder).context(LogSnafu)?;
+        let (mut log, _) = (self.open_storage)(&self.folder).context(LogSnafu)?;
         let snapshot = Snapshot {
             membership: Membership::of_voters(voters),
             ..Snapshot::default()
@@ -337,7 +362,7 @@
         self.peers.send(cluster, own, &membership, messages);
         let needs_sync = ready.needs_sync();
         if needs_sync {
-            save(&mut group.log, &mut ready)?;
+            save(group.log.as_mut(), &mut ready)?;
         }
         group.replica.persisted(self.shared.clock.now(), &ready);
         // Before the leader hears of this copy and can count it.
@@ -492,7 +517,7 @@
     }
 }
 
-fn save(log: &mut WriteAheadLog, ready: &mut Ready) -> Result<(), ControlError> {
+fn save(log: &mut dyn Storage, ready: &mut Ready) -> Result<(), ControlError> {
     let batch = Batch {
         hard_state: ready.hard_state,
         snapshot: ready.snapshot.clone(),
--- /dev/null
+++ b/crates/coursestand-daemon/tests/slow_disk.rs
@@ -0,0 +1,304 @@
+//! Disks that stall for seconds under all control replicas at once stopped control: each
+//! replica synced its log on the thread that answers the leader, so nobody was heard, the
+//! leader lost its lease, and no daemon got news until the disks came back. One replica's
+//! slow disk must not stop the others either, whether it leads or follows.
+#![allow(missing_docs)]
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::mpsc::{Sender, channel};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant};
+
+use coursestand_consensus::{
+    Batch, Entry, HardState, Membership, Message, ReplicaId, Restored, Snapshot, Storage,
+    StorageError,
+};
+use coursestand_coordination::Command;
+use coursestand_daemon::control::driver::Driver;
+use coursestand_daemon::control::event::Event;
+use coursestand_daemon::control::handle::ControlHandle;
+use coursestand_daemon::control::identity::Identity;
+use coursestand_daemon::control::peers::PeerSender;
+use coursestand_daemon::control::shared::ControlShared;
+use coursestand_kernel::MonotonicClock;
+use coursestand_model::ZoneId;
+use googletest::prelude::*;
+use tokio::sync::oneshot;
+
+const CLUSTER: u64 = 1;
+const REPLICAS: [ReplicaId; 3] = [1, 2, 3];
+const LOOK: Duration = Duration::from_millis(10);
+/// Generous: nothing here should come near it.
+const WITHIN: Duration = Duration::from_secs(20);
+/// As long as the disks were seen to stall.
+const STALL: Duration = Duration::from_millis(4_400);
+
+/// A disk in memory whose syncs wait while it stalls.
+#[derive(Clone, Default)]
+struct Disk {
+    saved: Arc<Mutex<Restored>>,
+    stalls_until: Arc<Mutex<Option<Instant>>>,
+}
+
+impl Disk {
+    fn stall(&self, duration: Duration) {
+        let until = Instant::now() + duration;
+        *self
+            .stalls_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner) = Some(until);
+    }
+
+    fn wait(&self) {
+        let until = *self
+            .stalls_until
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        if let Some(until) = until {
+            std::thread::sleep(until.saturating_duration_since(Instant::now()));
+        }
+    }
+
+    fn open(&self) -> (Box<dyn Storage + Send>, Restored) {
+        let saved = self.saved.lock().unwrap_or_else(PoisonError::into_inner);
+        (Box::new(self.clone()), saved.clone())
+    }
+}
+
+impl Storage for Disk {
+    fn save(&mut self, batch: &Batch) -> std::result::Result<(), StorageError> {
+        self.wait();
+        let mut saved = self.saved.lock().unwrap_or_else(PoisonError::into_inner);
+        saved.apply(batch);
+        Ok(())
+    }
+
+    fn compact(
+        &mut self,
+        snapshot: &Snapshot,
+        hard_state: HardState,
+        rest: &[Entry],
+    ) -> std::result::Result<(), StorageError> {
+        self.wait();
+        *self.saved.lock().unwrap_or_else(PoisonError::into_inner) = Restored {
+            hard_state,
+            snapshot: snapshot.clone(),
+            entries: rest.to_vec(),
+        };
+        Ok(())
+    }
+}
+
+type Events = Arc<Mutex<BTreeMap<ReplicaId, Sender<Event>>>>;
+
+/// Delivers to the other replicas at once.
+struct Loopback(Events);
+
+impl PeerSender for Loopback {
+    fn send(
+        &mut self,
+        _cluster: u64,
+        from: ReplicaId,
+        _membership: &Membership,
+        messages: Vec<(ReplicaId, Message)>,
+    ) {
+        let events = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        for (to, message) in messages {
+            if let Some(receiver) = events.get(&to) {
+                // One that has stopped hears nothing.
+                let _ = receiver.send(Event::Message { from, message });
+            }
+        }
+    }
+}
+
+struct Member {
+    control: Arc<ControlHandle>,
+    disk: Disk,
+    thread: Option<JoinHandle<()>>,
+}
+
+/// Three replicas of one group in this process.
+struct Group {
+    members: BTreeMap<ReplicaId, Member>,
+    _folder: tempfile::TempDir,
+}
+
+impl Group {
+    async fn start() -> Group {
+        let folder = tempfile::tempdir().expect("a folder");
+        let events = Events::default();
+        let mut members = BTreeMap::new();
+        for replica in REPLICAS {
+            let own = folder.path().join(replica.to_string());
+            std::fs::create_dir_all(&own).expect("a folder");
+            members.insert(replica, start_member(replica, &own, &events));
+        }
+        let group = Group {
+            members,
+            _folder: folder,
+        };
+        group.join().await;
+        group
+    }
+
+    async fn join(&self) {
+        let voters: Vec<(ReplicaId, String)> = REPLICAS
+            .map(|replica| (replica, replica.to_string()))
+            .to_vec();
+        for (replica, member) in &self.members {
+            let (reply, answer) = oneshot::channel();
+            let identity = Identity {
+                cluster: CLUSTER,
+                replica: *replica,
+            };
+            let join = Event::Join {
+                identity,
+                voters: voters.clone(),
+                reply,
+            };
+            member.control.deliver(join).expect("it runs");
+            answer.await.expect("an answer").expect("joined");
+        }
+    }
+
+    fn leader(&self) -> Option<ReplicaId> {
+        let mut members = self.members.iter();
+        members
+            .find(|(_, member)| member.control.shared.leading_term().is_some())
+            .map(|(replica, _)| *replica)
+    }
+
+    async fn wait_for_leader(&self) -> ReplicaId {
+        let started = Instant::now();
+        loop {
+            if let Some(leader) = self.leader() {
+                return leader;
+            }
+            assert!(started.elapsed() < WITHIN, "no leader");
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// A change at whoever leads, tried until it is committed. Returns how long it took.
+    async fn change(&self, is_active: bool) -> Duration {
+        let started = Instant::now();
+        loop {
+            assert!(started.elapsed() < WITHIN, "no change was committed");
+            if let Some(leader) = self.leader() {
+                let command = Command::Evacuate {
+                    zone: ZoneId::from("z"),
+                    is_active,
+                };
+                let proposed = self.members[&leader].control.propose(command);
+                if matches!(tokio::time::timeout(WITHIN, proposed).await, Ok(Ok(_))) {
+                    return started.elapsed();
+                }
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+    }
+
+    /// Longest time in which nobody led, within `duration`.
+    async fn longest_without_leader(&self, duration: Duration) -> Duration {
+        let started = Instant::now();
+        let mut led_at = started;
+        let mut longest = Duration::ZERO;
+        while started.elapsed() < duration {
+            if self.leader().is_some() {
+                led_at = Instant::now();
+            }
+            longest = longest.max(led_at.elapsed());
+            tokio::time::sleep(LOOK).await;
+        }
+        longest
+    }
+}
+
+impl Drop for Group {
+    fn drop(&mut self) {
+        for member in self.members.values_mut() {
+            let _ = member.control.deliver(Event::Stop);
+            if let Some(thread) = member.thread.take() {
+                thread.join().expect("it ended well");
+            }
+        }
+    }
+}
+
+fn start_member(replica: ReplicaId, folder: &Path, events: &Events) -> Member {
+    let shared = Arc::new(ControlShared::new(MonotonicClock::default()));
+    let (sender, receiver) = channel();
+    events
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .insert(replica, sender.clone());
+    let disk = Disk::default();
+    let opened = disk.clone();
+    let driver = Driver::with_storage(
+        Arc::clone(&shared),
+        Box::new(Loopback(Arc::clone(events))),
+        folder.to_owned(),
+        Box::new(move |_| Ok(opened.open())),
+        1,
+    );
+    let driver = driver.expect("a driver");
+    let thread = std::thread::spawn(move || driver.run(&receiver));
+    Member {
+        control: Arc::new(ControlHandle::new(shared, sender)),
+        disk,
+        thread: Some(thread),
+    }
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_keeps_its_lease_while_all_disks_stall() {
+    let group = Group::start().await;
+    group.wait_for_leader().await;
+    group.change(true).await;
+    for member in group.members.values() {
+        member.disk.stall(STALL);
+    }
+    let changing = group.change(false);
+    let watching = group.longest_without_leader(STALL);
+    let (took, without) = tokio::join!(changing, watching);
+    // The change needs the disks, and comes with them; leases don't.
+    expect_that!(took, lt(STALL + Duration::from_secs(1)));
+    expect_that!(without, lt(Duration::from_millis(200)));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leader_whose_own_disk_stalls_makes_room() {
+    let group = Group::start().await;
+    let leader = group.wait_for_leader().await;
+    group.change(true).await;
+    group.members[&leader].disk.stall(STALL);
+    // The first one may be lost with the old leader, and is tried anew.
+    let first = tokio::time::timeout(Duration::from_millis(2_500), group.change(false)).await;
+    let took = match first {
+        Ok(took) => took,
+        Err(_) => group.change(false).await,
+    };
+    expect_that!(took, lt(Duration::from_millis(2_500)));
+    expect_that!(group.leader(), not(some(eq(leader))));
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_follower_whose_disk_stalls_holds_nobody_up() {
+    let group = Group::start().await;
+    let leader = group.wait_for_leader().await;
+    group.change(true).await;
+    let follower = REPLICAS.into_iter().find(|replica| *replica != leader);
+    let follower = &group.members[&follower.expect("another one")];
+    follower.disk.stall(STALL);
+    for round in 0..10 {
+        let took = group.change(round % 2 == 0).await;
+        expect_that!(took, lt(Duration::from_millis(500)));
+    }
+    expect_that!(group.leader(), some(eq(leader)));
+}
