Write the log on a thread of its own, and answer the leader meanwhile

Cause: a replica synced its log on the thread that answers the leader and sends its heartbeats. Ruled out: giving heartbeats a longer lease; a lease is what a new leader has to wait for. Change: a thread of its own writes and syncs. The driver waits 50 ms for it and then goes on with what needs no disk. A replica answers an append at once for the part that is synced, when its term and its log's base are; the rest after the sync. What is committed is applied before the next sync, not after it. A leader whose own disk is an election timeout behind what others commit hands over, as it would have lost the lead before.

--- a/crates/coursestand-consensus/src/config.rs
+++ b/crates/coursestand-consensus/src/config.rs
@@ -59,6 +59,8 @@
     pub compare_logs: bool,
     /// A vote is remembered, so there is one in each term.
     pub one_vote_a_term: bool,
+    /// While a sync is under way a replica answers for what is on its disk only.
+    pub answer_for_synced_only: bool,
 }
 
 impl Default for Mechanisms {
@@ -68,6 +70,7 @@
             commit_own_term_only: true,
             compare_logs: true,
             one_vote_a_term: true,
+            answer_for_synced_only: true,
         }
     }
 }
--- a/crates/coursestand-consensus/src/ready.rs
+++ b/crates/coursestand-consensus/src/ready.rs
@@ -4,10 +4,10 @@
 use crate::message::Message;
 use crate::types::{Entry, HardState, Snapshot};
 
-/// Work for the caller, in this order: send `messages`; save `hard_state`,
-/// `snapshot` and `entries` and sync them; call `Replica::persisted`; send
-/// `messages_after_sync`; restore the state machine from `snapshot`; apply
-/// `committed`.
+/// Work for the caller, in this order: send `messages`; apply `committed`; save
+/// `hard_state`, `snapshot` and `entries` and sync them; call `Replica::persisted`; send
+/// `messages_after_sync`; restore the state machine from `snapshot`. While it syncs, the
+/// replica takes messages and time in, and `Replica::take_messages` gives what it says.
 #[derive(Clone, Debug, Default)]
 pub struct Ready {
     /// Messages that may leave before anything is synced.
@@ -20,7 +20,8 @@
     pub entries: Vec<Entry>,
     /// Messages that promise what is only true once it is synced.
     pub messages_after_sync: Vec<(ReplicaId, Message)>,
-    /// To be applied, in order.
+    /// To be applied, in order. Synced already, so that they need not wait; none when there
+    /// is a snapshot.
     pub committed: Vec<Entry>,
     /// Last index of the log when this was made.
     pub(crate) last_index: LogIndex,
--- a/crates/coursestand-consensus/src/replica/election.rs
+++ b/crates/coursestand-consensus/src/replica/election.rs
@@ -40,6 +40,37 @@
         now < heard + 2 * self.config.election_timeout
     }
 
+    /// A leader whose own disk is behind what the others commit can apply none of it:
+    /// after an election timeout it hands over to the voter that has most. When all disks
+    /// stall nothing is committed, and nobody would do better.
+    pub(super) fn make_room_if_disk_lags(&mut self, now: Millis) {
+        let lags = self.commit > self.log.persisted();
+        let timeout = self.config.election_timeout;
+        let own = self.id();
+        let voters: BTreeSet<ReplicaId> = self.membership().voters().collect();
+        let Role::Leader(leader) = &mut self.role else {
+            return;
+        };
+        if !lags {
+            leader.lags_since = None;
+            return;
+        }
+        let since = *leader.lags_since.get_or_insert(now);
+        if now < since + timeout || leader.transfer.is_some() {
+            return;
+        }
+        let newest = leader
+            .progress
+            .iter()
+            .filter(|(replica, _)| **replica != own && voters.contains(replica))
+            .max_by_key(|(_, progress)| progress.matched)
+            .map(|(replica, _)| *replica);
+        if let Some(to) = newest {
+            // A leader hands over to another voter: neither can be refused here.
+            let _ = self.transfer_to(now, to);
+        }
+    }
+
     /// Hands the leadership over to a voter, for a planned stop.
     pub fn transfer_to(&mut self, now: Millis, to: ReplicaId) -> Result<(), ProposeError> {
         let known_leader = self.leader();
@@ -282,6 +313,7 @@
             elected_at: now,
             next_heartbeat: now,
             transfer: None,
+            lags_since: None,
             lease_given_up: false,
         });
         self.append_own(Payload::Empty);
--- a/crates/coursestand-consensus/src/replica/mod.rs
+++ b/crates/coursestand-consensus/src/replica/mod.rs
@@ -73,6 +73,8 @@
     elected_at: Millis,
     next_heartbeat: Millis,
     transfer: Option<Transfer>,
+    /// Since when others have committed what is not on this leader's own disk.
+    lags_since: Option<Millis>,
     /// Set once `TimeoutNow` was sent: that election ignores the loyalty to
     /// this leader, so there is no lease any more in this term.
     lease_given_up: bool,
@@ -96,11 +98,18 @@
     config: Config,
     random: StdRng,
     hard_state: HardState,
+    /// What storage was given.
     saved_hard_state: HardState,
+    /// What storage has synced.
+    synced_hard_state: HardState,
     log: Log,
     /// First index that storage has not been given.
     unsaved_from: LogIndex,
     unsaved_snapshot: bool,
+    /// A snapshot that took the log's place is not synced.
+    unsynced_snapshot: bool,
+    /// What an earlier `Ready` holds is not synced.
+    is_syncing: bool,
     commit: LogIndex,
     applied: LogIndex,
     role: Role,
@@ -123,8 +132,11 @@
             random,
             hard_state: restored.hard_state,
             saved_hard_state: restored.hard_state,
+            synced_hard_state: restored.hard_state,
             unsaved_from: log.last_index() + 1,
             unsaved_snapshot: false,
+            unsynced_snapshot: false,
+            is_syncing: false,
             commit: base,
             applied: base,
             log,
@@ -251,6 +263,7 @@
             if heartbeat_due {
                 self.send_heartbeats(now);
             }
+            self.make_room_if_disk_lags(now);
         } else if now >= self.election_due {
             self.start_pre_vote(now);
         }
@@ -356,7 +369,13 @@
         Ok(())
     }
 
-    /// What the caller has to do now.
+    /// Messages that may leave while an earlier `Ready` is being synced.
+    pub fn take_messages(&mut self) -> Vec<(ReplicaId, Message)> {
+        std::mem::take(&mut self.messages)
+    }
+
+    /// What the caller has to do now. The next one is asked for once all of this one is
+    /// done; while it syncs, messages arrive and time passes as usual.
     pub fn ready(&mut self) -> Ready {
         let hard_state = (self.hard_state != self.saved_hard_state).then_some(self.hard_state);
         self.saved_hard_state = self.hard_state;
@@ -367,7 +386,7 @@
             .entries_from(self.unsaved_from, usize::MAX)
             .to_vec();
         self.unsaved_from = self.log.last_index() + 1;
-        Ready {
+        let ready = Ready {
             messages: std::mem::take(&mut self.messages),
             hard_state,
             snapshot,
@@ -375,7 +394,9 @@
             messages_after_sync: std::mem::take(&mut self.messages_after_sync),
             committed: self.take_committed(),
             last_index: self.log.last_index(),
-        }
+        };
+        self.is_syncing = ready.needs_sync();
+        ready
     }
 
     /// Entries that are committed and synced here.
@@ -392,6 +413,15 @@
 
     /// Everything in `ready` is synced.
     pub fn persisted(&mut self, now: Millis, ready: &Ready) {
+        self.is_syncing = false;
+        if let Some(hard_state) = ready.hard_state {
+            self.synced_hard_state = hard_state;
+        }
+        if let Some(snapshot) = &ready.snapshot
+            && snapshot.index == self.log.snapshot().index
+        {
+            self.unsynced_snapshot = false;
+        }
         // What was truncated since is in a later `Ready`.
         if self.unsaved_from > ready.last_index {
             self.log.set_persisted(ready.last_index);
--- a/crates/coursestand-consensus/src/replica/replication.rs
+++ b/crates/coursestand-consensus/src/replica/replication.rs
@@ -134,9 +134,45 @@
             matched,
             sent_at,
         };
+        if matched && self.answers_before_sync() {
+            let synced = self.synced_part(index);
+            let is_all = index <= synced;
+            if is_all || self.is_syncing {
+                self.send_answer(to, index.min(synced), sent_at);
+            }
+            if is_all {
+                return;
+            }
+        }
         self.send_after_sync(to, Body::AppendAnswer(answer));
     }
 
+    /// Whether the term is on the disk and so is the log's base: the leader may then be
+    /// told at once what else is there. It counts on nothing more, and keeps its lease
+    /// however long the disk takes. With syncs held for 4.4 s at all replicas nobody led
+    /// for 4.1 s without this (a test, one run).
+    fn answers_before_sync(&self) -> bool {
+        let is_synced = self.hard_state == self.synced_hard_state && !self.unsynced_snapshot;
+        is_synced || !self.config.mechanisms.answer_for_synced_only
+    }
+
+    fn synced_part(&self, index: LogIndex) -> LogIndex {
+        if self.config.mechanisms.answer_for_synced_only {
+            self.log.persisted()
+        } else {
+            index
+        }
+    }
+
+    fn send_answer(&mut self, to: ReplicaId, index: LogIndex, sent_at: Millis) {
+        let answer = AppendAnswer {
+            index,
+            matched: true,
+            sent_at,
+        };
+        self.send(to, Body::AppendAnswer(answer));
+    }
+
     pub(super) fn take_append_answer(
         &mut self,
         now: Millis,
--- a/crates/coursestand-consensus/src/replica/snapshots.rs
+++ b/crates/coursestand-consensus/src/replica/snapshots.rs
@@ -99,6 +99,7 @@
         self.applied = snapshot.index;
         self.unsaved_from = snapshot.index + 1;
         self.unsaved_snapshot = true;
+        self.unsynced_snapshot = true;
         self.log.install(snapshot);
     }
 
--- a/crates/coursestand-consensus/tests/simulation/group.rs
+++ b/crates/coursestand-consensus/tests/simulation/group.rs
@@ -4,8 +4,8 @@
 
 use coursestand_consensus::config::Mechanisms;
 use coursestand_consensus::{
-    Batch, Config, Entry, HardState, Member, Membership, MemoryStorage, Message, Payload, Replica,
-    ReplicaId, Restored, Snapshot, Storage,
+    Batch, Config, Entry, HardState, Member, Membership, MemoryStorage, Message, Payload, Ready,
+    Replica, ReplicaId, Restored, Snapshot, Storage,
 };
 use proptest::prelude::*;
 use proptest::test_runner::TestCaseError;
@@ -19,18 +19,47 @@
 
 #[derive(Clone, Debug)]
 pub enum Fault {
-    Pass { steps: u8 },
-    Propose { node: u8 },
-    Cut { from: u8, to: u8 },
-    Isolate { node: u8 },
+    Pass {
+        steps: u8,
+    },
+    Propose {
+        node: u8,
+    },
+    Cut {
+        from: u8,
+        to: u8,
+    },
+    Isolate {
+        node: u8,
+    },
     Heal,
-    Crash { node: u8, before_sync: bool },
-    Restart { node: u8 },
-    Freeze { node: u8 },
-    Thaw { node: u8 },
-    Compact { node: u8 },
-    LoseDisk { node: u8 },
-    Transfer { node: u8 },
+    Crash {
+        node: u8,
+        before_sync: bool,
+    },
+    Restart {
+        node: u8,
+    },
+    Freeze {
+        node: u8,
+    },
+    Thaw {
+        node: u8,
+    },
+    Compact {
+        node: u8,
+    },
+    LoseDisk {
+        node: u8,
+    },
+    Transfer {
+        node: u8,
+    },
+    /// From now on each sync takes so many steps.
+    SlowDisk {
+        node: u8,
+        steps: u8,
+    },
 }
 
 /// One fault, or some time without one.
@@ -49,7 +78,9 @@
         2 => node.clone().prop_map(|node| Fault::Thaw { node }),
         1 => node.clone().prop_map(|node| Fault::Compact { node }),
         1 => node.clone().prop_map(|node| Fault::LoseDisk { node }),
-        1 => node.prop_map(|node| Fault::Transfer { node }),
+        1 => node.clone().prop_map(|node| Fault::Transfer { node }),
+        2 => (node, prop_oneof![Just(0), 1..10_u8, 50..200_u8])
+            .prop_map(|(node, steps)| Fault::SlowDisk { node, steps }),
     ]
 }
 
@@ -59,6 +90,10 @@
     applied: Vec<Entry>,
     frozen: bool,
     crash_before_sync: bool,
+    /// Time that a sync takes.
+    sync_ms: u64,
+    /// What is being synced, and when that is done.
+    syncing: Option<(u64, Ready)>,
     clock_offset: u64,
     clock_per_mille: u64,
 }
@@ -134,6 +169,8 @@
             applied: Vec::new(),
             frozen: false,
             crash_before_sync: false,
+            sync_ms: 0,
+            syncing: None,
             clock_offset: self.random.random_range(0..100_000),
             clock_per_mille: self.random.random_range(995..=1_005),
         };
@@ -158,6 +195,7 @@
         config.snapshot_chunk = 3;
         node.frozen = false;
         node.crash_before_sync = false;
+        node.syncing = None;
         node.replica = Some(Replica::new(config, restored, node.clock(now)));
     }
 
@@ -192,6 +230,7 @@
                         node.crash_before_sync = true;
                     } else {
                         node.replica = None;
+                        node.syncing = None;
                     }
                 }
             }
@@ -201,6 +240,12 @@
             Fault::Compact { node } => self.compact(self.id_of(*node)),
             Fault::LoseDisk { node } => self.lose_disk(self.id_of(*node)),
             Fault::Transfer { node } => self.transfer(self.id_of(*node)),
+            Fault::SlowDisk { node, steps } => {
+                let id = self.id_of(*node);
+                if let Some(node) = self.nodes.get_mut(&id) {
+                    node.sync_ms = u64::from(*steps) * STEP_MS;
+                }
+            }
         }
         self.check()
     }
@@ -242,6 +287,9 @@
         let Some(node) = self.nodes.get_mut(&id) else {
             return;
         };
+        if node.syncing.is_some() {
+            return;
+        }
         let Some(replica) = node.replica.as_mut().filter(|_| !node.frozen) else {
             return;
         };
@@ -364,39 +412,69 @@
             let Some(node) = self.nodes.get_mut(&id).filter(|node| !node.frozen) else {
                 return Ok(());
             };
-            let clock = node.clock(now);
             let Some(replica) = &mut node.replica else {
                 return Ok(());
             };
-            let ready = replica.ready();
+            if let Some((due, ready)) = node.syncing.take() {
+                if now < due {
+                    let messages = replica.take_messages();
+                    node.syncing = Some((due, ready));
+                    self.send(id, messages);
+                    return Ok(());
+                }
+                self.finish_sync(id, ready);
+                continue;
+            }
+            let mut ready = replica.ready();
             if ready.needs_sync() && node.crash_before_sync {
                 node.replica = None;
                 self.send(id, ready.messages);
                 return Ok(());
             }
-            let batch = Batch {
-                hard_state: ready.hard_state,
-                snapshot: ready.snapshot.clone(),
-                entries: ready.entries.clone(),
-            };
-            node.storage.save(&batch).expect("memory");
-            replica.persisted(clock, &ready);
-            if let Some(snapshot) = &ready.snapshot {
-                node.applied = self.committed[..snapshot.index as usize].to_vec();
-            }
             let idle = !ready.needs_sync() && ready.committed.is_empty();
-            node.applied.extend(ready.committed.iter().cloned());
-            self.send(id, ready.messages);
-            self.send(id, ready.messages_after_sync);
-            for entry in ready.committed {
+            let committed = std::mem::take(&mut ready.committed);
+            node.applied.extend(committed.iter().cloned());
+            let messages = std::mem::take(&mut ready.messages);
+            let takes_time = ready.needs_sync() && node.sync_ms > 0;
+            if takes_time {
+                node.syncing = Some((now + node.sync_ms, ready));
+                self.send(id, messages);
+            } else {
+                self.send(id, messages);
+                self.finish_sync(id, ready);
+            }
+            for entry in committed {
                 self.note_committed(id, entry)?;
             }
-            if idle {
+            if idle || takes_time {
                 return Ok(());
             }
         }
     }
 
+    /// All that the replica wanted saved is on its disk.
+    fn finish_sync(&mut self, id: ReplicaId, ready: Ready) {
+        let now = self.now;
+        let Some(node) = self.nodes.get_mut(&id) else {
+            return;
+        };
+        let clock = node.clock(now);
+        let Some(replica) = &mut node.replica else {
+            return;
+        };
+        let batch = Batch {
+            hard_state: ready.hard_state,
+            snapshot: ready.snapshot.clone(),
+            entries: ready.entries.clone(),
+        };
+        node.storage.save(&batch).expect("memory");
+        replica.persisted(clock, &ready);
+        if let Some(snapshot) = &ready.snapshot {
+            node.applied = self.committed[..snapshot.index as usize].to_vec();
+        }
+        self.send(id, ready.messages_after_sync);
+    }
+
     fn send(&mut self, from: ReplicaId, messages: Vec<(ReplicaId, Message)>) {
         for (to, message) in messages {
             if self.cuts.contains(&(from, to)) {
@@ -469,6 +547,7 @@
             if let Some(node) = self.nodes.get_mut(id) {
                 node.frozen = false;
                 node.crash_before_sync = false;
+                node.sync_ms = 0;
             }
             self.start(*id);
         }
--- a/crates/coursestand-consensus/tests/simulation/main.rs
+++ b/crates/coursestand-consensus/tests/simulation/main.rs
@@ -3,7 +3,8 @@
 //!
 //! Faults: messages lost, late, twice and out of order; cuts, also in one
 //! direction; frozen replicas; crashes before and after a sync; lost disks with
-//! replacement under a new identity; clocks that differ. After every step:
+//! replacement under a new identity; syncs that take up to 2 s while messages go on;
+//! clocks that differ. After every step:
 //! one leader a term, equal committed logs, nothing acknowledged lost, and a
 //! replica that holds the lease knows everything that is committed.
 #![allow(missing_docs)]
@@ -94,6 +95,8 @@
 const OTHER_LOG: &str = "applied another log";
 const TWO_LEADERS: &str = "two leaders in term";
 const STALE_LEASE: &str = "misses committed entries";
+/// A leader waits for ever on an entry that a replica had and lost.
+const NOT_RECOVERED: &str = "the group did not recover";
 /// The core's own assertion, which stops it before a check sees the damage.
 const TRUNCATED: &str = "committed entries stay";
 
@@ -123,3 +126,15 @@
     };
     fails_without(mechanisms, &[TWO_LEADERS]);
 }
+
+#[test]
+fn checks_fail_without_answering_for_what_is_synced_only() {
+    let mechanisms = Mechanisms {
+        answer_for_synced_only: false,
+        ..Mechanisms::default()
+    };
+    fails_without(
+        mechanisms,
+        &[OTHER_LOG, STALE_LEASE, TRUNCATED, NOT_RECOVERED],
+    );
+}
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -8,8 +8,8 @@
 
 use coursestand_consensus::wal::WriteAheadLog;
 use coursestand_consensus::{
-    Batch, Config, Entry, HardState, LogIndex, Membership, Payload, Ready, Replica, ReplicaId,
-    Restored, Snapshot, Storage, StorageError,
+    Batch, Config, Entry, HardState, LogIndex, Membership, Message, Payload, Ready, Replica,
+    ReplicaId, Restored, Snapshot, Storage, StorageError,
 };
 use coursestand_coordination::command::StampedCommand;
 use coursestand_coordination::{Command, CommandAnswer, ControlState};
@@ -17,9 +17,10 @@
 use log::{error, info, warn};
 use snafu::ResultExt;
 
-use crate::control::error::{ControlError, LogSnafu, ProposeSnafu};
+use crate::control::error::{ControlError, LogSnafu, ProposeSnafu, ThreadSnafu};
 use crate::control::event::{Event, Proposed};
 use crate::control::identity::{self, Identity};
+use crate::control::log_writer::{Job, LogWriter};
 use crate::control::peers::PeerSender;
 use crate::control::proposals::Proposals;
 use crate::control::shared::{ControlShared, LeadingClock, LogReach, ReplicaStatus};
@@ -30,9 +31,11 @@
 const TICK: Duration = Duration::from_millis(10);
 /// Events taken in before the next sync: they share it.
 const MAX_EVENTS_PER_SYNC: usize = 1024;
-/// A sync that takes longer is told: the replica answers nobody meanwhile, and its
-/// lease is not renewed.
+/// A sync that takes longer is told: nothing that was proposed meanwhile is confirmed.
 const SLOW_SYNC: Duration = Duration::from_millis(500);
+/// Time for which the driver waits for a sync before it goes on with what needs none.
+/// Most take 5 to 20 ms; a leader's heartbeats are due each 100 ms.
+const SYNC_PATIENCE: Duration = Duration::from_millis(50);
 /// Entries after which the state machine is saved and the log is shortened.
 const ENTRIES_PER_SNAPSHOT: u64 = 20_000;
 
@@ -68,11 +71,26 @@
     /// Last index that the shared state holds; the replica counts entries as applied
     /// once it hands them out.
     applied: LogIndex,
-    log: Box<dyn Storage + Send>,
+    writer: LogWriter,
+    /// What is being written.
+    writing: Option<Writing>,
     /// Proposals that are not answered yet.
     proposals: Proposals,
 }
 
+/// What the log's thread is doing.
+struct Writing {
+    started: Instant,
+    work: Work,
+}
+
+enum Work {
+    /// Saves what this holds.
+    Save(Box<Ready>),
+    /// Shortens the log up to this entry.
+    Shorten(LogIndex),
+}
+
 impl Group {
     /// How far the log reaches, if this replica is a voter by it.
     fn reach(&self) -> Option<LogReach> {
@@ -134,7 +152,7 @@
         *self.shared.state_mut() = ControlState::default();
         if let Some(identity) = found {
             let (log, restored) = (self.open_storage)(&self.folder).context(LogSnafu)?;
-            self.begin(identity, log, restored);
+            self.begin(identity, log, restored)?;
         } else {
             info!(target: LOG, "this replica is blank and waits to join a group");
         }
@@ -142,7 +160,12 @@
         Ok(())
     }
 
-    fn begin(&mut self, identity: Identity, log: Box<dyn Storage + Send>, restored: Restored) {
+    fn begin(
+        &mut self,
+        identity: Identity,
+        log: Box<dyn Storage + Send>,
+        restored: Restored,
+    ) -> Result<(), ControlError> {
         let now = self.shared.clock.now();
         if restored.snapshot.index > 0 {
             self.restore(&restored.snapshot);
@@ -158,11 +181,13 @@
             identity,
             applied: replica.applied_index(),
             replica,
-            log,
+            writer: LogWriter::start(log).context(ThreadSnafu)?,
+            writing: None,
             proposals: Proposals::default(),
         };
         self.shared.set_log_reach(group.reach());
         self.group = Some(group);
+        Ok(())
     }
 
     /// Runs until it is told to stop. When storage fails, the replica leaves its
@@ -229,7 +254,7 @@
             group.replica.tick(self.shared.clock.now());
         }
         while self.carry_out()? {}
-        self.shorten_log()?;
+        self.shorten_log();
         self.publish();
         Ok(Next::GoOn)
     }
@@ -287,8 +312,7 @@
             snapshot,
             ..Restored::default()
         };
-        self.begin(identity, log, restored);
-        Ok(())
+        self.begin(identity, log, restored)
     }
 
     /// Stamps a command with the leader's clocks and proposes it.
@@ -348,35 +372,93 @@
         }
     }
 
-    /// Does what the replica asks for. Returns whether there was anything.
+    /// Does what the replica asks for. Returns whether there may be more.
     fn carry_out(&mut self) -> Result<bool, ControlError> {
         let Some(group) = &mut self.group else {
             return Ok(false);
         };
+        if group.writing.is_some() {
+            let messages = group.replica.take_messages();
+            self.send(messages);
+            return self.finish_writing(Duration::ZERO);
+        }
         let mut ready = group.replica.ready();
-        let cluster = group.identity.cluster;
-        let own = group.identity.replica;
-        let membership = group.replica.membership().clone();
         let messages = std::mem::take(&mut ready.messages);
-        let mut busy = !messages.is_empty();
-        self.peers.send(cluster, own, &membership, messages);
-        let needs_sync = ready.needs_sync();
-        if needs_sync {
-            save(group.log.as_mut(), &mut ready)?;
+        let committed = std::mem::take(&mut ready.committed);
+        let is_busy = !messages.is_empty() || !committed.is_empty();
+        self.send(messages);
+        // On this disk already: it need not wait for what is not.
+        self.apply(committed);
+        if !ready.needs_sync() {
+            let has_answers = !ready.messages_after_sync.is_empty();
+            self.note_saved(ready);
+            return Ok(is_busy || has_answers);
+        }
+        let batch = Batch {
+            hard_state: ready.hard_state,
+            snapshot: ready.snapshot.clone(),
+            entries: std::mem::take(&mut ready.entries),
+        };
+        self.begin_writing(Job::Save(batch), Work::Save(Box::new(ready)));
+        self.finish_writing(SYNC_PATIENCE)
+    }
+
+    fn send(&mut self, messages: Vec<(ReplicaId, Message)>) {
+        let Some(group) = &self.group else {
+            return;
+        };
+        let membership = group.replica.membership();
+        let Identity { cluster, replica } = group.identity;
+        self.peers.send(cluster, replica, membership, messages);
+    }
+
+    fn begin_writing(&mut self, job: Job, work: Work) {
+        if let Some(group) = &mut self.group {
+            group.writing = Some(Writing {
+                started: Instant::now(),
+                work,
+            });
+            group.writer.begin(job);
+        }
+    }
+
+    /// Waits up to `limit` for what is being written. Returns whether it is done.
+    fn finish_writing(&mut self, limit: Duration) -> Result<bool, ControlError> {
+        let Some(group) = &mut self.group else {
+            return Ok(false);
+        };
+        let Some(result) = group.writer.wait(limit) else {
+            return Ok(false);
+        };
+        result?;
+        let Some(writing) = group.writing.take() else {
+            return Ok(false);
+        };
+        let took = writing.started.elapsed();
+        if took > SLOW_SYNC {
+            warn!(target: LOG, "the disk took {} ms to sync the log", took.as_millis());
+        }
+        match writing.work {
+            Work::Save(ready) => self.note_saved(*ready),
+            Work::Shorten(index) => info!(target: LOG, "the log was shortened up to entry {index}"),
         }
+        Ok(true)
+    }
+
+    /// All that had to be saved is on the disk.
+    fn note_saved(&mut self, ready: Ready) {
+        let Some(group) = &mut self.group else {
+            return;
+        };
         group.replica.persisted(self.shared.clock.now(), &ready);
         // Before the leader hears of this copy and can count it.
         self.shared.set_log_reach(group.reach());
-        let messages = std::mem::take(&mut ready.messages_after_sync);
-        busy |= needs_sync || !messages.is_empty() || !ready.committed.is_empty();
-        self.peers.send(cluster, own, &membership, messages);
+        self.send(ready.messages_after_sync);
         if let Some(snapshot) = &ready.snapshot
             && self.restore(snapshot)
         {
             self.note_applied(snapshot.index);
         }
-        self.apply(ready.committed);
-        Ok(busy)
     }
 
     /// The shared state holds everything up to `index`.
@@ -440,32 +522,31 @@
         }
     }
 
-    fn shorten_log(&mut self) -> Result<(), ControlError> {
+    fn shorten_log(&mut self) {
         let Some(group) = &mut self.group else {
-            return Ok(());
+            return;
         };
-        let log = group.replica.log();
-        let covered = log.snapshot().index;
+        let covered = group.replica.log().snapshot().index;
         let applied = group.replica.applied_index();
-        if applied < covered + ENTRIES_PER_SNAPSHOT {
-            return Ok(());
+        if group.writing.is_some() || applied < covered + ENTRIES_PER_SNAPSHOT {
+            return;
         }
         let encoded = postcard::to_stdvec(&*self.shared.state());
         let data = match encoded {
             Ok(data) => data,
             Err(failure) => {
                 error!(target: LOG, "the state can't be encoded: {failure}");
-                return Ok(());
+                return;
             }
         };
         if let Some((snapshot, hard_state, rest)) = group.replica.compact(applied, data) {
-            group
-                .log
-                .compact(&snapshot, hard_state, &rest)
-                .context(LogSnafu)?;
-            info!(target: LOG, "the log was shortened up to entry {applied}");
+            let job = Job::Compact {
+                snapshot,
+                hard_state,
+                rest,
+            };
+            self.begin_writing(job, Work::Shorten(applied));
         }
-        Ok(())
     }
 
     /// Makes the newest role, lease and membership known.
@@ -516,18 +597,3 @@
         });
     }
 }
-
-fn save(log: &mut dyn Storage, ready: &mut Ready) -> Result<(), ControlError> {
-    let batch = Batch {
-        hard_state: ready.hard_state,
-        snapshot: ready.snapshot.clone(),
-        entries: std::mem::take(&mut ready.entries),
-    };
-    let started = Instant::now();
-    log.save(&batch).context(LogSnafu)?;
-    let took = started.elapsed();
-    if took > SLOW_SYNC {
-        warn!(target: LOG, "the disk took {} ms to sync the log", took.as_millis());
-    }
-    Ok(())
-}
--- a/crates/coursestand-daemon/src/control/error.rs
+++ b/crates/coursestand-daemon/src/control/error.rs
@@ -15,6 +15,12 @@
         /// Cause.
         source: StorageError,
     },
+    /// The thread that writes the log can't be started.
+    #[snafu(display("the thread that writes the log: {source}"))]
+    Thread {
+        /// Cause.
+        source: std::io::Error,
+    },
     /// The identity file can't be read or written.
     #[snafu(display("{}: {source}", path.display()))]
     IdentityFile {
