--- a/crates/coursestand-consensus/src/replica/election.rs
+++ b/crates/coursestand-consensus/src/replica/election.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use super::{LeaderState, ProposeError, Replica, Role, Transfer};
+use super::{DiskLag, LeaderState, ProposeError, Replica, Role, Transfer};
 use crate::ids::{Millis, ReplicaId, Term};
 use crate::message::{Body, LogPosition, Message};
 use crate::types::{HardState, Payload};
@@ -40,34 +40,45 @@
         now < heard + 2 * self.config.election_timeout
     }
 
-    /// A leader whose own disk is behind what the others commit can apply none of it:
-    /// after an election timeout it hands over to the voter that has most. When all disks
-    /// stall nothing is committed, and nobody would do better.
+    /// A leader whose own disk syncs nothing for an election timeout, while others commit,
+    /// can apply nothing: it hands over to the voter that has most. When all disks stall
+    /// nothing is committed, and nobody would do better.
     pub(super) fn make_room_if_disk_lags(&mut self, now: Millis) {
-        let lags = self.commit > self.log.persisted();
-        let timeout = self.config.election_timeout;
-        let own = self.id();
-        let voters: BTreeSet<ReplicaId> = self.membership().voters().collect();
+        let persisted = self.log.persisted();
+        let lags = self.commit > persisted;
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        if !lags {
-            leader.lags_since = None;
-            return;
-        }
-        let since = *leader.lags_since.get_or_insert(now);
-        if now < since + timeout || leader.transfer.is_some() {
-            return;
+        let known = leader.disk_lag.filter(|lag| lag.persisted == persisted);
+        leader.disk_lag = lags.then(|| {
+            known.unwrap_or(DiskLag {
+                since: now,
+                persisted,
+            })
+        });
+        let is_late = leader
+            .disk_lag
+            .is_some_and(|lag| now >= lag.since + self.config.election_timeout);
+        if is_late && leader.transfer.is_none() {
+            // A leader hands over to another voter: neither can be refused here.
+            let _ = self.hand_over(now);
         }
-        let newest = leader
-            .progress
+    }
+
+    /// Hands the leadership over to the voter that has most of the log. Does nothing when
+    /// this replica doesn't lead, or is the only voter.
+    pub fn hand_over(&mut self, now: Millis) -> Result<(), ProposeError> {
+        let Some(progress) = self.progress() else {
+            return Ok(());
+        };
+        let newest = progress
             .iter()
-            .filter(|(replica, _)| **replica != own && voters.contains(replica))
+            .filter(|(replica, _)| self.membership().is_voter(**replica))
             .max_by_key(|(_, progress)| progress.matched)
             .map(|(replica, _)| *replica);
-        if let Some(to) = newest {
-            // A leader hands over to another voter: neither can be refused here.
-            let _ = self.transfer_to(now, to);
+        match newest {
+            Some(to) => self.transfer_to(now, to),
+            None => Ok(()),
         }
     }
 
@@ -313,7 +324,7 @@
             elected_at: now,
             next_heartbeat: now,
             transfer: None,
-            lags_since: None,
+            disk_lag: None,
             lease_given_up: false,
         });
         self.append_own(Payload::Empty);
--- a/crates/coursestand-consensus/src/replica/mod.rs
+++ b/crates/coursestand-consensus/src/replica/mod.rs
@@ -73,8 +73,8 @@
     elected_at: Millis,
     next_heartbeat: Millis,
     transfer: Option<Transfer>,
-    /// Since when others have committed what is not on this leader's own disk.
-    lags_since: Option<Millis>,
+    /// Set while others have committed what is not on this leader's own disk.
+    disk_lag: Option<DiskLag>,
     /// Set once `TimeoutNow` was sent: that election ignores the loyalty to
     /// this leader, so there is no lease any more in this term.
     lease_given_up: bool,
@@ -86,6 +86,14 @@
     give_up_at: Millis,
 }
 
+/// Others have committed more than this leader's own disk holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct DiskLag {
+    /// When the disk held this much first.
+    since: Millis,
+    persisted: LogIndex,
+}
+
 /// A snapshot that arrives in pieces.
 #[derive(Clone, Debug, Default)]
 struct PartialSnapshot {
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -357,17 +357,7 @@
         let Some(group) = &mut self.group else {
             return;
         };
-        let newest = group.replica.progress().and_then(|progress| {
-            let membership = group.replica.membership();
-            progress
-                .iter()
-                .filter(|(replica, _)| membership.is_voter(**replica))
-                .max_by_key(|(_, progress)| progress.matched)
-                .map(|(replica, _)| *replica)
-        });
-        if let Some(to) = newest
-            && let Err(failure) = group.replica.transfer_to(now, to)
-        {
+        if let Err(failure) = group.replica.hand_over(now) {
             warn!(target: LOG, "the leadership was not handed over: {failure}");
         }
     }
--- a/crates/coursestand-daemon/src/fleet/catalog_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/catalog_follower.rs
@@ -70,6 +70,10 @@
     pub fn take(&self, from: SocketAddr, delta: CatalogDelta) {
         let version = delta.version;
         let items = delta.items.len();
+        if delta.since > self.version() {
+            info!(target: LOG, control:% = from, since = delta.since, catalog = version;
+                "changes are left out: earlier ones are missing");
+        }
         self.catch_up().note_told(from, version);
         if self.state.adopt_catalog(delta) {
             info!(target: LOG, control:% = from, catalog = version, items = items;
--- a/crates/coursestand-daemon/src/fleet/control_link.rs
+++ b/crates/coursestand-daemon/src/fleet/control_link.rs
@@ -68,7 +68,8 @@
     parts: CatalogParts,
     /// Newest change of the catalog that the control process knows the daemon has.
     told_have: u64,
-    /// What is sent next. It stays here until it is: sending may be broken off.
+    /// What is sent next. It stays here until it is, since sending may be broken off: what
+    /// is here does no harm when it is sent twice.
     outgoing: VecDeque<ToControl>,
 }
 
@@ -280,9 +281,11 @@
             self.told_have = have;
             self.outgoing.push_back(ToControl::Have(have));
         }
-        self.outgoing
-            .push_back(ToControl::EdgePing(follower.link_use()));
-        self.send_outgoing().await
+        self.send_outgoing().await?;
+        // Never sent twice: an answer too many would pass for that to a later one, and
+        // the catalog for newer than it is proven to be.
+        let ping = ToControl::EdgePing(follower.link_use());
+        self.sender.send(&ping).await
     }
 
     fn take(
