--- a/crates/coursestand-transport/src/packed.rs
+++ b/crates/coursestand-transport/src/packed.rs
@@ -1,7 +1,7 @@
 //! Frames made smaller for narrow links, by the `deflate` method.
 //!
-//! 1,400 routes with names drawn by lot take a third of their bytes; a link of 2 Mbit/s
-//! passes them in 0.13 s in place of 0.37.
+//! 1,400 routes with names drawn by lot take a quarter of their bytes; a link of 2 Mbit/s
+//! passes them in 0.09 s in place of 0.35 (22 and 88 kB, tests).
 
 use std::io::{Read, Write};
 
