Write the lab's routes in the product's words

Cause: the operator's text of the lab's many routes used names of the users' platform, which belong in platform/ alone. Change: the same text with the product's names, of nearly the same length. It is test support; no program holds it.

--- a/crates/coursestand-lab/src/items.rs
+++ b/crates/coursestand-lab/src/items.rs
@@ -87,7 +87,7 @@
     let mut route = route(&name, service, RouteKind::Repeatable, 2_000);
     route.path_prefix = format!("/{}/{}/", word(&mut random, 7), word(&mut random, 4));
     route.notation = format!(
-        r#"{{"Name":"{name}","Host":"{HOST}","PathPrefix":"{}","Type":"safe","Timeout":"2000ms","MaxAttempts":2,"SessionAffinity":true,"Service":"{service}"}}"#,
+        r#"{{"name":"{name}","host":"{HOST}","path_prefix":"{}","kind":"safe","timeout":"2000ms","max_attempts":2,"key_affinity":true,"service":"{service}"}}"#,
         route.path_prefix
     );
     route_item(&name, version, route)
