Estimate, log and count how long requests have waited before they are read

Cause: a request's time is counted from the moment at which its head was read. Ruled out: the time from a connection's acceptance to its first bytes says nothing, the request comes right behind the handshake; the handshake's own round trip isn't offered by the libraries in use; the age of unanswered signs of life alone can't tell a full link from a control group that is gone. Change: round trips to control processes and to back ends (new connections) share the link with requests. It is in each request's line (waited_ms) and in coursestand_request_waited_seconds. Nothing decides by it yet. Conclusion: a queue on the link can be told from a peer that is late.

--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -9,7 +9,7 @@
 
 use coursestand_discovery::{EdgePhase, EdgeRecord, LinkUse};
 use coursestand_model::Millis;
-use coursestand_proxy::EdgeState;
+use coursestand_proxy::{EdgeState, LinkWatch};
 use coursestand_routing::hash::{combine, hash_of};
 use coursestand_transport::stream::StreamError;
 use log::info;
@@ -75,6 +75,8 @@
     controls: Mutex<BTreeSet<SocketAddr>>,
     catalog: CatalogFollower,
     metrics: FollowerMetrics,
+    /// Told how long round trips to control processes take.
+    link: Arc<LinkWatch>,
     followed: Mutex<BTreeMap<SocketAddr, Followed>>,
     news: Notify,
     prober: Prober,
@@ -87,6 +89,7 @@
         record: EdgeRecord,
         seeds: watch::Receiver<Vec<SocketAddr>>,
         metrics: FollowerMetrics,
+        link: Arc<LinkWatch>,
     ) -> EdgeFollower {
         EdgeFollower {
             catalog: CatalogFollower::new(Arc::clone(&state)),
@@ -97,6 +100,7 @@
             seeds,
             controls: Mutex::default(),
             metrics,
+            link,
             followed: Mutex::default(),
             news: Notify::new(),
             prober: Prober::default(),
@@ -185,6 +189,7 @@
         catalog: u64,
     ) {
         self.metrics.round_trip.observe(round_trip.as_secs_f64());
+        self.link.note_round_trip(&control.to_string(), round_trip);
         let round_trip_ms = round_trip.as_millis() as Millis;
         if round_trip > SLOW_ROUND_TRIP {
             info!(target: LOG, control:% = control, round_trip_ms = round_trip_ms,
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -202,6 +202,7 @@
             record,
             self.seeds.clone(),
             FollowerMetrics::new(registry.metrics()).map_err(|error| failed(&error))?,
+            Arc::clone(exchange.link()),
         ));
         let ready = serve_readiness(
             role.ready_listen,
--- a/crates/coursestand-daemon/tests/following/daemon.rs
+++ b/crates/coursestand-daemon/tests/following/daemon.rs
@@ -77,7 +77,13 @@
         };
         let (seeds, seeds_seen) = watch::channel(seeds.to_vec());
         let metrics = FollowerMetrics::new(&prometheus::Registry::new()).expect("metrics");
-        let follower = EdgeFollower::new(Arc::clone(&state), record, seeds_seen, metrics);
+        let follower = EdgeFollower::new(
+            Arc::clone(&state),
+            record,
+            seeds_seen,
+            metrics,
+            Arc::default(),
+        );
         let follower = Arc::new(follower);
         tokio::spawn(Arc::clone(&follower).run());
         Daemon {
--- a/crates/coursestand-proxy/src/exchange.rs
+++ b/crates/coursestand-proxy/src/exchange.rs
@@ -24,6 +24,7 @@
     text_of,
 };
 use crate::link_gate::{LinkGate, LinkPermit};
+use crate::link_watch::LinkWatch;
 use crate::metrics::ProxyMetrics;
 use crate::phases::{
     AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Silence, Target,
@@ -51,6 +52,7 @@
     pool: Arc<Pool>,
     metrics: ProxyMetrics,
     gate: Arc<LinkGate>,
+    link: Arc<LinkWatch>,
     connect_times: ConnectTimes,
     answer_times: AnswerTimes,
     limits: SharedLimits,
@@ -144,6 +146,7 @@
             pool,
             metrics,
             gate: Arc::new(LinkGate::default()),
+            link: Arc::default(),
             connect_times: ConnectTimes::default(),
             answer_times: AnswerTimes::default(),
             limits: SharedLimits::default(),
@@ -181,6 +184,11 @@
         &self.gate
     }
 
+    /// Where round trips over the machine's link are noted.
+    pub fn link(&self) -> &Arc<LinkWatch> {
+        &self.link
+    }
+
     /// Metrics of the exchange.
     pub fn metrics(&self) -> &ProxyMetrics {
         &self.metrics
@@ -190,7 +198,7 @@
     pub async fn serve(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let arrived = Instant::now();
         let id = text_of(request.headers(), &self.names.request_id).map(str::to_owned);
-        let mut story = Story::begin(&self.metrics, id, arrived);
+        let mut story = Story::begin(&self.metrics, id, arrived, self.link.waited());
         let result = match self.prepare(request, arrived).await {
             Ok(prepared) => self.carry_out(prepared, &mut story).await,
             Err(reason) => Err(reason),
@@ -617,7 +625,9 @@
             .open(target.address, limit.min(left / CONNECT_PART))
             .await
             .map_err(|_| FailedAttempt::of(AttemptFailure::Unreachable))?;
-        let delay = self.connect_times.note(&target.zone, started.elapsed());
+        let took = started.elapsed();
+        self.link.note_round_trip(target.zone.as_str(), took);
+        let delay = self.connect_times.note(&target.zone, took);
         self.gate.note_delay(delay.as_secs_f64() * 1_000.0);
         Ok(connection)
     }
--- a/crates/coursestand-proxy/src/metrics.rs
+++ b/crates/coursestand-proxy/src/metrics.rs
@@ -15,6 +15,8 @@
     pub connections: IntCounter,
     /// Requests in flight.
     pub in_flight: IntGauge,
+    /// Seconds that requests had waited before they were read, as far as it is known.
+    pub waited: Histogram,
     /// Seconds from a request's head to its answer.
     pub duration: Histogram,
 }
@@ -43,6 +45,10 @@
                 "Connections opened to back ends",
             )?,
             in_flight: IntGauge::new("coursestand_requests_in_flight", "Requests in flight")?,
+            waited: Histogram::with_opts(HistogramOpts::new(
+                "coursestand_request_waited_seconds",
+                "Seconds that requests had waited before they were read, as far as it is known",
+            ))?,
             duration: Histogram::with_opts(HistogramOpts::new(
                 "coursestand_request_seconds",
                 "Seconds from a request's head to its answer",
@@ -56,6 +62,7 @@
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.connections.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
+        registry.register(Box::new(metrics.waited.clone()))?;
         registry.register(Box::new(metrics.duration.clone()))?;
         Ok(metrics)
     }
--- a/crates/coursestand-proxy/src/story.rs
+++ b/crates/coursestand-proxy/src/story.rs
@@ -1,6 +1,7 @@
 //! What became of one request, for logs and metrics: one line at its end.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use coursestand_model::BackendId;
 use coursestand_routing::RouteEntry;
@@ -19,6 +20,7 @@
     metrics: &'a ProxyMetrics,
     id: Option<String>,
     arrived: Instant,
+    waited: Duration,
     route: Option<Arc<RouteEntry>>,
     limit_ms: u64,
     key: u64,
@@ -33,12 +35,20 @@
 }
 
 impl<'a> Story<'a> {
-    pub(crate) fn begin(metrics: &'a ProxyMetrics, id: Option<String>, arrived: Instant) -> Self {
+    /// A request was read at `arrived`, after it had waited for about `waited`.
+    pub(crate) fn begin(
+        metrics: &'a ProxyMetrics,
+        id: Option<String>,
+        arrived: Instant,
+        waited: Duration,
+    ) -> Self {
         metrics.in_flight.inc();
+        metrics.waited.observe(waited.as_secs_f64());
         Story {
             metrics,
             id,
             arrived,
+            waited,
             route: None,
             limit_ms: 0,
             key: 0,
@@ -96,6 +106,7 @@
             knows = self.knows,
             expected_ms = self.expected_ms,
             attempts = self.attempts,
+            waited_ms = self.waited.as_millis() as u64,
             took_ms = took.as_millis() as u64,
             status = status,
             outcome = outcome;
--- a/crates/coursestand-routing/src/lib.rs
+++ b/crates/coursestand-routing/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod hash;
 pub mod knowledge;
 pub mod link_admission;
+pub mod link_wait;
 pub mod picker;
 pub mod ranking;
 pub mod retry_budget;
@@ -22,6 +23,7 @@
 
 pub use backends::{Backend, Backends, LoadReport};
 pub use link_admission::LinkAdmission;
+pub use link_wait::LinkWait;
 pub use picker::{Pick, PickRequest, Picker, Refusal};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route_table::{RouteEntry, RouteTable};
