Show by two tests that what a request waited before it was read counts nowhere

Cause under test: a request's deadline is the moment at which its head was read plus its route's time-out. Ruled out by the tests' build: callers reach the daemon without a link outwards, the daemon has processor time, and nothing but the inbound link waits.

--- a/crates/coursestand-daemon/tests/following/main.rs
+++ b/crates/coursestand-daemon/tests/following/main.rs
@@ -4,6 +4,7 @@
 
 mod daemon;
 mod large_change;
+mod late_requests;
 mod narrow_link;
 mod scripted_control;
 mod stale_catalog;
