Count a request's time from when its caller sent it, as far as that is known

Cause: what a request waited in front of the daemon counted nowhere, so behind a queue of 0.42 s and more each request that reached its time-out was over by half a second, and requests whose time was gone were sent to back ends for nobody. Ruled out: answers that wait on their way out and a late thread (2 ms are left for both in the record's story); a wait from unanswered signs of life (a control group that is gone would look like a full link). Change: the deadline is the time-out less the wait that round trips tell, and a request whose time was over when it was read is refused at once: 503, not run, with the wait as its Retry-After. Its bytes count for the admission by the link all the same.

--- a/crates/coursestand-proxy/src/exchange.rs
+++ b/crates/coursestand-proxy/src/exchange.rs
@@ -34,6 +34,7 @@
 use crate::story::Story;
 use crate::streamed_body::StreamedBody;
 use crate::verdict::{Verdict, judge};
+use coursestand_model::Millis;
 use coursestand_routing::LoadReport;
 
 const LOG: &str = "proxy";
@@ -60,6 +61,13 @@
     end: OnceLock<Instant>,
 }
 
+/// When a request's head was read, and how long it had waited before.
+#[derive(Clone, Copy, Debug)]
+struct Arrival {
+    read_at: Instant,
+    waited: Duration,
+}
+
 /// A request that was read and matched.
 struct Prepared {
     parts: Parts,
@@ -161,11 +169,24 @@
         let _ = self.end.set(end);
     }
 
-    fn deadline_of(&self, arrived: Instant, limit: Duration) -> Instant {
-        let deadline = arrived + limit;
+    /// When a request is given up that may take `limit` from when its caller sent it, or
+    /// why it is refused.
+    ///
+    /// The wait before it was read counts: behind a queue of 0.6 s on the link, every
+    /// request that reached its time-out of 1 s was answered 0.68 s later, and now within
+    /// half a second; one whose time was over when it was read is refused instead of run
+    /// for nobody (`coursestand-daemon/tests/following/late_requests.rs`).
+    fn deadline_of(&self, arrival: Arrival, limit: Duration) -> Result<Instant, Reason> {
+        if limit <= arrival.waited {
+            return Err(Reason::LinkFull {
+                drained_in_ms: arrival.waited.as_millis() as Millis,
+            });
+        }
+        let deadline = arrival.read_at + (limit - arrival.waited);
         match self.end.get() {
-            Some(end) => deadline.min(*end),
-            None => deadline,
+            Some(end) if *end <= arrival.read_at => Err(Reason::Stopping),
+            Some(end) => Ok(deadline.min(*end)),
+            None => Ok(deadline),
         }
     }
 
@@ -196,10 +217,13 @@
 
     /// Answers one request. Dropped before its end, it breaks off what it sent.
     pub async fn serve(&self, request: Request<Incoming>) -> Response<AnswerBody> {
-        let arrived = Instant::now();
+        let arrival = Arrival {
+            read_at: Instant::now(),
+            waited: self.link.waited(),
+        };
         let id = text_of(request.headers(), &self.names.request_id).map(str::to_owned);
-        let mut story = Story::begin(&self.metrics, id, arrived, self.link.waited());
-        let result = match self.prepare(request, arrived).await {
+        let mut story = Story::begin(&self.metrics, id, arrival.read_at, arrival.waited);
+        let result = match self.prepare(request, arrival).await {
             Ok(prepared) => self.carry_out(prepared, &mut story).await,
             Err(reason) => Err(reason),
         };
@@ -218,11 +242,11 @@
     async fn prepare(
         &self,
         request: Request<Incoming>,
-        arrived: Instant,
+        arrival: Arrival,
     ) -> Result<Prepared, Reason> {
         let (mut parts, body) = request.into_parts();
         let head = self.head_of(&parts);
-        let (matched, deadline, permit) = match self.admit(&parts, &body, &head, arrived) {
+        let (matched, deadline, permit) = match self.admit(&parts, &body, &head, arrival) {
             Ok(admitted) => admitted,
             Err(reason) => {
                 discard(body);
@@ -258,7 +282,7 @@
         parts: &Parts,
         body: &Incoming,
         head: &RequestHead,
-        arrived: Instant,
+        arrival: Arrival,
     ) -> Result<(Matched, Instant, LinkPermit), Reason> {
         if self.limits.get().are_too_long(&parts.headers) {
             return Err(Reason::HeadersTooLong);
@@ -270,11 +294,9 @@
         if matched.limit.is_zero() {
             return Err(Reason::DeadlinePassed);
         }
-        let deadline = self.deadline_of(arrived, matched.limit);
-        if deadline <= arrived {
-            return Err(Reason::Stopping);
-        }
+        // First: what came has passed the link, whatever becomes of it.
         let permit = self.make_room(parts, body, &matched)?;
+        let deadline = self.deadline_of(arrival, matched.limit)?;
         Ok((matched, deadline, permit))
     }
 
