Carry the start of a back end's incarnation from its heartbeat to entry daemons

Cause: a back end may start again under its identity; nothing that was read or told said which of its incarnations spoke. Nothing decides by it yet. It travels behind the news as the last thing of a message, so that processes that don't know of it read the rest, and what they send tells no start. Ruled out: a field of the encoded instance (another layout for processes of before) and a new protocol version (old and new processes would refuse each other).

--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -189,7 +189,9 @@
                 self.mesh.metrics.heartbeats.inc();
                 self.heartbeat_answer(self.hub.heartbeat(news).await)
             }
-            Call::Deregister(id) => self.heartbeat_answer(self.hub.deregister(&id).await),
+            Call::Deregister { id, born } => {
+                self.heartbeat_answer(self.hub.deregister(&id, born).await)
+            }
             Call::Lookup { region, zone } => self.lookup(&region, &zone),
             Call::Ready => done(),
         }
--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -321,7 +321,7 @@
                 self.become_ready();
             }
             ToEdge::CatalogIsAt(version) => self.catalog.note_told(from, version),
-            ToEdge::Instances(news) => self.state.adopt_instances(news),
+            ToEdge::Instances(news, starts) => self.state.adopt_instances(starts.join(news)),
             ToEdge::Edges(change) => {
                 {
                     let mut followed = self.followed();
--- a/crates/coursestand-daemon/src/fleet/follower_metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/follower_metrics.rs
@@ -67,7 +67,7 @@
     pub fn count_received(&self, message: &ToEdge, length: usize) {
         let kind = match message {
             ToEdge::Catalog(_) | ToEdge::CatalogPart(_) | ToEdge::CatalogIsAt(_) => "catalog",
-            ToEdge::Instances(_) => "backends",
+            ToEdge::Instances(..) => "backends",
             ToEdge::Edges(_) => "daemons",
             ToEdge::Pong { .. } | ToEdge::Controls(_) | ToEdge::Probe(_) => "other",
         };
--- a/crates/coursestand-daemon/src/fleet/hub.rs
+++ b/crates/coursestand-daemon/src/fleet/hub.rs
@@ -23,7 +23,7 @@
 use tokio::sync::{mpsc, watch};
 
 use crate::fleet::peer_links::PeerLinks;
-use crate::fleet::wire::{ControlGroup, PeerMessage, ToEdge};
+use crate::fleet::wire::{ControlGroup, PeerMessage, Starts, ToEdge};
 
 const LOG: &str = "hub";
 /// News that wait for an entry daemon; one with more is cut off, and gets all
@@ -139,11 +139,12 @@
         }
     }
 
-    /// A back end says that it ends.
-    pub async fn deregister(&self, id: &BackendId) -> Result<(), NotSpread> {
+    /// An incarnation of a back end says that it ends; `born` is its start, if it tells.
+    pub async fn deregister(&self, id: &BackendId, born: Option<Millis>) -> Result<(), NotSpread> {
         let now = self.clock.now();
         let known = self.state().instances.get(id).map(|known| known.news(now));
         let mut news = known.unwrap_or_else(|| unknown_instance(id));
+        news.instance.born = born.or(news.instance.born);
         news.instance.phase = InstancePhase::Gone;
         self.take_news(now, vec![news.clone()]);
         self.spread_surely(news).await
@@ -161,6 +162,7 @@
             && !changed.is_empty()
         {
             links.tell_all(&PeerMessage::Instances {
+                starts: Starts::of(&changed),
                 news: changed,
                 receipt: None,
             });
@@ -189,10 +191,11 @@
         for news in changed {
             let instance = &news.instance;
             info!(target: LOG, instance = instance.id.as_str(), service = instance.service.as_str(),
-                phase:? = instance.phase, sequence = instance.sequence, cold_ms = news.cold_ms;
+                phase:? = instance.phase, born = instance.born, sequence = instance.sequence, cold_ms = news.cold_ms;
                 "a back end changed");
         }
-        self.send_to_followers(&ToEdge::Instances(changed.to_vec()));
+        let starts = Starts::of(changed);
+        self.send_to_followers(&ToEdge::Instances(changed.to_vec(), starts));
     }
 
     fn send_to_followers(&self, message: &ToEdge) {
@@ -361,8 +364,10 @@
 
     /// What another control process has to know to begin with.
     pub fn snapshot(&self) -> Vec<PeerMessage> {
+        let news = self.all_instances();
         let mut messages = vec![PeerMessage::Instances {
-            news: self.all_instances(),
+            starts: Starts::of(&news),
+            news,
             receipt: None,
         }];
         let state = self.state();
@@ -508,6 +513,7 @@
                     "service": known.instance.service,
                     "address": known.instance.address,
                     "phase": format!("{:?}", known.instance.phase),
+                    "born": known.instance.born,
                     "sequence": known.instance.sequence,
                     "cold_ms": known.cold_until.saturating_sub(now),
                     "heard_ms_ago": now.saturating_sub(known.heard_at),
@@ -532,6 +538,7 @@
     InstanceNews {
         instance: Instance {
             id: id.clone(),
+            born: None,
             service: ServiceId::default(),
             address: SocketAddr::from(([0, 0, 0, 0], 0)),
             zone: ZoneId::default(),
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -23,7 +23,9 @@
 use crate::fleet::catalog_news::{CatalogTelling, Telling};
 use crate::fleet::formation::Formation;
 use crate::fleet::hub::{EdgeNames, Hub};
-use crate::fleet::wire::{Answer, EdgeChange, PeerMessage, PeerReply, Question, ToControl, ToEdge};
+use crate::fleet::wire::{
+    Answer, EdgeChange, PeerMessage, PeerReply, Question, Starts, ToControl, ToEdge,
+};
 
 const LOG: &str = "mesh";
 /// A peer that sends nothing for this long is lost.
@@ -119,8 +121,12 @@
 ) {
     match message {
         PeerMessage::Consensus(bytes) => take_consensus(&serving.control, &bytes),
-        PeerMessage::Instances { news, receipt } => {
-            serving.hub.take_peer_news(news);
+        PeerMessage::Instances {
+            news,
+            receipt,
+            starts,
+        } => {
+            serving.hub.take_peer_news(starts.join(news));
             if let Some(receipt) = receipt {
                 // A lost receipt is like a lost message: the sender tries again.
                 let _ = replies.try_send(PeerReply::Taken(receipt));
@@ -255,7 +261,8 @@
         let mut told = Arc::clone(&edges.borrow_and_update());
         let all = change_between(&EdgeNames::default(), &told);
         sender.send(&ToEdge::Edges(all)).await?;
-        sender.send(&ToEdge::Instances(instances)).await?;
+        let starts = Starts::of(&instances);
+        sender.send(&ToEdge::Instances(instances, starts)).await?;
         let mut heard_at = Instant::now();
         let mut is_suspect = false;
         let mut edges_at = Instant::now() + EDGES_PAUSE;
--- a/crates/coursestand-daemon/src/fleet/peer_links.rs
+++ b/crates/coursestand-daemon/src/fleet/peer_links.rs
@@ -15,7 +15,7 @@
 use tokio::time::Instant;
 
 use crate::control::peers::{PeerSender, envelopes};
-use crate::fleet::wire::{Answer, PeerMessage, PeerReply, Question, ToControl};
+use crate::fleet::wire::{Answer, PeerMessage, PeerReply, Question, Starts, ToControl};
 
 const LOG: &str = "mesh";
 /// Messages that wait for a connection; more are dropped.
@@ -119,6 +119,7 @@
     ) -> bool {
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
         let message = PeerMessage::Instances {
+            starts: Starts::of(&news),
             news,
             receipt: Some(number),
         };
--- a/crates/coursestand-daemon/src/fleet/wire.rs
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -6,8 +6,8 @@
 use coursestand_catalog::CatalogDelta;
 use coursestand_coordination::{Command, CommandAnswer};
 use coursestand_discovery::{EdgeRecord, InstanceNews, LinkUse};
-use coursestand_model::BackendId;
-use serde::{Deserialize, Serialize};
+use coursestand_model::{BackendId, Millis};
+use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::control::shared::LogReach;
 
@@ -47,6 +47,36 @@
     PartTaken(u64),
 }
 
+/// When the incarnations in a list of news started, in the list's order.
+///
+/// It is the last thing in its message. So a process that doesn't know of it reads the
+/// message and leaves these bytes, and a message of such a process ends before them: then
+/// nothing is told of any start. Processes of both kinds work side by side.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Starts(Vec<Option<Millis>>);
+
+impl Starts {
+    /// The starts of these back ends.
+    pub fn of(news: &[InstanceNews]) -> Starts {
+        Starts(news.iter().map(|one| one.instance.born).collect())
+    }
+
+    /// The news with their starts.
+    pub fn join(self, mut news: Vec<InstanceNews>) -> Vec<InstanceNews> {
+        for (one, born) in news.iter_mut().zip(self.0) {
+            one.instance.born = born;
+        }
+        news
+    }
+}
+
+impl<'de> Deserialize<'de> for Starts {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Starts, D::Error> {
+        // Nothing follows in the message, so that only missing bytes can be wrong here.
+        Ok(Starts(Vec::deserialize(deserializer).unwrap_or_default()))
+    }
+}
+
 /// What one control process tells another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -58,6 +88,8 @@
         news: Vec<InstanceNews>,
         /// Number of the receipt that the sender waits for.
         receipt: Option<u64>,
+        /// When their incarnations started.
+        starts: Starts,
     },
     /// Back ends whose heartbeats the sender got lately.
     Heard(Vec<BackendId>),
@@ -183,8 +215,8 @@
     CatalogIsAt(u64),
     /// A part of what the entry daemon asked for.
     CatalogPart(CatalogPart),
-    /// News of back ends.
-    Instances(Vec<InstanceNews>),
+    /// News of back ends, and when their incarnations started.
+    Instances(Vec<InstanceNews>, Starts),
     /// How the entry daemons that are connected with the control group changed
     /// since the last such message on this connection; at first there are none.
     Edges(EdgeChange),
--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -440,6 +440,7 @@
     InstanceNews {
         instance: Instance {
             id: BackendId::from(id),
+            born: None,
             service: ServiceId::from("s"),
             address,
             zone: ZoneId::from("z-1"),
--- a/crates/coursestand-daemon/tests/fleet/stale_catalog.rs
+++ b/crates/coursestand-daemon/tests/fleet/stale_catalog.rs
@@ -49,7 +49,7 @@
     while started.elapsed() < Duration::from_secs(5) {
         match receiver.next().await.expect("a message") {
             ToEdge::Catalog(_) => return,
-            ToEdge::Instances(_) => panic!("the back ends came before the catalog"),
+            ToEdge::Instances(..) => panic!("the back ends came before the catalog"),
             _ => {}
         }
     }
--- a/crates/coursestand-daemon/tests/following/large_change.rs
+++ b/crates/coursestand-daemon/tests/following/large_change.rs
@@ -34,6 +34,7 @@
     InstanceNews {
         instance: Instance {
             id: BackendId::from("i"),
+            born: None,
             service: ServiceId::from("s"),
             address: SocketAddr::from(([127, 0, 0, 1], 9)),
             zone: ZoneId::from("z-1"),
--- a/crates/coursestand-daemon/tests/following/late_requests.rs
+++ b/crates/coursestand-daemon/tests/following/late_requests.rs
@@ -100,6 +100,7 @@
     InstanceNews {
         instance: Instance {
             id: BackendId::from("i"),
+            born: None,
             service: ServiceId::from("s"),
             address,
             zone: ZoneId::from("z-1"),
--- a/crates/coursestand-daemon/tests/following/scripted_control.rs
+++ b/crates/coursestand-daemon/tests/following/scripted_control.rs
@@ -10,7 +10,7 @@
 use coursestand_catalog::{Catalog, Patch, RouteKind};
 use coursestand_daemon::control::shared::LogReach;
 use coursestand_daemon::fleet::catalog_news::{CatalogNews, CatalogTelling, Telling};
-use coursestand_daemon::fleet::wire::{ControlGroup, EdgeChange, ToControl, ToEdge};
+use coursestand_daemon::fleet::wire::{ControlGroup, EdgeChange, Starts, ToControl, ToEdge};
 use coursestand_discovery::InstanceNews;
 use coursestand_lab::items;
 use coursestand_transport::frame::{decode, encode};
@@ -287,7 +287,8 @@
     let all = news.borrow_and_update();
     let new = all[*told..].to_vec();
     *told = all.len();
-    (!new.is_empty()).then_some(ToEdge::Instances(new))
+    let starts = Starts::of(&new);
+    (!new.is_empty()).then_some(ToEdge::Instances(new, starts))
 }
 
 /// What the daemon is told of the catalog when it has said this.
--- a/crates/coursestand-dialect/src/call.rs
+++ b/crates/coursestand-dialect/src/call.rs
@@ -18,8 +18,14 @@
     ReadCatalog,
     /// A back end says that it lives, and what it is.
     Heartbeat(InstanceNews),
-    /// A back end says that it ends.
-    Deregister(BackendId),
+    /// An incarnation of a back end says that it ends.
+    Deregister {
+        /// The back end.
+        id: BackendId,
+        /// When the incarnation started, in milliseconds since the Unix epoch; none where
+        /// it doesn't tell: then it is the one that is known.
+        born: Option<Millis>,
+    },
     /// Evacuate a zone, or take that back.
     Evacuate {
         /// The zone.
--- a/crates/coursestand-dialect/src/native.rs
+++ b/crates/coursestand-dialect/src/native.rs
@@ -7,6 +7,7 @@
 use coursestand_model::{BackendId, Millis, RegionId, ZoneId};
 use coursestand_proxy::HeaderNames;
 use http::{Method, Uri};
+use serde::Deserialize;
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
@@ -16,6 +17,20 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Native;
 
+/// When an incarnation of a back end started, as it says at the top level of a body.
+#[derive(Deserialize)]
+struct Start {
+    born: Option<Millis>,
+}
+
+/// A body may be missing.
+fn parse_start(body: &[u8]) -> Result<Option<Millis>, CallError> {
+    if body.is_empty() {
+        return Ok(None);
+    }
+    Ok(parse_json::<Start>(body)?.born)
+}
+
 fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, CallError> {
     serde_json::from_slice(body).map_err(|error| CallError::body("body", error))
 }
@@ -30,8 +45,15 @@
         let call = match (method.as_str(), path.as_slice()) {
             ("POST", ["v1", "catalog"]) => Call::PatchCatalog(parse_json::<Patch>(body)?),
             ("GET", ["v1", "catalog"]) => Call::ReadCatalog,
-            ("POST", ["v1", "backends", _]) => Call::Heartbeat(parse_json::<InstanceNews>(body)?),
-            ("DELETE", ["v1", "backends", id]) => Call::Deregister(BackendId::from(*id)),
+            ("POST", ["v1", "backends", _]) => {
+                let mut news = parse_json::<InstanceNews>(body)?;
+                news.instance.born = parse_json::<Start>(body)?.born;
+                Call::Heartbeat(news)
+            }
+            ("DELETE", ["v1", "backends", id]) => Call::Deregister {
+                id: BackendId::from(*id),
+                born: parse_start(body)?,
+            },
             ("PUT" | "DELETE", ["v1", "closed-zones", zone]) => Call::Evacuate {
                 zone: ZoneId::from(*zone),
                 is_active: method == Method::PUT,
--- a/crates/coursestand-discovery/src/instance.rs
+++ b/crates/coursestand-discovery/src/instance.rs
@@ -1,4 +1,4 @@
-//! One run of a back end.
+//! A back end as it tells of itself.
 
 use std::net::SocketAddr;
 
@@ -16,11 +16,17 @@
     Gone,
 }
 
-/// What a back end says of itself. Each start of a back end is another instance.
+/// What a back end says of itself. It may start again under its identity: each start is
+/// another incarnation, which knows nothing of the one before.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Instance {
-    /// Its identity, which no other start of a back end has.
+    /// Its identity.
     pub id: BackendId,
+    /// When this incarnation started, in milliseconds since the Unix epoch by the back
+    /// end's own clock; none where its writer doesn't tell. Not encoded here: messages
+    /// between processes carry it beside, where processes that don't know of it leave it.
+    #[serde(skip)]
+    pub born: Option<Millis>,
     /// The service that it implements.
     pub service: ServiceId,
     /// Where it is reached.
@@ -31,7 +37,8 @@
     pub capacity: u32,
     /// Version of its software.
     pub software: String,
-    /// Number of the heartbeat that said so; a later one has a higher number.
+    /// Number of the heartbeat that said so; a later one of the same incarnation has a
+    /// higher number.
     pub sequence: u64,
     /// Where it is in its life.
     pub phase: InstancePhase,
--- a/crates/coursestand-discovery/tests/late_heartbeats.rs
+++ b/crates/coursestand-discovery/tests/late_heartbeats.rs
@@ -30,6 +30,7 @@
     InstanceNews {
         instance: Instance {
             id: BackendId(format!("i-{incarnation}")),
+            born: None,
             service: ServiceId::from("s"),
             address: SocketAddr::from(([127, 0, 0, 1], 80)),
             zone: ZoneId::from("z"),
--- a/crates/coursestand-discovery/tests/table.rs
+++ b/crates/coursestand-discovery/tests/table.rs
@@ -12,6 +12,7 @@
     InstanceNews {
         instance: Instance {
             id: BackendId::from(id),
+            born: None,
             service: ServiceId::from("s"),
             address: SocketAddr::from(([127, 0, 0, 1], port)),
             zone: ZoneId::from("z"),
--- a/crates/coursestand-proxy/tests/common/mod.rs
+++ b/crates/coursestand-proxy/tests/common/mod.rs
@@ -91,6 +91,7 @@
     InstanceNews {
         instance: Instance {
             id: BackendId(format!("i-{number}")),
+            born: None,
             service: ServiceId::from("s"),
             address,
             zone: ZoneId::from("z"),
--- a/crates/coursestand-routing/benches/pick.rs
+++ b/crates/coursestand-routing/benches/pick.rs
@@ -42,6 +42,7 @@
     for number in 0..count {
         let instance = Instance {
             id: BackendId(format!("i-{number}")),
+            born: None,
             service: ServiceId::from(SERVICE),
             address: SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 80)),
             zone: ZoneId::from(ZONE),
--- a/crates/coursestand-routing/tests/joining.rs
+++ b/crates/coursestand-routing/tests/joining.rs
@@ -38,6 +38,7 @@
     InstanceNews {
         instance: Instance {
             id: id(number),
+            born: None,
             service: ServiceId::from("s"),
             address: SocketAddr::from(([10, 0, 0, number as u8 + 1], 80)),
             zone: ZoneId::from("z"),
--- a/crates/coursestand-routing/tests/routing.rs
+++ b/crates/coursestand-routing/tests/routing.rs
@@ -51,6 +51,7 @@
     InstanceNews {
         instance: Instance {
             id: BackendId::from(id),
+            born: None,
             service: ServiceId::from("s"),
             address: SocketAddr::from(([10, 0, (hash_of(id) >> 8) as u8, host], 80)),
             zone: ZoneId::from(zone),
--- a/crates/coursestand-routing/tests/shared_address.rs
+++ b/crates/coursestand-routing/tests/shared_address.rs
@@ -14,6 +14,7 @@
     InstanceNews {
         instance: Instance {
             id: BackendId::from(id),
+            born: None,
             service: ServiceId::from("s"),
             address: SocketAddr::from(([127, 0, 0, 1], 80)),
             zone: ZoneId::from("z"),
