Show by nine tests that a back end that starts again under its identity is not believed

Cause under test: news are ordered by the count of heartbeats alone, the phase never turns back, and what was learned of an identity stays with it.

--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -323,8 +323,11 @@
     pub async fn heartbeat(&self, host: u8, news: &InstanceNews) -> u16 {
         let id = &news.instance.id;
         let url = format!("{}/v1/backends/{id}", self.control_url(host));
-        let body = serde_json::to_string(news).expect("JSON");
-        let answer = self.http.post(url).body(body).send().await;
+        let mut body = serde_json::to_value(news).expect("JSON");
+        if let Some(born) = news.instance.born {
+            body["born"] = born.into();
+        }
+        let answer = self.http.post(url).body(body.to_string()).send().await;
         answer.map_or(0, |answer| answer.status().as_u16())
     }
 
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 
 mod deployment;
 mod large_change;
+mod restarted_backend;
 mod silent_edge;
 mod stale_catalog;
 mod state_dump;
--- a/crates/coursestand-routing/src/backends.rs
+++ b/crates/coursestand-routing/src/backends.rs
@@ -53,6 +53,9 @@
     pub instance: Instance,
     /// Hash of its identity.
     pub hash: u64,
+    /// Tells what it remembers from what another incarnation does: what it has seen of
+    /// objects.
+    pub memory: u64,
     /// When it ceases to be cold.
     pub cold_until: Millis,
     /// Requests of this daemon that it has.
@@ -70,6 +73,7 @@
     fn new(news: InstanceNews, now: Millis) -> Backend {
         Backend {
             hash: hash_of(news.instance.id.as_str()),
+            memory: hash_of(news.instance.id.as_str()),
             cold_until: now + news.cold_ms,
             instance: news.instance,
             in_flight: 0,
