Serve the counter of control's bytes before anything was counted

Cause: the_operators_page_lists_the_metrics_that_are_served failed once, beside other tests: a counter by kind appears in the metrics only once a kind was counted, and the test may read them before control has told a daemon anything. Ruled out: the page, which lists it; the test passed alone right after. Change: its kinds are shown from the start, as the request path's are. Conclusion: a gap of the product, not of the test.

--- a/crates/coursestand-daemon/src/fleet/follower_metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/follower_metrics.rs
@@ -8,6 +8,11 @@
 /// Upper bounds of the round trips that are told apart, in seconds: between regions
 /// one takes some 40 ms; from 0.5 s on changes come late.
 const ROUND_TRIP_BUCKETS: [f64; 8] = [0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0];
+/// What messages from control processes tell of.
+const CATALOG: &str = "catalog";
+const BACKENDS: &str = "backends";
+const DAEMONS: &str = "daemons";
+const OTHER: &str = "other";
 /// Told as the age of a catalog that was never proven to be the newest.
 const UNKNOWN_AGE: i64 = -1;
 
@@ -49,6 +54,10 @@
             ),
             &["kind"],
         )?;
+        // Shown from the start, with nothing counted yet.
+        for kind in [CATALOG, BACKENDS, DAEMONS, OTHER] {
+            received.with_label_values(&[kind]);
+        }
         registry.register(Box::new(received.clone()))?;
         registry.register(Box::new(followed.clone()))?;
         registry.register(Box::new(catalog_age.clone()))?;
@@ -66,10 +75,10 @@
     /// Counts a message of this length in bytes.
     pub fn count_received(&self, message: &ToEdge, length: usize) {
         let kind = match message {
-            ToEdge::Catalog(_) | ToEdge::CatalogPart(_) | ToEdge::CatalogIsAt(_) => "catalog",
-            ToEdge::Instances(..) => "backends",
-            ToEdge::Edges(_) => "daemons",
-            ToEdge::Pong { .. } | ToEdge::Controls(_) | ToEdge::Probe(_) => "other",
+            ToEdge::Catalog(_) | ToEdge::CatalogPart(_) | ToEdge::CatalogIsAt(_) => CATALOG,
+            ToEdge::Instances(..) => BACKENDS,
+            ToEdge::Edges(_) => DAEMONS,
+            ToEdge::Pong { .. } | ToEdge::Controls(_) | ToEdge::Probe(_) => OTHER,
         };
         let counter = self.received.with_label_values(&[kind]);
         counter.inc_by(length as u64);
