Order news of back ends by the start of their incarnation, then by their sequence

Cause: nine tests show that a back end that starts again under its identity was not believed until it had been heard as often as before, never once it had left, and that what was learned of its life before stayed with it. Change: a later incarnation replaces all that is known of the one before, at control and at daemons: phase, sequence, cold time, load, ejection, what it knows of objects, kept connections (by incarnation); the outcome of a request that the one before has counts for nobody. An earlier one's news change nothing. At an address that another holds it claims it, as any newcomer, and its incarnation before takes nothing more. News without a start are of the incarnation that is known; they begin none. Ruled out: a new identity made of both (look-ups, limits and orders go by the identity). An order to leave at a control process that joined 0.7 s ago is refused (503), as before this change; the test asks again. Open: a clock that steps back to before the life before makes the next one look earlier.

--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -334,7 +334,7 @@
             let known: std::collections::HashSet<_> = beliefs
                 .backends
                 .iter()
-                .map(|backend| backend.instance.id.clone())
+                .map(|backend| backend.instance.incarnation())
                 .collect();
             let limits = beliefs.catalog.limits().map(CallerLimits::of);
             (known, limits)
--- a/crates/coursestand-daemon/tests/fleet/restarted_backend.rs
+++ b/crates/coursestand-daemon/tests/fleet/restarted_backend.rs
@@ -10,7 +10,7 @@
 use coursestand_model::Millis;
 use googletest::prelude::*;
 
-use crate::deployment::{Deployment, first_items, heartbeat_of};
+use crate::deployment::{Deployment, WITHIN, first_items, heartbeat_of};
 use crate::{ALL, EDGE, formed};
 
 const STARTED: Millis = 1_796_259_000_000;
@@ -59,6 +59,16 @@
     started.elapsed()
 }
 
+/// A control process that has just joined refuses orders to leave until it knows the
+/// others.
+async fn take_surely(deployment: &Deployment, host: u8, news: &InstanceNews) {
+    let started = Instant::now();
+    while deployment.heartbeat(host, news).await != 200 {
+        assert!(started.elapsed() < WITHIN, "not taken at {host}");
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_back_end_that_crashed_and_starts_again_elsewhere_is_served_at_once() {
@@ -88,7 +98,7 @@
     // What its first life says late, at any control process, binds nobody.
     for host in ALL {
         let late = said(&again, 0, 402, InstancePhase::Draining);
-        expect_that!(deployment.heartbeat(host, &late).await, eq(200));
+        take_surely(&deployment, host, &late).await;
     }
     tokio::time::sleep(Duration::from_millis(300)).await;
     expect_that!(deployment.request(EDGE, "/a/x", "after").await, eq(200));
--- a/crates/coursestand-discovery/src/claims.rs
+++ b/crates/coursestand-discovery/src/claims.rs
@@ -17,7 +17,7 @@
 
 use coursestand_model::{BackendId, Millis};
 
-use crate::instance::InstanceNews;
+use crate::instance::{Instance, InstanceNews};
 
 /// Silence of a holder after which it may lose its address, until the deployment's
 /// heartbeat is known: two of one and a half seconds.
@@ -78,6 +78,18 @@
             self.claims.insert(id, claim);
             return;
         };
+        if claim.news.instance.starts_after(&news.instance) {
+            return;
+        }
+        if news.instance.starts_after(&claim.news.instance) {
+            *claim = Claim {
+                news,
+                since: now,
+                came_at: now,
+                heard_at: now,
+            };
+            return;
+        }
         // A copy of what was heard before proves nothing.
         if news.instance.sequence > claim.news.instance.sequence {
             claim.came_at = now;
@@ -94,9 +106,14 @@
         }
     }
 
-    /// A claimant that is known otherwise now, or that leaves.
-    pub(crate) fn remove(&mut self, id: &BackendId) {
-        self.claims.remove(id);
+    /// A claimant that is known otherwise now, or that leaves; not when an incarnation
+    /// before it is.
+    pub(crate) fn remove(&mut self, instance: &Instance) {
+        let id = &instance.id;
+        let claim = self.claims.get(id);
+        if claim.is_some_and(|claim| !claim.news.instance.starts_after(instance)) {
+            self.claims.remove(id);
+        }
     }
 
     /// The holder of an address was heard: claims to it begin anew.
--- a/crates/coursestand-discovery/src/instance.rs
+++ b/crates/coursestand-discovery/src/instance.rs
@@ -44,6 +44,38 @@
     pub phase: InstancePhase,
 }
 
+/// One incarnation of a back end.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Incarnation {
+    /// The back end.
+    pub id: BackendId,
+    /// When it started, see [`Instance::born`].
+    pub born: Option<Millis>,
+}
+
+impl Instance {
+    /// The incarnation that says so.
+    pub fn incarnation(&self) -> Incarnation {
+        Incarnation {
+            id: self.id.clone(),
+            born: self.born,
+        }
+    }
+
+    /// Whether this is a later incarnation of the same back end than `other`. What is told
+    /// without a start is taken to be of the incarnation that is known.
+    pub fn starts_after(&self, other: &Instance) -> bool {
+        let births = self.born.zip(other.born);
+        births.is_some_and(|(own, others)| own > others)
+    }
+
+    /// Whether `incarnation` may be the one that says so.
+    pub fn is_of(&self, incarnation: &Incarnation) -> bool {
+        let births = self.born.zip(incarnation.born);
+        self.id == incarnation.id && births.is_none_or(|(own, other)| own == other)
+    }
+}
+
 /// An instance on its way between processes. Clocks differ between processes,
 /// so the cold time is what is left of it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/coursestand-discovery/src/table.rs
+++ b/crates/coursestand-discovery/src/table.rs
@@ -57,15 +57,19 @@
     /// those whose address was taken over.
     pub fn merge(&mut self, now: Millis, news: InstanceNews) -> Vec<BackendId> {
         let id = news.instance.id.clone();
-        let is_newcomer = !self.known.contains_key(&id);
+        let known = self.known.get(&id);
+        let is_newcomer = known.is_none_or(|known| news.instance.starts_after(&known.instance));
         let is_ready = news.instance.phase == InstancePhase::Ready;
-        if is_newcomer && is_ready && self.holder_of(news.instance.address).is_some() {
+        if is_newcomer && is_ready && self.is_held_by_another(&news.instance) {
+            // Its incarnation before has ended, whoever has the address.
+            let mut changed = Vec::from_iter(self.end(&id).then_some(id));
             self.claims.note(now, news);
-            return self.settle_claims(now);
+            changed.extend(self.settle_claims(now));
+            return changed;
         }
-        let sequence = self.sequence_of(&id);
+        let newest = self.newest_of(&id);
         let mut changed = self.adopt(now, news);
-        if self.sequence_of(&id) > sequence
+        if self.newest_of(&id) > newest
             && let Some(ended) = self.admitted.remove(&id)
         {
             changed.splice(0..0, ended);
@@ -77,12 +81,20 @@
 
     /// Takes in what a process tells that merges what instances say: who has an
     /// address was settled there. Returns the instance if it changed.
+    ///
+    /// A later incarnation replaces all that is known of the one before; what an earlier
+    /// one said changes nothing.
     pub fn adopt(&mut self, now: Millis, news: InstanceNews) -> Vec<BackendId> {
         let id = news.instance.id.clone();
         let address = news.instance.address;
         let cold_until = now + news.cold_ms;
-        self.claims.remove(&id);
-        let Some(known) = self.known.get_mut(&id) else {
+        let before = self.known.get(&id).map(|known| &known.instance);
+        if before.is_some_and(|before| before.starts_after(&news.instance)) {
+            return Vec::new();
+        }
+        self.claims.remove(&news.instance);
+        let begins = before.is_none_or(|before| news.instance.starts_after(before));
+        let Some(known) = self.known.get_mut(&id).filter(|_| !begins) else {
             let known = Known {
                 instance: news.instance,
                 cold_until,
@@ -92,15 +104,19 @@
             self.claims.refute(address);
             return vec![id];
         };
-        let mut changed = false;
-        let is_later = news.instance.sequence > known.instance.sequence;
+        let mut instance = news.instance;
+        instance.born = instance.born.or(known.instance.born);
+        let mut changed = known.instance.born != instance.born;
+        known.instance.born = instance.born;
+        let phase = instance.phase;
+        let is_later = instance.sequence > known.instance.sequence;
         if is_later {
             known.heard_at = now;
-            changed = update(known, news.instance.clone(), cold_until);
+            changed |= update(known, instance, cold_until);
         }
         // The phase moves forward whatever the sequence: leaving never turns back.
-        if news.instance.phase > known.instance.phase {
-            known.instance.phase = news.instance.phase;
+        if phase > known.instance.phase {
+            known.instance.phase = phase;
             changed = true;
         }
         if is_later && known.instance.phase != InstancePhase::Gone {
@@ -109,13 +125,16 @@
         if changed { vec![id] } else { Vec::new() }
     }
 
-    fn sequence_of(&self, id: &BackendId) -> Option<u64> {
-        self.known.get(id).map(|known| known.instance.sequence)
+    /// The newest heartbeat of an instance, in an order of them.
+    fn newest_of(&self, id: &BackendId) -> Option<(Option<Millis>, u64)> {
+        let known = &self.known.get(id)?.instance;
+        Some((known.born, known.sequence))
     }
 
-    fn holder_of(&self, address: SocketAddr) -> Option<&Known> {
-        self.known.values().find(|known| {
-            known.instance.phase != InstancePhase::Gone && known.instance.address == address
+    fn is_held_by_another(&self, instance: &Instance) -> bool {
+        self.known.values().any(|known| {
+            let lives = known.instance.phase != InstancePhase::Gone;
+            lives && known.instance.address == instance.address && known.instance.id != instance.id
         })
     }
 
--- a/crates/coursestand-proxy/src/exchange.rs
+++ b/crates/coursestand-proxy/src/exchange.rs
@@ -461,8 +461,10 @@
             Collected::Whole(bytes) => {
                 if !closes {
                     let pool = Arc::clone(&self.pool);
-                    let id = target.id().clone();
-                    tokio::spawn(async move { pool.give_back(id, connection, keep_alive).await });
+                    let incarnation = target.incarnation.clone();
+                    tokio::spawn(async move {
+                        pool.give_back(incarnation, connection, keep_alive).await
+                    });
                 }
                 Either::Left(Full::new(bytes))
             }
@@ -508,7 +510,7 @@
         let mut request = self.request_for(prepared, target)?;
         loop {
             let kept = match attempts.silence {
-                None => self.pool.take(target.id()),
+                None => self.pool.take(&target.incarnation),
                 Some(_) => None,
             };
             let mut connection = match kept {
@@ -566,10 +568,10 @@
                 self.note_answer(&outcome, target, sent_at, attempts);
                 return Ok(outcome);
             }
-            self.pool.distrust(target.id(), sent_at);
+            self.pool.distrust(&target.incarnation, sent_at);
             if self.may_repeat_silent(prepared, attempts, limit) {
                 attempts.silence = Some(Silence {
-                    backend: target.id().clone(),
+                    backend: target.incarnation.clone(),
                     sent_at,
                 });
                 return Err(AttemptFailure::Silent);
@@ -631,7 +633,7 @@
         self.answer_times
             .note(&target.service, &target.zone, sent_at.elapsed());
         if let Some(silence) = &attempts.silence
-            && silence.backend == *target.id()
+            && silence.backend == target.incarnation
         {
             self.pool.note_silence(silence);
         }
--- a/crates/coursestand-proxy/src/phases.rs
+++ b/crates/coursestand-proxy/src/phases.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use coursestand_discovery::Incarnation;
 use coursestand_model::{BackendId, Millis, ServiceId, ZoneId};
 use coursestand_routing::picker::Asked;
 use coursestand_routing::{LoadReport, RouteEntry};
@@ -56,6 +57,8 @@
     pub service: ServiceId,
     /// Its zone.
     pub zone: ZoneId,
+    /// Its incarnation.
+    pub incarnation: Incarnation,
 }
 
 impl Target {
@@ -115,7 +118,7 @@
 #[derive(Clone, Debug)]
 pub struct Silence {
     /// The back end that it led to.
-    pub backend: BackendId,
+    pub backend: Incarnation,
     /// When the request was sent that got no answer.
     pub sent_at: Instant,
 }
--- a/crates/coursestand-proxy/src/pool.rs
+++ b/crates/coursestand-proxy/src/pool.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use coursestand_model::BackendId;
+use coursestand_discovery::Incarnation;
 use http_body_util::{Either, Full};
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -78,17 +78,18 @@
     unused_from: Instant,
 }
 
-/// Idle connections by instance.
+/// Idle connections by incarnation: one that a back end had in its life before leads
+/// nowhere, or to whoever has the address now.
 #[derive(Default)]
 pub struct Pool {
-    idle: Mutex<HashMap<BackendId, Vec<Idle>>>,
+    idle: Mutex<HashMap<Incarnation, Vec<Idle>>>,
     last_silence: Mutex<Option<Silence>>,
 }
 
 impl Pool {
     /// A connection to the back end that a request was sent on at `sent_at` seems
     /// silent: closes those to it that brought no answer since.
-    pub fn distrust(&self, id: &BackendId, sent_at: Instant) {
+    pub fn distrust(&self, id: &Incarnation, sent_at: Instant) {
         if let Some(known) = self.idle().get_mut(id) {
             known.retain(|idle| idle.answered_at >= sent_at);
         }
@@ -119,12 +120,12 @@
         }
     }
 
-    fn idle(&self) -> MutexGuard<'_, HashMap<BackendId, Vec<Idle>>> {
+    fn idle(&self) -> MutexGuard<'_, HashMap<Incarnation, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// An idle connection to the instance, the one used last first.
-    pub fn take(&self, id: &BackendId) -> Option<Connection> {
+    pub fn take(&self, id: &Incarnation) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle();
         let known = idle.get_mut(id)?;
@@ -165,7 +166,7 @@
     /// ended as well.
     pub async fn give_back(
         &self,
-        id: BackendId,
+        id: Incarnation,
         mut connection: Connection,
         keep_alive: Option<Duration>,
     ) {
@@ -186,7 +187,7 @@
 
     /// Closes connections that rested too long, and those to instances that
     /// `is_known` does not hold for.
-    pub fn close_idle(&self, is_known: impl Fn(&BackendId) -> bool) {
+    pub fn close_idle(&self, is_known: impl Fn(&Incarnation) -> bool) {
         let now = Instant::now();
         self.idle().retain(|id, idle| {
             idle.retain(|one| now < one.unused_from && !one.connection.sender.is_closed());
--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -38,6 +38,13 @@
     }
 }
 
+/// Whether the back end is still the incarnation that got the request. What becomes of
+/// the request says nothing of a later one.
+fn is_current(beliefs: &Beliefs, target: &Target) -> bool {
+    let backend = beliefs.backends.get(target.id());
+    backend.is_some_and(|backend| backend.instance.is_of(&target.incarnation))
+}
+
 impl RequestPhases for Router {
     fn match_request(&self, head: &RequestHead) -> Result<Matched, Reason> {
         let limits = self.state.bounds().retries;
@@ -109,6 +116,7 @@
         };
         let address = backend.instance.address;
         let zone = backend.instance.zone.clone();
+        let incarnation = backend.instance.incarnation();
         beliefs.picker.note_sent(now, backend);
         beliefs.backends.start(&pick.id);
         Ok(Target {
@@ -120,6 +128,7 @@
             address,
             service: matched.service.clone(),
             zone,
+            incarnation,
         })
     }
 
@@ -129,6 +138,9 @@
         let took_ms = now.saturating_sub(target.chosen_at) as f64;
         let mut guard = self.state.beliefs();
         let beliefs = &mut *guard;
+        if !is_current(beliefs, target) {
+            return;
+        }
         beliefs.backends.note_answer(now, id, load);
         let Some(backend) = beliefs.backends.get(id) else {
             return;
@@ -141,6 +153,9 @@
         let now = self.state.now();
         let id = target.id();
         let mut beliefs = self.state.beliefs();
+        if !is_current(&beliefs, target) {
+            return;
+        }
         match failure {
             AttemptFailure::Unreachable => beliefs.backends.note_unreachable(now, id),
             AttemptFailure::Misdirected => beliefs.backends.note_misdirected(now, id),
@@ -154,7 +169,10 @@
     }
 
     fn finished(&self, target: &Target) {
-        self.state.beliefs().backends.finish(target.id());
+        let mut beliefs = self.state.beliefs();
+        if is_current(&beliefs, target) {
+            beliefs.backends.finish(target.id());
+        }
     }
 
     fn may_retry(
--- a/crates/coursestand-routing/src/backends.rs
+++ b/crates/coursestand-routing/src/backends.rs
@@ -3,10 +3,11 @@
 
 use std::collections::HashMap;
 
+use coursestand_discovery::table::Known;
 use coursestand_discovery::{Instance, InstanceNews, InstancePhase, InstanceTable};
 use coursestand_model::{BackendId, Millis, ServiceId};
 
-use crate::hash::hash_of;
+use crate::hash::{combine, hash_of};
 
 /// First time for which a back end that refuses connections is left out.
 const FIRST_EJECTION_MS: Millis = 500;
@@ -73,7 +74,7 @@
     fn new(news: InstanceNews, now: Millis) -> Backend {
         Backend {
             hash: hash_of(news.instance.id.as_str()),
-            memory: hash_of(news.instance.id.as_str()),
+            memory: memory_of(&news.instance),
             cold_until: now + news.cold_ms,
             instance: news.instance,
             in_flight: 0,
@@ -133,6 +134,12 @@
     }
 }
 
+/// Tells what an incarnation remembers from what others of the same back end do.
+fn memory_of(instance: &Instance) -> u64 {
+    let hash = hash_of(instance.id.as_str());
+    instance.born.map_or(hash, |born| combine(hash, born))
+}
+
 /// All back ends by identity, and by service.
 #[derive(Clone, Debug, Default)]
 pub struct Backends {
@@ -159,20 +166,33 @@
             self.remove(id);
             return;
         }
+        // A later incarnation is another back end: nothing learned, nothing under way.
+        let known_here = self.backends.get(id);
+        if known_here.is_some_and(|before| known.instance.starts_after(&before.instance)) {
+            let known = known.clone();
+            self.remove(id);
+            return self.insert(now, &known);
+        }
         match self.backends.get_mut(id) {
             Some(backend) => {
                 backend.instance = known.instance.clone();
                 backend.cold_until = known.cold_until;
             }
             None => {
-                let backend = Backend::new(known.news(now), now);
-                let service = backend.instance.service.clone();
-                self.by_service.entry(service).or_default().push(id.clone());
-                self.backends.insert(id.clone(), backend);
+                let known = known.clone();
+                self.insert(now, &known);
             }
         }
     }
 
+    fn insert(&mut self, now: Millis, known: &Known) {
+        let backend = Backend::new(known.news(now), now);
+        let id = backend.instance.id.clone();
+        let service = backend.instance.service.clone();
+        self.by_service.entry(service).or_default().push(id.clone());
+        self.backends.insert(id, backend);
+    }
+
     fn remove(&mut self, id: &BackendId) {
         let Some(backend) = self.backends.remove(id) else {
             return;
--- a/crates/coursestand-routing/src/picker.rs
+++ b/crates/coursestand-routing/src/picker.rs
@@ -188,7 +188,7 @@
         }
         if let Some(object) = asked.object {
             let object = combine(hash_of(backend.instance.service.as_str()), object);
-            self.knowledge.note(now, object, backend.hash);
+            self.knowledge.note(now, object, backend.memory);
         }
     }
 
@@ -283,7 +283,7 @@
 
     fn knows(&self, backend: &Backend, request: &PickRequest<'_>) -> bool {
         let object = combine(hash_of(request.service.as_str()), request.key);
-        !request.has_object || self.knowledge.knows(request.now, object, backend.hash)
+        !request.has_object || self.knowledge.knows(request.now, object, backend.memory)
     }
 
     /// What is believed of a back end. The first of the key's order is taken to
