--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -173,6 +173,7 @@
         let response = match parsed {
             Ok(call) => self.carry_out(call).await,
             Err(error) => {
+                self.mesh.metrics.refused.inc();
                 info!(target: LOG, path = request.original_uri().path(); "a call is refused: {error}");
                 refuse(error.status(), error)
             }
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -18,6 +18,8 @@
     pub heartbeats: IntCounter,
     /// Orders of operators answered with success.
     pub orders: IntCounter,
+    /// Calls that could not be understood; nothing of them took effect.
+    pub refused: IntCounter,
 }
 
 /// What a control process counts at one moment.
@@ -71,6 +73,10 @@
             edges: gauge("coursestand_edges", "Entry daemons that are connected")?,
             heartbeats: counter("coursestand_heartbeats_total", "Heartbeats of back ends")?,
             orders: counter("coursestand_orders_total", "Orders acknowledged")?,
+            refused: counter(
+                "coursestand_calls_refused_total",
+                "Calls that could not be understood",
+            )?,
         })
     }
 
--- a/crates/coursestand-discovery/src/table.rs
+++ b/crates/coursestand-discovery/src/table.rs
@@ -87,7 +87,7 @@
     pub fn adopt(&mut self, now: Millis, news: InstanceNews) -> Vec<BackendId> {
         let id = news.instance.id.clone();
         let address = news.instance.address;
-        let cold_until = now + news.cold_ms;
+        let cold_until = now.saturating_add(news.cold_ms);
         let before = self.known.get(&id).map(|known| &known.instance);
         if before.is_some_and(|before| before.starts_after(&news.instance)) {
             return Vec::new();
--- a/crates/coursestand-proxy/src/headers.rs
+++ b/crates/coursestand-proxy/src/headers.rs
@@ -19,6 +19,10 @@
     "upgrade",
 ];
 
+/// A back end may tell any time for which it keeps an idle connection; none is kept for
+/// longer than this, and every clock holds it.
+const LONGEST_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
+
 /// Removes the headers that concern one connection only.
 pub fn strip_connection_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
@@ -63,7 +67,7 @@
         let (name, value) = part.split_once('=')?;
         let is_timeout = name.trim().eq_ignore_ascii_case("timeout");
         let seconds = value.trim().parse().ok()?;
-        is_timeout.then(|| Duration::from_secs(seconds))
+        is_timeout.then(|| Duration::from_secs(seconds).min(LONGEST_KEEP_ALIVE))
     })
 }
 
--- a/crates/coursestand-routing/src/backends.rs
+++ b/crates/coursestand-routing/src/backends.rs
@@ -75,7 +75,7 @@
         Backend {
             hash: hash_of(news.instance.id.as_str()),
             memory: memory_of(&news.instance),
-            cold_until: now + news.cold_ms,
+            cold_until: now.saturating_add(news.cold_ms),
             instance: news.instance,
             in_flight: 0,
             others: 0.0,
@@ -99,7 +99,7 @@
     }
 
     fn take_report(&mut self, now: Millis, report: LoadReport) {
-        let all = f64::from(report.running + report.waiting);
+        let all = f64::from(report.running) + f64::from(report.waiting);
         let others = (all - f64::from(self.in_flight)).max(0.0);
         let gain = 1.0 - (-(self.load_age(now) as f64) / USUAL_LOAD_MS).exp();
         self.usual += (others - self.usual) * gain;
