Let the soak's back ends leave and start again under their identity

Each says with its eighth heartbeat that it leaves, and begins a new life with the next; the four do so by turns, beside all other faults. The schedule of faults is unchanged.

--- a/crates/coursestand-daemon/tests/soak/main.rs
+++ b/crates/coursestand-daemon/tests/soak/main.rs
@@ -17,6 +17,7 @@
 mod relay;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -40,6 +41,10 @@
 const BACKENDS: usize = 4;
 const CALLERS: usize = 6;
 const HEARTBEAT: Duration = Duration::from_millis(400);
+/// Heartbeats after which a back end starts again; the last one says that it leaves.
+const HEARTBEATS_OF_A_LIFE: usize = 8;
+/// Start of the first incarnations, in milliseconds since the Unix epoch.
+const FIRST_BORN_MS: u64 = 1_796_259_000_000;
 const DEFAULT_SECONDS: u64 = 6;
 /// Seeds of the short run.
 const SEEDS: [u64; 2] = [1, 2];
@@ -96,16 +101,36 @@
     }
 }
 
+/// What back end `number` says in a round. Every few heartbeats it leaves and starts again
+/// under its identity; not all of them at once.
+fn heartbeat_in(round: usize, number: usize, id: &str, address: SocketAddr) -> String {
+    let turn = round + number * HEARTBEATS_OF_A_LIFE / BACKENDS;
+    let (life, beat) = (turn / HEARTBEATS_OF_A_LIFE, turn % HEARTBEATS_OF_A_LIFE);
+    let phase = if beat + 1 == HEARTBEATS_OF_A_LIFE {
+        InstancePhase::Draining
+    } else {
+        InstancePhase::Ready
+    };
+    let news = heartbeat_of(id, address, beat as u64 + 1, phase);
+    let mut body = serde_json::to_value(news).expect("JSON");
+    body["born"] = (FIRST_BORN_MS + life as u64).into();
+    body.to_string()
+}
+
 /// Back ends tell that they live, to one control process after the other.
-async fn send_heartbeats(record: Arc<Record>, urls: Vec<String>, addresses: Vec<(String, String)>) {
+async fn send_heartbeats(
+    record: Arc<Record>,
+    urls: Vec<String>,
+    addresses: Vec<(String, SocketAddr)>,
+) {
     let http = reqwest::Client::builder()
         .timeout(Duration::from_millis(300))
         .build()
         .expect("a client");
     let mut round = 0;
     while !record.has_ended() {
-        for (id, body) in &addresses {
-            let body = body.replace("\"sequence\":0", &format!("\"sequence\":{}", round + 1));
+        for (number, (id, address)) in addresses.iter().enumerate() {
+            let body = heartbeat_in(round, number, id, *address);
             for attempt in 0..urls.len() {
                 let url = &urls[(round + attempt) % urls.len()];
                 let sent = http
@@ -199,8 +224,7 @@
             .expect("a back end");
         let relay = Relay::start(backend.address()).await;
         let id = format!("backend-{number}");
-        let news = heartbeat_of(&id, relay.address(), 0, InstancePhase::Ready);
-        heartbeats.push((id, serde_json::to_string(&news).expect("JSON")));
+        heartbeats.push((id, relay.address()));
         backends.push(backend);
         world.relays.push(relay);
     }
