--- a/crates/coursestand-daemon/src/fleet/hub.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -8,23 +8,21 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use coursestand_discovery::directory::WITNESS_SILENCE_MS;
-use coursestand_discovery::{
-    Directory, EdgeRecord, Instance, InstanceNews, InstancePhase, InstanceTable, LinkUse,
-};
+use coursestand_discovery::{Directory, Instance, InstanceNews, InstancePhase, InstanceTable};
 use coursestand_kernel::MonotonicClock;
-use coursestand_model::{BackendId, Millis, RegionId, ServiceId, ZoneId};
+use coursestand_model::{BackendId, Millis, ServiceId, ZoneId};
 use coursestand_transport::frame::encode;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use log::info;
-use rand::seq::IndexedRandom;
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, watch};
 
 use crate::fleet::peer_links::PeerLinks;
 use crate::fleet::wire::{ControlGroup, PeerMessage, Starts, ToEdge};
 
+mod edges;
+
 const LOG: &str = "hub";
 /// News that wait for an entry daemon; one with more is cut off, and gets all
 /// anew when it comes back.
@@ -34,8 +32,6 @@
 /// Heartbeats that a back end may miss before it counts as ended. Entry daemons
 /// find out by themselves long before; this only clears the table.
 const MISSED_HEARTBEATS: Millis = 20;
-/// Entry daemons named in one look-up at most.
-const MOST_ADDRESSES: usize = 64;
 
 /// Why an order of a back end was not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -107,11 +103,6 @@
         self.controls.subscribe()
     }
 
-    /// Names of the connected entry daemons, as they change.
-    pub fn edges(&self) -> watch::Receiver<EdgeNames> {
-        self.edges.subscribe()
-    }
-
     /// The control group is this one.
     pub fn set_controls(&self, group: ControlGroup) {
         self.controls.send_if_modified(|known| {
@@ -245,92 +236,6 @@
         }
     }
 
-    /// Another control process gave a sign of life.
-    pub fn heard_peer(&self, peer: SocketAddr) {
-        let now = self.clock.now();
-        self.state().peers.insert(peer, now);
-    }
-
-    /// Another control process is connected with an entry daemon, or no longer.
-    pub fn take_peer_edge(&self, peer: SocketAddr, record: &EdgeRecord, is_connected: bool) {
-        let changed = {
-            let mut state = self.state();
-            if is_connected {
-                state.directory.connect(peer, record)
-            } else {
-                state
-                    .directory
-                    .disconnect(peer, &record.name, record.incarnation)
-            }
-        };
-        if changed {
-            self.publish_edges();
-        }
-    }
-
-    /// The connection `number` with an entry daemon is heard, or no longer. The daemon
-    /// may have another one: it makes a new one before it gives up one that is silent.
-    pub fn note_edge(&self, number: u64, record: &EdgeRecord, is_heard: bool) {
-        if self.change_edge_link(number, record, is_heard) {
-            self.tell_edge(record, is_heard);
-        }
-    }
-
-    /// The connection `number` with an entry daemon has been silent for long: when it
-    /// has no other, others are to find out whether the daemon serves on.
-    pub fn note_silent_edge(&self, number: u64, record: &EdgeRecord) {
-        if self.change_edge_link(number, record, false) {
-            self.tell_edge(record, false);
-            self.suspect_edge(record);
-        }
-    }
-
-    /// Notes whether a connection is heard, and at once what that means for the daemon:
-    /// a renewal and the end of the old connection may meet. Returns whether the
-    /// directory changed.
-    fn change_edge_link(&self, number: u64, record: &EdgeRecord, is_heard: bool) -> bool {
-        let run = (record.name.clone(), record.incarnation);
-        let mut state = self.state();
-        if is_heard {
-            state.edge_links.entry(run).or_default().insert(number);
-            return state.directory.connect(self.own, record);
-        }
-        let Some(links) = state.edge_links.get_mut(&run) else {
-            return false;
-        };
-        links.remove(&number);
-        if !links.is_empty() {
-            return false;
-        }
-        state.edge_links.remove(&run);
-        state
-            .directory
-            .disconnect(self.own, &record.name, record.incarnation)
-    }
-
-    fn tell_edge(&self, record: &EdgeRecord, is_connected: bool) {
-        self.publish_edges();
-        info!(target: LOG, edge = record.name, incarnation = record.incarnation,
-            phase:? = record.phase, connected = is_connected; "an entry daemon changed");
-        if let Some(links) = self.links() {
-            links.tell_all(&PeerMessage::Edge {
-                record: record.clone(),
-                is_connected,
-            });
-        }
-    }
-
-    fn publish_edges(&self) {
-        let names = self.edge_names();
-        self.edges.send_if_modified(|known| {
-            let changed = **known != names;
-            if changed {
-                *known = Arc::new(names);
-            }
-            changed
-        });
-    }
-
     /// A queue of news for one entry daemon, with all back ends to begin with.
     pub fn follow(&self) -> (u64, mpsc::Receiver<Bytes>, Vec<InstanceNews>) {
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
@@ -380,65 +285,6 @@
         messages
     }
 
-    fn edge_names(&self) -> BTreeSet<String> {
-        let state = self.state();
-        let connected = state.directory.connected();
-        connected.map(|record| record.name.clone()).collect()
-    }
-
-    /// Addresses of entry daemons for a client.
-    pub fn lookup(&self, region: &RegionId, zone: &ZoneId) -> Vec<SocketAddr> {
-        let now = self.clock.now();
-        self.state()
-            .directory
-            .resolve(now, region, zone, MOST_ADDRESSES, rand::random)
-    }
-
-    /// An entry daemon fell silent: others are to find out whether it serves on.
-    fn suspect_edge(&self, record: &EdgeRecord) {
-        let now = self.clock.now();
-        self.state().directory.suspect(now, record);
-        info!(target: LOG, edge = record.name, incarnation = record.incarnation;
-            "an entry daemon fell silent");
-    }
-
-    /// Another entry daemon reached the one that fell silent.
-    pub fn vouch_for_edge(&self, name: &str, incarnation: u64) {
-        let now = self.clock.now();
-        self.state().directory.vouch(now, name, incarnation);
-    }
-
-    /// Asks one entry daemon that is heard for each suspect, another one each time.
-    fn probe_suspects(&self, now: Millis) {
-        let (suspects, heard) = {
-            let mut state = self.state();
-            let heard: Vec<u64> = state.edge_links.values().flatten().copied().collect();
-            (state.directory.suspects(now), heard)
-        };
-        for suspect in suspects {
-            let Ok(frame) = encode(&ToEdge::Probe(suspect)) else {
-                continue;
-            };
-            let chosen = heard.choose(&mut rand::rng());
-            let followers = self
-                .followers
-                .lock()
-                .unwrap_or_else(PoisonError::into_inner);
-            if let Some(follower) = chosen.and_then(|number| followers.get(number)) {
-                // A full queue ends the connection at the next news.
-                let _ = follower.try_send(Bytes::from(frame));
-            }
-        }
-    }
-
-    /// An entry daemon that this process is connected with told how much of its
-    /// link it uses.
-    pub fn note_link_use(&self, record: &EdgeRecord, link_use: LinkUse) {
-        self.state()
-            .directory
-            .note_link_use(&record.name, record.incarnation, link_use);
-    }
-
     /// Regular work: tells the others who was heard, and drops what is silent.
     pub fn tick(&self) {
         let now = self.clock.now();
@@ -456,25 +302,6 @@
         self.probe_suspects(now);
     }
 
-    fn drop_silent_peers(&self, now: Millis) {
-        let mut state = self.state();
-        let silent: Vec<SocketAddr> = state
-            .peers
-            .iter()
-            .filter(|(_, heard_at)| now.saturating_sub(**heard_at) > WITNESS_SILENCE_MS)
-            .map(|(peer, _)| *peer)
-            .collect();
-        if silent.is_empty() {
-            return;
-        }
-        for peer in silent {
-            state.peers.remove(&peer);
-            state.directory.drop_witness(peer);
-        }
-        drop(state);
-        self.publish_edges();
-    }
-
     fn expire_instances(&self, now: Millis) {
         let silence = MISSED_HEARTBEATS * self.heartbeat;
         let ended: Vec<InstanceNews> = {
