--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -29,6 +29,9 @@
 mod attempt;
 
 const LOG: &str = "proxy";
+/// Longest time after which a caller is told to come back whose request waited too long:
+/// that of the admission. A process that stood still for longer is quick again at once.
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
 /// Takes requests from callers to back ends.
 pub struct Exchange {
@@ -162,8 +165,9 @@
     /// for nobody (`coursestand-daemon/tests/following/late_requests.rs`).
     fn deadline_of(&self, arrival: Arrival, limit: Duration) -> Result<Instant, Reason> {
         if limit <= arrival.waited {
+            let drained_in = arrival.waited.min(LONGEST_PAUSE);
             return Err(Reason::LinkFull {
-                drained_in_ms: arrival.waited.as_millis() as Millis,
+                drained_in_ms: drained_in.as_millis() as Millis,
             });
         }
         let deadline = arrival.read_at + (limit - arrival.waited);
