--- a/crates/coursestand-proxy/tests/untrusted_figures.rs
+++ b/crates/coursestand-proxy/tests/untrusted_figures.rs
@@ -16,7 +16,7 @@
 }
 
 #[gtest]
-fn a_keep_alive_of_another_writer_without_end_is_borne() {
+fn a_keep_alive_without_end_is_borne() {
     let mut headers = HeaderMap::new();
     let longest = format!("timeout={}", u64::MAX);
     headers.insert("keep-alive", HeaderValue::from_str(&longest).expect("text"));
@@ -25,7 +25,7 @@
 }
 
 #[gtest]
-fn an_idle_time_of_another_writer_without_end_is_borne() {
+fn an_idle_time_without_end_is_borne() {
     let limits = Limits {
         max_header_bytes: 1,
         max_body_bytes: 1,
--- a/crates/coursestand-routing/tests/untrusted_figures.rs
+++ b/crates/coursestand-routing/tests/untrusted_figures.rs
@@ -1,4 +1,4 @@
-//! Figures that another writer may send and that no counter holds.
+//! Figures that back ends may send and that no counter holds.
 #![allow(missing_docs)]
 
 use std::net::SocketAddr;
@@ -36,7 +36,7 @@
 }
 
 #[gtest]
-fn a_load_of_another_writer_past_all_bounds_is_borne() {
+fn a_load_past_all_bounds_is_borne() {
     let id = BackendId::from("i");
     let mut backends = Backends::default();
     backends.merge(0, news(0));
@@ -49,7 +49,7 @@
 }
 
 #[gtest]
-fn a_cold_time_of_another_writer_without_end_is_borne() {
+fn a_cold_time_without_end_is_borne() {
     let mut backends = Backends::default();
     backends.merge(10, news(Millis::MAX));
     expect_that!(known(&backends).is_cold(1_000), eq(true));
