Show by a test that a daemon that starts believes the first list of the group

Traced by force: when the process with the old list is heard first (the others 0.2 s away) the daemon follows that list alone, drops its connections to the others, and is ready by one process's word, with the old catalog, for good.

--- a/crates/coursestand-daemon/tests/following/stale_catalog.rs
+++ b/crates/coursestand-daemon/tests/following/stale_catalog.rs
@@ -92,6 +92,28 @@
     time_until("the daemon is ready", || daemon.is_ready()).await;
 }
 
+/// The same on a busy machine, where it failed once: the one with the old list was heard
+/// first. The daemon believed it, let go of the others, and was ready by its word alone.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn an_old_list_of_the_group_that_comes_first_makes_no_majority() {
+    let last = ScriptedControl::start(Duration::ZERO).await;
+    last.set_group(&[last.address], FIRST_CHANGE);
+    let others = controls(Duration::from_millis(200)).await;
+    let mut all = addresses(&others);
+    all.push(last.address);
+    for control in &others {
+        control.set_group(&all, FIRST_CHANGE + 1);
+        control.append(FIRST_CHANGE + 2);
+    }
+    let daemon = Daemon::start(&all);
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    expect_that!(daemon.is_ready(), eq(false));
+    others[0].apply(FIRST_CHANGE + 2);
+    time_until("the daemon is ready", || daemon.is_ready()).await;
+    expect_that!(daemon.catalog(), ge(FIRST_CHANGE + 2));
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_table_that_takes_longer_than_an_answer_may_is_taken() {
