Let a daemon that starts hear most seeds before it believes a list of the group

The first list heard decided whom a daemon follows, and a process that was cut off long ago proved its old catalog by itself. Change: while it starts a daemon goes on following its seeds, and it is ready once most of them have told the group, or 1 s after its catalog was first proven; a newer list of other members takes back what an older one proved. Ruled out: waiting for all seeds (some may be gone for good). Costs up to 1 s at a start while most seeds are down.

--- a/crates/coursestand-coordination/src/freshness.rs
+++ b/crates/coursestand-coordination/src/freshness.rs
@@ -68,8 +68,14 @@
         if members.is_empty() || as_of < self.members_as_of {
             return false;
         }
+        let is_other = members != self.members;
         self.members = members;
         self.members_as_of = as_of;
+        if is_other {
+            // What an older list proved may rest on replicas that had left the group.
+            self.proven_at = None;
+            self.prove();
+        }
         true
     }
 
--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -38,6 +38,11 @@
 /// A daemon that starts is ready by a proof of its catalog of this age at most: longer
 /// than the slowest round trip that was measured on a full link, 1.9 s, twice.
 const PROOF_LIFETIME_MS: Millis = 5_000;
+/// A daemon that starts waits this long, once its catalog is proven, for the lists of the
+/// group that most seeds tell: the first list heard may be that of a process that was cut
+/// off long ago, and prove an old catalog by itself. Longer than a connection and a round
+/// trip between the farthest regions take, and what it costs where seeds are down.
+const SEEDS_GRACE_MS: Millis = 1_000;
 /// Time in which news of a lost daemon arrives at all others: changes are told at
 /// most every 200 ms, over the ways between the farthest regions.
 const NEWS_LAG: Duration = Duration::from_millis(1_000);
@@ -78,10 +83,21 @@
     /// Told how long round trips to control processes take.
     link: Arc<LinkWatch>,
     followed: Mutex<BTreeMap<SocketAddr, Followed>>,
+    /// What a daemon that starts waits for.
+    starting: Mutex<Starting>,
     news: Notify,
     prober: Prober,
 }
 
+/// How far a daemon that starts is.
+#[derive(Debug, Default)]
+struct Starting {
+    /// Control processes that told the group.
+    listed: BTreeSet<SocketAddr>,
+    /// When the catalog was first proven to be the newest.
+    proven_since: Option<Millis>,
+}
+
 impl EdgeFollower {
     /// A follower for the daemon that `record` describes.
     pub fn new(
@@ -102,6 +118,7 @@
             metrics,
             link,
             followed: Mutex::default(),
+            starting: Mutex::default(),
             news: Notify::new(),
             prober: Prober::default(),
         }
@@ -279,9 +296,10 @@
             wanted.truncate(controls.len() / 2 + 1);
         }
         let mut wanted: BTreeSet<SocketAddr> = wanted.into_iter().collect();
-        // With none of them connected, the seeds may know the present group.
+        // With none of them connected, the seeds may know the present group; while the
+        // daemon starts, a newer one than was told first.
         let is_alone = self.followed_count() == 0;
-        if is_alone {
+        if is_alone || self.phase() == EdgePhase::Starting {
             wanted.extend(self.seeds.borrow().iter().copied());
         }
         wanted
@@ -297,13 +315,27 @@
             .catalog
             .age_ms()
             .is_some_and(|age_ms| age_ms < PROOF_LIFETIME_MS);
-        if is_newest {
+        if is_newest && self.knows_group() {
             info!(target: LOG, catalog = self.catalog.version(),
                 catalog_age_ms = self.catalog.age_ms(); "this daemon is ready");
             self.set_phase(EdgePhase::Ready);
         }
     }
 
+    fn starting(&self) -> MutexGuard<'_, Starting> {
+        self.starting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether most seeds have told the group, or have not for so long that they won't.
+    fn knows_group(&self) -> bool {
+        let seeds = self.seeds.borrow().clone();
+        let now = self.state.now();
+        let mut starting = self.starting();
+        let since = *starting.proven_since.get_or_insert(now);
+        let told = seeds.iter().filter(|seed| starting.listed.contains(*seed));
+        told.count() > seeds.len() / 2 || now.saturating_sub(since) >= SEEDS_GRACE_MS
+    }
+
     pub(super) fn record(&self) -> EdgeRecord {
         EdgeRecord {
             phase: self.phase(),
@@ -344,6 +376,7 @@
         info!(target: LOG, control:% = from, members = group.members.len(),
             voters = group.voters.len(), changed_at = group.changed_at;
             "the control group was told");
+        self.starting().listed.insert(from);
         let is_newest = self.catalog.set_voters(group.voters, group.changed_at);
         if is_newest && !group.members.is_empty() {
             *self.controls() = group.members;
