Play real processes under signals and count repeats where they arrive

The users saw more repeats than the bound allows, on real processes, and kept no logs; nothing of ours counted arrivals of repeatable requests, in the soak neither. A judge of the bound (every window, requests of the window, the one before or half before) and plays of real processes by a timetable of signals. COURSESTAND_PROGRAM plays another version.

No logic is changed.

--- a/crates/coursestand-daemon/tests/soak/processes.rs
+++ b/crates/coursestand-daemon/tests/soak/processes.rs
@@ -11,6 +11,20 @@
 /// Longest time from a program's start until its signal handlers stand.
 const TIME_TO_START: Duration = Duration::from_secs(2);
 
+/// The daemon: the one of this build, or another version of it that is to be played.
+fn program() -> PathBuf {
+    let other = std::env::var_os("COURSESTAND_PROGRAM");
+    other.map_or_else(|| env!("CARGO_BIN_EXE_coursestandd").into(), PathBuf::from)
+}
+
+/// The settings as JSON, without those that aren't set: earlier versions don't know all.
+fn text_of(settings: &FleetSettings) -> String {
+    let mut value = serde_json::to_value(settings).expect("JSON");
+    let fields = value.as_object_mut().expect("an object");
+    fields.retain(|_, value| !value.is_null());
+    value.to_string()
+}
+
 /// A signal as `kill` names it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Signal {
@@ -54,11 +68,10 @@
     pub fn start(&mut self, host: u8, settings: &FleetSettings) {
         self.starts += 1;
         let file = self.folder.join(format!("{host}.json"));
-        let text = serde_json::to_string(settings).expect("JSON");
-        std::fs::write(&file, text).expect("written");
+        std::fs::write(&file, text_of(settings)).expect("written");
         let log = self.folder.join(format!("{host}-{}.log", self.starts));
         let log = File::create(log).expect("a log");
-        let child = Command::new(env!("CARGO_BIN_EXE_coursestandd"))
+        let child = Command::new(program())
             .arg("--fleet")
             .arg(&file)
             .stdin(Stdio::null())
--- a/crates/coursestand-lab/src/lib.rs
+++ b/crates/coursestand-lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod platform;
 pub mod process;
 pub mod records;
+pub mod repeats;
 pub mod report;
 pub mod scale;
 pub mod scripted;
--- a/crates/coursestand-lab/src/scripted.rs
+++ b/crates/coursestand-lab/src/scripted.rs
@@ -5,7 +5,7 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use coursestand_proxy::HeaderNames;
 use http::HeaderName;
@@ -14,6 +14,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::repeats::Arrival;
+
 /// Length of an answer that comes in pieces: more than a daemon holds.
 const TRICKLED_BYTES: usize = 4 * 1024 * 1024;
 const TRICKLED_PIECE: [u8; 4096] = [b'x'; 4096];
@@ -95,7 +97,7 @@
     next: VecDeque<Behaviour>,
     otherwise: Option<Behaviour>,
     runs: Vec<Run>,
-    arrivals: usize,
+    arrivals: Vec<Arrival>,
 }
 
 /// A back end that follows a script.
@@ -104,6 +106,7 @@
     script: Arc<Mutex<Script>>,
     closed: watch::Receiver<usize>,
     ended: watch::Receiver<bool>,
+    stands_still: watch::Sender<bool>,
     task: JoinHandle<()>,
 }
 
@@ -132,12 +135,20 @@
         }));
         let (closing, closed) = watch::channel(0);
         let (ending, ended) = watch::channel(false);
-        let task = tokio::spawn(accept(listener, Arc::clone(&script), closing, ending));
+        let stands_still = watch::Sender::new(false);
+        let task = tokio::spawn(accept(
+            listener,
+            Arc::clone(&script),
+            closing,
+            ending,
+            stands_still.subscribe(),
+        ));
         Ok(ScriptedBackend {
             address,
             script,
             closed,
             ended,
+            stands_still,
             task,
         })
     }
@@ -152,9 +163,26 @@
         lock(&self.script).runs.clone()
     }
 
-    /// Requests that reached it, run or not.
+    /// How many requests reached it, run or not.
     pub fn arrivals(&self) -> usize {
-        lock(&self.script).arrivals
+        lock(&self.script).arrivals.len()
+    }
+
+    /// The requests that reached it, run or not.
+    pub fn arrived(&self) -> Vec<Arrival> {
+        lock(&self.script).arrivals.clone()
+    }
+
+    /// Reads no further request from now on, as a process that is stopped: the system goes
+    /// on accepting connections and keeps what is written to them. What was read before
+    /// is still answered.
+    pub fn stand_still(&self) {
+        self.stands_still.send_replace(true);
+    }
+
+    /// Goes on, and finds what came in the meantime.
+    pub fn go_on(&self) {
+        self.stands_still.send_replace(false);
     }
 
     /// Whether it has ended under a request.
@@ -176,6 +204,7 @@
     script: Arc<Mutex<Script>>,
     closing: watch::Sender<usize>,
     ending: watch::Sender<bool>,
+    stands_still: watch::Receiver<bool>,
 ) {
     let closing = Arc::new(closing);
     let mut ended = ending.subscribe();
@@ -189,6 +218,7 @@
         let Ok((stream, _)) = accepted else {
             return;
         };
+        let going = stands_still.clone();
         let script = Arc::clone(&script);
         let closing = Arc::clone(&closing);
         let ending = Arc::clone(&ending);
@@ -196,7 +226,7 @@
         tokio::spawn(async move {
             tokio::select! {
                 // A caller that breaks off ends the connection's task.
-                served = serve(stream, &script, &closing) => {
+                served = serve(stream, &script, &closing, going) => {
                     if matches!(served, Ok(Served::Ended)) {
                         ending.send_replace(true);
                     }
@@ -223,7 +253,11 @@
     rest: Vec<u8>,
 }
 
-async fn read_head(stream: &mut TcpStream) -> std::io::Result<Option<Head>> {
+/// Reads the next head; of a back end that stands still, once it goes on.
+async fn read_head(
+    stream: &mut TcpStream,
+    going: &mut watch::Receiver<bool>,
+) -> std::io::Result<Option<Head>> {
     let mut bytes = Vec::new();
     let mut piece = [0; 4096];
     loop {
@@ -231,6 +265,11 @@
             let text = String::from_utf8_lossy(&bytes[..end]).into_owned();
             return Ok(Some(head_of(&text, bytes[end + 4..].to_vec())));
         }
+        if bytes.is_empty() {
+            stream.readable().await?;
+            // The sender lives as long as the back end.
+            let _ = going.wait_for(|stands_still| !stands_still).await;
+        }
         let count = stream.read(&mut piece).await?;
         if count == 0 {
             return Ok(None);
@@ -325,11 +364,15 @@
     mut stream: TcpStream,
     script: &Mutex<Script>,
     closing: &watch::Sender<usize>,
+    mut going: watch::Receiver<bool>,
 ) -> std::io::Result<Served> {
-    while let Some(mut head) = read_head(&mut stream).await? {
+    while let Some(mut head) = read_head(&mut stream, &mut going).await? {
         let behaviour = {
             let mut script = lock(script);
-            script.arrivals += 1;
+            script.arrivals.push(Arrival {
+                id: head.run.id.clone(),
+                at: Instant::now(),
+            });
             let next = script.next.pop_front();
             next.or_else(|| script.otherwise.clone())
                 .unwrap_or(Behaviour::Lose)
