Tell why each request is sent again or not, and from what budget

Nothing told a service's budget, by how many daemons its allowance is divided, or why a retry was not made: the three hypotheses of docs/incidents/2026-12-03-repeats-beyond-the-bound.md could not be told apart. The decision is one typed value now; it is in the log line of each failed attempt (retry, budget_left, budget_daemons), in three metrics by service and one of the number of daemons, and in the dump. What is decided is unchanged.

Tests: decisions are counted with their reason; the operators' page lists what is served (its test gives the daemon a service first: counts by service exist from then on). proxy, catalog and fleet tests passed.

--- a/crates/coursestand-catalog/src/catalog.rs
+++ b/crates/coursestand-catalog/src/catalog.rs
@@ -220,6 +220,14 @@
         })
     }
 
+    /// All services that stand.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceId> {
+        self.standing().filter_map(|(key, _, _)| match key {
+            ItemKey::Service(service) => Some(service),
+            _ => None,
+        })
+    }
+
     /// A service that stands.
     pub fn service(&self, service: &ServiceId) -> Option<&ServiceItem> {
         let key = ItemKey::Service(service.clone());
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -1,6 +1,7 @@
 //! The entry role of a fleet: serves callers, and stops in an order that cuts no
 //! request off.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
@@ -12,16 +13,16 @@
 use coursestand_kernel::{Health, MonotonicClock, Registry, Service, ServiceError, Tasks};
 use coursestand_model::fleet::FleetSettings;
 use coursestand_proxy::caller_limits::CallerLimits;
-use coursestand_proxy::edge_state::EdgeBounds;
+use coursestand_proxy::edge_state::{Beliefs, EdgeBounds};
 use coursestand_proxy::metrics::ProxyMetrics;
 use coursestand_proxy::pool::Pool;
 use coursestand_proxy::router::Router;
 use coursestand_proxy::{EdgeState, Exchange, ProxyServer};
 use coursestand_routing::Backend;
-use coursestand_routing::RetryLimits;
 use coursestand_routing::backends::ReportTrust;
 use coursestand_routing::cold::ColdLimits;
 use coursestand_routing::picker::{Balance, Place};
+use coursestand_routing::{RetryBudget, RetryLimits};
 use log::info;
 use poem::http::StatusCode;
 use poem::{Request, Response};
@@ -90,6 +91,20 @@
         self.metrics
             .backing_off
             .set(count(&|backend| backend.backs_off(now)));
+        self.update_retry_metrics(&beliefs);
+    }
+
+    /// Shows the budget of each service, also of one without requests so far.
+    fn update_retry_metrics(&self, beliefs: &Beliefs) {
+        self.metrics.retry_daemons.set(beliefs.daemons.len() as i64);
+        for service in beliefs.catalog.services() {
+            self.exchange.metrics().show_retries(service);
+            let left = beliefs.budgets.get(service).map(RetryBudget::left);
+            self.metrics
+                .retry_budget
+                .with_label_values(&[service.as_str()])
+                .set(left.unwrap_or_default());
+        }
     }
 
     /// Tells how much of the machine's link the requests need, when its speed is known.
@@ -290,8 +305,14 @@
                 })
             })
             .collect();
+        let retry_budgets: BTreeMap<&str, f64> = beliefs
+            .budgets
+            .iter()
+            .map(|(service, budget)| (service.as_str(), budget.left()))
+            .collect();
         json!({
             "follower": follower,
+            "retry_budgets": retry_budgets,
             "catalog_version": beliefs.catalog.version(),
             "daemons": beliefs.daemons,
             "backends": backends,
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -1,7 +1,7 @@
 //! Gauges of what the processes of a fleet believe, brought up to date each second.
 
 use coursestand_discovery::InstancePhase;
-use prometheus::{IntCounter, IntGauge, IntGaugeVec, Opts, Registry};
+use prometheus::{GaugeVec, IntCounter, IntGauge, IntGaugeVec, Opts, Registry};
 
 use crate::control::shared::ReplicaStatus;
 
@@ -117,11 +117,20 @@
     pub idle: IntGauge,
     /// Use of the machine's link in percent.
     pub link_use: IntGauge,
+    /// Entry daemons among which the fixed allowance for retries is divided.
+    pub retry_daemons: IntGauge,
+    /// Retries that are left, by service.
+    pub retry_budget: GaugeVec,
 }
 
 impl EdgeMetrics {
     /// Metrics known to `registry`.
     pub fn new(registry: &Registry) -> Result<EdgeMetrics, prometheus::Error> {
+        let retry_budget = GaugeVec::new(
+            Opts::new("coursestand_edge_retry_budget", "Retries that are left"),
+            &["service"],
+        )?;
+        registry.register(Box::new(retry_budget.clone()))?;
         let gauge = |name, help| gauge(registry, name, help);
         Ok(EdgeMetrics {
             catalog: gauge("coursestand_edge_catalog_version", "Change in force here")?,
@@ -134,6 +143,11 @@
             )?,
             idle: gauge("coursestand_edge_idle_connections", "Idle connections kept")?,
             link_use: gauge("coursestand_edge_link_use", "Percent of the link used")?,
+            retry_daemons: gauge(
+                "coursestand_edge_retry_daemons",
+                "Entry daemons among which the allowance for retries is divided",
+            )?,
+            retry_budget,
         })
     }
 }
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -237,8 +237,15 @@
 async fn the_operators_page_lists_the_metrics_that_are_served() {
     let mut deployment = formed(&ALL).await;
     deployment.start_edge(EDGE).await;
+    expect_that!(deployment.patch(&[1], &first_items()).await, eq(200));
     let mut served = metric_names(&deployment.metrics(1).await);
-    served.extend(metric_names(&deployment.metrics(EDGE).await));
+    // Those by service are shown once the daemon knows a service.
+    let mut of_edge = String::new();
+    while !of_edge.contains("coursestand_edge_retry_budget") {
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+        of_edge = deployment.metrics(EDGE).await;
+    }
+    served.extend(metric_names(&of_edge));
     let page = concat!(
         env!("CARGO_MANIFEST_DIR"),
         "/../../docs/operations/METRICS.md"
--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -18,6 +18,7 @@
 use crate::headers::{strip_connection_headers, text_of};
 use crate::phases::{AttemptFailure, Attempts, Silence, Target};
 use crate::pool::{Connection, RequestBody};
+use crate::retry::{RetryDenial, RetryVerdict};
 use crate::streamed_body::StreamedBody;
 use crate::told::Told;
 use crate::verdict::{Verdict, judge};
@@ -207,13 +208,16 @@
                 return Ok(outcome);
             }
             self.pool.distrust(&target.incarnation, sent_at);
-            if self.may_repeat_silent(prepared, attempts, limit) {
+            let retry = self.may_repeat_silent(prepared, attempts, limit);
+            if retry.is_granted() {
                 attempts.silence = Some(Silence {
                     backend: target.incarnation.clone(),
                     sent_at,
+                    retry,
                 });
                 return Err(AttemptFailure::Silent);
             }
+            self.tell_silence_kept(prepared, target, retry);
         }
         let outcome = timeout_at(give_up, sending)
             .await
@@ -243,17 +247,30 @@
         prepared: &Prepared,
         attempts: &Attempts,
         waited: Duration,
-    ) -> bool {
+    ) -> RetryVerdict {
         let left = prepared.left();
+        if left < waited {
+            return RetryVerdict::Denied(RetryDenial::NoTime);
+        }
         let failed = Attempts {
             arrived: attempts.arrived + 1,
             ..attempts.clone()
         };
-        let silent = AttemptFailure::Silent;
-        left >= waited
-            && self
-                .phases
-                .may_retry(&prepared.matched, &failed, silent, left)
+        self.phases
+            .may_retry(&prepared.matched, &failed, AttemptFailure::Silent, left)
+    }
+
+    /// The answer is waited for on a connection that is silent, since the request may not
+    /// be sent again.
+    fn tell_silence_kept(&self, prepared: &Prepared, target: &Target, retry: RetryVerdict) {
+        self.metrics.count_retry(&target.service, retry);
+        let budget = retry.budget();
+        log::info!(target: LOG, request = prepared.id, instance = target.id().as_str(),
+            service = target.service.as_str(),
+            retry = retry.name(),
+            budget_left = budget.map(|budget| budget.left),
+            budget_daemons = budget.map(|budget| budget.daemons);
+            "a silent connection is waited for");
     }
 
     /// Learns from an answer how long answers take, and that an earlier connection
--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -23,6 +23,7 @@
 use crate::phases::{AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target};
 use crate::pool::Pool;
 use crate::prepared_body::PreparedBody;
+use crate::retry::{RetryDenial, RetryVerdict};
 use crate::story::Story;
 use coursestand_model::Millis;
 use coursestand_routing::BackendReport;
@@ -132,6 +133,21 @@
     }
 }
 
+impl Attempts {
+    /// One at `target` failed.
+    fn note(&mut self, target: &Target, failed: &FailedAttempt) {
+        if !failed.leaves_back_end_open() {
+            self.tried.push(target.id().clone());
+        }
+        self.may_have_run |= failed.failure.may_have_run();
+        if failed.failure.reached_back_end() {
+            self.arrived += 1;
+        } else {
+            self.unreachable += 1;
+        }
+    }
+}
+
 /// Keeps a back end counted as having the request until dropped.
 struct Started {
     phases: Arc<dyn RequestPhases>,
@@ -367,40 +383,42 @@
                 }
                 Err(failed) => failed,
             };
-            self.note_failure(&prepared, &started.target, &attempts, &failed);
-            if failed.is_broken {
-                self.look_for_end(&started.target);
-            }
-            if !failed.leaves_back_end_open() {
-                attempts.tried.push(started.target.id().clone());
-            }
-            let FailedAttempt {
-                failure, answer, ..
-            } = failed;
-            attempts.may_have_run |= failure.may_have_run();
-            if failure.reached_back_end() {
-                attempts.arrived += 1;
-            } else {
-                attempts.unreachable += 1;
-            }
+            self.note_failure(&started.target, &failed);
+            attempts.note(&started.target, &failed);
+            let retry = self.retry_after(&prepared, &attempts, failed.failure);
+            self.metrics.count_retry(&prepared.matched.service, retry);
+            self.tell_failure(&prepared, &started.target, &attempts, &failed, retry);
             drop(started);
-            let left = prepared.deadline.saturating_duration_since(Instant::now());
-            // Only a silence of which the repeat was granted ends an attempt.
-            let may_retry = failure == AttemptFailure::Silent
-                || !prepared.body.is_spent()
-                    && self
-                        .phases
-                        .may_retry(&prepared.matched, &attempts, failure, left);
-            if !may_retry {
-                return match answer {
+            if !retry.is_granted() {
+                return match failed.answer {
                     Some(answer) => Ok(*answer),
-                    None => Err(final_reason(&attempts, failure)),
+                    None => Err(final_reason(&attempts, failed.failure)),
                 };
             }
-            self.metrics.retries.inc();
         }
     }
 
+    /// Whether the request is sent again after an attempt that ended by `failure`.
+    fn retry_after(
+        &self,
+        prepared: &Prepared,
+        attempts: &Attempts,
+        failure: AttemptFailure,
+    ) -> RetryVerdict {
+        // Only a silence of which the retry was granted ends an attempt.
+        if failure == AttemptFailure::Silent
+            && let Some(silence) = &attempts.silence
+        {
+            return silence.retry;
+        }
+        if prepared.body.is_spent() {
+            return RetryVerdict::Denied(RetryDenial::BodySpent);
+        }
+        let left = prepared.left();
+        self.phases
+            .may_retry(&prepared.matched, attempts, failure, left)
+    }
+
     /// A connection to the back end broke: looks whether anybody is still at its address.
     fn look_for_end(&self, target: &Target) {
         let phases = Arc::clone(&self.phases);
@@ -408,18 +426,26 @@
         EndWatch::look(&self.ends, target, pool, phases);
     }
 
-    fn note_failure(
+    fn note_failure(&self, target: &Target, failed: &FailedAttempt) {
+        self.phases.failed(target, failed.failure, &failed.report);
+        let kind = failed.failure.name();
+        self.metrics.failures.with_label_values(&[kind]).inc();
+        if failed.is_broken {
+            self.look_for_end(target);
+        }
+    }
+
+    /// Tells of the last of `attempts`, which failed.
+    fn tell_failure(
         &self,
         prepared: &Prepared,
         target: &Target,
         attempts: &Attempts,
         failed: &FailedAttempt,
+        retry: RetryVerdict,
     ) {
         let report = &failed.report;
-        self.phases.failed(target, failed.failure, report);
-        let kind = failed.failure.name();
-        self.metrics.failures.with_label_values(&[kind]).inc();
-        let left = prepared.deadline.saturating_duration_since(Instant::now());
+        let budget = retry.budget();
         log::info!(target: LOG,
             request = prepared.id,
             route = prepared.matched.route.name,
@@ -429,13 +455,16 @@
             load = target.asked.pick.load,
             load_age_ms = target.asked.pick.load_age_ms,
             cold = target.asked.pick.is_cold,
-            attempt = attempts.arrived + attempts.unreachable + 1,
-            left_ms = left.as_millis() as u64,
+            attempt = attempts.arrived + attempts.unreachable,
+            left_ms = prepared.left().as_millis() as u64,
             told_running = report.load.map(|load| load.running),
             told_waiting = report.load.map(|load| load.waiting),
             told_backoff_ms = report.backoff_ms,
             told_draining = report.drains.then_some(true),
-            outcome = kind;
+            retry = retry.name(),
+            budget_left = budget.map(|budget| budget.left),
+            budget_daemons = budget.map(|budget| budget.daemons),
+            outcome = failed.failure.name();
             "an attempt failed");
     }
 }
--- a/crates/coursestand-proxy/src/lib.rs
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod pool;
 mod prepared_body;
 mod rest;
+pub mod retry;
 pub mod router;
 pub mod server;
 mod smoothed_time;
--- a/crates/coursestand-proxy/src/metrics.rs
+++ b/crates/coursestand-proxy/src/metrics.rs
@@ -1,7 +1,10 @@
 //! Counters and latencies of the request path.
 
+use coursestand_model::ServiceId;
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
+use crate::retry::RetryVerdict;
+
 /// Metrics of the request path.
 #[derive(Clone)]
 pub struct ProxyMetrics {
@@ -13,6 +16,10 @@
     pub backend_words: IntCounterVec,
     /// Attempts after the first.
     pub retries: IntCounter,
+    /// The same by service and by whether they were `paid` from its budget or `free`.
+    pub service_retries: IntCounterVec,
+    /// Failed attempts after which a request was not sent again, by service and reason.
+    pub denied_retries: IntCounterVec,
     /// Connections opened to back ends.
     pub connections: IntCounter,
     /// Requests in flight.
@@ -49,6 +56,20 @@
                 "coursestand_retries_total",
                 "Attempts after a request's first",
             )?,
+            service_retries: IntCounterVec::new(
+                Opts::new(
+                    "coursestand_service_retries_total",
+                    "Attempts after a request's first, by service and cost",
+                ),
+                &["service", "cost"],
+            )?,
+            denied_retries: IntCounterVec::new(
+                Opts::new(
+                    "coursestand_denied_retries_total",
+                    "Failed attempts after which a request was not sent again",
+                ),
+                &["service", "reason"],
+            )?,
             connections: IntCounter::new(
                 "coursestand_backend_connections_total",
                 "Connections opened to back ends",
@@ -72,10 +93,31 @@
         registry.register(Box::new(metrics.failures.clone()))?;
         registry.register(Box::new(metrics.backend_words.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
+        registry.register(Box::new(metrics.service_retries.clone()))?;
+        registry.register(Box::new(metrics.denied_retries.clone()))?;
         registry.register(Box::new(metrics.connections.clone()))?;
         registry.register(Box::new(metrics.in_flight.clone()))?;
         registry.register(Box::new(metrics.waited.clone()))?;
         registry.register(Box::new(metrics.duration.clone()))?;
         Ok(metrics)
     }
+
+    /// Shows the counts of retries to `service`, with nothing counted yet.
+    pub fn show_retries(&self, service: &ServiceId) {
+        let service = service.as_str();
+        self.service_retries.with_label_values(&[service, "paid"]);
+        self.denied_retries
+            .with_label_values(&[service, "budget-spent"]);
+    }
+
+    /// Counts the decision about a retry to `service`.
+    pub fn count_retry(&self, service: &ServiceId, verdict: RetryVerdict) {
+        let labels = [service.as_str(), verdict.name()];
+        if verdict.is_granted() {
+            self.retries.inc();
+            self.service_retries.with_label_values(&labels).inc();
+        } else {
+            self.denied_retries.with_label_values(&labels).inc();
+        }
+    }
 }
--- a/crates/coursestand-proxy/src/phases.rs
+++ b/crates/coursestand-proxy/src/phases.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 
 use crate::answer::Reason;
+use crate::retry::RetryVerdict;
 
 /// What is known of a request before its body is read.
 #[derive(Clone, Debug)]
@@ -142,6 +143,8 @@
     pub backend: Incarnation,
     /// When the request was sent that got no answer.
     pub sent_at: Instant,
+    /// The decision to send it again.
+    pub retry: RetryVerdict,
 }
 
 /// What has been tried for a request so far.
@@ -197,5 +200,5 @@
         attempts: &Attempts,
         failure: AttemptFailure,
         left: Duration,
-    ) -> bool;
+    ) -> RetryVerdict;
 }
--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -16,6 +16,7 @@
 use crate::answer::Reason;
 use crate::edge_state::{Beliefs, EdgeState};
 use crate::phases::{AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target};
+use crate::retry::{BudgetView, RetryDenial, RetryVerdict};
 
 const LOG: &str = "proxy";
 /// Attempts that may end without reaching a back end.
@@ -57,14 +58,23 @@
         })
     }
 
-    fn take_retry(&self, beliefs: &mut Beliefs, matched: &Matched) -> bool {
+    fn take_retry(&self, beliefs: &mut Beliefs, matched: &Matched) -> RetryVerdict {
         let limits = self.state.bounds().retries;
         let daemons = beliefs.daemons.len();
-        beliefs
+        let budget = beliefs
             .budgets
             .entry(matched.service.clone())
-            .or_insert_with(|| RetryBudget::new(limits, daemons))
-            .spend()
+            .or_insert_with(|| RetryBudget::new(limits, daemons));
+        let is_paid = budget.spend();
+        let view = BudgetView {
+            left: budget.left(),
+            daemons,
+        };
+        if is_paid {
+            RetryVerdict::Paid(view)
+        } else {
+            RetryVerdict::Denied(RetryDenial::BudgetSpent(view))
+        }
     }
 }
 
@@ -322,20 +332,24 @@
         attempts: &Attempts,
         failure: AttemptFailure,
         left: Duration,
-    ) -> bool {
+    ) -> RetryVerdict {
         let route = &matched.route.route;
         if left < LEAST_TIME_TO_RETRY {
-            return false;
+            return RetryVerdict::Denied(RetryDenial::NoTime);
         }
         if failure.may_have_run() && !route.kind.is_repeatable() {
-            return false;
+            return RetryVerdict::Denied(RetryDenial::MayHaveRun);
         }
         if !failure.reached_back_end() {
             // Nothing arrived anywhere, so this costs nothing of the budget.
-            return attempts.unreachable < MAX_UNREACHABLE;
+            return if attempts.unreachable < MAX_UNREACHABLE {
+                RetryVerdict::Free
+            } else {
+                RetryVerdict::Denied(RetryDenial::Unreachable)
+            };
         }
         if attempts.arrived >= route.max_attempts.max(1) {
-            return false;
+            return RetryVerdict::Denied(RetryDenial::AttemptsSpent);
         }
         self.take_retry(&mut self.state.beliefs(), matched)
     }
--- a/crates/coursestand-proxy/tests/attempts.rs
+++ b/crates/coursestand-proxy/tests/attempts.rs
@@ -14,6 +14,7 @@
 use coursestand_proxy::phases::{
     AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target,
 };
+use coursestand_proxy::retry::RetryVerdict;
 use coursestand_proxy::router::Router;
 use coursestand_routing::{BackendReport, Fingerprint};
 use googletest::prelude::*;
@@ -63,8 +64,8 @@
     fn finished(&self, target: &Target) {
         self.0.finished(target);
     }
-    fn may_retry(&self, _: &Matched, _: &Attempts, _: AttemptFailure, _: Duration) -> bool {
-        true
+    fn may_retry(&self, _: &Matched, _: &Attempts, _: AttemptFailure, _: Duration) -> RetryVerdict {
+        RetryVerdict::Free
     }
 }
 
@@ -297,3 +298,32 @@
         expect_that!(backend.arrivals() > before, eq(is_following));
     }
 }
+
+/// How often retries to the service were decided like this.
+fn retries_counted(edge: &Edge, verdict: &str) -> u64 {
+    let metrics = edge.exchange.metrics();
+    let labels = ["s", verdict];
+    let granted = metrics.service_retries.with_label_values(&labels);
+    let denied = metrics.denied_retries.with_label_values(&labels);
+    granted.get() + denied.get()
+}
+
+#[gtest]
+#[tokio::test]
+async fn each_decision_about_a_retry_is_counted_with_its_reason() {
+    let scripts = || vec![(vec![], Behaviour::Lose), (vec![], Behaviour::Lose)];
+    let edge = Edge::start(Rules::default(), scripts()).await;
+    edge.ask("/safe/a", "r1").await;
+    expect_that!(retries_counted(&edge, "paid"), eq(1));
+    expect_that!(retries_counted(&edge, "attempts-spent"), eq(1));
+    edge.ask("/once/a", "r2").await;
+    expect_that!(retries_counted(&edge, "may-have-run"), eq(1));
+    let poor = Rules {
+        retry_extra: 0.0,
+        ..Rules::default()
+    };
+    let edge = Edge::start(poor, scripts()).await;
+    edge.ask("/safe/a", "r3").await;
+    expect_that!(retries_counted(&edge, "paid"), eq(0));
+    expect_that!(retries_counted(&edge, "budget-spent"), eq(1));
+}
--- a/crates/coursestand-proxy/tests/backoff.rs
+++ b/crates/coursestand-proxy/tests/backoff.rs
@@ -23,6 +23,7 @@
 use coursestand_proxy::phases::{
     AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target,
 };
+use coursestand_proxy::retry::RetryVerdict;
 use coursestand_proxy::router::Router;
 use coursestand_routing::{BackendReport, Finding, Fingerprint, SharedFinding};
 use googletest::prelude::*;
@@ -200,7 +201,7 @@
         attempts: &Attempts,
         failure: AttemptFailure,
         left: Duration,
-    ) -> bool {
+    ) -> RetryVerdict {
         self.router.may_retry(matched, attempts, failure, left)
     }
 }
