Take no heartbeat for life that came while the holder of its address lived, nor between two pieces of a takeover

Cause, by a trace of what each process told: the claim was admitted three seconds after the holder's last heartbeat, though both heartbeats had come before its next one was due; and with that closed, between the news of the holder's end and that of its successor, when the address seemed free. Tried one by one: either mend alone leaves the test failing.

Change: the last heartbeat of a claimant must have come when the holder was overdue; an address that another process freed is held for a third of a holder's silence (one second) before a claimant is admitted. Why it holds: whoever admits a successor tells both pieces at once. What is left is in the module's comment: a late heartbeat that comes while the living one is overdue.

Ruled out: that only numbers that grow too fast tell the dead (each call raises them).

--- a/crates/coursestand-discovery/src/claims.rs
+++ b/crates/coursestand-discovery/src/claims.rs
@@ -5,12 +5,12 @@
 //! incarnation has registered, also at a process that never heard of the sender before.
 //! What the dead can't do is go on giving signs of life. So a newcomer at an address
 //! that another instance holds only claims it, and takes it over once it was heard
-//! again after a while and the holder was not heard meanwhile, nor for about two
-//! heartbeats. A crashed back end's successor waits for one more heartbeat by this; a
-//! live back end is not ended for a message that was late, which no later heartbeat
-//! would undo. What could still pass for life are two different heartbeats of a dead
-//! one that come a second apart or more while the living one is silent for longer than
-//! two of its own.
+//! again after a while, last when the holder was overdue, and the holder was not heard
+//! meanwhile, nor for about two heartbeats. A crashed back end's successor waits for one
+//! more heartbeat by this; a live back end is not ended for a message that was late,
+//! which no later heartbeat would undo. What could still pass for life are two different
+//! heartbeats of a dead one that come a second apart or more, the second while the living
+//! one is overdue, which then stays silent for two of its own.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -24,10 +24,22 @@
 const FIRST_HOLDER_SILENCE_MS: Millis = 3_000;
 /// Part of the time after which silent instances end that makes a holder silent.
 const HOLDER_SILENCE_PART: Millis = 10;
+/// Heartbeats in the silence of a holder. What came before the first of them was due comes
+/// from a time at which the holder may have lived, and proves nothing against it.
+const HEARTBEATS_OF_SILENCE: Millis = 2;
 /// Part of the holder's silence over which a claimant must have been heard: less than
 /// a heartbeat, so that two of them do, and more than between copies of one message.
 const CLAIM_PART: Millis = 3;
 
+/// Who has an address that is claimed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Holding {
+    /// An instance that was heard last at this time.
+    Held { heard_at: Millis },
+    /// Nobody, since this time.
+    Free { since: Millis },
+}
+
 #[derive(Clone, Debug)]
 struct Claim {
     news: InstanceNews,
@@ -139,23 +151,35 @@
     }
 
     /// Takes out the claimants that have proved to live on; where the address has
-    /// become free, it is enough that others heard them for two heartbeats. `silent_since`
-    /// tells since when the holder of an address is silent, if there is one.
+    /// become free, it is enough that others heard them for two heartbeats.
+    ///
+    /// An address that has just become free may have its successor already: a process that
+    /// admits one tells first who ended, then who came. Two heartbeats of an instance long
+    /// dead, a second apart, were taken for life between the two.
     pub(crate) fn settle(
         &mut self,
         now: Millis,
-        silent_since: impl Fn(SocketAddr) -> Option<Millis>,
+        holding: impl Fn(SocketAddr) -> Holding,
     ) -> Vec<InstanceNews> {
         self.claims
             .retain(|_, claim| now.saturating_sub(claim.heard_at) <= self.holder_silence_ms);
         let least_ms = self.holder_silence_ms / CLAIM_PART;
         let proved = |claim: &Claim| {
-            let Some(since) = silent_since(claim.news.instance.address) else {
-                return claim.heard_here_for() >= least_ms
-                    || claim.heard_elsewhere_for() >= self.holder_silence_ms;
-            };
-            let is_silent = now.saturating_sub(since) >= self.holder_silence_ms;
-            is_silent && claim.heard_here_for() >= least_ms
+            let was_heard_here = claim.heard_here_for() >= least_ms;
+            match holding(claim.news.instance.address) {
+                Holding::Held { heard_at } => {
+                    let silent_ms = now.saturating_sub(heard_at);
+                    let overdue_at = heard_at + self.holder_silence_ms / HEARTBEATS_OF_SILENCE;
+                    silent_ms >= self.holder_silence_ms
+                        && was_heard_here
+                        && claim.came_at >= overdue_at
+                }
+                Holding::Free { since } => {
+                    let was_heard_elsewhere = claim.heard_elsewhere_for() >= self.holder_silence_ms;
+                    let free_ms = now.saturating_sub(since);
+                    free_ms >= least_ms && (was_heard_here || was_heard_elsewhere)
+                }
+            }
         };
         let mut admitted: Vec<Claim> = self
             .claims
--- a/crates/coursestand-discovery/src/table.rs
+++ b/crates/coursestand-discovery/src/table.rs
@@ -5,7 +5,7 @@
 
 use coursestand_model::{BackendId, Millis};
 
-use crate::claims::Claims;
+use crate::claims::{Claims, Holding};
 use crate::instance::{Instance, InstanceNews, InstancePhase};
 
 /// How long an ended instance is remembered, so that a late heartbeat can't
@@ -24,6 +24,8 @@
     /// When a heartbeat of it was heard last, by this process or by another
     /// one that told of it.
     pub heard_at: Millis,
+    /// Since when this process takes it to have ended, if it has.
+    pub ended_at: Option<Millis>,
 }
 
 impl Known {
@@ -39,6 +41,19 @@
     pub fn is_cold(&self, now: Millis) -> bool {
         now < self.cold_until
     }
+
+    /// Whether it has not ended.
+    pub fn lives(&self) -> bool {
+        self.instance.phase != InstancePhase::Gone
+    }
+
+    /// It has ended. Returns whether that is news.
+    fn end(&mut self, now: Millis) -> bool {
+        let is_news = self.lives();
+        self.instance.phase = InstancePhase::Gone;
+        self.ended_at.get_or_insert(now);
+        is_news
+    }
 }
 
 /// All instances by identity.
@@ -62,7 +77,7 @@
         let is_ready = news.instance.phase == InstancePhase::Ready;
         if is_newcomer && is_ready && self.is_held_by_another(&news.instance) {
             // Its incarnation before has ended, whoever has the address.
-            let mut changed = Vec::from_iter(self.end(&id).then_some(id));
+            let mut changed = Vec::from_iter(self.end(now, &id).then_some(id));
             self.claims.note(now, news);
             changed.extend(self.settle_claims(now));
             return changed;
@@ -94,11 +109,13 @@
         }
         self.claims.remove(&news.instance);
         let begins = before.is_none_or(|before| news.instance.starts_after(before));
+        let is_gone = news.instance.phase == InstancePhase::Gone;
         let Some(known) = self.known.get_mut(&id).filter(|_| !begins) else {
             let known = Known {
                 instance: news.instance,
                 cold_until,
                 heard_at: now,
+                ended_at: is_gone.then_some(now),
             };
             self.known.insert(id.clone(), known);
             self.claims.refute(address);
@@ -119,7 +136,10 @@
             known.instance.phase = phase;
             changed = true;
         }
-        if is_later && known.instance.phase != InstancePhase::Gone {
+        if is_gone {
+            known.end(now);
+        }
+        if is_later && known.lives() {
             self.claims.refute(address);
         }
         if changed { vec![id] } else { Vec::new() }
@@ -133,8 +153,9 @@
 
     fn is_held_by_another(&self, instance: &Instance) -> bool {
         self.known.values().any(|known| {
-            let lives = known.instance.phase != InstancePhase::Gone;
-            lives && known.instance.address == instance.address && known.instance.id != instance.id
+            known.lives()
+                && known.instance.address == instance.address
+                && known.instance.id != instance.id
         })
     }
 
@@ -145,18 +166,12 @@
             return Vec::new();
         }
         let known = &self.known;
-        let silent_since = |address| {
-            let lives = |one: &&Known| {
-                one.instance.phase != InstancePhase::Gone && one.instance.address == address
-            };
-            let holders = known.values().filter(lives);
-            holders.map(|holder| holder.heard_at).max()
-        };
-        let admitted = self.claims.settle(now, silent_since);
+        let holding = |address| holding_of(known.values(), address);
+        let admitted = self.claims.settle(now, holding);
         let mut changed = Vec::new();
         for news in admitted {
             let id = news.instance.id.clone();
-            let ended = self.end_all_at(news.instance.address);
+            let ended = self.end_all_at(now, news.instance.address);
             changed.extend(ended.iter().cloned());
             changed.extend(self.adopt(now, news));
             self.admitted.insert(id, ended);
@@ -164,12 +179,10 @@
         changed
     }
 
-    fn end_all_at(&mut self, address: SocketAddr) -> Vec<BackendId> {
+    fn end_all_at(&mut self, now: Millis, address: SocketAddr) -> Vec<BackendId> {
         let mut ended = Vec::new();
         for (id, known) in &mut self.known {
-            let lives = known.instance.phase != InstancePhase::Gone;
-            if lives && known.instance.address == address {
-                known.instance.phase = InstancePhase::Gone;
+            if known.instance.address == address && known.end(now) {
                 ended.push(id.clone());
             }
         }
@@ -187,13 +200,9 @@
     }
 
     /// Ends an instance. Returns whether that is news.
-    pub fn end(&mut self, id: &BackendId) -> bool {
-        let Some(known) = self.known.get_mut(id) else {
-            return false;
-        };
-        let is_news = known.instance.phase != InstancePhase::Gone;
-        known.instance.phase = InstancePhase::Gone;
-        is_news
+    pub fn end(&mut self, now: Millis, id: &BackendId) -> bool {
+        let known = self.known.get_mut(id);
+        known.is_some_and(|known| known.end(now))
     }
 
     /// Another process heard the instance lately.
@@ -203,7 +212,7 @@
             return;
         };
         known.heard_at = now;
-        if known.instance.phase != InstancePhase::Gone {
+        if known.lives() {
             self.claims.refute(known.instance.address);
         }
     }
@@ -225,14 +234,13 @@
         let mut ended = Vec::new();
         for (id, known) in &mut self.known {
             let is_silent = now.saturating_sub(known.heard_at) > silence;
-            if is_silent && known.instance.phase != InstancePhase::Gone {
-                known.instance.phase = InstancePhase::Gone;
+            // Nobody tells of a successor: the address is free for as long as it is silent.
+            if is_silent && known.end(known.heard_at) {
                 ended.push(id.clone());
             }
         }
         self.known.retain(|_, known| {
-            known.instance.phase != InstancePhase::Gone
-                || now.saturating_sub(known.heard_at) < silence + TOMBSTONE_MS
+            known.lives() || now.saturating_sub(known.heard_at) < silence + TOMBSTONE_MS
         });
         let known = &self.known;
         self.admitted.retain(|id, _| known.contains_key(id));
@@ -241,6 +249,23 @@
     }
 }
 
+/// Who has this address among all that are known.
+fn holding_of<'a>(known: impl Iterator<Item = &'a Known>, address: SocketAddr) -> Holding {
+    let mut heard_at = None;
+    let mut free_since = 0;
+    for one in known.filter(|one| one.instance.address == address) {
+        if one.lives() {
+            heard_at = heard_at.max(Some(one.heard_at));
+        } else {
+            free_since = free_since.max(one.ended_at.unwrap_or_default());
+        }
+    }
+    match heard_at {
+        Some(heard_at) => Holding::Held { heard_at },
+        None => Holding::Free { since: free_since },
+    }
+}
+
 /// Takes in a later heartbeat of the same instance. Returns whether it says
 /// anything new besides that the instance lives.
 fn update(known: &mut Known, mut instance: Instance, cold_until: Millis) -> bool {
--- a/crates/coursestand-discovery/tests/late_heartbeats.rs
+++ b/crates/coursestand-discovery/tests/late_heartbeats.rs
@@ -267,7 +267,11 @@
 }
 
 /// Found by the property with a seed of its own: two different heartbeats of a dead one
-/// come to one process a second apart, just before the living one crashes.
+/// come to one process a second apart, just before the living one crashes. It was admitted
+/// beside the successor, by either of two ways: both heartbeats counted though the holder
+/// lived when they came; and the address counted as free between the news of the holder's
+/// end and that of its successor, which come one after the other. A trace of what each
+/// process told showed both; either mend alone leaves the other way.
 #[test]
 fn two_late_heartbeats_before_a_crash_change_nothing() {
     let late = |at, sequence| Late {
--- a/crates/coursestand-routing/src/backends.rs
+++ b/crates/coursestand-routing/src/backends.rs
@@ -363,7 +363,7 @@
     /// say so of itself, and one word would end it here for good.
     pub fn note_misdirected(&mut self, now: Millis, id: &BackendId) {
         if self.shares_address(id) {
-            self.table.end(id);
+            self.table.end(now, id);
             self.remove(id);
         } else {
             self.note_unreachable(now, id);
