--- a/crates/coursestand-gateway/src/retry_budget.rs
+++ b/crates/coursestand-gateway/src/retry_budget.rs
@@ -10,20 +10,13 @@
 /// Most that can be saved up: ten retries.
 const MOST_SAVED: i64 = 10 * COST;
 
-/// Retries that may still be made.
-#[derive(Debug)]
+/// Retries that may still be made. A daemon that starts has earned none: what its life
+/// before has spent isn't known.
+#[derive(Debug, Default)]
 pub struct RetryBudget {
     saved: AtomicI64,
 }
 
-impl Default for RetryBudget {
-    fn default() -> Self {
-        RetryBudget {
-            saved: AtomicI64::new(MOST_SAVED),
-        }
-    }
-}
-
 impl RetryBudget {
     /// A first attempt earns a part of a retry.
     pub fn earn(&self) {
