Let each life of a daemon begin a split anywhere in its round

What would be seen: with few requests to each life of a daemon, the lighter part of a split gets less than its weight, down to none (weights 4 and 1, lives of one request: 4,000 and 0).

Cause: each life begins at the same place of the round, which is the heaviest part's. Change: it begins at a drawn place. Why it holds: over a round from any place the parts get their weights, so the first requests of many lives are divided as one round is. The new test fails with the place held at the beginning (tried) and passes now.

--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -6,6 +6,7 @@
 use coursestand_model::BackendId;
 use coursestand_routing::hash::{combine, hash_of};
 use coursestand_routing::picker::Asked;
+use coursestand_routing::split::SplitState;
 use coursestand_routing::{BackendReport, Finding, Fingerprint, Held, PickRequest, Refusal};
 
 use coursestand_model::Millis;
@@ -136,7 +137,8 @@
         let parts = route.route.target.services();
         let index = if parts.len() > 1 {
             let weights: Vec<u32> = parts.iter().map(|(_, weight)| *weight).collect();
-            let split = beliefs.splits.entry(route.name.clone()).or_default();
+            let split = beliefs.splits.entry(route.name.clone());
+            let split = split.or_insert_with(|| SplitState::drawn(&weights, rand::random()));
             split.next(&weights)
         } else {
             0
--- a/crates/coursestand-routing/tests/routing.rs
+++ b/crates/coursestand-routing/tests/routing.rs
@@ -19,6 +19,8 @@
 use coursestand_routing::{Backends, LoadReport, PickRequest, Picker, Refusal, RouteTable};
 use googletest::prelude::*;
 use proptest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
 
 const ZONES: [(&str, &str); 3] = [("a-1", "a"), ("b-1", "b"), ("c-1", "c")];
 
@@ -319,6 +321,29 @@
         }
     }
 
+    /// Daemons that start again and again, with few requests each, divide them as one does.
+    #[test]
+    fn lives_of_few_requests_divide_evenly_all_together(
+        weights in proptest::collection::vec(1..100_u32, 1..5),
+        requests_of_a_life in 1..4_usize,
+        seed in any::<u64>(),
+    ) {
+        const LIVES: usize = 4_000;
+        let mut random = StdRng::seed_from_u64(seed);
+        let mut counts = vec![0_usize; weights.len()];
+        for _ in 0..LIVES {
+            let mut state = SplitState::drawn(&weights, random.random());
+            for _ in 0..requests_of_a_life {
+                counts[state.next(&weights)] += 1;
+            }
+        }
+        let total: u32 = weights.iter().sum();
+        for (count, weight) in counts.iter().zip(&weights) {
+            let share = *count as f64 / (LIVES * requests_of_a_life) as f64;
+            prop_assert!((share - f64::from(*weight) / f64::from(total)).abs() < 0.05);
+        }
+    }
+
     /// The longest prefix, as a naive search finds it.
     #[test]
     fn the_longest_prefix_wins(
