Report an empty slot map to daemons whose slot row was removed

Symptom: back ends whose slots were all in use shed requests, including requests from daemons that worked correctly, for about 200 ms after a frozen daemon woke up (a_frozen_daemon_wakes_up_and_breaks_no_promise, over slots 2).

Cause: ForgetDaemons removes the slot row of a silent daemon once its lease and its longest request have ended. The daemon was not informed: removing the row created no new version, and the delta for a daemon without a row contained no slots. A daemon that was only frozen polled from its old version, kept its old slots, received a lease on them and used them until the allocator assigned it new ones, while other daemons held the same slots.

Evidence: back end records now include the request ID, which identifies the dispatch. The new property test, which applies deltas as a daemon does, shrank to: freeze the daemon, forget it, apply its next delta. The existing property test reads the slots from the state itself and could not detect the fault.

Ruled out for these requests: writes delayed by the freeze (the requests were sent after the daemon woke up), a slot released too early, and requests that ran longer than the longest request (nothing ran on the slots from before the freeze).

Fix: removing a slot row creates a new version, and the delta for a daemon without a row contains an empty slot map.

--- a/crates/coursestand-coordination/src/state.rs
+++ b/crates/coursestand-coordination/src/state.rs
@@ -89,7 +89,7 @@
             Command::AdvanceShares(steps) => self.advance_shares(steps, index),
             Command::AdjustSlots(changes) => self.adjust_slots(changes, index),
             Command::Confirm { all, daemons } => self.confirm(*all, daemons),
-            Command::ForgetDaemons(daemons) => self.forget_daemons(daemons),
+            Command::ForgetDaemons(daemons) => self.forget_daemons(daemons, index),
             Command::Once(command) => self.apply_once(command, rules),
             Command::PatchCatalog(patch) => match self.catalog.merge(patch, index) {
                 Ok(()) => CommandAnswer::Done,
@@ -363,12 +363,15 @@
         CommandAnswer::Done
     }
 
-    fn forget_daemons(&mut self, daemons: &[DaemonId]) -> CommandAnswer {
+    fn forget_daemons(&mut self, daemons: &[DaemonId], index: ControlVersion) -> CommandAnswer {
+        let mut changed = false;
         for daemon in daemons {
-            self.tables.slots.forget(daemon);
+            changed |= self.tables.slots.forget(daemon).is_some();
             self.releases.retain(|release| release.daemon != *daemon);
         }
-        CommandAnswer::Done
+        // A new version makes a daemon that was only frozen receive the removal in its
+        // next delta.
+        self.note_change(changed, index)
     }
 
     fn note_change(&mut self, changed: bool, index: ControlVersion) -> CommandAnswer {
--- a/crates/coursestand-coordination/src/tables.rs
+++ b/crates/coursestand-coordination/src/tables.rs
@@ -60,8 +60,7 @@
         true
     }
 
-    /// Removes a row without telling followers: only for rows that no live
-    /// follower reads.
+    /// Removes a row. [`Self::changed_since`] doesn't report the removal.
     pub fn forget(&mut self, key: &K) -> Option<V> {
         self.rows.remove(key).map(|row| row.value)
     }
@@ -255,16 +254,24 @@
         }
     }
 
-    /// The slots of one daemon, if they changed after `since`.
+    /// The slots of one daemon, if they changed after `since`. For a daemon without a row, an
+    /// empty map as of the current version: its copy may still contain slots from a row that
+    /// was removed.
     pub fn slots_delta(
         &self,
         since: ControlVersion,
         daemon: &DaemonId,
     ) -> Vec<(DaemonId, Row<SlotMap>)> {
-        self.slots
-            .row(daemon)
-            .filter(|row| row.changed_at > since)
-            .map(|row| (daemon.clone(), row.clone()))
+        let row = match self.slots.row(daemon) {
+            Some(row) => row.clone(),
+            None => Row {
+                changed_at: self.version,
+                value: SlotMap::new(),
+            },
+        };
+        let has_changed = row.changed_at > since;
+        has_changed
+            .then(|| (daemon.clone(), row))
             .into_iter()
             .collect()
     }
--- a/crates/coursestand-coordination/tests/slots.rs
+++ b/crates/coursestand-coordination/tests/slots.rs
@@ -9,9 +9,9 @@
 use common::{LINK_CAPACITY, Machine, REGION_CAPACITY, SLOTS, daemon, fixed, zone};
 use coursestand_coordination::allocator::{Demand, fair_shares, plan_slots};
 use coursestand_coordination::slots::SlotChange;
-use coursestand_coordination::tables::SlotMap;
-use coursestand_coordination::{Command, CommandAnswer};
-use coursestand_model::BackendId;
+use coursestand_coordination::tables::{SlotMap, SlotScope};
+use coursestand_coordination::{Command, CommandAnswer, Tables};
+use coursestand_model::{BackendId, DaemonId};
 use googletest::prelude::*;
 use proptest::prelude::*;
 
@@ -163,6 +163,106 @@
     }
 }
 
+/// A daemon that replicates the control state by deltas. It may be frozen for longer than
+/// its lease and its longest request.
+#[derive(Clone, Debug, Default)]
+struct Follower {
+    tables: Tables,
+    is_frozen: bool,
+}
+
+impl Follower {
+    /// Applies the changes since its version. The answer also grants a lease, so the
+    /// daemon is no longer frozen.
+    fn apply_delta(&mut self, machine: &Machine, daemon: &DaemonId) {
+        let scope = SlotScope::Daemon(daemon);
+        let delta = machine.state.tables().delta(self.tables.version, scope);
+        self.tables.apply(delta);
+        self.is_frozen = false;
+    }
+
+    /// The slots that the daemon may use: none while it is frozen.
+    fn usable(&self, daemon: &DaemonId) -> Naive {
+        let held = self.tables.slots.get(daemon).filter(|_| !self.is_frozen);
+        Naive {
+            heard: held.cloned().unwrap_or_default(),
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum FollowerStep {
+    Plan { wanted: Vec<u32> },
+    ApplyDelta { daemon: usize },
+    Confirm { daemon: usize },
+    Freeze { daemon: usize },
+    Forget { daemon: usize },
+}
+
+fn follower_step() -> impl Strategy<Value = FollowerStep> {
+    prop_oneof![
+        3 => prop::collection::vec(0..12_u32, DAEMONS)
+            .prop_map(|wanted| FollowerStep::Plan { wanted }),
+        3 => (0..DAEMONS).prop_map(|daemon| FollowerStep::ApplyDelta { daemon }),
+        2 => (0..DAEMONS).prop_map(|daemon| FollowerStep::Confirm { daemon }),
+        2 => (0..DAEMONS).prop_map(|daemon| FollowerStep::Freeze { daemon }),
+        2 => (0..DAEMONS).prop_map(|daemon| FollowerStep::Forget { daemon }),
+    ]
+}
+
+/// Demand in which frozen daemons want nothing, so that they get no new slots.
+fn demand_without_frozen(wanted: &[u32], followers: &[Follower]) -> Demand {
+    let wanted: Vec<u32> = wanted
+        .iter()
+        .zip(followers)
+        .map(|(wanted, follower)| if follower.is_frozen { 0 } else { *wanted })
+        .collect();
+    demand_of(&wanted)
+}
+
+proptest! {
+    #![proptest_config(fixed(500))]
+
+    /// Guards against a daemon that keeps the slots of a removed row in its copy and uses
+    /// them after they were reassigned.
+    #[test]
+    fn a_woken_daemon_uses_no_reassigned_slots(
+        steps in prop::collection::vec(follower_step(), 1..60)
+    ) {
+        let mut machine = Machine::started(BACKENDS, DAEMONS);
+        let mut followers = vec![Follower::default(); DAEMONS];
+        for step in steps {
+            match step {
+                FollowerStep::Plan { wanted } => {
+                    let demand = demand_without_frozen(&wanted, &followers);
+                    let changes = plan_slots(&machine.state, &demand, &BTreeSet::new());
+                    machine.apply(Command::AdjustSlots(changes));
+                }
+                FollowerStep::ApplyDelta { daemon: index } => {
+                    followers[index].apply_delta(&machine, &daemon(index));
+                }
+                FollowerStep::Confirm { daemon: index } => {
+                    followers[index].apply_delta(&machine, &daemon(index));
+                    let version = followers[index].tables.version;
+                    let daemons = vec![(daemon(index), version)];
+                    machine.apply(Command::Confirm { all: 0, daemons });
+                }
+                FollowerStep::Freeze { daemon: index } => followers[index].is_frozen = true,
+                FollowerStep::Forget { daemon: index } if followers[index].is_frozen => {
+                    machine.apply(Command::ForgetDaemons(vec![daemon(index)]));
+                }
+                FollowerStep::Forget { .. } => {}
+            }
+            let usable: Vec<Naive> = followers
+                .iter()
+                .enumerate()
+                .map(|(index, follower)| follower.usable(&daemon(index)))
+                .collect();
+            check_worst_case(&machine, &usable)?;
+        }
+    }
+}
+
 #[gtest]
 fn without_waiting_for_confirmation_a_back_end_gets_too_much() {
     let mut machine = Machine::started(BACKENDS, DAEMONS);
--- a/crates/coursestand-daemon/tests/common/mod.rs
+++ b/crates/coursestand-daemon/tests/common/mod.rs
@@ -13,6 +13,7 @@
 use coursestand_lab::deployment::{Deployment, hut};
 use coursestand_lab::load::{LoadPlan, run_load};
 use coursestand_lab::operator::{Operator, StatusAnswer};
+use coursestand_lab::records::{Ending, Record};
 use coursestand_model::settings::DaemonSettings;
 use tempfile::TempDir;
 
@@ -222,5 +223,21 @@
 /// Prints what callers and back ends saw, for a failing test.
 pub fn describe(fleet: &Fleet, finished: &[Finished]) -> String {
     let records = fleet.world.records.all();
-    coursestand_lab::report::figures(&fleet.world.deployment.bundle, finished, &records).to_string()
+    let figures =
+        coursestand_lab::report::figures(&fleet.world.deployment.bundle, finished, &records);
+    let shed: String = records
+        .iter()
+        .filter(|record| record.ending == Ending::Shed)
+        .map(|record| {
+            let Record {
+                request_id,
+                backend,
+                started_ms,
+                running,
+                ..
+            } = record;
+            format!("\n{started_ms} ms: {request_id} at {backend}, {running} running")
+        })
+        .collect();
+    format!("{figures}\nrequests shed by a full back end:{shed}")
 }
--- a/crates/coursestand-daemon/tests/request_path.rs
+++ b/crates/coursestand-daemon/tests/request_path.rs
@@ -5,13 +5,15 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use common::{Fleet, describe};
 use coursestand_lab::Deployment;
+use coursestand_lab::backend::{TOKEN, WORK_MS};
 use coursestand_lab::callers::{Finding, Finished};
 use coursestand_lab::load::errand;
 use coursestand_lab::verdict::check;
+use coursestand_model::headers;
 use googletest::prelude::*;
 
 /// Runs `load` and, after `delay`, `fault`; returns what callers found.
@@ -104,6 +106,90 @@
     assert_kept(&fleet, &finished);
 }
 
+/// Sends requests directly to one daemon, one at a time, until `end`. Returns the number
+/// that succeeded.
+async fn send_to_daemon(address: String, client: String, token: String, end: Instant) -> usize {
+    let http = reqwest::Client::new();
+    let url = format!("http://{address}/v1/services/bunkview/work");
+    let mut answered = 0;
+    for number in 0.. {
+        if Instant::now() >= end {
+            break;
+        }
+        let response = http
+            .get(&url)
+            .header(TOKEN, format!("{token}-{number}"))
+            .header(WORK_MS, "150")
+            .header(headers::CLIENT, &client)
+            .send();
+        match response.await {
+            Ok(response) if response.status().is_success() => answered += 1,
+            _ => tokio::time::sleep(Duration::from_millis(2)).await,
+        }
+    }
+    answered
+}
+
+/// Starts concurrent senders for each of `daemons`, with clients from every zone.
+fn send_to_daemons(
+    fleet: &Fleet,
+    daemons: impl Iterator<Item = usize>,
+    duration: Duration,
+) -> Vec<tokio::task::JoinHandle<usize>> {
+    let end = Instant::now() + duration;
+    let zones = fleet.world.deployment.zones().len();
+    let mut tasks = Vec::new();
+    for daemon in daemons {
+        let entry = fleet.settings[daemon]
+            .entry_role
+            .as_ref()
+            .expect("an entry daemon");
+        for sender in 0..24 {
+            let client = Deployment::client_address(sender % zones, sender as u16);
+            let token = format!("{daemon}-{sender}");
+            let address = entry.listen.to_string();
+            tasks.push(tokio::spawn(send_to_daemon(address, client, token, end)));
+        }
+    }
+    tasks
+}
+
+/// Waits for all senders and returns the number of requests that succeeded.
+async fn total_answered(senders: Vec<tokio::task::JoinHandle<usize>>) -> usize {
+    let mut sum = 0;
+    for sender in senders {
+        sum += sender.await.expect("the sender ends");
+    }
+    sum
+}
+
+/// Guards against a daemon that wakes up, gets a lease and uses slots that were reassigned
+/// to other daemons while it was frozen.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_woken_daemon_uses_no_reassigned_slots() {
+    let fleet = Fleet::start(6, |deployment| {
+        for service in &mut deployment.bundle.services {
+            service.deadline_ms = 1_000;
+        }
+    })
+    .await;
+    // Makes the allocator assign slots to the daemon before it is frozen.
+    total_answered(send_to_daemons(&fleet, 5..6, Duration::from_secs(2))).await;
+    fleet.signal(5, "-STOP");
+    // Longer than the daemon's lease, the longest request and the wait of its last long poll.
+    tokio::time::sleep(Duration::from_millis(6_500)).await;
+    let other_senders = send_to_daemons(&fleet, 0..5, Duration::from_secs(5));
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let woken_senders = send_to_daemons(&fleet, 5..6, Duration::from_secs(2));
+    fleet.signal(5, "-CONT");
+    let answered_by_woken = total_answered(woken_senders).await;
+    let answered_by_others = total_answered(other_senders).await;
+    expect_that!(answered_by_woken, gt(0));
+    expect_that!(answered_by_others, gt(0));
+    assert_kept(&fleet, &[]);
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn a_planned_stop_cuts_no_request_off() {
--- a/crates/coursestand-lab/src/backend.rs
+++ b/crates/coursestand-lab/src/backend.rs
@@ -182,6 +182,7 @@
         let now = self.records.now_ms();
         let position = self.records.add(Record {
             token: text(headers, TOKEN),
+            request_id: text(headers, headers::REQUEST_ID),
             service: self.description.service.clone(),
             backend: self.description.id.clone(),
             zone: self.description.zone.clone(),
--- a/crates/coursestand-lab/src/records.rs
+++ b/crates/coursestand-lab/src/records.rs
@@ -28,6 +28,8 @@
 pub struct Record {
     /// The caller's unique text for the request; the same when sent again.
     pub token: String,
+    /// Identifies the dispatch and the daemon that made it.
+    pub request_id: String,
     /// Service.
     pub service: ServiceId,
     /// The back end.
--- a/crates/coursestand-lab/tests/verdict.rs
+++ b/crates/coursestand-lab/tests/verdict.rs
@@ -24,6 +24,7 @@
 fn record(token: &str, ending: Ending) -> Record {
     Record {
         token: token.to_owned(),
+        request_id: String::new(),
         service: "desk".into(),
         backend: "b".into(),
         zone: "z".into(),
