Refuse leases to a daemon while its slots are being freed

Symptom: back ends whose slots are all in use shed requests when a frozen daemon wakes up while the control group is freeing its slots.

Cause: the leader determined that the lease and the longest request of a daemon had ended, released the lock and proposed ForgetDaemons. Until the command was applied, the daemon could request and receive a lease of four seconds on the slots that the state still assigned to it. Applying the command made the slots available to other daemons, and nothing waited for the requests that the daemon had sent in the meantime. A commit takes milliseconds, but seconds while disks stall or the leader is short of processor time.

Evidence: found by reading the code while tracing the failure of a_frozen_daemon_wakes_up_and_breaks_no_promise; not observed in that test.

Fix: the leader records the daemons whose slots it is freeing and refuses them a lease until the command is applied or lost. A lost command ends the term, and a new leader has applied all earlier commands before it grants any lease. Each round of duties replaces the record, so that a leader whose lease had lapsed when the command was applied refuses nobody for longer than a round.

--- a/crates/coursestand-daemon/src/control/exchange.rs
+++ b/crates/coursestand-daemon/src/control/exchange.rs
@@ -112,6 +112,9 @@
         if tenure.has_stopped(&request.daemon) {
             return ControlReply::Done;
         }
+        if !tenure.may_grant_lease(&request.daemon) {
+            return ControlReply::Refused("the daemon's slots are being freed".to_owned());
+        }
         let delta = self.control.shared.delta(request.have, &request.daemon);
         tenure.note_follower(request);
         tenure
--- a/crates/coursestand-daemon/src/control/leader.rs
+++ b/crates/coursestand-daemon/src/control/leader.rs
@@ -10,6 +10,7 @@
 use coursestand_coordination::planner::plan_steps;
 use coursestand_coordination::{Command, CommandAnswer};
 use coursestand_kernel::{Registry, Service, ServiceError, Tasks};
+use coursestand_model::DaemonId;
 use coursestand_model::platform::{BackendState, PlatformBackend};
 use coursestand_model::settings::ControlSettings;
 use log::{debug, warn};
@@ -126,18 +127,33 @@
 }
 
 async fn round(control: &ControlHandle) {
-    for make in [
-        member_news,
-        leaving_news,
-        confirmations,
-        ended_daemons,
-        next_shares,
-        next_slots,
-    ] {
+    for make in [member_news, leaving_news, confirmations] {
         if let Some(command) = make(control) {
             propose(control, command).await;
         }
     }
+    free_slots_of_ended_daemons(control).await;
+    for make in [next_shares, next_slots] {
+        if let Some(command) = make(control) {
+            propose(control, command).await;
+        }
+    }
+}
+
+/// Frees the slots of daemons whose leases and requests have ended. These
+/// daemons are refused a lease until the command has been applied or lost.
+async fn free_slots_of_ended_daemons(control: &ControlHandle) {
+    let Some(ended) = ended_daemons(control) else {
+        return;
+    };
+    propose(control, Command::ForgetDaemons(ended.clone())).await;
+    // A proposed command is lost only when the term ends, which drops the tenure. If the
+    // leader's lease has lapsed at this moment, the next round permits the leases again.
+    if let Some((mut guard, _)) = control.tenure()
+        && let Some(tenure) = guard.as_mut()
+    {
+        tenure.set_freeing_slots(&[]);
+    }
 }
 
 async fn propose(control: &ControlHandle, command: Command) {
@@ -201,8 +217,10 @@
     (confirms_moves || !daemons.is_empty()).then_some(Command::Confirm { all, daemons })
 }
 
-/// Daemons that hold slots though their leases and requests have ended.
-fn ended_daemons(control: &ControlHandle) -> Option<Command> {
+/// Daemons that hold slots though their leases and requests have ended. They are
+/// refused a lease from now on, all others are not: rounds follow each other, so no
+/// earlier command is still on its way.
+fn ended_daemons(control: &ControlHandle) -> Option<Vec<DaemonId>> {
     let (mut guard, now) = control.tenure()?;
     let tenure = guard.as_mut()?;
     let state = control.shared.state();
@@ -217,7 +235,8 @@
     ended.sort();
     ended.dedup();
     tenure.forget_ended(now, grace);
-    (!ended.is_empty()).then_some(Command::ForgetDaemons(ended))
+    tenure.set_freeing_slots(&ended);
+    (!ended.is_empty()).then_some(ended)
 }
 
 fn next_shares(control: &ControlHandle) -> Option<Command> {
--- a/crates/coursestand-daemon/src/control/tenure.rs
+++ b/crates/coursestand-daemon/src/control/tenure.rs
@@ -26,6 +26,8 @@
     pub registry: FollowerRegistry,
     seen: BTreeMap<DaemonId, Member>,
     stopped: BTreeSet<DaemonId>,
+    /// Daemons whose slots are being freed by a proposed command.
+    freeing_slots: BTreeSet<DaemonId>,
     reports: BTreeMap<DaemonId, Report>,
 }
 
@@ -37,6 +39,7 @@
             registry: FollowerRegistry::new(now),
             seen: BTreeMap::new(),
             stopped: BTreeSet::new(),
+            freeing_slots: BTreeSet::new(),
             reports: BTreeMap::new(),
         }
     }
@@ -78,6 +81,20 @@
         self.stopped.contains(daemon)
     }
 
+    /// Refuses leases to these daemons, whose leases have ended, and to no others. Called
+    /// before the command that frees their slots is proposed: until it is applied, the
+    /// state still assigns the slots to them, and a new lease would cover slots that are
+    /// about to be reassigned.
+    pub fn set_freeing_slots(&mut self, daemons: &[DaemonId]) {
+        self.freeing_slots = daemons.iter().cloned().collect();
+    }
+
+    /// Whether the daemon may be granted a lease: not while its slots are being
+    /// freed.
+    pub fn may_grant_lease(&self, daemon: &DaemonId) -> bool {
+        !self.freeing_slots.contains(daemon)
+    }
+
     /// Notes a daemon's report. Returns whether it says anything new.
     pub fn note_report(&mut self, now: Millis, request: ReportRequest) -> bool {
         let known = self.reports.get(&request.daemon);
--- a/crates/coursestand-daemon/tests/tenure.rs
+++ b/crates/coursestand-daemon/tests/tenure.rs
@@ -67,3 +67,16 @@
     expect_that!(phases(&tenure), is_empty());
     expect_that!(tenure.registry.leased(NOW), is_empty());
 }
+
+/// Guards against a daemon that is refused leases for the rest of the term because the
+/// leader's lease had lapsed when the command that freed its slots was applied.
+#[gtest]
+fn a_later_round_permits_leases_that_an_earlier_one_refused() {
+    let mut tenure = answered_once();
+    let daemon = request(MemberPhase::Serving, 4).daemon;
+    expect_that!(tenure.may_grant_lease(&daemon), eq(true));
+    tenure.set_freeing_slots(std::slice::from_ref(&daemon));
+    expect_that!(tenure.may_grant_lease(&daemon), eq(false));
+    tenure.set_freeing_slots(&[]);
+    expect_that!(tenure.may_grant_lease(&daemon), eq(true));
+}
