Send on a slot only under a lease that covers it

Symptom: a back end whose slots are all in use sheds a request, or sheds another request because of it.

Cause: a daemon checked its lease before it sent a request, but not whether the lease covered the slot that the request had taken. A daemon that was suspended between taking the slot and sending (while a key is claimed, for example) had lost the slot, received a new lease on resuming and sent the request on the old slot. A process stopped by a signal is covered by the request's deadline, which has passed by the time the slot is given to another daemon. The clock used for deadlines doesn't count time during which the machine is suspended.

A test that simulates a suspension during the claim fails without the fix: the request is dispatched once.

Fix: a slot records the end of the lease under which it was taken. A request is sent only if that lease has not expired, or if a later lease is valid and the daemon's slots cover all its requests in flight to this back end. A slot that control reclaims while the lease is valid is used as before; a second test checks this.

Remaining: a process may be stopped between this check and the write of the request, and then writes the request when it resumes. Only the back end can detect that the request is late.

--- a/crates/coursestand-gateway/src/gateway.rs
+++ b/crates/coursestand-gateway/src/gateway.rs
@@ -10,7 +10,7 @@
     ClaimAnswer, ClaimId, MAX_RECORDED_BYTES, OnceKey, RecordedAnswer,
 };
 use coursestand_model::platform::BackendState;
-use coursestand_model::{DaemonId, Outcome, ServiceId, ZoneId, headers};
+use coursestand_model::{DaemonId, Millis, Outcome, ServiceId, ZoneId, headers};
 use coursestand_steering::backends::BackendIndex;
 use coursestand_steering::{Admission, Ticket};
 use futures::StreamExt;
@@ -129,13 +129,16 @@
         origin: &ZoneId,
         limits: WaitLimits,
     ) -> Result<SlotGuard, Answer> {
+        let lease_until = self.shared.lease.until();
         let admission = self.shared.steering().admit(service, origin);
-        self.wait_for_slot(admission, None, limits).await
+        self.wait_for_slot(admission, lease_until, None, limits)
+            .await
     }
 
     async fn wait_for_slot(
         &self,
         mut admission: Admission,
+        mut lease_until: Millis,
         excluded: Option<BackendIndex>,
         limits: WaitLimits,
     ) -> Result<SlotGuard, Answer> {
@@ -144,7 +147,8 @@
         loop {
             let pool = match admission {
                 Admission::Dispatch(ticket) => {
-                    return Ok(SlotGuard::new(Arc::clone(&self.shared), ticket));
+                    let shared = Arc::clone(&self.shared);
+                    return Ok(SlotGuard::new(shared, ticket, lease_until));
                 }
                 Admission::Full => return Err(self.refuse(Reason::NoSlot)),
                 Admission::Nowhere => return Err(self.refuse(Reason::NoZone)),
@@ -160,6 +164,7 @@
             tokio::pin!(freed);
             // Registered before looking again, so that no wake-up is missed.
             freed.as_mut().enable();
+            lease_until = self.shared.lease.until();
             admission = self.shared.steering().take(pool, excluded);
             if matches!(admission, Admission::Dispatch(_)) {
                 continue;
@@ -167,6 +172,7 @@
             if tokio::time::timeout_at(give_up, freed).await.is_err() {
                 return Err(self.refuse(Reason::NoSlot));
             }
+            lease_until = self.shared.lease.until();
             admission = self.shared.steering().take(pool, excluded);
             if matches!(admission, Admission::Full) {
                 admission = Admission::Wait(pool);
@@ -281,8 +287,10 @@
 
     async fn other_slot(&self, failed: &Ticket, limits: WaitLimits) -> Result<SlotGuard, Answer> {
         let excluded = Some(failed.backend);
+        let lease_until = self.shared.lease.until();
         let admission = self.shared.steering().take(failed.pool, excluded);
-        self.wait_for_slot(admission, excluded, limits).await
+        self.wait_for_slot(admission, lease_until, excluded, limits)
+            .await
     }
 
     async fn attempt(
@@ -302,8 +310,9 @@
             (backend.address.to_string(), backend.id.0.clone())
         };
         let dispatch = self.dispatch_of(call, address, remaining);
-        // A process that was frozen since it was admitted must not send.
-        if !self.shared.lease.is_valid() {
+        // If the process was suspended after admission, the slot may have been reassigned to
+        // another daemon.
+        if !slot.is_held() {
             return Attempt::Answered(Answer::not_run(Reason::NoLease));
         }
         slot.sent(&dispatch.address, &dispatch.request_id, call.deadline);
--- a/crates/coursestand-gateway/src/lease.rs
+++ b/crates/coursestand-gateway/src/lease.rs
@@ -27,14 +27,23 @@
         self.until.fetch_max(until, Ordering::SeqCst);
     }
 
+    /// End of the lease on the monotonic clock of the process.
+    pub fn until(&self) -> Millis {
+        self.until.load(Ordering::SeqCst)
+    }
+
     /// Whether the daemon may decide now.
     pub fn is_valid(&self) -> bool {
-        self.clock.now() < self.until.load(Ordering::SeqCst)
+        self.is_unexpired(self.until())
+    }
+
+    /// Whether a lease that ends at `until` has not expired.
+    pub fn is_unexpired(&self, until: Millis) -> bool {
+        self.clock.now() < until
     }
 
     /// Milliseconds left; 0 when it has ended.
     pub fn remaining(&self) -> Millis {
-        let until = self.until.load(Ordering::SeqCst);
-        until.saturating_sub(self.clock.now())
+        self.until().saturating_sub(self.clock.now())
     }
 }
--- a/crates/coursestand-gateway/src/slot_guard.rs
+++ b/crates/coursestand-gateway/src/slot_guard.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use coursestand_model::Millis;
 use coursestand_steering::Ticket;
 use tokio::time::Instant;
 
@@ -13,6 +14,8 @@
 pub struct SlotGuard {
     shared: Arc<Shared>,
     ticket: Ticket,
+    /// End of the lease under which the slot was taken.
+    lease_until: Millis,
     sent: Option<Sent>,
 }
 
@@ -24,15 +27,32 @@
 }
 
 impl SlotGuard {
-    /// Guards a slot that was taken.
-    pub fn new(shared: Arc<Shared>, ticket: Ticket) -> SlotGuard {
+    /// Guards a slot that was taken under a lease that ends at `lease_until`. Callers must
+    /// read `lease_until` before taking the slot, because a later lease may not cover it.
+    pub fn new(shared: Arc<Shared>, ticket: Ticket, lease_until: Millis) -> SlotGuard {
         SlotGuard {
             shared,
             ticket,
+            lease_until,
             sent: None,
         }
     }
 
+    /// Whether a valid lease covers the slot, so that no other daemon can hold it. A lease
+    /// granted after a suspension may not cover a slot taken before it.
+    pub fn is_held(&self) -> bool {
+        let lease = &self.shared.lease;
+        if lease.is_unexpired(self.lease_until) {
+            return true;
+        }
+        // Slots are updated before the lease is extended, so reading the lease first ensures
+        // that the slots are at least as recent as the lease.
+        let until = lease.until();
+        let steering = self.shared.steering();
+        let backend = steering.backends().get(self.ticket.backend);
+        backend.is_within_slots() && lease.is_unexpired(until)
+    }
+
     /// The slot.
     pub fn ticket(&self) -> &Ticket {
         &self.ticket
--- a/crates/coursestand-gateway/tests/common/mod.rs
+++ b/crates/coursestand-gateway/tests/common/mod.rs
@@ -28,7 +28,7 @@
 use poem::{Body, Request, Response};
 
 pub const DEADLINE_MS: u64 = 2_000;
-const LEASE_MS: u64 = 3_600_000;
+pub const LEASE_MS: u64 = 3_600_000;
 
 fn service(id: &str, repeatable: bool) -> Service {
     Service {
@@ -133,7 +133,16 @@
 }
 
 pub fn bench(backends: Arc<dyn BackendEdge>, once: NaiveOnce, tables: &Tables) -> Bench {
-    let clock = MonotonicClock::default();
+    bench_with_clock(MonotonicClock::default(), backends, once, tables)
+}
+
+/// A bench whose lease is measured on `clock`.
+pub fn bench_with_clock(
+    clock: MonotonicClock,
+    backends: Arc<dyn BackendEdge>,
+    once: NaiveOnce,
+    tables: &Tables,
+) -> Bench {
     let lease = Arc::new(DecisionLease::new(clock));
     lease.extend(LEASE_MS);
     let shared = Arc::new(Shared::new(daemon(), Arc::clone(&lease), backends));
--- a/crates/coursestand-gateway/tests/outcomes.rs
+++ b/crates/coursestand-gateway/tests/outcomes.rs
@@ -6,7 +6,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{NaiveOnce, Script, ScriptedBackends, bench, outcome_of, request, tables};
+use common::{
+    LEASE_MS, NaiveOnce, Script, ScriptedBackends, bench, bench_with_clock, daemon, outcome_of,
+    request, tables,
+};
+use coursestand_coordination::tables::SlotMap;
+use coursestand_kernel::MonotonicClock;
 use coursestand_model::Outcome;
 use googletest::prelude::*;
 use poem::http::StatusCode;
@@ -160,6 +165,58 @@
     expect_that!(once.released.lock().expect("lock").len(), eq(1));
 }
 
+/// Guards against dispatching on a slot that was reassigned while the daemon was suspended
+/// between claim and dispatch, if the daemon gets a new lease before it dispatches.
+#[gtest]
+#[tokio::test]
+async fn a_slot_lost_during_the_claim_stops_the_dispatch_under_a_new_lease() {
+    let backends = Arc::new(ScriptedBackends::default());
+    let once = NaiveOnce {
+        delay: Duration::from_millis(120),
+        ..NaiveOnce::default()
+    };
+    let (clock, suspension) = MonotonicClock::with_suspensions();
+    let bench = bench_with_clock(clock, backends.clone(), once, &tables(&TWO, 4));
+    let serving = bench.serve("pay", Some("1000-k"));
+    let suspend_and_renew = async {
+        bench.until_in_use(1).await;
+        suspension.suspend_ms(2 * LEASE_MS);
+        let mut updated = tables(&TWO, 4);
+        updated.version = 2;
+        updated.slots.set(daemon(), SlotMap::new(), 2);
+        bench.shared.steering().apply(&updated).expect("valid");
+        bench.lease.extend(bench.clock.now() + LEASE_MS);
+    };
+    let (response, ()) = tokio::join!(serving, suspend_and_renew);
+    expect_that!(outcome_of(&response), eq(Outcome::NotRun));
+    expect_that!(backends.dispatched.lock().expect("lock").len(), eq(0));
+    expect_that!(bench.once.released.lock().expect("lock").len(), eq(1));
+}
+
+/// Guards against refusing a request when control reclaims its slot under a valid lease:
+/// control does not reassign the slot until the daemon has freed it.
+#[gtest]
+#[tokio::test]
+async fn a_slot_reclaimed_during_the_claim_is_still_used_under_the_same_lease() {
+    let backends = Arc::new(ScriptedBackends::default());
+    let once = NaiveOnce {
+        delay: Duration::from_millis(120),
+        ..NaiveOnce::default()
+    };
+    let bench = bench(backends.clone(), once, &tables(&TWO, 4));
+    let serving = bench.serve("pay", Some("1000-k"));
+    let reclaim = async {
+        bench.until_in_use(1).await;
+        let mut updated = tables(&TWO, 4);
+        updated.version = 2;
+        updated.slots.set(daemon(), SlotMap::new(), 2);
+        bench.shared.steering().apply(&updated).expect("valid");
+    };
+    let (response, ()) = tokio::join!(serving, reclaim);
+    expect_that!(outcome_of(&response), eq(Outcome::Completed));
+    expect_that!(backends.dispatched.lock().expect("lock").len(), eq(1));
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_ledger_that_is_cut_off_dispatches_nothing() {
--- a/crates/coursestand-steering/src/backends.rs
+++ b/crates/coursestand-steering/src/backends.rs
@@ -52,6 +52,11 @@
         self.state == BackendState::Live && self.failures < FAILURES_UNTIL_UNREACHABLE
     }
 
+    /// Whether the slots in use don't exceed the slots held.
+    pub fn is_within_slots(&self) -> bool {
+        self.in_use <= self.slots
+    }
+
     fn has_free_slot(&self) -> bool {
         self.in_use < self.slots
     }
@@ -160,9 +165,7 @@
 
     /// Whether no back end runs more of our requests than we hold slots on it.
     pub fn is_within_slots(&self) -> bool {
-        self.backends
-            .iter()
-            .all(|backend| backend.in_use <= backend.slots)
+        self.backends.iter().all(Backend::is_within_slots)
     }
 
     /// The pool of a service in a zone.
