Count a broken connection as an end before repeating its request

Symptom: a request that ends back ends takes down one or two more of them than necessary before it is held, together with all requests running there.

Cause: whether a request is repeated after its connection broke was decided from the ends known at that moment. The end of the back end that the request itself ran on is detected one connection attempt later, so a daemon that knew of one end repeated the request after the second, at a third back end.

Fix: the attempts of a request record the back ends to which the connection broke, and the decision to repeat the request counts these back ends as ended.

--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -146,7 +146,9 @@
             self.tried.push(target.id().clone());
         }
         self.may_have_run |= failed.failure.may_have_run();
-        self.is_broken |= failed.is_broken;
+        if failed.is_broken {
+            self.broken_backends.push(target.memory);
+        }
         if failed.failure.reached_back_end() {
             self.arrived += 1;
         } else {
--- a/crates/coursestand-proxy/src/phases.rs
+++ b/crates/coursestand-proxy/src/phases.rs
@@ -202,8 +202,8 @@
     pub unreachable: u32,
     /// Whether any of them may have run.
     pub may_have_run: bool,
-    /// Whether the connection broke under one of them.
-    pub is_broken: bool,
+    /// [`Target::memory`] of the back ends to which the connection broke during an attempt.
+    pub broken_backends: Vec<u64>,
     /// The connection of an attempt that fell silent.
     pub silence: Option<Silence>,
 }
--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -49,7 +49,7 @@
         attempts: &Attempts,
     ) -> Result<(), Reason> {
         // The back end may have ended under it, and others may know it for that.
-        if attempts.is_broken && !beliefs.is_informed {
+        if !attempts.broken_backends.is_empty() && !beliefs.is_informed {
             let again_in_ms = STARTING_PAUSE_MS;
             return Err(Reason::Suspected { again_in_ms });
         }
@@ -58,7 +58,8 @@
         };
         let is_owner = is_owner(beliefs, now, fingerprint);
         let may_go = if attempts.arrived > 0 {
-            beliefs.fatal.may_repeat(now, fingerprint)
+            let broken_backends = &attempts.broken_backends;
+            beliefs.fatal.may_repeat(now, fingerprint, broken_backends)
         } else {
             beliefs.fatal.may_run(now, fingerprint, is_owner)
         };
--- a/crates/coursestand-routing/src/fatal_requests/case.rs
+++ b/crates/coursestand-routing/src/fatal_requests/case.rs
@@ -108,12 +108,24 @@
 
     /// Whether it runs only as a trial.
     pub(super) fn needs_trial(&self) -> bool {
-        let ends = if self.is_usual {
+        self.needs_trial_if_ended(&[])
+    }
+
+    /// Number of ends from which the request runs only as a trial.
+    fn trial_ends(&self) -> usize {
+        if self.is_usual {
             TRIAL_ENDS_OF_USUAL
         } else {
             TRIAL_ENDS
-        };
-        self.convictions > 0 || self.ends.len() >= ends
+        }
+    }
+
+    /// Whether the request runs only as a trial if the ends of `broken_backends` count as well.
+    /// A back end whose end is already recorded is counted once.
+    pub(super) fn needs_trial_if_ended(&self, broken_backends: &[u64]) -> bool {
+        let is_unrecorded = |backend: &&u64| self.ends.iter().all(|end| end.backend != **backend);
+        let ends = self.ends.len() + broken_backends.iter().filter(is_unrecorded).count();
+        self.convictions > 0 || ends >= self.trial_ends()
     }
 
     /// Whether it runs at its owner only.
--- a/crates/coursestand-routing/src/fatal_requests/mod.rs
+++ b/crates/coursestand-routing/src/fatal_requests/mod.rs
@@ -145,13 +145,20 @@
     }
 
     /// Whether a request that was sent before may be sent again: a second back end shows
-    /// whether the first one's end was chance, and no third one is risked.
-    pub fn may_repeat(&self, now: Millis, request: Fingerprint) -> Result<(), Held> {
+    /// whether the first one's end was chance, and no third one is risked. The back ends in
+    /// `broken_backends`, to which the connection broke while they had this request, count as
+    /// ended even if their ends have not been reported yet.
+    pub fn may_repeat(
+        &self,
+        now: Millis,
+        request: Fingerprint,
+        broken_backends: &[u64],
+    ) -> Result<(), Held> {
         match self.cases.get(&request) {
             Some(case) if now < case.convicted_until => Err(Held::Convicted {
                 again_in_ms: case.convicted_until - now,
             }),
-            Some(case) if case.needs_trial() => Err(Held::Suspected {
+            Some(case) if case.needs_trial_if_ended(broken_backends) => Err(Held::Suspected {
                 again_in_ms: LANE_PAUSE_MS,
             }),
             _ => Ok(()),
--- a/crates/coursestand-routing/tests/fatal_lives/world.rs
+++ b/crates/coursestand-routing/tests/fatal_lives/world.rs
@@ -361,7 +361,7 @@
             let innocent = Fingerprint(2 + self.random.random_range(0..INNOCENTS));
             let may_repeat = (one.is_informed || self.sharing == Sharing::Findings)
                 && !run.is_repeat
-                && one.fatal.may_repeat(self.now, DEADLY).is_ok();
+                && one.fatal.may_repeat(self.now, DEADLY, &[backend]).is_ok();
             let witnesses = vec![DEADLY, innocent];
             if self.is_connected(run.daemon) {
                 self.outcome.reported.push(self.now);
--- a/crates/coursestand-routing/tests/fatal_requests/main.rs
+++ b/crates/coursestand-routing/tests/fatal_requests/main.rs
@@ -59,6 +59,27 @@
     expect_that!(outcome.served, gt(naive.served));
 }
 
+fn runs() -> u64 {
+    let given = std::env::var("COURSESTAND_RUNS").ok();
+    given.and_then(|text| text.parse().ok()).unwrap_or(150)
+}
+
+/// Guards against repeating a request at a third back end before the end of the second one is
+/// reported.
+#[gtest]
+fn few_back_ends_end_under_a_deadly_request_with_many_seeds() {
+    for seed in 0..runs() {
+        let world = Play {
+            deadly: 1,
+            rates: USUAL_RATES,
+            crashes: vec![(12_000, 1), (20_000, 4)],
+        };
+        let outcome = play::<FatalRequests>(&world, seed);
+        expect_that!(outcome.ends, le(10), "seed {seed}");
+        expect_that!(outcome.innocent, is_empty(), "seed {seed}");
+    }
+}
+
 #[gtest]
 fn without_deadly_requests_none_is_convicted_whatever_crashes() {
     for seed in 0..8 {
@@ -144,6 +165,26 @@
     );
 }
 
+/// Guards against repeating a request at a third back end when the end of one back end is known
+/// and the end of the one to which the connection broke has not been reported yet.
+#[gtest]
+fn a_request_whose_connection_broke_is_not_repeated_after_the_end_of_another_back_end() {
+    let mut fatal = FatalRequests::new(0);
+    let request = Fingerprint(1);
+    let (ended_backend, broken_backend) = (10, 11);
+    fatal.take(0, &ended(0, 1, ended_backend, &[1]));
+    for broken_backends in [&[][..], &[ended_backend]] {
+        expect_that!(
+            fatal.may_repeat(50, request, broken_backends),
+            ok(anything())
+        );
+    }
+    expect_that!(
+        fatal.may_repeat(50, request, &[broken_backend]),
+        err(matches_pattern!(Held::Suspected { .. }))
+    );
+}
+
 #[gtest]
 fn a_conviction_doubles_with_each_trial_that_fails_and_ends_with_one_that_is_answered() {
     let mut fatal = FatalRequests::new(0);
--- a/crates/coursestand-routing/tests/fatal_requests/world.rs
+++ b/crates/coursestand-routing/tests/fatal_requests/world.rs
@@ -53,7 +53,8 @@
     ) -> Decision;
     /// Control tells of a trial that it granted to another daemon.
     fn merge(&mut self, now: Millis, case: &SharedCase);
-    fn may_repeat(&self, now: Millis, request: Fingerprint) -> bool;
+    /// Whether the request may be sent again after its connection to `broken_backend` broke.
+    fn may_repeat(&self, now: Millis, request: Fingerprint, broken_backend: u64) -> bool;
     fn start(&mut self, request: Fingerprint);
     fn finish(&mut self, request: Fingerprint);
     fn note_answer(&mut self, now: Millis, request: Fingerprint, began_at: Millis) -> bool;
@@ -99,8 +100,8 @@
     fn merge(&mut self, now: Millis, case: &SharedCase) {
         FatalRequests::merge(self, now, case);
     }
-    fn may_repeat(&self, now: Millis, request: Fingerprint) -> bool {
-        FatalRequests::may_repeat(self, now, request).is_ok()
+    fn may_repeat(&self, now: Millis, request: Fingerprint, broken_backend: u64) -> bool {
+        FatalRequests::may_repeat(self, now, request, &[broken_backend]).is_ok()
     }
     fn start(&mut self, request: Fingerprint) {
         FatalRequests::start(self, request);
@@ -136,7 +137,7 @@
         self.0.get(&request).is_none_or(|ends| *ends < 3).into()
     }
     fn merge(&mut self, _: Millis, _: &SharedCase) {}
-    fn may_repeat(&self, _: Millis, request: Fingerprint) -> bool {
+    fn may_repeat(&self, _: Millis, request: Fingerprint, _: u64) -> bool {
         self.0.get(&request).is_none_or(|ends| *ends < 3)
     }
     fn start(&mut self, _: Fingerprint) {}
@@ -323,7 +324,7 @@
             self.report(now + LOOK_MS, daemon, Finding::Ended { backend, witnesses });
         }
         for run in runs.iter().filter(|run| !run.is_repeat) {
-            if self.daemons[run.daemon].may_repeat(now, run.request) {
+            if self.daemons[run.daemon].may_repeat(now, run.request, incarnation) {
                 self.send(now, run.daemon, run.request, true);
             }
         }
