Count headers of back ends' answers that nothing reads

Callers saw nothing: what a back end says in a header that this version does not read left no trace in logs, metrics or the dump, so the records of the incident (rate limits not kept) couldn't tell whether a limit was read and not kept, or not read at all. No decision is changed.

--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -340,6 +340,7 @@
             "daemons": beliefs.daemons,
             "backends": backends,
             "requests_that_end_back_ends": beliefs.fatal.views(now),
+            "unread_answer_headers": running.exchange.unread_headers().views(),
             "idle_connections": idle_connections,
         })
     }
--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -64,6 +64,8 @@
             ..FailedAttempt::of(failure)
         };
         self.note_told(target, &told.report);
+        self.unread_headers
+            .note(&self.names, target.id().as_str(), &head.headers);
         if let Verdict::Foreign(what) = verdict {
             log::info!(target: LOG, request = prepared.id, instance = target.id().as_str(),
                 status = head.status.as_u16(); "not the answer to this request: {what}");
--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -28,6 +28,7 @@
 use crate::prepared_body::PreparedBody;
 use crate::retry::{RetryDenial, RetryVerdict};
 use crate::story::Story;
+use crate::unread_headers::UnreadHeaders;
 use coursestand_model::Millis;
 use coursestand_routing::BackendReport;
 
@@ -53,6 +54,7 @@
     answer_times: AnswerTimes,
     ends: Arc<EndWatch>,
     limits: SharedLimits,
+    unread_headers: UnreadHeaders,
     /// When the process ends, once a planned stop has begun.
     end: OnceLock<Instant>,
 }
@@ -190,6 +192,7 @@
         metrics: ProxyMetrics,
     ) -> Exchange {
         Exchange {
+            unread_headers: UnreadHeaders::new(metrics.unread_headers.clone()),
             phases,
             names,
             pool,
@@ -253,6 +256,11 @@
         &self.link
     }
 
+    /// Headers of back ends' answers that nothing reads.
+    pub fn unread_headers(&self) -> &UnreadHeaders {
+        &self.unread_headers
+    }
+
     /// Metrics of the exchange.
     pub fn metrics(&self) -> &ProxyMetrics {
         &self.metrics
--- a/crates/coursestand-proxy/src/header_names.rs
+++ b/crates/coursestand-proxy/src/header_names.rs
@@ -22,6 +22,31 @@
     pub server_load: HeaderName,
     /// The back end drains: it takes no new requests and ends soon.
     pub drains: HeaderName,
+    /// How the names of headers begin by which back ends speak to this system. A name that
+    /// is none of the above is counted, so that a new one is seen.
+    pub prefixes: &'static [&'static str],
+}
+
+impl HeaderNames {
+    /// Whether `name` is one that back ends speak to this system by, and none that is read.
+    pub fn is_unread(&self, name: &HeaderName) -> bool {
+        let text = name.as_str();
+        let is_addressed = self.prefixes.iter().any(|prefix| text.starts_with(prefix));
+        is_addressed && !self.all().contains(&name)
+    }
+
+    fn all(&self) -> [&HeaderName; 8] {
+        [
+            &self.request_id,
+            &self.deadline,
+            &self.affinity_key,
+            &self.target_instance,
+            &self.signature,
+            &self.not_executed,
+            &self.server_load,
+            &self.drains,
+        ]
+    }
 }
 
 impl Default for HeaderNames {
@@ -36,6 +61,7 @@
             not_executed: HeaderName::from_static("x-not-started"),
             server_load: HeaderName::from_static("x-load"),
             drains: HeaderName::from_static("x-draining"),
+            prefixes: &["x-"],
         }
     }
 }
--- a/crates/coursestand-proxy/src/lib.rs
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod streamed_body;
 pub mod told;
 pub mod trials;
+pub mod unread_headers;
 pub mod verdict;
 
 pub use edge_state::EdgeState;
--- a/crates/coursestand-proxy/src/metrics.rs
+++ b/crates/coursestand-proxy/src/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
 
 use crate::retry::RetryVerdict;
+use crate::unread_headers::OTHER;
 
 /// Metrics of the request path.
 #[derive(Clone)]
@@ -14,6 +15,8 @@
     pub failures: IntCounterVec,
     /// What back ends asked for with their answers: `backoff` or `draining`.
     pub backend_words: IntCounterVec,
+    /// Answers with a header that nothing reads, by its name.
+    pub unread_headers: IntCounterVec,
     /// Attempts after the first.
     pub retries: IntCounter,
     /// The same by service and by whether they were `paid` from its budget or `free`.
@@ -52,6 +55,13 @@
                 ),
                 &["kind"],
             )?,
+            unread_headers: IntCounterVec::new(
+                Opts::new(
+                    "coursestand_unread_answer_headers_total",
+                    "Answers of back ends with a header that this version does not read",
+                ),
+                &["header"],
+            )?,
             retries: IntCounter::new(
                 "coursestand_retries_total",
                 "Attempts after a request's first",
@@ -89,9 +99,11 @@
         metrics.failures.with_label_values(&["unreachable"]);
         metrics.backend_words.with_label_values(&["backoff"]);
         metrics.backend_words.with_label_values(&["draining"]);
+        metrics.unread_headers.with_label_values(&[OTHER]);
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.failures.clone()))?;
         registry.register(Box::new(metrics.backend_words.clone()))?;
+        registry.register(Box::new(metrics.unread_headers.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.service_retries.clone()))?;
         registry.register(Box::new(metrics.denied_retries.clone()))?;
