Show by tests that rate limits which back ends name aren't kept

What callers and back ends saw: a back end that names 5 requests a second from all daemons together with each of its answers gets as many as its neighbours. Real processes, 12 and 24 entry daemons, 3 of control, 6 back ends, 190 requests a second: 44, 82, 145 and 334 requests in windows of 1, 2, 4 and 10 s, with 12 and with 24 daemons alike; where 7.5, 13, 24 and 57 are the strict bound (1.1 x limit x window + 2) and 12.5, 20, 35 and 80 the users'. Daemons killed by turns beside control: 144 in 4 s; stopped and continued: 160. With all six limited no request is refused.

--- a/crates/coursestand-daemon/tests/repeats/main.rs
+++ b/crates/coursestand-daemon/tests/repeats/main.rs
@@ -14,6 +14,7 @@
 
 mod play;
 mod plays;
+mod rate_limits;
 
 use googletest::prelude::*;
 use play::Outcome;
--- a/crates/coursestand-daemon/tests/repeats/play.rs
+++ b/crates/coursestand-daemon/tests/repeats/play.rs
@@ -41,8 +41,14 @@
     Lose(u32),
     /// End under each request of this many, which are all the same one.
     EndUnderOneOf(usize),
+    /// Answer properly; so many of them name a rate limit with each answer.
+    NameLimit(usize),
 }
 
+/// The rate limit that those back ends name, in requests a second.
+pub const LIMIT_PER_SECOND: f64 = 5.0;
+const NAMES_LIMIT: Behaviour = Behaviour::AnswerWith(200, "x-rate-limit: 5.0\r\n");
+
 /// Path of the request that ends back ends.
 const DEADLY: &str = "/safe/deadly";
 
@@ -97,12 +103,37 @@
     pub worst: WorstWindow,
     /// Back ends that ended.
     pub ended: usize,
+    /// When callers began.
+    pub started: Instant,
+    /// When requests reached each back end.
+    pub arrivals: Vec<Vec<Instant>>,
+    /// What callers got.
+    pub answers: Vec<Answered>,
+}
+
+/// An answer that a caller got.
+#[derive(Clone, Copy, Debug)]
+pub struct Answered {
+    /// When it was asked for.
+    pub asked_at: Instant,
+    pub took: Duration,
+    /// 0 when there was no answer.
+    pub status: u16,
+    /// When the caller was told to come back.
+    pub retry_after: Option<Duration>,
 }
 
 #[derive(Default)]
 struct Record {
     asked: Vec<Instant>,
-    served: usize,
+    answers: Vec<Answered>,
+}
+
+impl Record {
+    fn served(&self) -> usize {
+        let served = self.answers.iter().filter(|one| one.status == 200);
+        served.count()
+    }
 }
 
 type SharedRecord = Arc<Mutex<Record>>;
@@ -187,6 +218,11 @@
     }
 }
 
+fn arrivals_at(backend: &ScriptedBackend) -> Vec<Instant> {
+    let arrived = backend.arrived();
+    arrived.into_iter().map(|arrival| arrival.at).collect()
+}
+
 async fn start_backend(behaviour: Backends, number: usize) -> ScriptedBackend {
     let started = match behaviour {
         Backends::Fail => ScriptedBackend::start(vec![], Behaviour::UnprovenRefusal).await,
@@ -201,6 +237,10 @@
         Backends::EndUnderOneOf(_) => {
             ScriptedBackend::start(vec![], Behaviour::EndUnder(DEADLY)).await
         }
+        Backends::NameLimit(limited) if number < limited => {
+            ScriptedBackend::start(vec![], NAMES_LIMIT).await
+        }
+        Backends::NameLimit(_) => ScriptedBackend::start(vec![], Behaviour::Answer(200)).await,
     };
     started.expect("a back end")
 }
@@ -282,7 +322,8 @@
     path: String,
     number: usize,
 ) {
-    lock(&record).asked.push(Instant::now());
+    let asked_at = Instant::now();
+    lock(&record).asked.push(asked_at);
     let answer = client
         .get(format!("http://{front}{path}"))
         .header("host", items::HOST)
@@ -290,9 +331,19 @@
         .header("x-request-id", format!("safe-{number}"))
         .send()
         .await;
-    if answer.is_ok_and(|answer| answer.status() == 200) {
-        lock(&record).served += 1;
-    }
+    let answer = answer.ok();
+    let status = answer.as_ref().map(|answer| answer.status().as_u16());
+    lock(&record).answers.push(Answered {
+        asked_at,
+        took: asked_at.elapsed(),
+        status: status.unwrap_or_default(),
+        retry_after: answer.as_ref().and_then(retry_after_of),
+    });
+}
+
+fn retry_after_of(answer: &reqwest::Response) -> Option<Duration> {
+    let text = answer.headers().get("retry-after")?.to_str().ok()?;
+    text.parse().ok().map(Duration::from_secs_f64)
 }
 
 impl Play {
@@ -311,7 +362,7 @@
         }
     }
 
-    /// Plays it. Logs are kept when it breaks the bound.
+    /// Plays it. Logs are kept when it breaks the bound on repeats, or when asked for.
     pub async fn run(&self) -> Outcome {
         let deployment = Deployment::new(&CONTROLS);
         let logs = deployment.data_folder(0);
@@ -322,7 +373,7 @@
             extra: self.extra,
         };
         let outcome = self.run_in(&mut world).await;
-        if outcome.worst.is_over() {
+        if outcome.worst.is_over() || std::env::var_os("COURSESTAND_KEEP_LOGS").is_some() {
             let folder = &mut world.deployment.folder;
             folder.disable_cleanup(true);
             println!("{}: logs in {}", self.name, folder.path().display());
@@ -374,7 +425,7 @@
         let record = lock(&record);
         Outcome {
             asked: record.asked.len(),
-            served: record.served,
+            served: record.served(),
             repeats: repeats(&arrived).len(),
             worst: worst_window(self.bound(), &arrived, &record.asked),
             ended: world
@@ -382,6 +433,9 @@
                 .iter()
                 .filter(|backend| backend.has_ended())
                 .count(),
+            started,
+            arrivals: world.backends.iter().map(arrivals_at).collect(),
+            answers: record.answers.clone(),
         }
     }
 
--- a/crates/coursestand-daemon/tests/repeats/plays.rs
+++ b/crates/coursestand-daemon/tests/repeats/plays.rs
@@ -139,6 +139,55 @@
         deadly(play);
         play.events.push((6.2, Event::KillControl));
     });
+    let limited = |play: &mut Play| {
+        play.behaviour = Backends::NameLimit(1);
+        play.requests_per_second = 190.0;
+        play.seconds = 16.0;
+    };
+    let in_turn = |seconds: f64| {
+        let count = (seconds / 0.25) as u8;
+        let moments = (0..count).map(|number| {
+            let at = f64::from(number) * 0.25;
+            (at, Event::KillDaemon(number % 12))
+        });
+        moments.collect::<Vec<_>>()
+    };
+    add("limited", &limited);
+    add("all-limited", &|play| {
+        limited(play);
+        play.behaviour = Backends::NameLimit(play.backends);
+    });
+    add("limited-many-daemons", &|play| {
+        limited(play);
+        play.daemons = 24;
+        play.started = 24;
+    });
+    add("limited-daemons-killed-in-turn", &|play| {
+        limited(play);
+        play.events = in_turn(play.seconds);
+    });
+    add("limited-control-killed", &|play| {
+        limited(play);
+        play.events = every(4.0, play.seconds, Event::KillControl);
+    });
+    add("limited-both-killed", &|play| {
+        limited(play);
+        play.events = in_turn(play.seconds);
+        play.events
+            .extend(every(4.0, play.seconds, Event::KillControl));
+    });
+    add("limited-processes-stopped", &|play| {
+        limited(play);
+        play.events = vec![
+            (5.0, Event::StopControl),
+            (6.0, Event::StopDaemons),
+            (8.0, Event::ContinueDaemons),
+            (10.0, Event::ContinueControl),
+            (11.0, Event::KillDaemon(3)),
+            (11.2, Event::StopDaemons),
+            (12.5, Event::ContinueDaemons),
+        ];
+    });
     plays
         .into_iter()
         .map(|play| (play.name.clone(), play))
--- a/crates/coursestand-lab/src/lib.rs
+++ b/crates/coursestand-lab/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod places;
 pub mod platform;
 pub mod process;
+pub mod rate_limits;
 pub mod records;
 pub mod repeats;
 pub mod report;
