--- a/crates/coursestand-cli/src/commands/explain.rs
+++ b/crates/coursestand-cli/src/commands/explain.rs
@@ -207,6 +207,28 @@
     told
 }
 
+/// The back ends for which the request got no token.
+fn denials(story: &[Line]) -> String {
+    let denied = story
+        .iter()
+        .filter(|line| line.text("message") == "no token for a rate-limited back end");
+    let told: Vec<String> = denied
+        .map(|line| {
+            let limit = line.fields.get("limit_per_second").and_then(Value::as_f64);
+            let limit = limit.map_or_else(String::new, |limit| format!(", {limit} a second"));
+            format!(
+                "{} ({}{limit})",
+                line.text("instance"),
+                line.text("outcome")
+            )
+        })
+        .collect();
+    if told.is_empty() {
+        return String::new();
+    }
+    format!(": {}", told.join(", "))
+}
+
 /// The cause in one sentence.
 fn cause(story: &[Line]) -> String {
     let failures: Vec<&Line> = story
@@ -246,6 +268,11 @@
         "backing-off" => "all back ends of its service had asked for a back-off; it was refused \
                           at once and has not run"
             .to_owned(),
+        "rate-limited" => format!(
+            "all back ends of its service were at the rate limit that they named{}; it was \
+             refused at once and has not run",
+            denials(story)
+        ),
         "suspected" => "back ends ended under such requests, and one is run elsewhere to see; it \
                         has not run"
             .to_owned(),
--- a/crates/coursestand-daemon/src/fleet/control_link.rs
+++ b/crates/coursestand-daemon/src/fleet/control_link.rs
@@ -12,6 +12,7 @@
 
 use coursestand_discovery::EdgePhase;
 use coursestand_model::Millis;
+use coursestand_proxy::tokens::LimitNote;
 use coursestand_proxy::trials::CaseNote;
 use coursestand_routing::SharedFinding;
 use coursestand_transport::stream::{self, Receiver, Sender, StreamError};
@@ -88,6 +89,10 @@
     case_notes: broadcast::Receiver<CaseNote>,
     /// Whether the control process reads that.
     reads_cases: bool,
+    /// What this daemon tells of rate limits of back ends.
+    limit_notes: broadcast::Receiver<LimitNote>,
+    /// Whether the control process reads that.
+    reads_limits: bool,
     /// What is sent next. It stays here until it is, since sending may be broken off: what
     /// is here does no harm when it is sent twice.
     outgoing: VecDeque<ToControl>,
@@ -180,6 +185,21 @@
     Ok(message)
 }
 
+/// The message that tells `control` of a rate limit, if it is to hear it.
+fn message_of(note: LimitNote, control: SocketAddr) -> Option<ToControl> {
+    match note {
+        LimitNote::News(news) => Some(ToControl::Limits(vec![news])),
+        LimitNote::Token {
+            to,
+            number,
+            request,
+        } => {
+            let is_meant = to.is_none_or(|issuer| issuer == control);
+            is_meant.then_some(ToControl::AskForToken { number, request })
+        }
+    }
+}
+
 impl Session {
     /// Connects and greets.
     async fn open(follower: &EdgeFollower, control: SocketAddr) -> Result<Session, StreamError> {
@@ -193,6 +213,7 @@
             have,
             reads_findings: TrailingFlag(true),
             reads_cases: TrailingFlag(true),
+            reads_limits: TrailingFlag(true),
         };
         sender.send(&hello).await?;
         let now = Instant::now();
@@ -209,6 +230,8 @@
             passes_findings: false,
             case_notes: follower.case_notes(),
             reads_cases: false,
+            limit_notes: follower.limit_notes(),
+            reads_limits: false,
             outgoing: VecDeque::new(),
         })
     }
@@ -282,6 +305,12 @@
                     // A slow connection missed some: whoever asked is refused for now.
                     Err(_) => {}
                 },
+                note = self.limit_notes.recv(), if self.reads_limits => {
+                    // A slow connection missed some: whoever asked goes without a token.
+                    if let Ok(note) = note {
+                        self.outgoing.extend(message_of(note, control));
+                    }
+                }
                 Some(found) = probes.next(), if !probes.is_empty() => {
                     if let Some(found) = found {
                         self.sender.send(&found).await?;
@@ -366,6 +395,18 @@
                 }
             }
             ToEdge::Trial(verdict) => follower.take_verdict(verdict),
+            ToEdge::Limits(limits) => {
+                follower.state().adopt_limits(&limits);
+                if !self.reads_limits {
+                    self.reads_limits = true;
+                    let known = follower.state().told_limits();
+                    self.outgoing.push_back(ToControl::Limits(known));
+                }
+            }
+            ToEdge::Token { number, verdict } => {
+                let state = follower.state();
+                state.take_token_verdict(control, number, &verdict);
+            }
             message => follower.take(control, message),
         }
         let has = follower.catalog().version();
--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -53,6 +53,7 @@
             ready,
             draining,
             edges,
+            limited: self.hub.limited_backends(),
         });
     }
 }
@@ -214,6 +215,7 @@
             "catalog_version": catalog_version,
             "soft_state": mesh.hub.dump(),
             "requests_that_end_back_ends": mesh.hub.case_views(),
+            "rate_limits": mesh.hub.token_views(),
         })
     }
 
--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -9,6 +9,7 @@
 
 use coursestand_discovery::{EdgePhase, EdgeRecord, LinkUse};
 use coursestand_model::Millis;
+use coursestand_proxy::tokens::LimitNote;
 use coursestand_proxy::trials::CaseNote;
 use coursestand_proxy::{EdgeState, LinkWatch};
 use coursestand_routing::hash::{combine, hash_of};
@@ -363,6 +364,16 @@
         }
     }
 
+    /// The beliefs that it feeds.
+    pub(super) fn state(&self) -> &EdgeState {
+        &self.state
+    }
+
+    /// What this daemon tells of rate limits of back ends.
+    pub(super) fn limit_notes(&self) -> broadcast::Receiver<LimitNote> {
+        self.state.limit_notes()
+    }
+
     /// What this daemon tells of requests under which back ends ended.
     pub(super) fn case_notes(&self) -> broadcast::Receiver<CaseNote> {
         self.state.case_notes()
@@ -392,7 +403,9 @@
             | ToEdge::CatalogPart(_)
             | ToEdge::Findings(_)
             | ToEdge::Cases(_)
-            | ToEdge::Trial(_) => {}
+            | ToEdge::Trial(_)
+            | ToEdge::Limits(_)
+            | ToEdge::Token { .. } => {}
             ToEdge::Catalog(delta) => {
                 self.catalog.take(from, delta);
                 self.become_ready();
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -92,6 +92,8 @@
         self.metrics
             .backing_off
             .set(count(&|backend| backend.backs_off(now)));
+        let limited = beliefs.backends.limited();
+        self.metrics.rate_limited.set(limited as i64);
         let cases = beliefs.fatal.views(now);
         let convicted = cases.iter().filter(|case| case.rejected_ms > 0).count();
         self.metrics.convicted.set(convicted as i64);
@@ -318,6 +320,12 @@
                     "cold": backend.is_cold(now),
                     "ejected": backend.is_ejected(now),
                     "backoff_left_ms": backend.backoff_left_ms(now),
+                    "rate_limit": backend.limit().map(|limit| json!({
+                        "per_second": limit.rate().as_per_second(),
+                        "named_ms_ago": now.saturating_sub(limit.named_at()),
+                        "named_to_this_daemon": limit.is_own(),
+                        "denied_ms": limit.denied_ms(now),
+                    })),
                 })
             })
             .collect();
--- a/crates/coursestand-daemon/src/fleet/follower_metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/follower_metrics.rs
@@ -76,9 +76,12 @@
     pub fn count_received(&self, message: &ToEdge, length: usize) {
         let kind = match message {
             ToEdge::Catalog(_) | ToEdge::CatalogPart(_) | ToEdge::CatalogIsAt(_) => CATALOG,
-            ToEdge::Instances(..) | ToEdge::Findings(_) | ToEdge::Cases(_) | ToEdge::Trial(_) => {
-                BACKENDS
-            }
+            ToEdge::Instances(..)
+            | ToEdge::Findings(_)
+            | ToEdge::Cases(_)
+            | ToEdge::Trial(_)
+            | ToEdge::Limits(_)
+            | ToEdge::Token { .. } => BACKENDS,
             ToEdge::Edges(_) => DAEMONS,
             ToEdge::Pong { .. } | ToEdge::Controls(_) | ToEdge::Probe(_) => OTHER,
         };
--- a/crates/coursestand-daemon/src/fleet/hub/cases.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/cases.rs
@@ -4,15 +4,13 @@
 use std::net::SocketAddr;
 use std::sync::{MutexGuard, PoisonError};
 
-use bytes::Bytes;
 use coursestand_model::Millis;
 use coursestand_routing::fatal_requests::CaseView;
 use coursestand_routing::hash::hash_of;
 use coursestand_routing::{FatalRequests, SharedCase, SharedFinding, TrialVerdict};
-use coursestand_transport::frame::encode;
 use log::info;
 
-use super::{EdgeQueue, Hub, LOG};
+use super::{Hub, LOG};
 use crate::fleet::wire::ToEdge;
 
 /// A leader grants no trial before it has led for this long: by then the daemons have told
@@ -133,21 +131,4 @@
             self.pass_to_others(from, &message, |follower| follower.reads.cases);
         }
     }
-
-    /// A daemon whose queue is full does without: others may tell it the same, and it is
-    /// told what it lacks when it asks for a trial.
-    fn pass_to_others(&self, from: u64, message: &ToEdge, reads: impl Fn(&EdgeQueue) -> bool) {
-        let Ok(frame) = encode(message) else {
-            return;
-        };
-        let frame = Bytes::from(frame);
-        let followers = self
-            .followers
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let others = followers.iter().filter(|(number, _)| **number != from);
-        for (_, follower) in others.filter(|(_, follower)| reads(follower)) {
-            let _ = follower.frames.try_send(frame.clone());
-        }
-    }
 }
--- a/crates/coursestand-daemon/src/fleet/hub/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -21,9 +21,11 @@
 use crate::fleet::peer_links::PeerLinks;
 use crate::fleet::wire::{ControlGroup, PeerMessage, Starts, ToEdge};
 use cases::CaseDesk;
+use limits::LimitDesk;
 
 mod cases;
 mod edges;
+mod limits;
 
 const LOG: &str = "hub";
 /// News that wait for an entry daemon; one with more is cut off, and gets all
@@ -62,6 +64,8 @@
     pub findings: bool,
     /// What is known of requests under which back ends ended.
     pub cases: bool,
+    /// What other daemons were told of rate limits.
+    pub limits: bool,
 }
 
 /// News on their way to one entry daemon.
@@ -79,6 +83,8 @@
     followers: Mutex<HashMap<u64, EdgeQueue>>,
     /// Requests under which back ends ended.
     cases: Mutex<CaseDesk>,
+    /// Rate limits that back ends named.
+    limits: Mutex<LimitDesk>,
     numbers: AtomicU64,
     links: OnceLock<Arc<PeerLinks>>,
     /// Members of the control group by address.
@@ -97,6 +103,7 @@
             state: Mutex::default(),
             followers: Mutex::default(),
             cases: Mutex::new(CaseDesk::new(own)),
+            limits: Mutex::default(),
             numbers: AtomicU64::new(0),
             links: OnceLock::new(),
             controls: watch::Sender::default(),
@@ -222,6 +229,24 @@
         followers.retain(|_, follower| follower.frames.try_send(frame.clone()).is_ok());
     }
 
+    /// Sends to the followers that read the message, but for the one that it comes from. A
+    /// daemon whose queue is full does without: others may tell it the same, and it is told
+    /// what it lacks when it asks for a trial or a token.
+    fn pass_to_others(&self, from: u64, message: &ToEdge, reads: impl Fn(&EdgeQueue) -> bool) {
+        let Ok(frame) = encode(message) else {
+            return;
+        };
+        let frame = Bytes::from(frame);
+        let followers = self
+            .followers
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        let others = followers.iter().filter(|(number, _)| **number != from);
+        for (_, follower) in others.filter(|(_, follower)| reads(follower)) {
+            let _ = follower.frames.try_send(frame.clone());
+        }
+    }
+
     /// Returns once a majority of the control processes has the news.
     async fn spread_surely(&self, news: InstanceNews) -> Result<(), NotSpread> {
         let members = self.controls.borrow().members.clone();
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -9,6 +9,7 @@
 use coursestand_discovery::EdgeRecord;
 use coursestand_kernel::Tasks;
 use coursestand_routing::SharedCase;
+use coursestand_routing::rate_limit::TokenRequest;
 use coursestand_transport::TransportError;
 use coursestand_transport::stream::{self, Receiver, Sender, StreamError};
 use log::{debug, info, warn};
@@ -83,8 +84,13 @@
             have,
             reads_findings: TrailingFlag(findings),
             reads_cases: TrailingFlag(cases),
+            reads_limits: TrailingFlag(limits),
         } => {
-            let reads = Reads { findings, cases };
+            let reads = Reads {
+                findings,
+                cases,
+                limits,
+            };
             serve_edge(record, have, reads, receiver, sender.retyped(), serving).await
         }
         _ => Err(StreamError::Ended),
@@ -223,8 +229,11 @@
         queue,
         catalog: CatalogTelling::new(have),
         catalog_at: Instant::now(),
+        reads_limits: reads.limits,
         findings: ReportLimit::default(),
         cases: ReportLimit::default(),
+        limits: ReportLimit::default(),
+        tokens: ReportLimit::default(),
     };
     let result = follower
         .run(&mut record, instances, &mut receiver, &mut sender)
@@ -254,8 +263,11 @@
     catalog: CatalogTelling,
     /// When it may be told the next change unasked.
     catalog_at: Instant,
+    reads_limits: bool,
     findings: ReportLimit,
     cases: ReportLimit,
+    limits: ReportLimit,
+    tokens: ReportLimit,
 }
 
 impl EdgeConnection<'_> {
@@ -282,6 +294,10 @@
         sender.send(&ToEdge::Edges(all)).await?;
         let starts = Starts::of(&instances);
         sender.send(&ToEdge::Instances(instances, starts)).await?;
+        if self.reads_limits {
+            // Named by incarnation, so that the back ends go first.
+            sender.send(&ToEdge::Limits(hub.told_limits())).await?;
+        }
         let mut heard_at = Instant::now();
         let mut is_suspect = false;
         let mut edges_at = Instant::now() + EDGES_PAUSE;
@@ -318,6 +334,13 @@
                         ToControl::AskForTrial(case) => {
                             self.answer_trial(case, sender).await?;
                         }
+                        ToControl::Limits(limits) => {
+                            let taken = self.limits.take(limits);
+                            hub.take_limits(self.number, taken);
+                        }
+                        ToControl::AskForToken { number, request } => {
+                            self.answer_token(number, request, sender).await?;
+                        }
                         ToControl::Have(have) => self.catalog.note_have(have),
                         ToControl::FetchCatalog(have) => {
                             self.send_fetched(have, sender).await?;
@@ -414,6 +437,22 @@
         Ok(())
     }
 
+    /// Answers a daemon that wants a token for a rate-limited back end, if this replica leads.
+    async fn answer_token(
+        &mut self,
+        number: u64,
+        request: TokenRequest,
+        sender: &mut Sender<ToEdge>,
+    ) -> Result<(), StreamError> {
+        for request in self.tokens.take(vec![request]) {
+            let term = self.shared().leading_term();
+            if let Some(verdict) = self.serving.hub.answer_token(&request, term) {
+                sender.send(&ToEdge::Token { number, verdict }).await?;
+            }
+        }
+        Ok(())
+    }
+
     async fn send_catalog(&mut self, sender: &mut Sender<ToEdge>) -> Result<(), StreamError> {
         let shared = &self.serving.control.shared;
         let version = shared.state().catalog().version();
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -14,6 +14,7 @@
     catalog: IntGauge,
     instances: IntGaugeVec,
     edges: IntGauge,
+    limited: IntGauge,
     /// Heartbeats of back ends that came to this process.
     pub heartbeats: IntCounter,
     /// Orders of operators answered with success.
@@ -36,6 +37,8 @@
     pub draining: usize,
     /// Connected entry daemons.
     pub edges: usize,
+    /// Back ends that named a rate limit.
+    pub limited: usize,
 }
 
 fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
@@ -81,6 +84,10 @@
             )?,
             instances,
             edges: gauge("coursestand_edges", "Entry daemons that are connected")?,
+            limited: gauge(
+                "coursestand_control_rate_limited_backends",
+                "Back ends that named a rate limit",
+            )?,
             heartbeats: counter("coursestand_heartbeats_total", "Heartbeats of back ends")?,
             orders: counter("coursestand_orders_total", "Orders acknowledged")?,
             refused: counter(
@@ -99,6 +106,7 @@
         self.members.set(voters.count() as i64);
         self.catalog.set(counts.catalog as i64);
         self.edges.set(counts.edges as i64);
+        self.limited.set(counts.limited as i64);
         for (phase, count) in [
             (InstancePhase::Ready, counts.ready),
             (InstancePhase::Draining, counts.draining),
@@ -123,6 +131,8 @@
     pub ejected: IntGauge,
     /// Back ends among them that asked for a back-off.
     pub backing_off: IntGauge,
+    /// Back ends among them that named a rate limit.
+    pub rate_limited: IntGauge,
     /// Requests under which back ends ended, that are not rejected.
     pub suspects: IntGauge,
     /// Requests that are rejected because back ends ended under them.
@@ -153,6 +163,10 @@
                 "coursestand_edge_backing_off_backends",
                 "Back ends that asked for a back-off",
             )?,
+            rate_limited: gauge(
+                "coursestand_edge_rate_limited_backends",
+                "Back ends that named a rate limit",
+            )?,
             suspects: gauge(
                 "coursestand_edge_case_suspects",
                 "Requests under which back ends ended, not rejected",
--- a/crates/coursestand-daemon/src/fleet/wire.rs
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -7,7 +7,8 @@
 use coursestand_coordination::{Command, CommandAnswer};
 use coursestand_discovery::{EdgeRecord, InstanceNews, LinkUse};
 use coursestand_model::{BackendId, Millis};
-use coursestand_routing::{SharedCase, SharedFinding, TrialVerdict};
+use coursestand_routing::rate_limit::{TokenRequest, TokenVerdict};
+use coursestand_routing::{LimitNews, SharedCase, SharedFinding, TrialVerdict};
 use serde::{Deserialize, Deserializer, Serialize};
 
 use crate::control::shared::LogReach;
@@ -27,6 +28,8 @@
         reads_findings: TrailingFlag,
         /// Whether it reads and tells what is known of requests that end back ends.
         reads_cases: TrailingFlag,
+        /// Whether it reads and tells rate limits of back ends.
+        reads_limits: TrailingFlag,
     },
     /// A message of another control process.
     Peer(PeerMessage),
@@ -59,6 +62,17 @@
     /// The entry daemon wants to try such a request, of which it knows this. Only a control
     /// process that leads answers.
     AskForTrial(SharedCase),
+    /// What back ends named the entry daemon as their rate limits. Only sent to a control
+    /// process that has sent such a message itself, like what follows.
+    Limits(Vec<LimitNews>),
+    /// The entry daemon wants to send a request to a rate-limited back end. Only a control
+    /// process that leads answers.
+    AskForToken {
+        /// Number of the question.
+        number: u64,
+        /// The question.
+        request: TokenRequest,
+    },
 }
 
 /// Whether the sender does something that older processes don't. As one of the last things
@@ -260,4 +274,14 @@
     Cases(Vec<SharedCase>),
     /// Answer to a daemon that wants to try such a request.
     Trial(TrialVerdict),
+    /// What back ends named other entry daemons as their rate limits. On a new connection it
+    /// follows the back ends.
+    Limits(Vec<LimitNews>),
+    /// Answer to a daemon that wants to send a request to a rate-limited back end.
+    Token {
+        /// Number of the question.
+        number: u64,
+        /// The answer.
+        verdict: TokenVerdict,
+    },
 }
--- a/crates/coursestand-daemon/tests/fleet/silent_edge.rs
+++ b/crates/coursestand-daemon/tests/fleet/silent_edge.rs
@@ -71,6 +71,7 @@
         have: 0,
         reads_findings: TrailingFlag::default(),
         reads_cases: TrailingFlag::default(),
+        reads_limits: TrailingFlag::default(),
     };
     sender.send(&hello).await.expect("sent");
     let mut ping = tokio::time::interval(PING);
--- a/crates/coursestand-daemon/tests/fleet/stale_catalog.rs
+++ b/crates/coursestand-daemon/tests/fleet/stale_catalog.rs
@@ -36,6 +36,7 @@
         have: 0,
         reads_findings: TrailingFlag::default(),
         reads_cases: TrailingFlag::default(),
+        reads_limits: TrailingFlag::default(),
     };
     sender.send(&hello).await.expect("sent");
     (receiver, sender)
--- a/crates/coursestand-proxy/src/answer.rs
+++ b/crates/coursestand-proxy/src/answer.rs
@@ -65,6 +65,11 @@
         /// After which the first of them takes a request again, in milliseconds.
         ends_in_ms: Millis,
     },
+    /// All back ends that may be used are at the rate limit that they named.
+    RateLimited {
+        /// After which the first of them may take a request, in milliseconds.
+        again_in_ms: Millis,
+    },
     /// All back ends have more than they can work off in time.
     Busy {
         /// After which that is likely to have changed, in milliseconds.
@@ -100,6 +105,7 @@
             Reason::Suspected { .. } => "suspected",
             Reason::Convicted { .. } => "convicted",
             Reason::BackingOff { .. } => "backing-off",
+            Reason::RateLimited { .. } => "rate-limited",
             Reason::Busy { .. } => "busy",
             Reason::LinkFull { .. } => "link-full",
             Reason::Shed => "shed",
@@ -124,6 +130,7 @@
             | Reason::Suspected { .. }
             | Reason::Convicted { .. }
             | Reason::BackingOff { .. }
+            | Reason::RateLimited { .. }
             | Reason::Busy { .. }
             | Reason::LinkFull { .. }
             | Reason::Shed
@@ -145,6 +152,9 @@
             Reason::BackingOff { ends_in_ms } => {
                 Some(Duration::from_millis(ends_in_ms).max(SHED_PAUSE))
             }
+            Reason::RateLimited { again_in_ms } => {
+                Some(Duration::from_millis(again_in_ms).max(SHED_PAUSE))
+            }
             Reason::Busy { drained_in_ms } | Reason::LinkFull { drained_in_ms } => {
                 Some(Duration::from_millis(drained_in_ms))
             }
@@ -159,7 +169,9 @@
     /// Factors of the pause, by which callers come back at different times.
     fn pause_spread(self) -> Range<f64> {
         match self {
-            Reason::BackingOff { .. } | Reason::Convicted { .. } => PAUSE_SPREAD_AFTER_END,
+            Reason::BackingOff { .. } | Reason::RateLimited { .. } | Reason::Convicted { .. } => {
+                PAUSE_SPREAD_AFTER_END
+            }
             _ => PAUSE_SPREAD,
         }
     }
--- a/crates/coursestand-proxy/src/edge_state.rs
+++ b/crates/coursestand-proxy/src/edge_state.rs
@@ -2,6 +2,7 @@
 //! daemons. It is fed by the follower and read by the router.
 
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use coursestand_catalog::{Catalog, CatalogDelta};
@@ -10,16 +11,18 @@
 use coursestand_model::{Millis, ServiceId, ZoneId};
 use coursestand_routing::cold::OwnerViews;
 use coursestand_routing::fatal_requests::CaseNews;
-use coursestand_routing::findings::DrainingReports;
+use coursestand_routing::findings::BackendReports;
 use coursestand_routing::hash::hash_of;
 use coursestand_routing::picker::Place;
+use coursestand_routing::rate_limit::TokenVerdict;
 use coursestand_routing::split::SplitState;
 use coursestand_routing::{
-    Backends, FatalRequests, Finding, Fingerprint, Picker, RetryAllowance, RetryBudget,
-    RetryLimits, RouteTable, SharedCase, SharedFinding, TrialVerdict,
+    Backends, FatalRequests, Finding, Fingerprint, LimitNews, Picker, Rate, RetryAllowance,
+    RetryBudget, RetryLimits, RouteTable, SharedCase, SharedFinding, TrialVerdict,
 };
 use tokio::sync::{broadcast, oneshot};
 
+use crate::tokens::{LimitNote, TokenRequests, token_of};
 use crate::trials::{CaseNote, TrialRequests};
 
 const LOG: &str = "proxy";
@@ -62,7 +65,9 @@
     /// since it started: it knows by then which requests end back ends.
     pub is_informed: bool,
     /// Other daemons that say which back ends drain.
-    pub draining: DrainingReports,
+    pub draining: BackendReports,
+    /// Other daemons that were told rate limits.
+    pub limit_reports: BackendReports,
     /// Where the routes stand in dividing requests, by name.
     pub splits: HashMap<String, SplitState>,
 }
@@ -75,6 +80,7 @@
     /// What other daemons are to hear of back ends.
     findings: broadcast::Sender<SharedFinding>,
     trials: TrialRequests,
+    tokens: TokenRequests,
 }
 
 impl Beliefs {
@@ -115,10 +121,12 @@
                 splits: HashMap::new(),
                 fatal: FatalRequests::new(own),
                 is_informed: false,
-                draining: DrainingReports::default(),
+                draining: BackendReports::default(),
+                limit_reports: BackendReports::default(),
             }),
             findings: broadcast::Sender::new(FINDINGS_QUEUE),
             trials: TrialRequests::default(),
+            tokens: TokenRequests::default(),
         }
     }
 
@@ -248,6 +256,103 @@
         self.trials.notes()
     }
 
+    /// Requests for tokens for rate-limited back ends.
+    pub fn tokens(&self) -> &TokenRequests {
+        &self.tokens
+    }
+
+    /// What control is told of rate limits, from now on.
+    pub fn limit_notes(&self) -> broadcast::Receiver<LimitNote> {
+        self.tokens.notes()
+    }
+
+    /// The rate limits that back ends named to this daemon, for a control process.
+    pub fn told_limits(&self) -> Vec<LimitNews> {
+        let now = self.now();
+        let beliefs = self.beliefs();
+        let own = beliefs.fatal.own();
+        let limited = beliefs.backends.iter().filter_map(|backend| {
+            let limit = backend.limit().filter(|limit| limit.is_own())?;
+            Some(LimitNews {
+                reporter: own,
+                backend: backend.memory,
+                rate: Some(limit.rate()),
+                age_ms: now.saturating_sub(limit.named_at()),
+            })
+        });
+        limited.collect()
+    }
+
+    /// A back end named this limit to this daemon, or none any more.
+    pub fn tell_limit(&self, backend: u64, rate: Option<Rate>) {
+        self.tokens.tell(LimitNews {
+            reporter: self.beliefs().fatal.own(),
+            backend,
+            rate,
+            age_ms: 0,
+        });
+    }
+
+    /// Takes in what other daemons were told of rate limits. A limit that one daemon tells
+    /// alone is not believed.
+    pub fn adopt_limits(&self, news: &[LimitNews]) {
+        let now = self.now();
+        let mut beliefs = self.beliefs();
+        let own = beliefs.fatal.own();
+        for one in news.iter().filter(|one| one.reporter != own) {
+            let Some(rate) = one.rate else {
+                beliefs.limit_reports.forget(one.backend);
+                continue;
+            };
+            let is_enough = beliefs.limit_reports.take(one.backend, one.reporter);
+            let named_at = now.saturating_sub(one.age_ms);
+            if is_enough
+                && beliefs
+                    .backends
+                    .note_rate_elsewhere(named_at, one.backend, rate)
+                    .is_some()
+            {
+                let backend = beliefs.backends.find(one.backend);
+                log::info!(target: LOG,
+                    instance = backend.map(|backend| backend.instance.id.as_str()),
+                    limit_per_second = rate.as_per_second();
+                    "a back end changed: its rate limit, as other daemons were told");
+            }
+        }
+    }
+
+    /// The control process `from` answered request `number` for a token.
+    pub fn take_token_verdict(&self, from: SocketAddr, number: u64, verdict: &TokenVerdict) {
+        let Some(answered) = self.tokens.answered(from, number) else {
+            return;
+        };
+        let now = self.now();
+        let request = &answered.request;
+        let backend = request.backend;
+        match verdict {
+            TokenVerdict::Issued => {}
+            TokenVerdict::Denied { again_in_ms, .. } => {
+                let backends = &mut self.beliefs().backends;
+                backends.note_denied(now, backend, *again_in_ms, request.priority);
+            }
+            TokenVerdict::Lifted { age_ms } => {
+                // Dated by when it was asked for: the limit was lifted no later.
+                let lifted_at = answered.asked_at.saturating_sub(*age_ms);
+                let mut beliefs = self.beliefs();
+                beliefs.limit_reports.forget(backend);
+                let change = beliefs.backends.note_lifted_elsewhere(lifted_at, backend);
+                if change.is_some() {
+                    let known = beliefs.backends.find(backend);
+                    log::info!(target: LOG,
+                        instance = known.map(|known| known.instance.id.as_str()), age_ms = *age_ms;
+                        "a back end changed: its rate limit was lifted, as another daemon was told");
+                }
+            }
+        }
+        let answer = token_of(verdict, request, answered.asked_at);
+        answered.tell(answer);
+    }
+
     /// Takes in what this daemon found out itself, and tells others.
     pub fn share(&self, finding: Finding) {
         let shared = SharedFinding {
--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -33,6 +33,7 @@
 use coursestand_routing::BackendReport;
 
 mod attempt;
+mod tokens;
 
 const LOG: &str = "proxy";
 /// Longest time after which a caller is told to come back whose request waited too long:
@@ -394,6 +395,7 @@
             let _ = timeout(TRIAL_WAIT.min(prepared.left()), answer).await;
         }
         loop {
+            attempts.token = self.obtain_token(&prepared, &attempts).await;
             let target = match self.phases.choose(&prepared.matched, &attempts) {
                 Ok(target) => target,
                 Err(reason) => {
@@ -404,6 +406,7 @@
                 }
             };
             story.sent_to(&target);
+            self.note_own_part(&target, &attempts);
             let started = Started {
                 phases: Arc::clone(&self.phases),
                 target,
--- a/crates/coursestand-proxy/src/header_names.rs
+++ b/crates/coursestand-proxy/src/header_names.rs
@@ -22,6 +22,8 @@
     pub server_load: HeaderName,
     /// The back end drains: it takes no new requests and ends soon.
     pub drains: HeaderName,
+    /// Requests a second that the back end takes from all daemons together.
+    pub rate_limit: HeaderName,
     /// How the names of headers begin by which back ends speak to this system. A name that
     /// is none of the above is counted, so that a new one is seen.
     pub prefixes: &'static [&'static str],
@@ -35,7 +37,7 @@
         is_addressed && !self.all().contains(&name)
     }
 
-    fn all(&self) -> [&HeaderName; 8] {
+    fn all(&self) -> [&HeaderName; 9] {
         [
             &self.request_id,
             &self.deadline,
@@ -45,6 +47,7 @@
             &self.not_executed,
             &self.server_load,
             &self.drains,
+            &self.rate_limit,
         ]
     }
 }
@@ -61,6 +64,7 @@
             not_executed: HeaderName::from_static("x-not-started"),
             server_load: HeaderName::from_static("x-load"),
             drains: HeaderName::from_static("x-draining"),
+            rate_limit: HeaderName::from_static("x-rate-limit"),
             prefixes: &["x-"],
         }
     }
--- a/crates/coursestand-proxy/src/lib.rs
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -33,6 +33,7 @@
 mod smoothed_time;
 mod story;
 pub mod streamed_body;
+pub mod tokens;
 pub mod told;
 pub mod trials;
 pub mod unread_headers;
--- a/crates/coursestand-proxy/src/metrics.rs
+++ b/crates/coursestand-proxy/src/metrics.rs
@@ -15,6 +15,9 @@
     pub failures: IntCounterVec,
     /// What back ends asked for with their answers: `backoff` or `draining`.
     pub backend_words: IntCounterVec,
+    /// Requests for tokens for rate-limited back ends, by what control answered, and requests
+    /// that were sent by the daemon's own part.
+    pub rate_tokens: IntCounterVec,
     /// Answers with a header that nothing reads, by its name.
     pub unread_headers: IntCounterVec,
     /// Attempts after the first.
@@ -55,6 +58,13 @@
                 ),
                 &["kind"],
             )?,
+            rate_tokens: IntCounterVec::new(
+                Opts::new(
+                    "coursestand_rate_limit_tokens_total",
+                    "Tokens for rate-limited back ends that were asked for, by answer",
+                ),
+                &["answer"],
+            )?,
             unread_headers: IntCounterVec::new(
                 Opts::new(
                     "coursestand_unread_answer_headers_total",
@@ -100,9 +110,12 @@
         metrics.backend_words.with_label_values(&["backoff"]);
         metrics.backend_words.with_label_values(&["draining"]);
         metrics.unread_headers.with_label_values(&[OTHER]);
+        metrics.rate_tokens.with_label_values(&["issued"]);
+        metrics.backend_words.with_label_values(&["rate-limit"]);
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.failures.clone()))?;
         registry.register(Box::new(metrics.backend_words.clone()))?;
+        registry.register(Box::new(metrics.rate_tokens.clone()))?;
         registry.register(Box::new(metrics.unread_headers.clone()))?;
         registry.register(Box::new(metrics.retries.clone()))?;
         registry.register(Box::new(metrics.service_retries.clone()))?;
--- a/crates/coursestand-proxy/src/phases.rs
+++ b/crates/coursestand-proxy/src/phases.rs
@@ -9,13 +9,14 @@
 use coursestand_discovery::Incarnation;
 use coursestand_model::{BackendId, Millis, ServiceId, ZoneId};
 use coursestand_routing::picker::Asked;
-use coursestand_routing::{BackendReport, Fingerprint, RouteEntry, SentCopy};
+use coursestand_routing::{BackendReport, Fingerprint, RouteEntry, SendToken, SentCopy};
 use http::Method;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
 use crate::answer::Reason;
 use crate::retry::RetryVerdict;
+use crate::tokens::TokenAnswer;
 
 /// What is known of a request before its body is read.
 #[derive(Clone, Debug)]
@@ -78,6 +79,8 @@
     /// Whether control granted this sending, as the one trial of a request under which
     /// back ends ended.
     pub is_trial: bool,
+    /// Until when it may be sent, where the back end has a rate limit.
+    pub admitted_until: Option<Millis>,
 }
 
 impl Target {
@@ -206,6 +209,17 @@
     pub broken_backends: Vec<u64>,
     /// The connection of an attempt that fell silent.
     pub silence: Option<Silence>,
+    /// What was issued for the next attempt at a rate-limited back end.
+    pub token: Option<SendToken>,
+}
+
+/// A request for a token that control has not answered yet.
+#[derive(Debug)]
+pub struct TokenWait {
+    /// The rate-limited back end.
+    pub instance: BackendId,
+    /// Resolves with the answer.
+    pub answer: oneshot::Receiver<TokenAnswer>,
 }
 
 /// The decisions about a request, in the order in which they are taken.
@@ -217,6 +231,10 @@
     /// with the answer; [`Self::choose`] knows it then.
     fn ask_for_trial(&self, matched: &Matched) -> Option<oneshot::Receiver<()>>;
 
+    /// Asks control for a token if the next attempt would go to a back end that named a rate
+    /// limit. What is issued is handed to [`Self::choose`] with the attempts.
+    fn ask_for_token(&self, matched: &Matched, attempts: &Attempts) -> Option<TokenWait>;
+
     /// Chooses a back end. From here until [`Self::finished`] it counts as having
     /// the request.
     fn choose(&self, matched: &Matched, attempts: &Attempts) -> Result<Target, Reason>;
--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -6,8 +6,13 @@
 use coursestand_model::BackendId;
 use coursestand_routing::hash::{combine, hash_of};
 use coursestand_routing::picker::Asked;
+use coursestand_routing::rate_limit::{
+    LimitChange, OwnPart, RateWord, Reading, TOKEN_LIFETIME_MS, TokenRequest,
+};
 use coursestand_routing::split::SplitState;
-use coursestand_routing::{BackendReport, Finding, Fingerprint, Held, PickRequest, Refusal};
+use coursestand_routing::{
+    Backend, BackendReport, Finding, Fingerprint, Held, LimitAccess, Pick, PickRequest, Refusal,
+};
 
 use coursestand_model::Millis;
 use http::Method;
@@ -16,7 +21,7 @@
 use crate::answer::Reason;
 use crate::edge_state::{Beliefs, EdgeState};
 use crate::phases::{
-    AttemptEnding, AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target,
+    AttemptEnding, AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target, TokenWait,
 };
 use crate::retry::{BudgetView, RetryDenial, RetryVerdict};
 
@@ -40,6 +45,80 @@
         Router { state }
     }
 
+    /// Picks the back end of the next attempt.
+    fn pick(
+        &self,
+        beliefs: &mut Beliefs,
+        now: Millis,
+        matched: &Matched,
+        attempts: &Attempts,
+        limits: LimitAccess,
+    ) -> Result<Pick, Refusal> {
+        let request = PickRequest {
+            service: &matched.service,
+            key: matched.key,
+            has_object: matched.has_object,
+            objective_ms: matched.route.route.target_latency_ms,
+            allowed_regions: &matched.route.route.allowed_regions,
+            excluded: &attempts.tried,
+            limits,
+            now,
+        };
+        beliefs.picker.pick(
+            &beliefs.backends,
+            &beliefs.catalog,
+            &beliefs.owners,
+            &request,
+        )
+    }
+
+    /// Whether control can be asked for tokens: one that goes without it has a part of its own.
+    fn issues_tokens(&self, beliefs: &Beliefs, now: Millis) -> bool {
+        beliefs.owners.current().is_some() && !self.state.tokens().is_silent(now)
+    }
+
+    /// How the next attempt may reach rate-limited back ends.
+    fn access(&self, beliefs: &Beliefs, now: Millis, attempts: &Attempts) -> LimitAccess {
+        let own_part = || OwnPart {
+            daemon: beliefs.fatal.own(),
+            daemons: beliefs.daemons.len(),
+        };
+        let is_alone = beliefs.backends.limited() > 0 && !self.issues_tokens(beliefs, now);
+        LimitAccess::Sending {
+            token: attempts.token,
+            own_part: is_alone.then(own_part),
+        }
+    }
+
+    /// The back end's answer says something of its rate limit.
+    fn note_rate(&self, now: Millis, target: &Target, report: &BackendReport, is_whole: bool) {
+        let id = target.id();
+        let mut beliefs = self.state.beliefs();
+        if !is_current(&beliefs, target) {
+            return;
+        }
+        let reading = Reading {
+            word: report.rate,
+            sent_at: target.chosen_at,
+            is_whole,
+        };
+        let Some(change) = beliefs.backends.note_rate(now, id, reading) else {
+            return;
+        };
+        if change == LimitChange::Lifted {
+            beliefs.limit_reports.forget(target.memory);
+        }
+        drop(beliefs);
+        let rate = match change {
+            LimitChange::Limited(rate) => Some(rate),
+            LimitChange::Lifted => None,
+        };
+        log::info!(target: LOG, instance = id.as_str(), service = target.service.as_str(),
+            limit_per_second = rate.map(|rate| rate.as_per_second());
+            "a back end changed: its rate limit");
+        self.state.tell_limit(target.memory, rate);
+    }
+
     /// Refuses a request under which back ends ended, unless this is where it is tried.
     fn may_go(
         &self,
@@ -48,33 +127,16 @@
         fingerprint: Fingerprint,
         attempts: &Attempts,
     ) -> Result<(), Reason> {
-        // The back end may have ended under it, and others may know it for that.
-        if !attempts.broken_backends.is_empty() && !beliefs.is_informed {
-            let again_in_ms = STARTING_PAUSE_MS;
-            return Err(Reason::Suspected { again_in_ms });
+        let looked_at = look_at(beliefs, now, fingerprint, attempts);
+        if let Some(case) = beliefs.fatal.view(now, fingerprint) {
+            let verdict = looked_at.map_or_else(Reason::name, |()| "sent");
+            log::info!(target: LOG, fingerprint = fingerprint.0, ends = case.ends,
+                convictions = case.convictions, attempt = attempts.arrived + 1,
+                is_owner = is_owner(beliefs, now, fingerprint),
+                is_following = beliefs.owners.current().is_some(),
+                up_ms = now, outcome = verdict; "a request under which back ends ended was looked at");
         }
-        let Some(case) = beliefs.fatal.view(now, fingerprint) else {
-            return Ok(());
-        };
-        let is_owner = is_owner(beliefs, now, fingerprint);
-        let may_go = if attempts.arrived > 0 {
-            let broken_backends = &attempts.broken_backends;
-            beliefs.fatal.may_repeat(now, fingerprint, broken_backends)
-        } else {
-            beliefs.fatal.may_run(now, fingerprint, is_owner)
-        };
-        let may_go = may_go.map_err(|held| match held {
-            Held::Suspected { again_in_ms } | Held::NeedsTrial { again_in_ms } => {
-                Reason::Suspected { again_in_ms }
-            }
-            Held::Convicted { again_in_ms } => Reason::Convicted { again_in_ms },
-        });
-        let verdict = may_go.map_or_else(Reason::name, |()| "sent");
-        log::info!(target: LOG, fingerprint = fingerprint.0, ends = case.ends,
-            convictions = case.convictions, attempt = attempts.arrived + 1,
-            is_owner = is_owner, is_following = beliefs.owners.current().is_some(),
-            up_ms = now, outcome = verdict; "a request under which back ends ended was looked at");
-        may_go
+        looked_at
     }
 
     /// The back end has read what was sent to it before the request that it answered.
@@ -105,6 +167,36 @@
     }
 }
 
+/// Whether a request under which back ends may have ended is sent.
+fn look_at(
+    beliefs: &Beliefs,
+    now: Millis,
+    fingerprint: Fingerprint,
+    attempts: &Attempts,
+) -> Result<(), Reason> {
+    // The back end may have ended under it, and others may know it for that.
+    if !attempts.broken_backends.is_empty() && !beliefs.is_informed {
+        let again_in_ms = STARTING_PAUSE_MS;
+        return Err(Reason::Suspected { again_in_ms });
+    }
+    if beliefs.fatal.view(now, fingerprint).is_none() {
+        return Ok(());
+    }
+    let may_go = if attempts.arrived > 0 {
+        let broken_backends = &attempts.broken_backends;
+        beliefs.fatal.may_repeat(now, fingerprint, broken_backends)
+    } else {
+        let is_owner = is_owner(beliefs, now, fingerprint);
+        beliefs.fatal.may_run(now, fingerprint, is_owner)
+    };
+    may_go.map_err(|held| match held {
+        Held::Suspected { again_in_ms } | Held::NeedsTrial { again_in_ms } => {
+            Reason::Suspected { again_in_ms }
+        }
+        Held::Convicted { again_in_ms } => Reason::Convicted { again_in_ms },
+    })
+}
+
 /// Whether suspects with this fingerprint run at this daemon. Each has one owner among the
 /// daemons that are connected; a daemon that is cut off goes by what it sees itself.
 fn is_owner(beliefs: &Beliefs, now: Millis, fingerprint: Fingerprint) -> bool {
@@ -137,6 +229,22 @@
     hashes.reduce(combine).map(Fingerprint)
 }
 
+/// Until when a request may be sent to the back end that was picked for it, if that has a rate
+/// limit.
+fn admitted_until(backend: &Backend, now: Millis, attempts: &Attempts) -> Option<Millis> {
+    backend.limit()?;
+    let token = attempts.token;
+    let token = token.filter(|token| token.is_valid(now, backend.memory));
+    Some(token.map_or(now + TOKEN_LIFETIME_MS, |token| token.valid_until))
+}
+
+/// Whether the rate limit of the back end, which may be newer than the choice, still allows the
+/// request.
+fn is_admitted(backend: &Backend, now: Millis, target: &Target) -> bool {
+    let is_in_time = target.admitted_until.is_some_and(|until| now <= until);
+    backend.limit().is_none() || is_in_time
+}
+
 /// Whether the back end is still the incarnation that got the request. What becomes of
 /// the request says nothing of a later one.
 fn is_current(beliefs: &Beliefs, target: &Target) -> bool {
@@ -201,6 +309,35 @@
         }
     }
 
+    fn ask_for_token(&self, matched: &Matched, attempts: &Attempts) -> Option<TokenWait> {
+        let now = self.state.now();
+        let mut guard = self.state.beliefs();
+        let beliefs = &mut *guard;
+        if beliefs.backends.limited() == 0 || !self.issues_tokens(beliefs, now) {
+            return None;
+        }
+        if let Some(fingerprint) = matched.fingerprint {
+            look_at(beliefs, now, fingerprint, attempts).ok()?;
+        }
+        let priority = matched.route.route.priority;
+        let access = LimitAccess::Asking { priority };
+        let pick = self.pick(beliefs, now, matched, attempts, access).ok()?;
+        let backend = beliefs.backends.get(&pick.id)?;
+        let limit = backend.limit()?;
+        let request = TokenRequest {
+            backend: backend.memory,
+            rate: limit.rate(),
+            age_ms: now.saturating_sub(limit.named_at()),
+            priority,
+        };
+        drop(guard);
+        let answer = self.state.tokens().ask(now, request)?;
+        Some(TokenWait {
+            instance: pick.id,
+            answer,
+        })
+    }
+
     fn choose(&self, matched: &Matched, attempts: &Attempts) -> Result<Target, Reason> {
         let now = self.state.now();
         let mut guard = self.state.beliefs();
@@ -208,24 +345,12 @@
         if let Some(fingerprint) = matched.fingerprint {
             self.may_go(beliefs, now, fingerprint, attempts)?;
         }
-        let request = PickRequest {
-            service: &matched.service,
-            key: matched.key,
-            has_object: matched.has_object,
-            objective_ms: matched.route.route.target_latency_ms,
-            allowed_regions: &matched.route.route.allowed_regions,
-            excluded: &attempts.tried,
-            now,
-        };
-        let picked = beliefs.picker.pick(
-            &beliefs.backends,
-            &beliefs.catalog,
-            &beliefs.owners,
-            &request,
-        );
-        let pick = picked.map_err(|refusal| match refusal {
+        let access = self.access(beliefs, now, attempts);
+        let pick = self.pick(beliefs, now, matched, attempts, access);
+        let pick = pick.map_err(|refusal| match refusal {
             Refusal::NoBackend => Reason::NoBackend,
             Refusal::BackingOff { ends_in_ms } => Reason::BackingOff { ends_in_ms },
+            Refusal::RateLimited { again_in_ms } => Reason::RateLimited { again_in_ms },
             Refusal::Busy { drained_in_ms } => Reason::Busy { drained_in_ms },
         })?;
         let Some(backend) = beliefs.backends.get(&pick.id) else {
@@ -235,8 +360,12 @@
         let zone = backend.instance.zone.clone();
         let incarnation = backend.instance.incarnation();
         let memory = backend.memory;
+        let admitted_until = admitted_until(backend, now, attempts);
         beliefs.picker.note_sent(now, backend);
         beliefs.backends.start(&pick.id);
+        if admitted_until.is_some() && attempts.token.is_none() {
+            beliefs.backends.note_own_turn(now, &pick.id);
+        }
         let mut is_trial = false;
         if let Some(fingerprint) = matched.fingerprint {
             beliefs.fatal.start(fingerprint);
@@ -256,6 +385,7 @@
             memory,
             is_repeat: attempts.arrived > 0,
             is_trial,
+            admitted_until,
         };
         if target.is_repeat {
             let budget = beliefs.budgets.entry(target.service.clone()).or_default();
@@ -276,11 +406,15 @@
                 && backend.instance.is_of(&target.incarnation)
                 && backend.is_ready()
                 && !backend.backs_off(now)
+                && is_admitted(backend, now, target)
                 && !beliefs.catalog.is_evacuated(&target.zone)
         })
     }
 
     fn told(&self, target: &Target, report: &BackendReport) {
+        if matches!(report.rate, RateWord::Limited(_)) {
+            self.note_rate(self.state.now(), target, report, false);
+        }
         if report.backoff_ms.is_none() && !report.drains {
             return;
         }
@@ -310,6 +444,7 @@
 
     fn answered(&self, target: &Target, report: &BackendReport) {
         let now = self.state.now();
+        self.note_rate(now, target, report, true);
         let id = target.id();
         let took_ms = now.saturating_sub(target.chosen_at) as f64;
         let mut guard = self.state.beliefs();
--- a/crates/coursestand-proxy/src/told.rs
+++ b/crates/coursestand-proxy/src/told.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use coursestand_routing::backends::{BackendReport, LoadReport};
+use coursestand_routing::rate_limit::{Rate, RateWord};
 use http::header::{HeaderValue, RETRY_AFTER};
 use http::{HeaderMap, StatusCode};
 
@@ -31,6 +32,7 @@
                 load: load_of(names, headers),
                 backoff_ms: backoff_of(status, headers),
                 drains: text_of(headers, &names.drains).map(str::trim) == Some(DRAINS),
+                rate: rate_of(names, status, headers),
             },
             keep_alive: keep_alive_of(headers),
             closes: closes_connection(headers),
@@ -56,13 +58,31 @@
     told.filter_map(millis_of_seconds).max()
 }
 
-/// Milliseconds of decimal seconds. Dates are not read: clocks differ between machines.
-fn millis_of_seconds(value: &HeaderValue) -> Option<u64> {
+/// What the answer says of the back end's rate limit: the lowest that it names. One that
+/// names none tells that there is none, unless it is a failure: that need not come from where
+/// the limit is kept.
+fn rate_of(names: &HeaderNames, status: StatusCode, headers: &HeaderMap) -> RateWord {
+    let named = headers.get_all(&names.rate_limit);
+    let rates = named.iter().filter_map(decimal_of).map(Rate::per_second);
+    match rates.min() {
+        Some(rate) => RateWord::Limited(rate),
+        None if named.iter().next().is_some() || status.is_server_error() => RateWord::Untold,
+        None => RateWord::Unlimited,
+    }
+}
+
+/// A decimal number without sign or exponent.
+fn decimal_of(value: &HeaderValue) -> Option<f64> {
     let text = value.to_str().ok()?.trim();
     let is_decimal = text
         .bytes()
         .all(|byte| byte.is_ascii_digit() || byte == b'.');
-    let seconds: f64 = text.parse().ok().filter(|_| is_decimal)?;
+    text.parse().ok().filter(|_| is_decimal)
+}
+
+/// Milliseconds of decimal seconds. Dates are not read: clocks differ between machines.
+fn millis_of_seconds(value: &HeaderValue) -> Option<u64> {
+    let seconds = decimal_of(value)?;
     let millis = (seconds * 1_000.0).ceil();
     // Conversion keeps to the bounds of the type, whatever was told.
     (millis > 0.0).then_some(millis as u64)
--- a/crates/coursestand-proxy/tests/attempts.rs
+++ b/crates/coursestand-proxy/tests/attempts.rs
@@ -12,7 +12,7 @@
 use coursestand_lab::scripted::{Behaviour, ScriptedBackend};
 use coursestand_proxy::answer::Reason;
 use coursestand_proxy::phases::{
-    AttemptEnding, AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target,
+    AttemptEnding, AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target, TokenWait,
 };
 use coursestand_proxy::retry::RetryVerdict;
 use coursestand_proxy::router::Router;
@@ -43,6 +43,9 @@
     fn ask_for_trial(&self, matched: &Matched) -> Option<oneshot::Receiver<()>> {
         self.0.ask_for_trial(matched)
     }
+    fn ask_for_token(&self, matched: &Matched, attempts: &Attempts) -> Option<TokenWait> {
+        self.0.ask_for_token(matched, attempts)
+    }
     fn choose(
         &self,
         matched: &Matched,
--- a/crates/coursestand-proxy/tests/backoff.rs
+++ b/crates/coursestand-proxy/tests/backoff.rs
@@ -21,7 +21,7 @@
 use coursestand_proxy::EdgeState;
 use coursestand_proxy::answer::Reason;
 use coursestand_proxy::phases::{
-    AttemptEnding, AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target,
+    AttemptEnding, AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target, TokenWait,
 };
 use coursestand_proxy::retry::RetryVerdict;
 use coursestand_proxy::router::Router;
@@ -172,6 +172,9 @@
     fn ask_for_trial(&self, matched: &Matched) -> Option<oneshot::Receiver<()>> {
         self.router.ask_for_trial(matched)
     }
+    fn ask_for_token(&self, matched: &Matched, attempts: &Attempts) -> Option<TokenWait> {
+        self.router.ask_for_token(matched, attempts)
+    }
     fn choose(
         &self,
         matched: &Matched,
--- a/crates/coursestand-routing/benches/pick.rs
+++ b/crates/coursestand-routing/benches/pick.rs
@@ -11,7 +11,7 @@
 use coursestand_routing::backends::ReportTrust;
 use coursestand_routing::cold::{ColdLimits, OwnerViews};
 use coursestand_routing::picker::{Balance, Place};
-use coursestand_routing::{Backends, PickRequest, Picker};
+use coursestand_routing::{Backends, LimitAccess, PickRequest, Picker};
 use criterion::{Criterion, criterion_group, criterion_main};
 
 const ZONE: &str = "zone";
@@ -80,6 +80,7 @@
                     objective_ms: 300,
                     allowed_regions: &[],
                     excluded: &[],
+                    limits: LimitAccess::default(),
                     now: 1_000,
                 };
                 let picked = picker.pick(&backends, &catalog, &owners, &request);
--- a/crates/coursestand-routing/src/backends.rs
+++ b/crates/coursestand-routing/src/backends.rs
@@ -9,6 +9,7 @@
 
 use crate::backoff::Backoff;
 use crate::hash::{combine, hash_of};
+use crate::rate_limit::{KnownLimit, LimitAccess, LimitChange, Rate, RateWord, Reading};
 
 /// First time for which a back end that refuses connections is left out.
 const FIRST_EJECTION_MS: Millis = 500;
@@ -35,6 +36,8 @@
     pub backoff_ms: Option<Millis>,
     /// Whether it drains: it takes no new requests and ends soon.
     pub drains: bool,
+    /// The rate that it takes from all daemons together.
+    pub rate: RateWord,
 }
 
 /// Time constant with which the usual load follows the reports.
@@ -81,6 +84,7 @@
     failures: u32,
     ejected_until: Millis,
     backoff: Backoff,
+    limit: Option<KnownLimit>,
 }
 
 impl Backend {
@@ -97,6 +101,7 @@
             failures: 0,
             ejected_until: 0,
             backoff: Backoff::default(),
+            limit: None,
         }
     }
 
@@ -151,6 +156,17 @@
         self.backoff.has_room(now, self.in_flight)
     }
 
+    /// The rate limit that it named, if any.
+    pub fn limit(&self) -> Option<&KnownLimit> {
+        self.limit.as_ref()
+    }
+
+    /// Whether its rate limit, if any, allows a request with this access.
+    pub fn admits(&self, now: Millis, access: &LimitAccess) -> bool {
+        let limit = self.limit.as_ref();
+        limit.is_none_or(|limit| access.admits(now, self.memory, limit))
+    }
+
     /// Whether it takes new requests at all.
     pub fn is_ready(&self) -> bool {
         self.instance.phase == InstancePhase::Ready
@@ -175,6 +191,8 @@
     table: InstanceTable,
     backends: HashMap<BackendId, Backend>,
     by_service: HashMap<ServiceId, Vec<BackendId>>,
+    /// How many of them have a rate limit.
+    limited: usize,
 }
 
 impl Backends {
@@ -226,6 +244,7 @@
         let Some(backend) = self.backends.remove(id) else {
             return;
         };
+        self.limited -= usize::from(backend.limit.is_some());
         if let Some(ids) = self.by_service.get_mut(&backend.instance.service) {
             ids.retain(|known| known != id);
         }
@@ -335,6 +354,80 @@
         id.is_some_and(|id| self.note_draining(now, &id))
     }
 
+    /// Back ends that have a rate limit.
+    pub fn limited(&self) -> usize {
+        self.limited
+    }
+
+    /// The incarnation with this `memory`.
+    pub fn find(&self, memory: u64) -> Option<&Backend> {
+        let mut backends = self.backends.values();
+        backends.find(|backend| backend.memory == memory)
+    }
+
+    /// Changes what is known of the limit of a back end.
+    fn change_limit(
+        &mut self,
+        id: &BackendId,
+        change: impl FnOnce(&mut Option<KnownLimit>) -> Option<LimitChange>,
+    ) -> Option<LimitChange> {
+        let backend = self.backends.get_mut(id)?;
+        let was_limited = backend.limit.is_some();
+        let changed = change(&mut backend.limit);
+        let is_limited = backend.limit.is_some();
+        if was_limited && !is_limited {
+            backend.backoff.return_slowly();
+        }
+        self.limited = self.limited + usize::from(is_limited) - usize::from(was_limited);
+        changed
+    }
+
+    /// An answer of the back end tells of its rate limit. Returns what became of that.
+    pub fn note_rate(
+        &mut self,
+        now: Millis,
+        id: &BackendId,
+        reading: Reading,
+    ) -> Option<LimitChange> {
+        self.change_limit(id, |limit| KnownLimit::read(limit, now, reading))
+    }
+
+    /// Other daemons were told this limit of the incarnation with this `memory`, at
+    /// `named_at`.
+    pub fn note_rate_elsewhere(
+        &mut self,
+        named_at: Millis,
+        memory: u64,
+        rate: Rate,
+    ) -> Option<LimitChange> {
+        let id = self.find(memory)?.instance.id.clone();
+        self.change_limit(&id, |limit| KnownLimit::hear(limit, named_at, rate))
+    }
+
+    /// The incarnation with this `memory` named no limit to another daemon at `lifted_at`.
+    pub fn note_lifted_elsewhere(&mut self, lifted_at: Millis, memory: u64) -> Option<LimitChange> {
+        let id = self.find(memory)?.instance.id.clone();
+        self.change_limit(&id, |limit| KnownLimit::hear_lifted(limit, lifted_at))
+    }
+
+    /// Control issues no token for the incarnation with this `memory` for `again_in_ms`, to a
+    /// request of this rank.
+    pub fn note_denied(&mut self, now: Millis, memory: u64, again_in_ms: Millis, priority: u32) {
+        let mut backends = self.backends.values_mut();
+        let backend = backends.find(|backend| backend.memory == memory);
+        if let Some(limit) = backend.and_then(|backend| backend.limit.as_mut()) {
+            limit.note_denied(now, again_in_ms, priority);
+        }
+    }
+
+    /// A request is sent to the back end by the daemon's own part of its limit.
+    pub fn note_own_turn(&mut self, now: Millis, id: &BackendId) {
+        let backend = self.backends.get_mut(id);
+        if let Some(limit) = backend.and_then(|backend| backend.limit.as_mut()) {
+            limit.note_own_turn(now);
+        }
+    }
+
     /// No connection to the back end could be made.
     pub fn note_unreachable(&mut self, now: Millis, id: &BackendId) {
         if let Some(backend) = self.backends.get_mut(id) {
--- a/crates/coursestand-routing/src/backoff.rs
+++ b/crates/coursestand-routing/src/backoff.rs
@@ -39,6 +39,11 @@
         begins
     }
 
+    /// The back end takes more requests again than for a while before.
+    pub fn return_slowly(&mut self) {
+        self.room = Some(FIRST_ROOM);
+    }
+
     /// Whether the back end wants no requests.
     pub fn is_active(&self, now: Millis) -> bool {
         now < self.ends_at
--- a/crates/coursestand-routing/src/findings.rs
+++ b/crates/coursestand-routing/src/findings.rs
@@ -8,10 +8,10 @@
 
 /// Findings that are remembered, to know copies of them.
 const MOST_NUMBERS: usize = 4_096;
-/// Back ends of which it is remembered who says that they drain.
-const MOST_DRAINING: usize = 1_024;
+/// Back ends of which it is remembered who says something.
+const MOST_REPORTED: usize = 1_024;
 /// Other daemons that must say it: one that errs empties no service.
-const DRAINING_REPORTERS: usize = 2;
+const ENOUGH_REPORTERS: usize = 2;
 
 /// What a daemon found out.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -67,28 +67,34 @@
     }
 }
 
-/// Who says that which back end drains.
+/// Who says the same thing of which back end, such as that it drains.
 #[derive(Clone, Debug, Default)]
-pub struct DrainingReports {
+pub struct BackendReports {
     reporters: HashMap<u64, HashSet<u64>>,
     order: VecDeque<u64>,
 }
 
-impl DrainingReports {
+impl BackendReports {
     /// Another daemon says it. Returns whether enough of them do.
     pub fn take(&mut self, backend: u64, reporter: u64) -> bool {
         if !self.reporters.contains_key(&backend) {
             self.order.push_back(backend);
-            if self.order.len() > MOST_DRAINING
+            if self.order.len() > MOST_REPORTED
                 && let Some(oldest) = self.order.pop_front()
             {
                 self.reporters.remove(&oldest);
             }
         }
         let reporters = self.reporters.entry(backend).or_default();
-        if reporters.len() < DRAINING_REPORTERS {
+        if reporters.len() < ENOUGH_REPORTERS {
             reporters.insert(reporter);
         }
-        reporters.len() >= DRAINING_REPORTERS
+        reporters.len() >= ENOUGH_REPORTERS
+    }
+
+    /// It is no longer so.
+    pub fn forget(&mut self, backend: u64) {
+        self.reporters.remove(&backend);
+        self.order.retain(|known| *known != backend);
     }
 }
--- a/crates/coursestand-routing/src/picker.rs
+++ b/crates/coursestand-routing/src/picker.rs
@@ -11,6 +11,7 @@
 use crate::hash::{combine, hash_of, unit_point};
 use crate::knowledge::Knowledge;
 use crate::ranking::first_ranked;
+use crate::rate_limit::LimitAccess;
 use crate::shares::RegionShares;
 use crate::work_times::{Work, WorkTimes};
 
@@ -33,6 +34,8 @@
     pub allowed_regions: &'a [RegionId],
     /// Back ends that it was sent to already.
     pub excluded: &'a [BackendId],
+    /// How it may reach back ends that named a rate limit.
+    pub limits: LimitAccess,
     /// The time.
     pub now: Millis,
 }
@@ -78,6 +81,11 @@
         /// After which the first of them takes a request again, in milliseconds.
         ends_in_ms: Millis,
     },
+    /// All back ends that may be used are at the rate limit that they named.
+    RateLimited {
+        /// After which the first of them may take a request, in milliseconds.
+        again_in_ms: Millis,
+    },
     /// All of them have more than they can work off in time.
     Busy {
         /// After which that is likely to have changed, in milliseconds.
@@ -158,7 +166,9 @@
             .filter(|backend| !request.excluded.contains(&backend.instance.id))
             .collect();
         let none_left = refusal_without(&usable, request.now);
-        usable.retain(|backend| backend.has_room(request.now));
+        usable.retain(|backend| {
+            backend.has_room(request.now) && backend.admits(request.now, &request.limits)
+        });
         if usable.is_empty() {
             return Err(none_left);
         }
@@ -352,14 +362,17 @@
     }
 }
 
-/// Why a request is refused that none of `usable` takes now: once the first back-off ends,
-/// one will.
+/// Why a request is refused that none of `usable` takes now: the first back-off that ends, or
+/// the first token that may be issued, changes that.
 fn refusal_without(usable: &[&Backend], now: Millis) -> Refusal {
-    let backing_off = usable.iter().filter(|backend| !backend.has_room(now));
-    let first_end = backing_off
-        .map(|backend| backend.backoff_left_ms(now))
-        .min();
-    first_end.map_or(Refusal::NoBackend, |ends_in_ms| Refusal::BackingOff {
-        ends_in_ms,
-    })
+    let refusals = usable.iter().filter_map(|backend| {
+        if !backend.has_room(now) {
+            let ends_in_ms = backend.backoff_left_ms(now);
+            return Some((ends_in_ms, Refusal::BackingOff { ends_in_ms }));
+        }
+        let again_in_ms = backend.limit()?.denied_ms(now);
+        Some((again_in_ms, Refusal::RateLimited { again_in_ms }))
+    });
+    let first = refusals.min_by_key(|(left_ms, _)| *left_ms);
+    first.map_or(Refusal::NoBackend, |(_, refusal)| refusal)
 }
--- /dev/null
+++ b/crates/coursestand-routing/src/rate_limit/known.rs
@@ -0,0 +1,149 @@
+//! The rate limit of one back end, as one daemon knows it.
+
+use coursestand_model::Millis;
+
+use super::access::OwnPart;
+use super::rate::{Rate, RateWord};
+
+/// Refused without a time, a daemon asks again after this long.
+const LEAST_PAUSE_MS: Millis = 20;
+
+/// One answer as a source about a rate limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Reading {
+    /// What it says.
+    pub word: RateWord,
+    /// When its request was sent.
+    pub sent_at: Millis,
+    /// Whether the whole answer came, and not only its head.
+    pub is_whole: bool,
+}
+
+/// What became of a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitChange {
+    /// The back end names this limit from now on.
+    Limited(Rate),
+    /// It has none any more.
+    Lifted,
+}
+
+/// The limit of one incarnation of a back end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KnownLimit {
+    rate: Rate,
+    /// When it was named last.
+    named_at: Millis,
+    /// Whether the back end named it to this daemon.
+    is_own: bool,
+    /// Control issues no token before.
+    denied_until: Millis,
+    /// Rank of the request that was denied; a more urgent one may get a token.
+    denied_priority: u32,
+    /// When this daemon's own part was used last.
+    own_part_used_at: Option<Millis>,
+}
+
+impl KnownLimit {
+    fn named(now: Millis, rate: Rate, is_own: bool) -> KnownLimit {
+        KnownLimit {
+            rate,
+            named_at: now,
+            is_own,
+            denied_until: 0,
+            denied_priority: 0,
+            own_part_used_at: None,
+        }
+    }
+
+    /// What the back end named.
+    pub fn rate(&self) -> Rate {
+        self.rate
+    }
+
+    /// When it was named last.
+    pub fn named_at(&self) -> Millis {
+        self.named_at
+    }
+
+    /// Whether the back end named it to this daemon, and not only to others.
+    pub fn is_own(&self) -> bool {
+        self.is_own
+    }
+
+    /// Time until control may issue a token, in milliseconds.
+    pub fn denied_ms(&self, now: Millis) -> Millis {
+        self.denied_until.saturating_sub(now)
+    }
+
+    /// Whether asking for a token is of use for a request of this rank; 0 is the highest.
+    pub fn may_ask(&self, now: Millis, priority: u32) -> bool {
+        self.denied_ms(now) == 0 || priority < self.denied_priority
+    }
+
+    /// Control issues no token for `again_in_ms` to a request of this rank.
+    pub fn note_denied(&mut self, now: Millis, again_in_ms: Millis, priority: u32) {
+        self.denied_until = now.saturating_add(again_in_ms.max(LEAST_PAUSE_MS));
+        self.denied_priority = priority;
+    }
+
+    /// Whether it is this daemon's turn to send by its own part.
+    pub(super) fn is_own_turn(&self, now: Millis, own: &OwnPart, backend: u64) -> bool {
+        own.is_turn(now, backend, self.rate, self.own_part_used_at)
+    }
+
+    /// A request is sent by the daemon's own part.
+    pub fn note_own_turn(&mut self, now: Millis) {
+        self.own_part_used_at = Some(now);
+    }
+
+    /// Takes in an answer. `limit` is what is known so far.
+    ///
+    /// A lower limit binds at once. A higher one, or none, is believed of a whole answer to a
+    /// request that was sent after the limit was last named: answers overtake each other, and
+    /// an earlier one says nothing of now.
+    pub fn read(limit: &mut Option<KnownLimit>, now: Millis, read: Reading) -> Option<LimitChange> {
+        let Some(known) = limit else {
+            let RateWord::Limited(rate) = read.word else {
+                return None;
+            };
+            *limit = Some(KnownLimit::named(now, rate, true));
+            return Some(LimitChange::Limited(rate));
+        };
+        let is_newest = read.is_whole && read.sent_at > known.named_at;
+        match read.word {
+            RateWord::Limited(rate) if rate <= known.rate || is_newest => {
+                let is_news = rate != known.rate || !known.is_own;
+                known.rate = rate;
+                known.named_at = now;
+                known.is_own = true;
+                is_news.then_some(LimitChange::Limited(rate))
+            }
+            RateWord::Unlimited if is_newest => {
+                *limit = None;
+                Some(LimitChange::Lifted)
+            }
+            _ => None,
+        }
+    }
+
+    /// Takes in that other daemons were told this limit.
+    pub fn hear(
+        limit: &mut Option<KnownLimit>,
+        named_at: Millis,
+        rate: Rate,
+    ) -> Option<LimitChange> {
+        match limit {
+            None => *limit = Some(KnownLimit::named(named_at, rate, false)),
+            Some(known) if rate < known.rate && named_at > known.named_at => known.rate = rate,
+            Some(_) => return None,
+        }
+        Some(LimitChange::Limited(rate))
+    }
+
+    /// Takes in that the back end had no limit at `lifted_at`, as another daemon was told.
+    pub fn hear_lifted(limit: &mut Option<KnownLimit>, lifted_at: Millis) -> Option<LimitChange> {
+        let lifted = limit.take_if(|known| known.named_at < lifted_at);
+        lifted.map(|_| LimitChange::Lifted)
+    }
+}
--- a/crates/coursestand-routing/tests/backoff.rs
+++ b/crates/coursestand-routing/tests/backoff.rs
@@ -13,7 +13,8 @@
 use coursestand_routing::cold::{ColdLimits, OwnerViews};
 use coursestand_routing::picker::{Balance, Place};
 use coursestand_routing::{
-    Backend, BackendReport, Backends, LoadReport, PickRequest, Picker, Refusal,
+    Backend, BackendReport, Backends, LimitAccess, LoadReport, PickRequest, Picker, RateWord,
+    Refusal,
 };
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -85,6 +86,7 @@
         objective_ms: 300,
         allowed_regions: &[],
         excluded: &[],
+        limits: LimitAccess::default(),
         now,
     };
     let owners = OwnerViews::new(0);
@@ -98,6 +100,7 @@
         load: Some(IDLE),
         backoff_ms: Some(backoff_ms),
         drains: false,
+        rate: RateWord::Untold,
     };
     backends.note_backoff(now, &id(number), backoff_ms);
     backends.note_shed(now, &id(number), &report);
--- a/crates/coursestand-routing/tests/joining.rs
+++ b/crates/coursestand-routing/tests/joining.rs
@@ -12,7 +12,7 @@
 use coursestand_routing::backends::ReportTrust;
 use coursestand_routing::cold::{ColdLimits, OwnerViews};
 use coursestand_routing::picker::{Asked, Balance, Place};
-use coursestand_routing::{Backends, LoadReport, PickRequest, Picker};
+use coursestand_routing::{Backends, LimitAccess, LoadReport, PickRequest, Picker};
 use googletest::prelude::*;
 
 const DAEMONS: usize = 6;
@@ -145,6 +145,7 @@
             objective_ms: 400,
             allowed_regions: &[],
             excluded: &[],
+            limits: LimitAccess::default(),
             now,
         };
         let picked = self
--- a/crates/coursestand-routing/tests/routing.rs
+++ b/crates/coursestand-routing/tests/routing.rs
@@ -16,7 +16,9 @@
 use coursestand_routing::picker::{Balance, Place};
 use coursestand_routing::shares::RegionShares;
 use coursestand_routing::split::SplitState;
-use coursestand_routing::{Backends, LoadReport, PickRequest, Picker, Refusal, RouteTable};
+use coursestand_routing::{
+    Backends, LimitAccess, LoadReport, PickRequest, Picker, Refusal, RouteTable,
+};
 use googletest::prelude::*;
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -121,6 +123,7 @@
             objective_ms: 300,
             allowed_regions: self.allowed,
             excluded: self.excluded,
+            limits: LimitAccess::default(),
             now,
         }
     }
