Notice when the control process that issues tokens falls silent, and model the limits

What callers saw: with control killed every 4 s a limited back end got 30 requests in the best 10 s, of 50 that it takes. Cause, found by the model before it was committed: a daemon asked the process that had answered last, and went on doing so after that one had lost its lead; and while control is silent each second request was spent on asking. An overdue answer now makes control count as silent until an answer comes: it is asked once a second, all its processes, and nobody waits; the daemon's own part is used meanwhile.

Values, crossing answers, lives and priorities have tests of their own in routing and proxy.

--- a/crates/coursestand-proxy/src/edge_state.rs
+++ b/crates/coursestand-proxy/src/edge_state.rs
@@ -22,7 +22,7 @@
 };
 use tokio::sync::{broadcast, oneshot};
 
-use crate::tokens::{LimitNote, TokenRequests, token_of};
+use crate::tokens::{LimitNote, TokenRequests, answer_of};
 use crate::trials::{CaseNote, TrialRequests};
 
 const LOG: &str = "proxy";
@@ -326,18 +326,18 @@
         let Some(answered) = self.tokens.answered(from, number) else {
             return;
         };
-        let now = self.now();
-        let request = &answered.request;
+        let asked_at = answered.asked.asked_at;
+        let request = &answered.asked.request;
         let backend = request.backend;
         match verdict {
             TokenVerdict::Issued => {}
             TokenVerdict::Denied { again_in_ms, .. } => {
                 let backends = &mut self.beliefs().backends;
-                backends.note_denied(now, backend, *again_in_ms, request.priority);
+                backends.note_denied(asked_at, backend, *again_in_ms, request.priority);
             }
             TokenVerdict::Lifted { age_ms } => {
                 // Dated by when it was asked for: the limit was lifted no later.
-                let lifted_at = answered.asked_at.saturating_sub(*age_ms);
+                let lifted_at = asked_at.saturating_sub(*age_ms);
                 let mut beliefs = self.beliefs();
                 beliefs.limit_reports.forget(backend);
                 let change = beliefs.backends.note_lifted_elsewhere(lifted_at, backend);
@@ -349,7 +349,7 @@
                 }
             }
         }
-        let answer = token_of(verdict, request, answered.asked_at);
+        let answer = answer_of(verdict, &answered.asked);
         answered.tell(answer);
     }
 
--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -313,9 +313,11 @@
         let now = self.state.now();
         let mut guard = self.state.beliefs();
         let beliefs = &mut *guard;
-        if beliefs.backends.limited() == 0 || !self.issues_tokens(beliefs, now) {
+        if beliefs.backends.limited() == 0 {
             return None;
         }
+        // A daemon that is cut off has its own part only.
+        beliefs.owners.current()?;
         if let Some(fingerprint) = matched.fingerprint {
             look_at(beliefs, now, fingerprint, attempts).ok()?;
         }
--- a/crates/coursestand-proxy/src/tokens.rs
+++ b/crates/coursestand-proxy/src/tokens.rs
@@ -5,19 +5,14 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
 use coursestand_model::Millis;
-use coursestand_routing::rate_limit::{TOKEN_LIFETIME_MS, TokenRequest, TokenVerdict};
+use coursestand_routing::rate_limit::{
+    AskedToken, Asking, TOKEN_LIFETIME_MS, TokenAsks, TokenRequest, TokenVerdict,
+};
 use coursestand_routing::{LimitNews, Rate, SendToken};
 use tokio::sync::{broadcast, oneshot};
 
 /// Notes that wait for a slow connection to control; further ones replace the oldest.
 const QUEUE: usize = 64;
-/// An answer that has not come by then does not come: control may have no leader.
-const ASKED_MS: Millis = 1_000;
-/// Tokens that one daemon asks for in a second at most: a bound on what it costs control,
-/// however many back ends have a limit.
-const MOST_REQUESTS: u32 = 40;
-const SECOND_MS: Millis = 1_000;
-
 /// What this daemon tells control of rate limits.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum LimitNote {
@@ -61,56 +56,28 @@
     }
 }
 
-struct Asked {
-    at: Millis,
-    request: TokenRequest,
-    waits: oneshot::Sender<TokenAnswer>,
-}
-
-impl Asked {
-    fn is_overdue(&self, now: Millis) -> bool {
-        now.saturating_sub(self.at) > TOKEN_LIFETIME_MS
-    }
-}
-
 /// A request that control has answered.
 pub(crate) struct Answered {
-    pub(crate) request: TokenRequest,
-    /// When it was asked.
-    pub(crate) asked_at: Millis,
-    waits: oneshot::Sender<TokenAnswer>,
+    pub(crate) asked: AskedToken,
+    waits: Option<oneshot::Sender<TokenAnswer>>,
 }
 
 impl Answered {
     /// Passes the answer on.
     pub(crate) fn tell(self, answer: TokenAnswer) {
-        // Whoever asked may have left.
-        let _ = self.waits.send(answer);
+        if let Some(waits) = self.waits {
+            // Whoever asked may have left.
+            let _ = waits.send(answer);
+        }
     }
 }
 
 #[derive(Default)]
 struct Desk {
-    asked: HashMap<u64, Asked>,
-    next_number: u64,
+    asks: TokenAsks,
+    waits: HashMap<u64, oneshot::Sender<TokenAnswer>>,
     /// The control process that answered last.
     issuer: Option<SocketAddr>,
-    /// When the present second began, and the requests in it.
-    second: (Millis, u32),
-}
-
-impl Desk {
-    fn has_place(&mut self, now: Millis) -> bool {
-        if now.saturating_sub(self.second.0) >= SECOND_MS {
-            self.second = (now, 0);
-        }
-        self.second.1 += 1;
-        self.second.1 <= MOST_REQUESTS
-    }
-
-    fn is_silent(&self, now: Millis) -> bool {
-        self.asked.values().any(|one| one.is_overdue(now))
-    }
 }
 
 /// Requests for tokens that this daemon has made.
@@ -133,34 +100,34 @@
         self.desk.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether control has left a request unanswered for longer than a token lasts. After a
-    /// while it is asked again.
+    /// Whether control leaves requests unanswered.
     pub fn is_silent(&self, now: Millis) -> bool {
-        let mut desk = self.desk();
-        desk.asked
-            .retain(|_, one| now.saturating_sub(one.at) < ASKED_MS);
-        desk.is_silent(now)
+        self.desk().asks.is_silent(now)
     }
 
-    /// Asks control; what is returned resolves with its answer.
+    /// Asks control; what is returned resolves with its answer. While control is silent it is
+    /// asked now and then, and nobody waits.
     pub fn ask(
         &self,
         now: Millis,
         request: TokenRequest,
     ) -> Option<oneshot::Receiver<TokenAnswer>> {
         let mut desk = self.desk();
-        if !desk.has_place(now) {
-            return None;
-        }
-        let number = desk.next_number;
-        desk.next_number += 1;
-        let (waits, answer) = oneshot::channel();
-        let asked = Asked {
-            at: now,
-            request: request.clone(),
-            waits,
+        let asking = desk.asks.ask(now, request.clone());
+        desk.waits.retain(|_, waits| !waits.is_closed());
+        let (number, answer) = match asking {
+            Asking::Wait(number) => {
+                let (waits, answer) = oneshot::channel();
+                desk.waits.insert(number, waits);
+                (number, Some(answer))
+            }
+            Asking::Probe(number) => {
+                // Another process may lead.
+                desk.issuer = None;
+                (number, None)
+            }
+            Asking::No => return None,
         };
-        desk.asked.insert(number, asked);
         let to = desk.issuer;
         drop(desk);
         let note = LimitNote::Token {
@@ -170,24 +137,16 @@
         };
         // Without a connection to control there is nobody to ask.
         self.notes.send(note).ok()?;
-        Some(answer)
+        answer
     }
 
     /// The control process `from` answered.
     pub(crate) fn answered(&self, from: SocketAddr, number: u64) -> Option<Answered> {
         let mut desk = self.desk();
         desk.issuer = Some(from);
-        let asked = desk.asked.remove(&number)?;
-        Some(Answered {
-            request: asked.request,
-            asked_at: asked.at,
-            waits: asked.waits,
-        })
-    }
-
-    /// Control is silent: the next request goes to all of its processes.
-    pub fn forget_issuer(&self) {
-        self.desk().issuer = None;
+        let asked = desk.asks.answered(number)?;
+        let waits = desk.waits.remove(&number);
+        Some(Answered { asked, waits })
     }
 
     /// Tells control what a back end named.
@@ -202,16 +161,12 @@
     }
 }
 
-/// The token of a verdict on a request that was made at `asked_at`.
-pub(crate) fn token_of(
-    verdict: &TokenVerdict,
-    request: &TokenRequest,
-    asked_at: Millis,
-) -> TokenAnswer {
+/// What a verdict on `asked` means for whoever waits.
+pub(crate) fn answer_of(verdict: &TokenVerdict, asked: &AskedToken) -> TokenAnswer {
     match verdict {
         TokenVerdict::Issued => TokenAnswer::Issued(SendToken {
-            backend: request.backend,
-            valid_until: asked_at + TOKEN_LIFETIME_MS,
+            backend: asked.request.backend,
+            valid_until: asked.asked_at + TOKEN_LIFETIME_MS,
         }),
         TokenVerdict::Denied { again_in_ms, rate } => TokenAnswer::Denied {
             again_in_ms: *again_in_ms,
--- a/crates/coursestand-proxy/tests/backoff.rs
+++ b/crates/coursestand-proxy/tests/backoff.rs
@@ -25,7 +25,7 @@
 };
 use coursestand_proxy::retry::RetryVerdict;
 use coursestand_proxy::router::Router;
-use coursestand_routing::{BackendReport, Finding, Fingerprint, SharedFinding};
+use coursestand_routing::{BackendReport, Finding, Fingerprint, Rate, RateWord, SharedFinding};
 use googletest::prelude::*;
 use tokio::sync::oneshot;
 
@@ -254,6 +254,20 @@
     expect_that!(edge.arrivals(), eq(0));
 }
 
+/// Guards against requests that were chosen before a rate limit was named and sent after.
+#[gtest]
+#[tokio::test]
+async fn a_request_that_waits_for_a_connection_is_not_sent_once_a_rate_limit_is_named() {
+    let naming = BackendReport {
+        rate: RateWord::Limited(Rate::per_second(0.2)),
+        ..BackendReport::default()
+    };
+    let meanwhile = move |router: &Router, target: &Target| router.told(target, &naming);
+    let (edge, answer) = overtaken(Box::new(meanwhile)).await;
+    expect_that!(answer.status, eq(503));
+    expect_that!(edge.arrivals(), eq(0));
+}
+
 #[gtest]
 #[tokio::test]
 async fn a_request_that_waits_for_a_connection_is_not_sent_into_an_evacuated_zone() {
--- a/crates/coursestand-proxy/tests/untrusted_figures.rs
+++ b/crates/coursestand-proxy/tests/untrusted_figures.rs
@@ -8,6 +8,7 @@
 use coursestand_proxy::caller_limits::CallerLimits;
 use coursestand_proxy::headers::keep_alive_of;
 use coursestand_proxy::told::Told;
+use coursestand_routing::{Rate, RateWord};
 use googletest::prelude::*;
 use http::header::HeaderValue;
 use http::{HeaderMap, StatusCode};
@@ -108,3 +109,64 @@
         expect_that!(told(200, &[("x-draining", value)]).report.drains, eq(false));
     }
 }
+
+/// Guards against rate limits that are guessed from text which isn't a decimal number.
+#[gtest]
+fn a_rate_limit_is_read_where_it_can_be() {
+    let named = |value| told(200, &[("x-rate-limit", value)]).report.rate;
+    for (text, per_second) in [
+        ("5", 5.0),
+        ("5.1", 5.1),
+        (" 0.2 ", 0.2),
+        ("0", 0.0),
+        ("0.0001", 0.0),
+        ("1.", 1.0),
+    ] {
+        let rate = Rate::per_second(per_second);
+        expect_that!(named(text), eq(RateWord::Limited(rate)), "{text}");
+    }
+    for text in [
+        "",
+        "-1",
+        "+5",
+        "NaN",
+        "inf",
+        "1e300",
+        "5,1",
+        "5 a second",
+        ".",
+        "1.2.3",
+    ] {
+        expect_that!(named(text), eq(RateWord::Untold), "{text}");
+    }
+    let digits: &'static str = "9".repeat(400).leak();
+    let highest = Rate::per_second(f64::INFINITY);
+    expect_that!(named(digits), eq(RateWord::Limited(highest)));
+}
+
+/// Guards against a limit that is lifted by a header which can't be read, or by a failure.
+#[gtest]
+fn only_an_answer_without_the_header_tells_that_there_is_no_limit() {
+    let lines = [
+        ("x-rate-limit", "nonsense"),
+        ("x-rate-limit", "7"),
+        ("x-rate-limit", "3"),
+    ];
+    let lowest = RateWord::Limited(Rate::per_second(3.0));
+    expect_that!(told(200, &lines).report.rate, eq(lowest));
+    expect_that!(told(503, &lines).report.rate, eq(lowest));
+    for status in [200, 204, 404] {
+        expect_that!(
+            told(status, &[]).report.rate,
+            eq(RateWord::Unlimited),
+            "{status}"
+        );
+    }
+    for status in [500, 503, 504] {
+        expect_that!(
+            told(status, &[]).report.rate,
+            eq(RateWord::Untold),
+            "{status}"
+        );
+    }
+}
--- a/crates/coursestand-routing/src/backends.rs
+++ b/crates/coursestand-routing/src/backends.rs
@@ -410,13 +410,19 @@
         self.change_limit(&id, |limit| KnownLimit::hear_lifted(limit, lifted_at))
     }
 
-    /// Control issues no token for the incarnation with this `memory` for `again_in_ms`, to a
-    /// request of this rank.
-    pub fn note_denied(&mut self, now: Millis, memory: u64, again_in_ms: Millis, priority: u32) {
+    /// Control denied a token for the incarnation with this `memory`; see
+    /// [`KnownLimit::note_denied`].
+    pub fn note_denied(
+        &mut self,
+        asked_at: Millis,
+        memory: u64,
+        again_in_ms: Millis,
+        priority: u32,
+    ) {
         let mut backends = self.backends.values_mut();
         let backend = backends.find(|backend| backend.memory == memory);
         if let Some(limit) = backend.and_then(|backend| backend.limit.as_mut()) {
-            limit.note_denied(now, again_in_ms, priority);
+            limit.note_denied(asked_at, again_in_ms, priority);
         }
     }
 
--- a/crates/coursestand-routing/src/rate_limit/access.rs
+++ b/crates/coursestand-routing/src/rate_limit/access.rs
@@ -6,13 +6,15 @@
 use super::rate::Rate;
 use crate::hash::{combine, unit_point};
 
-/// Part of a limit that all daemons use together while they go without control.
-const PART_WITHOUT_CONTROL: f64 = 0.5;
+/// Part of a limit that all daemons use together while they go without control. It adds to the
+/// tokens of those that don't.
+const PART_WITHOUT_CONTROL: f64 = 0.4;
 /// Lowest rate that is used: so a back end that wants nothing is tried now and then, and is
 /// heard when it lifts its limit.
 pub(super) const LEAST_PER_SECOND: f64 = 0.1;
-/// Longest time for which a daemon's turn lasts.
-const LONGEST_TURN_MS: Millis = 1_000;
+/// Part of an interval for which a daemon's turn lasts: all whose turn it is may send at once.
+const TURN_PART: Millis = 8;
+const LONGEST_TURN_MS: Millis = 3_000;
 
 /// Leave to send one request to a rate-limited back end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,7 +53,7 @@
         used_at: Option<Millis>,
     ) -> bool {
         let interval_ms = self.interval_ms(rate);
-        let turn_ms = interval_ms.min(LONGEST_TURN_MS);
+        let turn_ms = (interval_ms / TURN_PART).clamp(1, LONGEST_TURN_MS);
         let number = now / interval_ms;
         let drawn = unit_point(combine(combine(self.daemon, backend), number));
         let begin = number * interval_ms + (drawn * (interval_ms - turn_ms) as f64) as Millis;
--- a/crates/coursestand-routing/src/rate_limit/issuer.rs
+++ b/crates/coursestand-routing/src/rate_limit/issuer.rs
@@ -10,7 +10,7 @@
 
 /// Part of a limit that is issued. Tokens are used a little later than issued, so that those
 /// of one window may arrive in a shorter one.
-const ISSUED_PART: f64 = 0.95;
+const ISSUED_PART: f64 = 0.98;
 /// Tokens that a bucket holds.
 const MOST_TOKENS: f64 = 2.0;
 /// Tokens that stay for more urgent requests while some of those are denied.
--- a/crates/coursestand-routing/src/rate_limit/known.rs
+++ b/crates/coursestand-routing/src/rate_limit/known.rs
@@ -5,9 +5,6 @@
 use super::access::OwnPart;
 use super::rate::{Rate, RateWord};
 
-/// Refused without a time, a daemon asks again after this long.
-const LEAST_PAUSE_MS: Millis = 20;
-
 /// One answer as a source about a rate limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Reading {
@@ -81,9 +78,11 @@
         self.denied_ms(now) == 0 || priority < self.denied_priority
     }
 
-    /// Control issues no token for `again_in_ms` to a request of this rank.
-    pub fn note_denied(&mut self, now: Millis, again_in_ms: Millis, priority: u32) {
-        self.denied_until = now.saturating_add(again_in_ms.max(LEAST_PAUSE_MS));
+    /// Control denied a token to a request of this rank that was made at `asked_at`, and
+    /// issues none for `again_in_ms` from when it decided. That moment isn't known here; asking
+    /// too early costs a message, and too late leaves a token unused.
+    pub fn note_denied(&mut self, asked_at: Millis, again_in_ms: Millis, priority: u32) {
+        self.denied_until = asked_at.saturating_add(again_in_ms);
         self.denied_priority = priority;
     }
 
--- a/crates/coursestand-routing/src/rate_limit/mod.rs
+++ b/crates/coursestand-routing/src/rate_limit/mod.rs
@@ -7,11 +7,13 @@
 //! reach. Without control it has a small part of its own.
 
 mod access;
+mod asks;
 mod issuer;
 mod known;
 mod rate;
 
 pub use access::{LimitAccess, OwnPart, SendToken};
+pub use asks::{AskedToken, Asking, TokenAsks};
 pub use issuer::{BucketView, TokenIssuer, TokenRequest, TokenVerdict};
 pub use known::{KnownLimit, LimitChange, Reading};
 pub use rate::{Rate, RateWord};
@@ -21,7 +23,7 @@
 
 /// How long a token may be used after it was asked for. It bounds how much later than issued
 /// a request can be sent, and so how many tokens of one window are used in the next.
-pub const TOKEN_LIFETIME_MS: Millis = 150;
+pub const TOKEN_LIFETIME_MS: Millis = 120;
 
 /// What a daemon tells of the rate limit of a back end.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
