Judge a rate limit in the soak of real processes

The soak had no back end that names a limit. Its relay is left alone: bytes that a relay holds back arrive together, which no daemon can prevent. The judge is shown a broken record.

--- a/crates/coursestand-daemon/tests/soak/faults.rs
+++ b/crates/coursestand-daemon/tests/soak/faults.rs
@@ -149,6 +149,9 @@
 
     fn harm_relay(&mut self, world: &World) {
         let relay = self.random.random_range(0..world.relays.len());
+        if relay >= world.shape.harmed_backends() {
+            return;
+        }
         let harm = match self.random.random_range(0..4) {
             0 => Harm::Delay(Duration::from_millis(120)),
             1 => Harm::SilentAnswers,
--- a/crates/coursestand-daemon/tests/soak/main.rs
+++ b/crates/coursestand-daemon/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod callers;
 mod faults;
 mod processes;
+mod rate_limit;
 mod relay;
 mod shape;
 
@@ -40,7 +41,7 @@
 pub const CONTROLS: [u8; 3] = [1, 2, 3];
 /// Disks that may be lost at once among three.
 pub const LOST_DISKS: usize = 1;
-const BACKENDS: usize = 4;
+pub const BACKENDS: usize = 4;
 const CALLERS: usize = 6;
 const HEARTBEAT: Duration = Duration::from_millis(400);
 /// Heartbeats after which a back end starts again; the last one says that it leaves.
@@ -227,9 +228,13 @@
     assert_eq!(status, 200, "the first items are refused");
     let mut heartbeats = Vec::new();
     for number in 0..BACKENDS {
-        let backend = ScriptedBackend::start(script(&mut random), Behaviour::Answer(200))
-            .await
-            .expect("a back end");
+        let script = script(&mut random);
+        let is_limited = number >= world.shape.harmed_backends();
+        let started = match is_limited {
+            true => ScriptedBackend::start(rate_limit::naming(script), rate_limit::NAMES).await,
+            false => ScriptedBackend::start(script, Behaviour::Answer(200)).await,
+        };
+        let backend = started.expect("a back end");
         let relay = Relay::start(backend.address()).await;
         let id = format!("backend-{number}");
         heartbeats.push((id, relay.address()));
@@ -251,7 +256,8 @@
     let calling: Vec<_> = (0..CALLERS)
         .map(|caller| tokio::spawn(call(Arc::clone(&record), fronts.clone(), caller, pause)))
         .collect();
-    let end = Instant::now() + Duration::from_secs(seconds);
+    let began = Instant::now();
+    let end = began + Duration::from_secs(seconds);
     let mut faults = Faults::new(random);
     while Instant::now() < end {
         faults.next(world).await?;
@@ -275,6 +281,9 @@
         }
     }
     judge_repeats(&record.asked(), &world.backends, &world.shape)?;
+    if world.shape.has_rate_limit {
+        rate_limit::judge(began, &world.backends[world.shape.harmed_backends()])?;
+    }
     judge(&record.asked(), &world.backends)
 }
 
@@ -392,6 +401,8 @@
         sent.await.expect("an answer");
     }
     let backends = [backend];
+    let long_ago = Instant::now().checked_sub(WITHIN).expect("a moment");
+    expect_that!(rate_limit::judge(long_ago, &backends[0]), ok(eq(&())));
     let strict = Shape {
         retry_extra: 0.0,
         ..Shape::narrow()
@@ -421,6 +432,14 @@
         contains_substring("run 2 times")
     );
     expect_that!(judged(vec![]), contains_substring("never asked"));
+    for number in 0..20 {
+        let url = format!("http://{}/safe/{number}", backends[0].address());
+        http.get(url).send().await.expect("an answer");
+    }
+    expect_that!(
+        rate_limit::judge(long_ago, &backends[0]),
+        err(contains_substring("rate limit"))
+    );
     // A back end that ran nothing, and one that ran a request that was refused.
     let idle = ScriptedBackend::start(vec![], Behaviour::Answer(200))
         .await
--- a/crates/coursestand-daemon/tests/soak/shape.rs
+++ b/crates/coursestand-daemon/tests/soak/shape.rs
@@ -6,6 +6,8 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
+use crate::BACKENDS;
+
 const FIRST_EDGE: u8 = 11;
 const RETRY_RATIO: f64 = 0.2;
 const RETRY_WINDOW: Duration = Duration::from_secs(10);
@@ -24,6 +26,8 @@
     /// Fixed part of the bound on repeats.
     pub retry_extra: f64,
     pub has_all_faults: bool,
+    /// Whether the last back end names a rate limit with each proper answer.
+    pub has_rate_limit: bool,
 }
 
 impl Shape {
@@ -34,6 +38,7 @@
             pause: Duration::from_millis(5),
             retry_extra: 64.0,
             has_all_faults: false,
+            has_rate_limit: false,
         }
     }
 
@@ -45,6 +50,7 @@
             pause: Duration::from_millis([5, 50, 300][random.random_range(0..3)]),
             retry_extra: [64.0, 20.0, 6.0][random.random_range(0..3)],
             has_all_faults: true,
+            has_rate_limit: true,
         }
     }
 
@@ -63,6 +69,12 @@
         }
     }
 
+    /// Back ends whose connections are harmed. Requests that a relay holds back arrive together,
+    /// which no daemon can prevent: the one with a rate limit is left alone.
+    pub fn harmed_backends(&self) -> usize {
+        BACKENDS - usize::from(self.has_rate_limit)
+    }
+
     pub fn repeat_bound(&self) -> RepeatBound {
         RepeatBound {
             ratio: RETRY_RATIO,
