--- a/crates/coursestand-routing/tests/rate_limits/main.rs
+++ b/crates/coursestand-routing/tests/rate_limits/main.rs
@@ -3,6 +3,7 @@
 //! `COURSESTAND_RUNS=10000` plays so many schedules of each kind.
 #![allow(missing_docs)]
 
+mod picks;
 mod words;
 mod world;
 
--- /dev/null
+++ b/crates/coursestand-routing/tests/rate_limits/picks.rs
@@ -0,0 +1,203 @@
+//! Picks among back ends of which some have a rate limit, beside what else keeps a back end
+//! out.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use coursestand_catalog::Catalog;
+use coursestand_discovery::{Instance, InstanceNews, InstancePhase};
+use coursestand_model::{BackendId, Millis, RegionId, ServiceId, ZoneId};
+use coursestand_routing::backends::ReportTrust;
+use coursestand_routing::cold::{ColdLimits, OwnerViews};
+use coursestand_routing::picker::{Balance, Place};
+use coursestand_routing::rate_limit::Reading;
+use coursestand_routing::{
+    Backends, LimitAccess, PickRequest, Picker, Rate, RateWord, Refusal, SendToken,
+};
+use googletest::prelude::*;
+
+const NOW: Millis = 1_000;
+const NO_TOKEN: LimitAccess = LimitAccess::Sending {
+    token: None,
+    own_part: None,
+};
+
+fn id(number: usize) -> BackendId {
+    BackendId(format!("b-{number}"))
+}
+
+/// Back ends in zones `near` and `far` of regions of the same names.
+fn fleet(near: usize, far: usize) -> Backends {
+    let mut backends = Backends::default();
+    for number in 0..near + far {
+        let zone = if number < near { "near" } else { "far" };
+        let instance = Instance {
+            id: id(number),
+            born: None,
+            service: ServiceId::from("s"),
+            address: SocketAddr::from(([127, 0, 0, 1], 8_000 + number as u16)),
+            zone: ZoneId::from(zone),
+            capacity: 4,
+            software: "v1".to_owned(),
+            sequence: 1,
+            phase: InstancePhase::Ready,
+        };
+        let cold_ms = 0;
+        backends.merge(0, InstanceNews { instance, cold_ms });
+    }
+    backends
+}
+
+fn limit(backends: &mut Backends, number: usize) {
+    let reading = Reading {
+        word: RateWord::Limited(Rate::per_second(5.0)),
+        sent_at: 0,
+        is_whole: true,
+    };
+    backends.note_rate(NOW, &id(number), reading);
+}
+
+fn place() -> Place {
+    let zones = ["near", "far"].map(|name| (ZoneId::from(name), RegionId::from(name)));
+    Place {
+        daemon: "edge-1".to_owned(),
+        region: RegionId::from("near"),
+        zones: BTreeMap::from(zones),
+        cold: ColdLimits {
+            overage: 1.5,
+            slack: 5.0,
+        },
+        balance: Balance {
+            hard_load: 1.6,
+            trust: ReportTrust {
+                hold_ms: 250,
+                half_life_ms: 400,
+            },
+        },
+    }
+}
+
+fn pick(
+    backends: &Backends,
+    key: u64,
+    limits: LimitAccess,
+) -> std::result::Result<BackendId, Refusal> {
+    let service = ServiceId::from("s");
+    let request = PickRequest {
+        service: &service,
+        key,
+        has_object: true,
+        objective_ms: 300,
+        allowed_regions: &[],
+        excluded: &[],
+        limits,
+        now: NOW,
+    };
+    let owners = OwnerViews::new(0);
+    let mut picker = Picker::new(place());
+    let picked = picker.pick(backends, &Catalog::default(), &owners, &request);
+    picked.map(|pick| pick.id)
+}
+
+/// Guards against a region that keeps its keys though all of its back ends are at their limit.
+#[gtest]
+fn where_a_whole_region_is_limited_another_one_serves() {
+    let mut backends = fleet(5, 2);
+    (0..5).for_each(|number| limit(&mut backends, number));
+    for key in 0..50 {
+        let picked = pick(&backends, key, NO_TOKEN);
+        expect_that!(picked, ok(any![eq(&id(5)), eq(&id(6))]), "key {key}");
+    }
+}
+
+/// Guards against the last resort, which goes round other checks, going round the limit.
+#[gtest]
+fn a_limited_back_end_is_no_last_resort() {
+    let mut backends = fleet(2, 0);
+    limit(&mut backends, 0);
+    backends.note_unreachable(NOW, &id(0));
+    backends.note_unreachable(NOW, &id(1));
+    for key in 0..20 {
+        expect_that!(pick(&backends, key, NO_TOKEN), ok(eq(&id(1))));
+    }
+    limit(&mut backends, 1);
+    let refusal = pick(&backends, 0, NO_TOKEN);
+    expect_that!(refusal, err(matches_pattern!(Refusal::RateLimited { .. })));
+}
+
+/// Guards against a token for one back end that opens another.
+#[gtest]
+fn a_token_admits_to_its_back_end_alone_and_for_its_time() {
+    let mut backends = fleet(2, 0);
+    (0..2).for_each(|number| limit(&mut backends, number));
+    let memory = backends.get(&id(1)).map(|backend| backend.memory);
+    let access = |valid_until| LimitAccess::Sending {
+        token: memory.map(|backend| SendToken {
+            backend,
+            valid_until,
+        }),
+        own_part: None,
+    };
+    for key in 0..20 {
+        expect_that!(pick(&backends, key, access(NOW)), ok(eq(&id(1))));
+        expect_that!(pick(&backends, key, access(NOW - 1)).is_err(), eq(true));
+    }
+}
+
+/// Guards against a limit that opens a back end which another bound keeps out.
+#[gtest]
+fn of_several_bounds_each_holds() {
+    let mut backends = fleet(1, 0);
+    limit(&mut backends, 0);
+    let memory = backends.get(&id(0)).map(|backend| backend.memory);
+    let access = LimitAccess::Sending {
+        token: memory.map(|backend| SendToken {
+            backend,
+            valid_until: NOW,
+        }),
+        own_part: None,
+    };
+    expect_that!(pick(&backends, 0, access).is_ok(), eq(true));
+    backends.note_backoff(NOW, &id(0), 500);
+    expect_that!(
+        pick(&backends, 0, access),
+        err(eq(&Refusal::BackingOff { ends_in_ms: 500 }))
+    );
+    let mut backends = fleet(1, 0);
+    limit(&mut backends, 0);
+    backends.note_draining(NOW, &id(0));
+    expect_that!(pick(&backends, 0, access), err(eq(&Refusal::NoBackend)));
+}
+
+/// Guards against callers that are told to come back before any token is free.
+#[gtest]
+fn a_refusal_names_the_first_token_or_the_first_end_of_a_backoff() {
+    let mut backends = fleet(3, 0);
+    for (number, again_in_ms) in [(0, 400), (1, 250)] {
+        limit(&mut backends, number);
+        let memory = backends.get(&id(number)).map(|backend| backend.memory);
+        backends.note_denied(NOW, memory.unwrap_or_default(), again_in_ms, 0);
+    }
+    backends.note_backoff(NOW, &id(2), 900);
+    let refused = Refusal::RateLimited { again_in_ms: 250 };
+    expect_that!(pick(&backends, 0, NO_TOKEN), err(eq(&refused)));
+    backends.note_backoff(NOW, &id(2), 100);
+    expect_that!(pick(&backends, 0, NO_TOKEN), err(eq(&refused)));
+}
+
+/// Guards against a rush when a limit is lifted: daemons that went without come back together.
+#[gtest]
+fn a_back_end_whose_limit_is_lifted_takes_one_request_at_a_time_first() {
+    let mut backends = fleet(1, 0);
+    limit(&mut backends, 0);
+    let reading = Reading {
+        word: RateWord::Unlimited,
+        sent_at: NOW + 1,
+        is_whole: true,
+    };
+    backends.note_rate(NOW + 2, &id(0), reading);
+    let room = |backends: &Backends| backends.get(&id(0)).is_some_and(|one| one.has_room(NOW));
+    expect_that!(room(&backends), eq(true));
+    backends.start(&id(0));
+    expect_that!(room(&backends), eq(false));
+}
