Divide a rate limit among daemons where each has a large part of it

What callers would see: a back end that names a high limit, say 1,000 a second, would get 50 a second of each daemon at most, since that is how often a daemon asks control for tokens. A limit of 20 or more for each daemon is now divided equally, without tokens: two of each daemon together are a tenth of the limit, so that the strict bound holds. Daemons that went count in the division for as long as in that of retries.

--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -7,7 +7,7 @@
 use coursestand_routing::hash::{combine, hash_of};
 use coursestand_routing::picker::Asked;
 use coursestand_routing::rate_limit::{
-    LimitChange, OwnPart, RateWord, Reading, TOKEN_LIFETIME_MS, TokenRequest,
+    AccessBy, LimitChange, OwnPart, RateWord, Reading, TOKEN_LIFETIME_MS, TokenRequest,
 };
 use coursestand_routing::split::SplitState;
 use coursestand_routing::{
@@ -79,15 +79,20 @@
 
     /// How the next attempt may reach rate-limited back ends.
     fn access(&self, beliefs: &Beliefs, now: Millis, attempts: &Attempts) -> LimitAccess {
-        let own_part = || OwnPart {
+        if beliefs.backends.limited() == 0 {
+            return LimitAccess::default();
+        }
+        let daemons = beliefs.allowance.daemons(now);
+        let own_part = OwnPart {
             daemon: beliefs.fatal.own(),
-            daemons: beliefs.daemons.len(),
+            daemons,
         };
-        let is_alone = beliefs.backends.limited() > 0 && !self.issues_tokens(beliefs, now);
-        LimitAccess::Sending {
+        let is_alone = !self.issues_tokens(beliefs, now);
+        let by = AccessBy::Sending {
             token: attempts.token,
-            own_part: is_alone.then(own_part),
-        }
+            own_part: is_alone.then_some(own_part),
+        };
+        LimitAccess { daemons, by }
     }
 
     /// The back end's answer says something of its rate limit.
@@ -322,10 +327,12 @@
             look_at(beliefs, now, fingerprint, attempts).ok()?;
         }
         let priority = matched.route.route.priority;
-        let access = LimitAccess::Asking { priority };
+        let daemons = beliefs.allowance.daemons(now);
+        let by = AccessBy::Asking { priority };
+        let access = LimitAccess { daemons, by };
         let pick = self.pick(beliefs, now, matched, attempts, access).ok()?;
         let backend = beliefs.backends.get(&pick.id)?;
-        let limit = backend.limit()?;
+        let limit = backend.limit().filter(|limit| !limit.is_divided(daemons))?;
         let request = TokenRequest {
             backend: backend.memory,
             rate: limit.rate(),
@@ -366,7 +373,8 @@
         beliefs.picker.note_sent(now, backend);
         beliefs.backends.start(&pick.id);
         if admitted_until.is_some() && attempts.token.is_none() {
-            beliefs.backends.note_own_turn(now, &pick.id);
+            let backends = &mut beliefs.backends;
+            backends.note_sent_without_token(now, &pick.id, access.daemons);
         }
         let mut is_trial = false;
         if let Some(fingerprint) = matched.fingerprint {
--- a/crates/coursestand-routing/src/backends.rs
+++ b/crates/coursestand-routing/src/backends.rs
@@ -426,10 +426,16 @@
         }
     }
 
-    /// A request is sent to the back end by the daemon's own part of its limit.
-    pub fn note_own_turn(&mut self, now: Millis, id: &BackendId) {
+    /// A request is sent to the back end without a token, by the daemon's own part of its limit
+    /// among so many `daemons`.
+    pub fn note_sent_without_token(&mut self, now: Millis, id: &BackendId, daemons: usize) {
         let backend = self.backends.get_mut(id);
-        if let Some(limit) = backend.and_then(|backend| backend.limit.as_mut()) {
+        let Some(limit) = backend.and_then(|backend| backend.limit.as_mut()) else {
+            return;
+        };
+        if limit.is_divided(daemons) {
+            limit.note_part_used(now, daemons);
+        } else {
             limit.note_own_turn(now);
         }
     }
--- a/crates/coursestand-routing/src/rate_limit/access.rs
+++ b/crates/coursestand-routing/src/rate_limit/access.rs
@@ -64,13 +64,22 @@
 
 /// How a request may reach back ends that named a rate limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum LimitAccess {
-    /// Those count as open for which control may issue a token.
+pub struct LimitAccess {
+    /// Daemons among which large limits are divided.
+    pub daemons: usize,
+    /// How it may reach those with other limits.
+    pub by: AccessBy,
+}
+
+/// What opens a back end that named a limit which isn't divided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AccessBy {
+    /// That control may issue a token for it.
     Asking {
         /// Rank of the request; 0 is the highest.
         priority: u32,
     },
-    /// The one of the token, and those of which it is the daemon's turn.
+    /// A token that was issued, or the daemon's turn.
     Sending {
         /// The token that was issued for the request.
         token: Option<SendToken>,
@@ -81,9 +90,12 @@
 
 impl Default for LimitAccess {
     fn default() -> Self {
-        LimitAccess::Sending {
-            token: None,
-            own_part: None,
+        LimitAccess {
+            daemons: 1,
+            by: AccessBy::Sending {
+                token: None,
+                own_part: None,
+            },
         }
     }
 }
@@ -92,9 +104,12 @@
     /// Whether the request may be sent to the back end that is told from others by `backend`
     /// and has this limit.
     pub fn admits(&self, now: Millis, backend: u64, limit: &KnownLimit) -> bool {
-        match self {
-            LimitAccess::Asking { priority } => limit.may_ask(now, *priority),
-            LimitAccess::Sending { token, own_part } => {
+        if limit.is_divided(self.daemons) {
+            return limit.has_part(now, self.daemons);
+        }
+        match self.by {
+            AccessBy::Asking { priority } => limit.may_ask(now, priority),
+            AccessBy::Sending { token, own_part } => {
                 let has_token = token.is_some_and(|token| token.is_valid(now, backend));
                 let is_turn = |own: OwnPart| limit.is_own_turn(now, &own, backend);
                 has_token || own_part.is_some_and(is_turn)
--- a/crates/coursestand-routing/src/rate_limit/issuer.rs
+++ b/crates/coursestand-routing/src/rate_limit/issuer.rs
@@ -7,12 +7,8 @@
 
 use super::access::LEAST_PER_SECOND;
 use super::rate::Rate;
+use super::{ISSUED_PART, MOST_TOKENS};
 
-/// Part of a limit that is issued. Tokens are used a little later than issued, so that those
-/// of one window may arrive in a shorter one.
-const ISSUED_PART: f64 = 0.98;
-/// Tokens that a bucket holds.
-const MOST_TOKENS: f64 = 2.0;
 /// Tokens that stay for more urgent requests while some of those are denied.
 const RESERVED_TOKENS: f64 = 1.0;
 /// For how long after a denial the next tokens are kept for requests as urgent.
--- a/crates/coursestand-routing/src/rate_limit/known.rs
+++ b/crates/coursestand-routing/src/rate_limit/known.rs
@@ -4,6 +4,10 @@
 
 use super::access::OwnPart;
 use super::rate::{Rate, RateWord};
+use super::{ISSUED_PART, MOST_TOKENS};
+
+/// Requests a second of one daemon from which on a limit is divided.
+const LEAST_PART: f64 = 20.0;
 
 /// One answer as a source about a rate limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,7 +30,7 @@
 }
 
 /// The limit of one incarnation of a back end.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct KnownLimit {
     rate: Rate,
     /// When it was named last.
@@ -39,6 +43,8 @@
     denied_priority: u32,
     /// When this daemon's own part was used last.
     own_part_used_at: Option<Millis>,
+    /// Tokens of its part of a limit that is divided, and when that was worked out.
+    part: (f64, Millis),
 }
 
 impl KnownLimit {
@@ -50,6 +56,7 @@
             denied_until: 0,
             denied_priority: 0,
             own_part_used_at: None,
+            part: (0.0, now),
         }
     }
 
@@ -86,6 +93,30 @@
         self.denied_priority = priority;
     }
 
+    /// Whether each of so many daemons keeps to an equal part of the limit, without tokens.
+    /// Parts are divided where they are so large that the tokens of all daemons together are a
+    /// small part of the limit.
+    pub fn is_divided(&self, daemons: usize) -> bool {
+        self.rate.as_per_second() >= LEAST_PART * daemons.max(1) as f64
+    }
+
+    fn part_tokens(&self, now: Millis, daemons: usize) -> f64 {
+        let (tokens, filled_at) = self.part;
+        let seconds = now.saturating_sub(filled_at) as f64 / 1_000.0;
+        let per_second = self.rate.as_per_second() * ISSUED_PART / daemons.max(1) as f64;
+        (tokens + per_second * seconds).min(MOST_TOKENS)
+    }
+
+    /// Whether this daemon's part of a divided limit allows a request.
+    pub fn has_part(&self, now: Millis, daemons: usize) -> bool {
+        self.part_tokens(now, daemons) >= 1.0
+    }
+
+    /// A request is sent by this daemon's part of a divided limit.
+    pub fn note_part_used(&mut self, now: Millis, daemons: usize) {
+        self.part = (self.part_tokens(now, daemons) - 1.0, now);
+    }
+
     /// Whether it is this daemon's turn to send by its own part.
     pub(super) fn is_own_turn(&self, now: Millis, own: &OwnPart, backend: u64) -> bool {
         own.is_turn(now, backend, self.rate, self.own_part_used_at)
--- a/crates/coursestand-routing/src/rate_limit/mod.rs
+++ b/crates/coursestand-routing/src/rate_limit/mod.rs
@@ -5,6 +5,7 @@
 //! back end, from one bucket for all daemons ([`TokenIssuer`]). A daemon keeps what its back
 //! ends named ([`KnownLimit`]) and decides by [`LimitAccess`] which of them a request may
 //! reach. Without control it has a small part of its own.
+//! A limit that is large for each daemon is divided among them instead.
 
 mod access;
 mod asks;
@@ -12,7 +13,7 @@
 mod known;
 mod rate;
 
-pub use access::{LimitAccess, OwnPart, SendToken};
+pub use access::{AccessBy, LimitAccess, OwnPart, SendToken};
 pub use asks::{AskedToken, Asking, TokenAsks};
 pub use issuer::{BucketView, TokenIssuer, TokenRequest, TokenVerdict};
 pub use known::{KnownLimit, LimitChange, Reading};
@@ -25,6 +26,12 @@
 /// a request can be sent, and so how many tokens of one window are used in the next.
 pub const TOKEN_LIFETIME_MS: Millis = 120;
 
+/// Part of a limit that is used. Requests arrive a little later than their tokens are issued,
+/// so that those of one window may arrive in a shorter one.
+const ISSUED_PART: f64 = 0.98;
+/// Tokens that a bucket holds.
+const MOST_TOKENS: f64 = 2.0;
+
 /// What a daemon tells of the rate limit of a back end.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LimitNews {
--- a/crates/coursestand-routing/tests/rate_limits/main.rs
+++ b/crates/coursestand-routing/tests/rate_limits/main.rs
@@ -55,7 +55,7 @@
 }
 
 fn drawn(random: &mut StdRng) -> (Schedule, f64) {
-    let per_second = [0.2, 1.0, 5.1, 5.7, 20.0, 50.0][random.random_range(0..6)];
+    let per_second = [0.2, 1.0, 5.1, 5.7, 20.0, 50.0, 500.0][random.random_range(0..7)];
     let daemons = [1, 2, 3, 5, 12, 24, 65, 70][random.random_range(0..8)];
     let demand = per_second * [1.5, 2.5, 10.0][random.random_range(0..3)];
     let schedule = Schedule {
@@ -65,6 +65,7 @@
         limits: vec![(0, Some(per_second))],
         harms: Vec::new(),
         cut_answers: [0, 5][random.random_range(0..2)],
+        lost_asks: [0, 3][random.random_range(0..2)],
     };
     (schedule, per_second)
 }
@@ -164,6 +165,7 @@
             limits: vec![(0, Some(5.0))],
             harms: vec![(TOLD_MS, Harm::LoseLeader { lasts: 60_000 })],
             cut_answers: 0,
+            lost_asks: 0,
         };
         let arrived = World::play(&schedule, Scheme::Tokens, 1).arrived;
         let rate = since(&arrived, 10_000).count() as f64 / 50.0;
--- a/crates/coursestand-routing/tests/rate_limits/picks.rs
+++ b/crates/coursestand-routing/tests/rate_limits/picks.rs
@@ -10,18 +10,34 @@
 use coursestand_routing::backends::ReportTrust;
 use coursestand_routing::cold::{ColdLimits, OwnerViews};
 use coursestand_routing::picker::{Balance, Place};
-use coursestand_routing::rate_limit::Reading;
+use coursestand_routing::rate_limit::{AccessBy, Reading};
 use coursestand_routing::{
     Backends, LimitAccess, PickRequest, Picker, Rate, RateWord, Refusal, SendToken,
 };
 use googletest::prelude::*;
 
 const NOW: Millis = 1_000;
-const NO_TOKEN: LimitAccess = LimitAccess::Sending {
-    token: None,
-    own_part: None,
+const DAEMONS: usize = 12;
+const NO_TOKEN: LimitAccess = LimitAccess {
+    daemons: DAEMONS,
+    by: AccessBy::Sending {
+        token: None,
+        own_part: None,
+    },
 };
 
+fn with_token(backend: Option<u64>, valid_until: Millis) -> LimitAccess {
+    let token = backend.map(|backend| SendToken {
+        backend,
+        valid_until,
+    });
+    let by = AccessBy::Sending {
+        token,
+        own_part: None,
+    };
+    LimitAccess { by, ..NO_TOKEN }
+}
+
 fn id(number: usize) -> BackendId {
     BackendId(format!("b-{number}"))
 }
@@ -131,13 +147,7 @@
     let mut backends = fleet(2, 0);
     (0..2).for_each(|number| limit(&mut backends, number));
     let memory = backends.get(&id(1)).map(|backend| backend.memory);
-    let access = |valid_until| LimitAccess::Sending {
-        token: memory.map(|backend| SendToken {
-            backend,
-            valid_until,
-        }),
-        own_part: None,
-    };
+    let access = |valid_until| with_token(memory, valid_until);
     for key in 0..20 {
         expect_that!(pick(&backends, key, access(NOW)), ok(eq(&id(1))));
         expect_that!(pick(&backends, key, access(NOW - 1)).is_err(), eq(true));
@@ -150,13 +160,7 @@
     let mut backends = fleet(1, 0);
     limit(&mut backends, 0);
     let memory = backends.get(&id(0)).map(|backend| backend.memory);
-    let access = LimitAccess::Sending {
-        token: memory.map(|backend| SendToken {
-            backend,
-            valid_until: NOW,
-        }),
-        own_part: None,
-    };
+    let access = with_token(memory, NOW);
     expect_that!(pick(&backends, 0, access).is_ok(), eq(true));
     backends.note_backoff(NOW, &id(0), 500);
     expect_that!(
--- a/crates/coursestand-routing/tests/rate_limits/world.rs
+++ b/crates/coursestand-routing/tests/rate_limits/world.rs
@@ -9,8 +9,8 @@
 use coursestand_routing::findings::BackendReports;
 use coursestand_routing::hash::hash_of;
 use coursestand_routing::rate_limit::{
-    Asking, KnownLimit, LimitAccess, LimitChange, OwnPart, Rate, RateWord, Reading, SendToken,
-    TOKEN_LIFETIME_MS, TokenAsks, TokenIssuer, TokenRequest, TokenVerdict,
+    AccessBy, Asking, KnownLimit, LimitAccess, LimitChange, OwnPart, Rate, RateWord, Reading,
+    SendToken, TOKEN_LIFETIME_MS, TokenAsks, TokenIssuer, TokenRequest, TokenVerdict,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -69,6 +69,8 @@
     pub harms: Vec<(Millis, Harm)>,
     /// Of a hundred answers, those that are cut.
     pub cut_answers: u32,
+    /// Of a hundred requests for tokens, those that are lost.
+    pub lost_asks: u32,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -374,8 +376,12 @@
         if self.now < one.down_until || self.now < one.frozen_until {
             return;
         }
-        if one.limit.is_none() {
+        let Some(limit) = &one.limit else {
             return self.send(daemon);
+        };
+        let daemons = self.schedule.daemons;
+        if self.scheme == Scheme::Tokens && limit.is_divided(daemons) {
+            return self.request_by_part(daemon, daemons);
         }
         match self.scheme {
             Scheme::Tokens => self.request_by_token(daemon),
@@ -416,8 +422,11 @@
         if is_connected && limit.may_ask(clock, 0) {
             asking = one.asks.ask(clock, request.clone());
         }
-        if let Asking::Wait(number) | Asking::Probe(number) = asking {
-            let life = one.life;
+        let is_lost = self.random.random_range(0..100) < self.schedule.lost_asks;
+        if let Asking::Wait(number) | Asking::Probe(number) = asking
+            && !is_lost
+        {
+            let life = self.daemons[daemon].life;
             let arrives = Event::AskArrives {
                 daemon,
                 life,
@@ -432,15 +441,29 @@
         }
     }
 
+    fn request_by_part(&mut self, daemon: usize, daemons: usize) {
+        let clock = self.clock(daemon);
+        let limit = &mut self.daemons[daemon].limit;
+        let Some(limit) = limit else { return };
+        if limit.has_part(clock, daemons) {
+            limit.note_part_used(clock, daemons);
+            self.send(daemon);
+        }
+    }
+
     fn request_by_own_part(&mut self, daemon: usize, clock: Millis) {
         let own_part = Some(OwnPart {
             daemon: hash_of(&daemon.to_string()),
             daemons: self.schedule.daemons,
         });
-        let access = LimitAccess::Sending {
+        let by = AccessBy::Sending {
             token: None,
             own_part,
         };
+        let access = LimitAccess {
+            daemons: self.schedule.daemons,
+            by,
+        };
         let limit = &mut self.daemons[daemon].limit;
         let Some(limit) = limit else { return };
         if access.admits(clock, BACKEND, limit) {
