End the daemons of a soak that is hung up

What developers saw: a soak that was hung up or interrupted left its daemons running; its processes are ended as they are dropped, and nothing is dropped then. The harness of the soak and of repeats keeps the identities of the processes that run, and ends them, and itself, at SIGHUP, SIGTERM or SIGINT. A soak that is killed by SIGKILL still leaves them.

--- a/crates/coursestand-daemon/tests/soak/main.rs
+++ b/crates/coursestand-daemon/tests/soak/main.rs
@@ -13,6 +13,7 @@
 
 mod callers;
 mod faults;
+mod hangup;
 mod processes;
 mod rate_limit;
 mod relay;
--- a/crates/coursestand-daemon/tests/soak/processes.rs
+++ b/crates/coursestand-daemon/tests/soak/processes.rs
@@ -1,12 +1,14 @@
 //! The real programs as processes, and signals to them by their ids.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, MutexGuard, Once, PoisonError};
 use std::time::{Duration, Instant};
 
 use coursestand_model::fleet::FleetSettings;
+use tokio::signal::unix::{SignalKind, signal};
 
 /// Longest time from a program's start until its signal handlers stand.
 const TIME_TO_START: Duration = Duration::from_secs(2);
@@ -45,6 +47,38 @@
     }
 }
 
+/// Identities of the processes that run now, of all deployments of this test.
+static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
+static WATCHES_SIGNALS: Once = Once::new();
+
+fn running() -> MutexGuard<'static, BTreeSet<u32>> {
+    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Ends all processes, and this one, when this one is told to end: nothing is dropped then.
+fn end_with_this_process() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime");
+    runtime.block_on(async {
+        let mut hangup = signal(SignalKind::hangup()).expect("a handler");
+        let mut terminate = signal(SignalKind::terminate()).expect("a handler");
+        let mut interrupt = signal(SignalKind::interrupt()).expect("a handler");
+        tokio::select! {
+            _ = hangup.recv() => {}
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+    });
+    // Held until the end, so that no further one starts.
+    let running = running();
+    let ids = running.iter().map(u32::to_string);
+    // One of them may have ended meanwhile.
+    let _ = Command::new("kill").arg("-KILL").args(ids).status();
+    std::process::exit(1);
+}
+
 /// Processes by host. Dropped, it ends those that it started.
 pub struct Processes {
     folder: PathBuf,
@@ -56,6 +90,9 @@
 impl Processes {
     pub fn new(folder: &Path) -> Processes {
         std::fs::create_dir_all(folder).expect("a folder");
+        WATCHES_SIGNALS.call_once(|| {
+            std::thread::spawn(end_with_this_process);
+        });
         Processes {
             folder: folder.to_owned(),
             children: BTreeMap::new(),
@@ -71,6 +108,7 @@
         std::fs::write(&file, text_of(settings)).expect("written");
         let log = self.folder.join(format!("{host}-{}.log", self.starts));
         let log = File::create(log).expect("a log");
+        let mut running = running();
         let child = Command::new(program())
             .arg("--fleet")
             .arg(&file)
@@ -79,10 +117,17 @@
             .stderr(log)
             .spawn()
             .expect("started");
+        running.insert(child.id());
+        drop(running);
         self.children.insert(host, child);
         self.started_at.insert(host, Instant::now());
     }
 
+    /// Identity of the process of a host.
+    pub fn id(&self, host: u8) -> u32 {
+        self.children.get(&host).expect("it was started").id()
+    }
+
     /// Whether the process of this host has run long enough to handle signals: until
     /// a program has set its handlers, the system ends it on a signal.
     pub fn handles_signals(&self, host: u8) -> bool {
@@ -104,6 +149,7 @@
             // One that has ended by itself is waited for all the same.
             let _ = child.kill();
             let _ = child.wait();
+            running().remove(&child.id());
         }
     }
 
@@ -111,8 +157,8 @@
     pub fn has_ended(&mut self, host: u8) -> bool {
         let child = self.children.get_mut(&host).expect("it was started");
         let has_ended = child.try_wait().expect("a status").is_some();
-        if has_ended {
-            self.children.remove(&host);
+        if has_ended && let Some(child) = self.children.remove(&host) {
+            running().remove(&child.id());
         }
         has_ended
     }
