--- a/crates/coursestand-cli/tests/explain.rs
+++ b/crates/coursestand-cli/tests/explain.rs
@@ -11,6 +11,8 @@
 {"time":"100.300","process":"edge-1","level":"INFO","part":"proxy","message":"a request ended","request":"r-busy","limit_ms":800,"took_ms":1,"status":503,"outcome":"busy","attempts":0}
 {"time":"101.000","process":"edge-1","level":"INFO","part":"proxy","message":"a request ended","request":"r-late","instance":"i-2","limit_ms":800,"took_ms":880,"status":504,"outcome":"timed-out","attempts":1}
 {"time":"102.000","process":"edge-1","level":"INFO","part":"proxy","message":"an attempt failed","request":"r-died","instance":"i-2","outcome":"shed","attempt":1}
+{"time":"103.000","process":"edge-1","level":"INFO","part":"proxy","message":"no token for a rate-limited back end","request":"r-limited","instance":"i-3","limit_per_second":5.1,"again_in_ms":221,"outcome":"denied"}
+{"time":"103.001","process":"edge-1","level":"INFO","part":"proxy","message":"a request ended","request":"r-limited","limit_ms":800,"took_ms":12,"status":503,"outcome":"rate-limited","attempts":0}
 not a log line
 "#;
 const CONTROL_LOG: &str = r#"
@@ -79,3 +81,11 @@
     let text = String::from_utf8_lossy(&output.stderr).into_owned();
     expect_that!(text, contains_substring("/not/there.log"));
 }
+
+/// Guards against a refusal for a rate limit of which nobody can tell whose limit it was.
+#[gtest]
+fn a_refusal_for_a_rate_limit_names_the_back_end_and_its_limit() {
+    let story = explain("r-limited");
+    expect_that!(story, contains_substring("i-3 (denied, 5.1 a second)"));
+    expect_that!(story, contains_substring("has not run"));
+}
