--- a/crates/coursestand-routing/tests/rate_limits/main.rs
+++ b/crates/coursestand-routing/tests/rate_limits/main.rs
@@ -3,7 +3,9 @@
 //! `COURSESTAND_RUNS=10000` plays so many schedules of each kind.
 #![allow(missing_docs)]
 
+mod events;
 mod picks;
+mod schedule;
 mod words;
 mod world;
 
@@ -14,7 +16,8 @@
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use world::{Arrived, Harm, Played, Schedule, Scheme, World, instants};
+use schedule::{Arrived, Harm, Played, Schedule, Scheme, instants};
+use world::World;
 
 const RUNS: u64 = 150;
 /// Harms and changes begin after this.
--- a/crates/coursestand-routing/tests/rate_limits/world.rs
+++ b/crates/coursestand-routing/tests/rate_limits/world.rs
@@ -3,7 +3,6 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
-use std::time::{Duration, Instant};
 
 use coursestand_model::Millis;
 use coursestand_routing::findings::BackendReports;
@@ -15,7 +14,9 @@
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
 
-const BACKEND: u64 = 7;
+use crate::events::{BACKEND, Event, Verdict};
+use crate::schedule::{Arrived, Harm, Played, Schedule, Scheme};
+
 /// Longest way between a daemon and control, and between a daemon and the back end.
 const CONTROL_WAY_MS: Millis = 40;
 const BACKEND_WAY_MS: Millis = 5;
@@ -23,134 +24,6 @@
 /// Daemons that tell a limit before others believe it.
 const REPORTERS: usize = 2;
 
-/// How daemons keep to a limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Scheme {
-    /// By tokens, as the product does.
-    Tokens,
-    /// Each daemon keeps to the whole limit by itself.
-    WholeLimitEach,
-    /// Each daemon keeps to its part, and begins with one request.
-    PartEach,
-    /// No daemon sends to a limited back end.
-    Nothing,
-}
-
-/// What harms a deployment.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Harm {
-    Kill {
-        daemon: usize,
-        lasts: Millis,
-    },
-    Freeze {
-        daemon: usize,
-        lasts: Millis,
-    },
-    Cut {
-        daemon: usize,
-        lasts: Millis,
-    },
-    /// No control process leads; another one does later, or none that knows anything.
-    LoseLeader {
-        lasts: Millis,
-    },
-}
-
-/// What is played.
-#[derive(Clone, Debug)]
-pub struct Schedule {
-    pub daemons: usize,
-    /// Requests a second whose first choice is the back end, at all daemons together.
-    pub demand: f64,
-    pub lasts: Millis,
-    /// From when the back end names which limit.
-    pub limits: Vec<(Millis, Option<f64>)>,
-    pub harms: Vec<(Millis, Harm)>,
-    /// Of a hundred answers, those that are cut.
-    pub cut_answers: u32,
-    /// Of a hundred requests for tokens, those that are lost.
-    pub lost_asks: u32,
-}
-
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Event {
-    Request {
-        daemon: usize,
-    },
-    AskArrives {
-        daemon: usize,
-        life: u32,
-        number: u64,
-        request: Asked,
-    },
-    VerdictArrives {
-        daemon: usize,
-        life: u32,
-        number: u64,
-        verdict: Verdict,
-    },
-    RequestArrives {
-        daemon: usize,
-        life: u32,
-        sent_at: Millis,
-    },
-    AnswerArrives {
-        daemon: usize,
-        life: u32,
-        sent_at: Millis,
-        named: Option<Rate>,
-        is_cut: bool,
-    },
-    NewsArrives {
-        daemon: usize,
-        rate: Option<Rate>,
-        at: Millis,
-    },
-    HeardArrives {
-        daemon: usize,
-        reporter: usize,
-        rate: Rate,
-        at: Millis,
-    },
-    Harmed(usize),
-    LeaderComes,
-}
-
-/// A request for a token, as events are ordered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-struct Asked {
-    rate: Rate,
-    age_ms: Millis,
-}
-
-impl From<TokenRequest> for Asked {
-    fn from(request: TokenRequest) -> Asked {
-        Asked {
-            rate: request.rate,
-            age_ms: request.age_ms,
-        }
-    }
-}
-
-impl From<Asked> for TokenRequest {
-    fn from(asked: Asked) -> TokenRequest {
-        TokenRequest {
-            backend: BACKEND,
-            rate: asked.rate,
-            age_ms: asked.age_ms,
-            priority: 0,
-        }
-    }
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Verdict {
-    Issued,
-    Denied(Millis),
-    Lifted(Millis),
-}
-
 struct Daemon {
     life: u32,
     /// Its clock began this long before the world's.
@@ -167,23 +40,6 @@
     filled_at: Millis,
 }
 
-/// A request that reached the back end.
-#[derive(Clone, Copy, Debug)]
-pub struct Arrived {
-    pub at: Millis,
-    /// For how long its daemon had been told of the limit by the back end, in this life.
-    pub told_ms: Option<Millis>,
-}
-
-/// What a run came to.
-pub struct Played {
-    pub arrived: Vec<Arrived>,
-    /// When every daemon first knew the limit.
-    pub known_at: Millis,
-    /// Requests whose first choice was the back end.
-    pub asked: Vec<Millis>,
-}
-
 pub struct World {
     schedule: Schedule,
     scheme: Scheme,
@@ -686,10 +542,3 @@
         }
     }
 }
-
-/// Moments of the world as those of a clock, for the judge.
-pub fn instants(arrived: impl Iterator<Item = Millis>) -> Vec<Instant> {
-    let start = Instant::now();
-    let moment = |at| start + Duration::from_millis(at);
-    arrived.map(moment).collect()
-}
