Exclude sending from closing in the messaging server

Cause: a server that stops closes its contexts and then its socket while replies are being sent. The library frees the socket while the last operation on a context still refers to it. Depending on timing the process aborts, or the closing thread and the threads of the runtime wait in the library forever.

Change: `ExchangeContext` guards a context by a lock. Operations are started under it, and closing takes the context out first, so that no operation is under way when the context and the socket are freed.

Evidence: `stop_under_load` stops 1,000 servers while they reply.

--- a/crates/coursestand-transport/src/server.rs
+++ b/crates/coursestand-transport/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use log::{debug, warn};
 use nng::options::{Options, RecvMaxSize};
@@ -31,11 +31,53 @@
 
 struct OpenSocket {
     socket: Socket,
-    contexts: Vec<Context>,
+    contexts: Vec<Arc<ExchangeContext>>,
     /// Kept because an operation is cancelled when its handle is dropped.
     operations: Vec<Aio>,
 }
 
+/// A context of the socket, which serves one exchange at a time.
+///
+/// Starting an operation and closing exclude each other: if a context and its socket are
+/// closed while an operation is being started, the library accesses the socket after it has
+/// been freed, and aborts the process.
+struct ExchangeContext(Mutex<Option<Context>>);
+
+impl ExchangeContext {
+    fn open(socket: &Socket) -> Result<ExchangeContext, nng::Error> {
+        let context = Context::new(socket)?;
+        Ok(ExchangeContext(Mutex::new(Some(context))))
+    }
+
+    fn context(&self) -> MutexGuard<'_, Option<Context>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Starts to receive the next request.
+    fn receive(&self, aio: &Aio) -> Result<(), nng::Error> {
+        match &*self.context() {
+            Some(context) => context.recv(aio),
+            None => Err(nng::Error::Closed),
+        }
+    }
+
+    /// Starts to send the reply to the latest request.
+    fn send(&self, aio: &Aio, reply: Message) -> Result<(), nng::Error> {
+        match &*self.context() {
+            Some(context) => context.send(aio, reply).map_err(|(_, error)| error),
+            None => Err(nng::Error::Closed),
+        }
+    }
+
+    /// Closes the context, which aborts its operation. Operations that are started later fail.
+    fn close(&self) {
+        let context = self.context().take();
+        if let Some(context) = context {
+            context.close();
+        }
+    }
+}
+
 impl Server {
     /// Listens on `address` and serves up to `exchanges` concurrent requests with
     /// `handler`; further requests wait in the socket. Must be called within a tokio
@@ -111,18 +153,18 @@
     socket: &Socket,
     handler: Arc<H>,
     runtime: Handle,
-) -> Result<(Context, Aio), nng::Error>
+) -> Result<(Arc<ExchangeContext>, Aio), nng::Error>
 where
     Request: DeserializeOwned + Send + 'static,
     Reply: Serialize + Send + 'static,
     H: Handler<Request, Reply>,
 {
-    let context = Context::new(socket)?;
-    let for_callback = context.clone();
+    let context = Arc::new(ExchangeContext::open(socket)?);
+    let for_callback = Arc::clone(&context);
     let aio = Aio::new(move |aio, result| match result {
         AioResult::Recv(Ok(message)) => {
             let handler = Arc::clone(&handler);
-            let context = for_callback.clone();
+            let context = Arc::clone(&for_callback);
             runtime.spawn(async move { answer(handler, context, aio, message).await });
         }
         AioResult::Recv(Err(nng::Error::Closed))
@@ -131,12 +173,16 @@
             receive_next(&for_callback, &aio);
         }
     })?;
-    context.recv(&aio)?;
+    context.receive(&aio)?;
     Ok((context, aio))
 }
 
-async fn answer<Request, Reply, H>(handler: Arc<H>, context: Context, aio: Aio, message: Message)
-where
+async fn answer<Request, Reply, H>(
+    handler: Arc<H>,
+    context: Arc<ExchangeContext>,
+    aio: Aio,
+    message: Message,
+) where
     Request: DeserializeOwned + Send + 'static,
     Reply: Serialize + Send + 'static,
     H: Handler<Request, Reply>,
@@ -153,7 +199,7 @@
     let reply = handler.handle(request).await;
     match encode(&reply) {
         Ok(frame) => {
-            if let Err((_, error)) = context.send(&aio, Message::from(frame.as_slice())) {
+            if let Err(error) = context.send(&aio, Message::from(frame.as_slice())) {
                 debug!(target: LOG, "reply can't be sent: {error}");
             }
         }
@@ -164,8 +210,8 @@
     }
 }
 
-fn receive_next(context: &Context, aio: &Aio) {
-    if let Err(error) = context.recv(aio)
+fn receive_next(context: &ExchangeContext, aio: &Aio) {
+    if let Err(error) = context.receive(aio)
         && error != nng::Error::Closed
     {
         warn!(target: LOG, "exchange stopped, can't receive further requests: {error}");
