Give each client its own subset of a large region's entry daemons

What callers saw: on the large deployment daemons of some zones got 2 to 4 times the requests of others, and their links of 3 Mbit/s were full.

Cause: an answer holds 64 of a region's 94 to 103 daemons. Those of the client's zone came first, and the rest in the order of names, so that the last zones of the order were left out of the answers to the others.

Ruled out: link utilization balancing corrects half of an excess by chance of being left out, which is far less than the order adds.

Change: where the ready daemons of a region exceed an answer, each client gets its own subset, ranked by a hash of its address and the daemon's name. All daemons are in equally many answers, a client's answer is stable, and a daemon that starts or stops changes one address of it. Answers that hold the whole region are as before. The hash functions move to the model crate, which discovery depends on.

--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -1,7 +1,7 @@
 //! HTTP interface for operators, back ends and clients.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -9,6 +9,7 @@
 use coursestand_catalog::{Catalog, CatalogDelta};
 use coursestand_coordination::{Command, CommandAnswer};
 use coursestand_dialect::{Call, Dialect, Reply};
+use coursestand_discovery::LookupClient;
 use coursestand_kernel::http::HttpServer;
 use coursestand_kernel::{Registry, Service, ServiceError};
 use coursestand_model::fleet::FleetSettings;
@@ -169,11 +170,12 @@
             Ok(body) => body,
             Err(error) => return Ok(refuse(StatusCode::BAD_REQUEST, error)),
         };
+        let client = client_address(&request);
         let parsed = self
             .dialect
             .parse(request.method(), request.original_uri(), &body);
         let response = match parsed {
-            Ok(call) => self.execute(call).await,
+            Ok(call) => self.execute(call, client).await,
             Err(error) => {
                 self.mesh.metrics.refused.inc();
                 info!(target: LOG, path = request.original_uri().path(); "a call is refused: {error}");
@@ -183,7 +185,7 @@
         Ok(response)
     }
 
-    async fn execute(&self, call: Call) -> Response {
+    async fn execute(&self, call: Call, client: IpAddr) -> Response {
         match call {
             Call::PatchCatalog(patch) => self.commit(Command::PatchCatalog(patch)).await,
             Call::Evacuate { zone, is_active } => self.evacuate(zone, is_active).await,
@@ -195,7 +197,11 @@
             Call::Deregister { id, born } => {
                 self.heartbeat_answer(self.hub.deregister(&id, born).await)
             }
-            Call::Lookup { region, zone } => self.lookup(&region, &zone),
+            Call::Lookup { region, zone } => self.lookup(&LookupClient {
+                region: &region,
+                zone: &zone,
+                address: client,
+            }),
             Call::Ready => done(),
         }
     }
@@ -209,8 +215,8 @@
         }
     }
 
-    fn lookup(&self, region: &RegionId, zone: &ZoneId) -> Response {
-        let addresses = self.hub.lookup(region, zone);
+    fn lookup(&self, client: &LookupClient<'_>) -> Response {
+        let addresses = self.hub.lookup(client);
         if addresses.is_empty() {
             return unavailable("no entry daemon is ready");
         }
@@ -308,6 +314,12 @@
     }
 }
 
+/// Returns the address of the caller. Callers whose address is not known count as one.
+fn client_address(request: &Request) -> IpAddr {
+    let address = request.remote_addr().as_socket_addr();
+    address.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), SocketAddr::ip)
+}
+
 /// Returns the number of catalog items that a command sets or removes.
 fn item_count(command: &Command) -> usize {
     match command {
--- a/crates/coursestand-daemon/src/fleet/hub/edges.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/edges.rs
@@ -6,8 +6,8 @@
 
 use bytes::Bytes;
 use coursestand_discovery::directory::OBSERVER_TIMEOUT_MS;
-use coursestand_discovery::{EdgeRecord, LinkUse};
-use coursestand_model::{Millis, RegionId, ZoneId};
+use coursestand_discovery::{EdgeRecord, LinkUse, LookupClient};
+use coursestand_model::Millis;
 use coursestand_transport::frame::encode;
 use log::info;
 use rand::seq::IndexedRandom;
@@ -122,11 +122,11 @@
     }
 
     /// Returns addresses of entry daemons for a client.
-    pub fn lookup(&self, region: &RegionId, zone: &ZoneId) -> Vec<SocketAddr> {
+    pub fn lookup(&self, client: &LookupClient<'_>) -> Vec<SocketAddr> {
         let now = self.clock.now();
         self.state()
             .directory
-            .resolve(now, region, zone, MAX_LOOKUP_ADDRESSES, rand::random)
+            .resolve(now, client, MAX_LOOKUP_ADDRESSES, rand::random)
     }
 
     /// Marks a silent entry daemon as suspect, so that other daemons probe whether it is
--- a/crates/coursestand-discovery/src/directory.rs
+++ b/crates/coursestand-discovery/src/directory.rs
@@ -1,8 +1,9 @@
 //! Directory of entry daemons, and the choice of those that a look-up returns.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
+use coursestand_model::hash::{combine, hash_of};
 use coursestand_model::{Millis, RegionId, ZoneId};
 use serde::{Deserialize, Serialize};
 
@@ -48,6 +49,17 @@
 /// once a second and the utilization is known 1 s to 2 s late: a higher gain overshoots.
 const BALANCING_GAIN: f64 = 0.5;
 
+/// A client that looks up entry daemons.
+#[derive(Clone, Copy, Debug)]
+pub struct LookupClient<'a> {
+    /// Its region.
+    pub region: &'a RegionId,
+    /// Its zone.
+    pub zone: &'a ZoneId,
+    /// Its address.
+    pub address: IpAddr,
+}
+
 /// A control process that reports on its connections with entry daemons.
 pub type Observer = SocketAddr;
 
@@ -190,15 +202,15 @@
         }
     }
 
-    /// Returns at most `max_answers` addresses for a client in `zone` of `region`: the ready
-    /// daemons of its region, those of its zone first; if there are none, all ready ones.
+    /// Returns at most `max_answers` addresses for a client: the ready daemons of its region,
+    /// those of its zone first; if there are none, all ready ones. If they exceed
+    /// `max_answers`, the client gets its own subset of them, see [`sort_for_subset`].
     /// Daemons whose link utilization is above the mean are left out of some answers.
     /// `draw` returns random numbers in `0.0..1.0`.
     pub fn resolve(
         &self,
         now: Millis,
-        region: &RegionId,
-        zone: &ZoneId,
+        client: &LookupClient<'_>,
         max_answers: usize,
         mut draw: impl FnMut() -> f64,
     ) -> Vec<SocketAddr> {
@@ -206,12 +218,16 @@
         let mut nearest: Vec<Candidate<'_>> = ready
             .iter()
             .copied()
-            .filter(|candidate| candidate.record.region == *region)
+            .filter(|candidate| candidate.record.region == *client.region)
             .collect();
         if nearest.is_empty() {
             nearest = ready;
         }
-        nearest.sort_by_key(|candidate| candidate.record.zone != *zone);
+        if nearest.len() > max_answers {
+            sort_for_subset(&mut nearest, client);
+        } else {
+            nearest.sort_by_key(|candidate| candidate.record.zone != *client.zone);
+        }
         let mean = mean_link_use(&nearest);
         let mut addresses: Vec<SocketAddr> = Vec::new();
         let mut left_out: Vec<SocketAddr> = Vec::new();
@@ -252,6 +268,16 @@
     }
 }
 
+/// Sorts daemons of which an answer can only hold the first ones: in a pseudo-random order
+/// that is specific to the client (rendezvous hashing by Thaler and Ravishankar, 1998), so
+/// that all daemons are in equally many answers. The order of a client does not change, so
+/// that it can keep its connections, and a daemon that starts or stops changes one address.
+fn sort_for_subset(candidates: &mut [Candidate<'_>], client: &LookupClient<'_>) {
+    let client_hash = hash_of(&client.address.to_string());
+    candidates
+        .sort_by_cached_key(|candidate| combine(client_hash, hash_of(&candidate.record.name)));
+}
+
 /// An entry daemon that a look-up may return.
 #[derive(Clone, Copy, Debug)]
 struct Candidate<'a> {
--- a/crates/coursestand-discovery/src/lib.rs
+++ b/crates/coursestand-discovery/src/lib.rs
@@ -10,6 +10,6 @@
 pub mod instance;
 pub mod table;
 
-pub use directory::{Directory, EdgePhase, EdgeRecord, LinkUse};
+pub use directory::{Directory, EdgePhase, EdgeRecord, LinkUse, LookupClient};
 pub use instance::{Incarnation, Instance, InstancePhase, InstanceUpdate};
 pub use table::InstanceTable;
--- a/crates/coursestand-discovery/tests/directory.rs
+++ b/crates/coursestand-discovery/tests/directory.rs
@@ -3,7 +3,7 @@
 
 use std::net::SocketAddr;
 
-use coursestand_discovery::{Directory, EdgePhase, EdgeRecord};
+use coursestand_discovery::{Directory, EdgePhase, EdgeRecord, LookupClient};
 use coursestand_model::{RegionId, ZoneId};
 use googletest::prelude::*;
 
@@ -23,9 +23,18 @@
     }
 }
 
+fn client<'a>(region: &'a RegionId, zone: &'a ZoneId) -> LookupClient<'a> {
+    LookupClient {
+        region,
+        zone,
+        address: address(200).ip(),
+    }
+}
+
 fn resolve(directory: &Directory, zone: &str) -> Vec<SocketAddr> {
     let region = RegionId::from(zone.split('-').next().unwrap_or_default());
-    directory.resolve(0, &region, &ZoneId::from(zone), 64, || 0.0)
+    let zone = ZoneId::from(zone);
+    directory.resolve(0, &client(&region, &zone), 64, || 0.0)
 }
 
 const FIRST: u8 = 101;
@@ -89,7 +98,12 @@
             number = number.wrapping_add(2_654_435_769);
             f64::from(number) / f64::from(u32::MAX)
         };
-        let answer = directory.resolve(0, &RegionId::from("a"), &ZoneId::from("a-1"), 64, draw);
+        let answer = directory.resolve(
+            0,
+            &client(&RegionId::from("a"), &ZoneId::from("a-1")),
+            64,
+            draw,
+        );
         for host in 1..=count {
             times[usize::from(host) - 1] += usize::from(answer.contains(&address(host)));
         }
@@ -128,7 +142,12 @@
 #[gtest]
 fn busy_links_never_make_a_look_up_empty() {
     let directory = directory_with_use(&[90, 20]);
-    let ready = directory.resolve(0, &RegionId::from("a"), &ZoneId::from("a-1"), 1, || 0.0);
+    let ready = directory.resolve(
+        0,
+        &client(&RegionId::from("a"), &ZoneId::from("a-1")),
+        1,
+        || 0.0,
+    );
     expect_that!(ready, len(eq(1)));
     let mut alone = directory_with_use(&[90]);
     alone.connect(address(FIRST), &edge(2, 1, "b-1", EdgePhase::Ready));
@@ -165,8 +184,12 @@
         let link_use: Vec<u8> = smoothed.iter().map(|count| (count * 4.8) as u8).collect();
         let directory = directory_with_use(&link_use);
         for daemon in &mut chosen {
-            let answer =
-                directory.resolve(0, &RegionId::from("a"), &ZoneId::from("a-1"), 64, &mut draw);
+            let answer = directory.resolve(
+                0,
+                &client(&RegionId::from("a"), &ZoneId::from("a-1")),
+                64,
+                &mut draw,
+            );
             if !answer.contains(&address(*daemon)) {
                 let next = answer[(draw() * answer.len() as f64) as usize];
                 let SocketAddr::V4(next) = next else { continue };
@@ -179,7 +202,12 @@
 }
 
 fn resolve_at(directory: &Directory, now: u64) -> Vec<SocketAddr> {
-    directory.resolve(now, &RegionId::from("a"), &ZoneId::from("a-1"), 64, || 0.0)
+    directory.resolve(
+        now,
+        &client(&RegionId::from("a"), &ZoneId::from("a-1")),
+        64,
+        || 0.0,
+    )
 }
 
 fn directory_with_a_suspect() -> Directory {
--- a/crates/coursestand-model/src/lib.rs
+++ b/crates/coursestand-model/src/lib.rs
@@ -1,9 +1,10 @@
 //! Data model of coursestand: identifiers, settings, policy bundles and the typed values
-//! that processes exchange. This package does no I/O except for reading JSON files in
-//! [`load`].
+//! that processes exchange, and hash functions on which processes agree. This package does no
+//! I/O except for reading JSON files in [`load`].
 
 pub mod bundle;
 pub mod fleet;
+pub mod hash;
 pub mod headers;
 pub mod ids;
 pub mod load;
--- a/crates/coursestand-routing/src/lib.rs
+++ b/crates/coursestand-routing/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod completion;
 pub mod fatal_requests;
 pub mod findings;
-pub mod hash;
 pub mod link_admission;
 pub mod link_wait;
 pub mod picker;
@@ -27,6 +26,8 @@
 pub mod warm_objects;
 pub mod work_times;
 
+pub use coursestand_model::hash;
+
 pub use backends::{Backend, BackendReport, Backends, LoadReport};
 pub use fatal_requests::{
     FatalRequests, Fingerprint, SharedCrashRecord, TrialVerdict, WithholdReason,
