Do not cut requests before their time-out during a planned stop

Cause: the deadline of a request is shortened by the estimated time that it was queued on the link. The estimate includes both directions and may be too long. Without a stop an early answer is the smaller evil (an answer long after the time-out); during a planned stop it cuts off a request that its route still allows.

Change: during a planned stop a request has its whole time-out, counted from when it was read, also if it was in flight when the stop began. The end of the stop bounds it as before.

Evidence: `stop_behind_a_queue` (an estimate of 600 ms, a time-out of 1.5 s, work of 1.2 s): both tests failed before with 504, and pass. Outside of a stop the estimate counts as before (third test).

--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -10,6 +10,7 @@
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
+use tokio::time::error::Elapsed;
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::{ActiveAttempt, BackendResponse, Exchange, FailedAttempt, LOG, PreparedRequest};
@@ -40,8 +41,7 @@
         attempts: &mut Attempts,
     ) -> Result<BackendResponse, FailedAttempt> {
         let target = &started.target;
-        let wait_until = prepared.deadline + ANSWER_GRACE;
-        let sent = self.send(prepared, target, attempts, wait_until).await;
+        let sent = self.send(prepared, target, attempts).await;
         let failure = sent.as_ref().err().map(|failed| failed.failure);
         if failure.is_none_or(|failure| failure.ending() == AttemptEnding::Resolved) {
             started.mark_resolved();
@@ -76,7 +76,8 @@
         let collected_result = if length.is_some_and(|length| length > MAX_BUFFERED_BYTES) {
             Ok(Ok(Collected::Partial(Bytes::new(), body)))
         } else {
-            timeout_at(wait_until, collect(body, MAX_BUFFERED_BYTES)).await
+            self.within_deadline(prepared, collect(body, MAX_BUFFERED_BYTES))
+                .await
         };
         let collected = match collected_result {
             Ok(Ok(collected)) => collected,
@@ -150,7 +151,6 @@
         prepared: &mut PreparedRequest,
         target: &Target,
         attempts: &mut Attempts,
-        wait_until: Instant,
     ) -> Result<(Response<Incoming>, Connection), FailedAttempt> {
         let mut request = self.request_for(prepared, target)?;
         loop {
@@ -160,7 +160,7 @@
             };
             let mut connection = match idle {
                 Some(connection) => connection,
-                None => match self.open(prepared.deadline, target).await {
+                None => match self.open(prepared.deadline.usual, target).await {
                     Ok(connection) => connection,
                     Err(failed) => {
                         prepared.body.give_back(request.into_body());
@@ -176,7 +176,7 @@
             let is_reused = connection.is_reused;
             let sending = connection.sender.try_send_request(request);
             let outcome = self
-                .await_response(sending, prepared, target, attempts, wait_until)
+                .await_response(sending, prepared, target, attempts)
                 .await
                 .map_err(FailedAttempt::of)?;
             let mut error = match outcome {
@@ -204,7 +204,6 @@
         prepared: &PreparedRequest,
         target: &Target,
         attempts: &mut Attempts,
-        wait_until: Instant,
     ) -> Result<SendOutcome, AttemptFailure> {
         tokio::pin!(sending);
         let sent_at = Instant::now();
@@ -230,13 +229,28 @@
             }
             self.log_silent_wait(prepared, target, retry);
         }
-        let outcome = timeout_at(wait_until, sending)
+        let outcome = self
+            .within_deadline(prepared, sending)
             .await
             .map_err(|_| AttemptFailure::TimedOut)?;
         self.note_answer(&outcome, target, sent_at, attempts);
         Ok(outcome)
     }
 
+    /// Waits for a part of the answer until the request is abandoned.
+    async fn within_deadline<T>(
+        &self,
+        prepared: &PreparedRequest,
+        part: impl Future<Output = T>,
+    ) -> Result<T, Elapsed> {
+        tokio::pin!(part);
+        let outcome = timeout_at(prepared.deadline.usual + ANSWER_GRACE, part.as_mut()).await;
+        match (outcome, self.stops_at.get()) {
+            (Err(_), Some(end)) => timeout_at(prepared.deadline.latest.min(*end), part).await,
+            (outcome, _) => outcome,
+        }
+    }
+
     fn silence_limit(
         &self,
         prepared: &PreparedRequest,
@@ -349,8 +363,7 @@
 
     /// Sets the deadline header to the time left.
     fn refresh_deadline(&self, prepared: &PreparedRequest, request: &mut Request<RequestBody>) {
-        let time_left = prepared.deadline.saturating_duration_since(Instant::now());
-        let time_left = time_left.as_millis().max(1) as u64;
+        let time_left = prepared.time_left().as_millis().max(1) as u64;
         request
             .headers_mut()
             .insert(self.names.deadline.clone(), HeaderValue::from(time_left));
--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -68,19 +68,31 @@
     waited: Duration,
 }
 
+/// When a request is abandoned.
+#[derive(Clone, Copy, Debug)]
+struct Deadline {
+    /// The end of its limit, counted from the estimated time at which its caller sent it.
+    usual: Instant,
+    /// The end of its limit, counted from when it was read. The estimate may be too early, so
+    /// a planned stop does not abandon a request before this time.
+    latest: Instant,
+}
+
 /// A request that has been read and matched to a route.
 struct PreparedRequest {
     parts: Parts,
     body: PreparedBody,
     id: Option<String>,
     matched: Matched,
-    deadline: Instant,
+    deadline: Deadline,
     permit: LinkPermit,
 }
 
 impl PreparedRequest {
     fn time_left(&self) -> Duration {
-        self.deadline.saturating_duration_since(Instant::now())
+        self.deadline
+            .usual
+            .saturating_duration_since(Instant::now())
     }
 }
 
@@ -226,18 +238,24 @@
     /// of 1 s would be answered 0.68 s late; with it, at most half a second late. A request
     /// whose timeout had passed when it was read is refused, since no caller waits for it
     /// (`coursestand-daemon/tests/following/late_requests.rs`).
-    fn deadline_of(&self, arrival: Arrival, limit: Duration) -> Result<Instant, Reason> {
+    fn deadline_of(&self, arrival: Arrival, limit: Duration) -> Result<Deadline, Reason> {
         if limit <= arrival.waited {
             let retry_delay = arrival.waited.min(MAX_RETRY_DELAY);
             return Err(Reason::LinkFull {
                 drained_in_ms: retry_delay.as_millis() as Millis,
             });
         }
-        let deadline = arrival.read_at + (limit - arrival.waited);
+        let latest = arrival.read_at + limit;
         match self.stops_at.get() {
             Some(end) if *end <= arrival.read_at => Err(Reason::Stopping),
-            Some(end) => Ok(deadline.min(*end)),
-            None => Ok(deadline),
+            Some(end) => Ok(Deadline {
+                usual: latest.min(*end),
+                latest: latest.min(*end),
+            }),
+            None => Ok(Deadline {
+                usual: latest - arrival.waited,
+                latest,
+            }),
         }
     }
 
@@ -310,7 +328,7 @@
             }
         };
         let max_bytes = self.limits.get().body_bytes;
-        let body = PreparedBody::read(&parts.headers, body, max_bytes, deadline).await?;
+        let body = PreparedBody::read(&parts.headers, body, max_bytes, deadline.usual).await?;
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(&self.names.deadline);
         parts.headers.remove(&self.names.target_instance);
@@ -339,7 +357,7 @@
         body: &Incoming,
         head: &RequestHead,
         arrival: Arrival,
-    ) -> Result<(Matched, Instant, LinkPermit), Reason> {
+    ) -> Result<(Matched, Deadline, LinkPermit), Reason> {
         if self.limits.get().exceeds_header_limit(&parts.headers) {
             return Err(Reason::HeadersTooLong);
         }
