Measure work times of requests with and without an object apart

Cause: work times are measured by service and zone. Requests without an object count as warm, and short ones (monitors, idle routes) set the estimate for all, so that a queue of long requests appeared to drain within milliseconds.

Change: requests with an object and requests without one are measured apart.

Evidence: `mixed_work_times` failed before (3.0 ms expected where objects take 400 ms) and passes.

--- a/crates/coursestand-routing/src/picker.rs
+++ b/crates/coursestand-routing/src/picker.rs
@@ -118,13 +118,32 @@
     pub report_decay: ReportDecay,
 }
 
+/// Requests whose work times are measured together. Requests without an object, such as those
+/// of monitors, may take a small fraction of the work of others.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct WorkKind {
+    service: ServiceId,
+    /// Zone of the back end.
+    zone: ZoneId,
+    has_object: bool,
+}
+
+impl WorkKind {
+    fn at(backend: &Backend, has_object: bool) -> WorkKind {
+        WorkKind {
+            service: backend.instance.service.clone(),
+            zone: backend.instance.zone.clone(),
+            has_object,
+        }
+    }
+}
+
 /// Selects back ends for one daemon.
 pub struct Picker {
     config: PickerConfig,
     gate: ColdGate,
     shares: HashMap<(ServiceId, Vec<RegionId>), RegionShares>,
-    /// Measured times of requests to the back ends of a service in a zone.
-    times: HashMap<(ServiceId, ZoneId), WorkTimes>,
+    times: HashMap<WorkKind, WorkTimes>,
     warm_objects: WarmObjects,
 }
 
@@ -206,11 +225,8 @@
         took_ms: f64,
     ) {
         if sent.pick.is_free {
-            let key = (
-                backend.instance.service.clone(),
-                backend.instance.zone.clone(),
-            );
-            let times = self.times.entry(key).or_default();
+            let kind = WorkKind::at(backend, sent.object.is_some());
+            let times = self.times.entry(kind).or_default();
             times.record(sent.pick.is_warm, took_ms);
         }
         if let Some(object) = sent.object {
@@ -305,10 +321,9 @@
             .map(|backend| self.pick_of(backend, 0, request))
     }
 
-    fn work_at(&self, backend: &Backend) -> Option<Work> {
-        let instance = &backend.instance;
-        let key = (instance.service.clone(), instance.zone.clone());
-        self.times.get(&key).and_then(WorkTimes::work)
+    fn work_at(&self, backend: &Backend, has_object: bool) -> Option<Work> {
+        let kind = WorkKind::at(backend, has_object);
+        self.times.get(&kind).and_then(WorkTimes::work)
     }
 
     fn is_warm(&self, backend: &Backend, request: &PickRequest<'_>) -> bool {
@@ -332,7 +347,7 @@
 
     fn pick_of(&self, backend: &Backend, rank: usize, request: &PickRequest<'_>) -> Pick {
         let candidate = self.candidate(backend, rank, request);
-        let work = self.work_at(backend);
+        let work = self.work_at(backend, request.has_object);
         let wait_ms = work.map_or(0.0, |work| candidate.wait_ms(&work));
         Pick {
             id: backend.instance.id.clone(),
@@ -362,7 +377,9 @@
             .enumerate()
             .map(|(rank, backend)| self.candidate(backend, rank, request))
             .collect();
-        let work = ranked.first().and_then(|backend| self.work_at(backend));
+        let work = ranked
+            .first()
+            .and_then(|backend| self.work_at(backend, request.has_object));
         let objective_ms = request.objective_ms as f64;
         let hard_load = self.config.balance.hard_load;
         let rank = choose(&candidates, work.as_ref(), objective_ms, hard_load).map_err(|busy| {
