Do not eject back ends because the daemon's own link is full

Requests moved to back ends that were not warm for their objects, which takes three times the work, or were refused.

Cause: a connection has 400 ms, or a third of the time left.

Change: the limit grows by twice the queueing delay of the link, up to half of the time left. A time-out while the link is congested is a failure of its own kind, `congested`: the request goes on as before, and the back end is only ejected after three such failures in a row. Refused connections, and time-outs on a free link, eject as before.

Evidence: `congested_link` (20 objects: none moves after a time-out behind a full link, all move when their back end is unreachable; three in a row eject) and `connect_times`.

--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -16,6 +16,7 @@
 use super::{ActiveAttempt, BackendResponse, Exchange, FailedAttempt, LOG, PreparedRequest};
 use crate::answer_times::READING_GRACE;
 use crate::collect::{Collected, MAX_BUFFERED_BYTES, collect};
+use crate::connect_times::connect_failure;
 use crate::headers::{strip_connection_headers, text_of};
 use crate::phases::{AttemptEnding, AttemptFailure, Attempts, SilentConnection, Target};
 use crate::pool::{Connection, RequestBody};
@@ -24,8 +25,8 @@
 use crate::streamed_body::StreamedBody;
 use crate::verdict::{Verdict, judge};
 
-/// Divisor of the time left that gives the limit for connecting.
-const CONNECT_TIME_DIVISOR: u32 = 3;
+/// Divisor of the time left that gives the maximum time for connecting.
+const CONNECT_TIME_DIVISOR: u32 = 2;
 /// Time for an answer to arrive that the back end sent at the deadline.
 const ANSWER_GRACE: Duration = Duration::from_millis(80);
 
@@ -327,13 +328,17 @@
     async fn open(&self, deadline: Instant, target: &Target) -> Result<Connection, FailedAttempt> {
         let started = Instant::now();
         let time_left = deadline.saturating_duration_since(started);
-        let limit = self.connect_times.limit(&target.zone);
+        let queueing_delay = self.link.queueing_delay();
+        let limit = self.connect_times.limit(&target.zone, queueing_delay);
         self.metrics.connections.inc();
-        let connection = self
+        let opened = self
             .pool
             .open(target.address, limit.min(time_left / CONNECT_TIME_DIVISOR))
-            .await
-            .map_err(|_| FailedAttempt::of(AttemptFailure::Unreachable))?;
+            .await;
+        let connection = opened.map_err(|error| {
+            let queueing_delay = queueing_delay.max(self.link.queueing_delay());
+            FailedAttempt::of(connect_failure(error.kind, queueing_delay))
+        })?;
         let took = started.elapsed();
         self.link.note_round_trip(target.zone.as_str(), took);
         let delay = self.connect_times.note(&target.zone, took);
--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -545,7 +545,7 @@
     match failure {
         AttemptFailure::TimedOut => Reason::TimedOut,
         _ if attempts.may_have_run => Reason::AnswerLost,
-        AttemptFailure::Unreachable => Reason::Unreachable,
+        AttemptFailure::Unreachable | AttemptFailure::Congested => Reason::Unreachable,
         _ => Reason::Shed,
     }
 }
--- a/crates/coursestand-proxy/src/phases.rs
+++ b/crates/coursestand-proxy/src/phases.rs
@@ -102,6 +102,9 @@
 pub enum AttemptFailure {
     /// No connection could be made: nothing was sent.
     Unreachable,
+    /// No connection could be made in time while the machine's own link was congested, which
+    /// says nothing about the back end: nothing was sent.
+    Congested,
     /// Since it was chosen, the back end asked for a back-off, started to drain or crashed:
     /// nothing was sent.
     Withdrawn,
@@ -142,6 +145,7 @@
     pub fn name(self) -> &'static str {
         match self {
             AttemptFailure::Unreachable => "unreachable",
+            AttemptFailure::Congested => "congested",
             AttemptFailure::Withdrawn => "withdrawn",
             AttemptFailure::Shed => "shed",
             AttemptFailure::Misdirected => "misdirected",
@@ -156,7 +160,7 @@
     pub fn reached_back_end(self) -> bool {
         !matches!(
             self,
-            AttemptFailure::Unreachable | AttemptFailure::Withdrawn
+            AttemptFailure::Unreachable | AttemptFailure::Congested | AttemptFailure::Withdrawn
         )
     }
 
@@ -165,6 +169,7 @@
         matches!(
             self,
             AttemptFailure::Unreachable
+                | AttemptFailure::Congested
                 | AttemptFailure::Withdrawn
                 | AttemptFailure::Shed
                 | AttemptFailure::Misdirected
--- a/crates/coursestand-proxy/src/pool.rs
+++ b/crates/coursestand-proxy/src/pool.rs
@@ -10,6 +10,7 @@
 //! many connections are pooled.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -51,7 +52,9 @@
 pub struct ConnectError {
     /// Address of the back end.
     pub address: SocketAddr,
-    /// Cause, as the text of the underlying error.
+    /// Kind of the underlying error.
+    pub kind: io::ErrorKind,
+    /// Text of the underlying error.
     pub reason: String,
 }
 
@@ -146,13 +149,17 @@
         address: SocketAddr,
         limit: Duration,
     ) -> Result<Connection, ConnectError> {
-        let connect_error = |reason: String| ConnectError { address, reason };
+        let connect_error = |kind, reason| ConnectError {
+            address,
+            kind,
+            reason,
+        };
         let stream = connect(address, limit, ACKNOWLEDGEMENT_TIMEOUT)
             .await
-            .map_err(|error| connect_error(error.to_string()))?;
+            .map_err(|error| connect_error(error.kind(), error.to_string()))?;
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| connect_error(error.to_string()))?;
+            .map_err(|error| connect_error(io::ErrorKind::Other, error.to_string()))?;
         let driver = tokio::spawn(async move {
             // The sender observes the end of the connection and handles errors of the peer.
             let _ = driver.await;
--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -540,6 +540,8 @@
         }
         match failure {
             AttemptFailure::Unreachable => routing.backends.note_unreachable(now, id),
+            // A back end that is unreachable as well is ejected after a few attempts.
+            AttemptFailure::Congested => routing.backends.note_failure(now, id),
             AttemptFailure::Misdirected => routing.backends.note_misdirected(now, id),
             AttemptFailure::Shed => {
                 routing.backends.note_shed(now, id, report);
