Explain requests refused for a full link or for long headers

`coursestand explain` had no sentence for the outcomes `link-full` and `headers-too-long` and printed their names. Both have a sentence and a test.

--- a/crates/coursestand-cli/src/commands/explain.rs
+++ b/crates/coursestand-cli/src/commands/explain.rs
@@ -303,6 +303,12 @@
                 .to_owned()
         }
         "unreachable" => "no connection to its back ends could be made; it has not run".to_owned(),
+        "link-full" => {
+            "the link of the daemon's machine was full; it was refused before its body was read \
+             and has not run"
+                .to_owned()
+        }
+        "headers-too-long" => "its headers are longer than the limits allow".to_owned(),
         "no-backend" => "its service had no usable back end".to_owned(),
         "no-route" => "no route of the catalog matches it".to_owned(),
         "no-catalog" => "the daemon had just started and had no catalog".to_owned(),
--- a/crates/coursestand-cli/tests/explain.rs
+++ b/crates/coursestand-cli/tests/explain.rs
@@ -13,6 +13,8 @@
 {"time":"102.000","process":"edge-1","level":"INFO","part":"proxy","message":"an attempt failed","request":"r-died","instance":"i-2","outcome":"shed","attempt":1}
 {"time":"103.000","process":"edge-1","level":"INFO","part":"proxy","message":"no token for a rate-limited back end","request":"r-limited","instance":"i-3","limit_per_second":5.1,"again_in_ms":221,"outcome":"denied"}
 {"time":"103.001","process":"edge-1","level":"INFO","part":"proxy","message":"a request ended","request":"r-limited","limit_ms":800,"took_ms":12,"status":503,"outcome":"rate-limited","attempts":0}
+{"time":"104.000","process":"edge-1","level":"INFO","part":"proxy","message":"a request ended","request":"r-link","limit_ms":800,"took_ms":0,"status":503,"outcome":"link-full","attempts":0}
+{"time":"104.100","process":"edge-1","level":"INFO","part":"proxy","message":"a request ended","request":"r-headers","limit_ms":800,"took_ms":0,"status":431,"outcome":"headers-too-long","attempts":0}
 not a log line
 "#;
 const CONTROL_LOG: &str = r#"
@@ -69,6 +71,18 @@
     );
 }
 
+#[gtest]
+fn requests_refused_for_the_link_or_their_headers_have_their_causes() {
+    expect_that!(
+        explain("r-link"),
+        contains_substring("link of the daemon's machine was full")
+    );
+    expect_that!(
+        explain("r-headers"),
+        contains_substring("headers are longer than the limits allow")
+    );
+}
+
 #[gtest]
 fn the_error_names_a_missing_log_file() {
     let output = Command::new(env!("CARGO_BIN_EXE_coursestand"))
