--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -237,7 +237,8 @@
     /// Otherwise, behind a queue of 0.6 s on the link, every request that reaches its timeout
     /// of 1 s would be answered 0.68 s late; with it, at most half a second late. A request
     /// whose timeout had passed when it was read is refused, since no caller waits for it
-    /// (`coursestand-daemon/tests/following/late_requests.rs`).
+    /// (`coursestand-daemon/tests/following/late_requests.rs`). During a planned stop the whole
+    /// `limit` counts from when the request was read.
     fn deadline_of(&self, arrival: Arrival, limit: Duration) -> Result<Deadline, Reason> {
         if limit <= arrival.waited {
             let retry_delay = arrival.waited.min(MAX_RETRY_DELAY);
