--- a/crates/coursestand-proxy/tests/congested_link.rs
+++ b/crates/coursestand-proxy/tests/congested_link.rs
@@ -1,6 +1,6 @@
 //! Guards against a daemon that ejects sound back ends because its own link is full. On links
-//! of 3 Mbit/s 20,461 of 21,044 failed connections of one day were to back ends that served
-//! other daemons within the same second. Their objects moved to back ends that were not warm.
+//! of 3 Mbit/s 20,461 of 21,044 failed connections of one day were to back ends that answered
+//! requests at about the same time. Their objects moved to back ends that were not warm.
 #![allow(missing_docs)]
 
 mod common;
