Report the size of the control log and the calls in progress

Adds coursestand_control_log_bytes, _snapshot_bytes and _calls, the sizes to the state dump and to the line that a replica logs at its start.

--- a/crates/coursestand-consensus/src/log.rs
+++ b/crates/coursestand-consensus/src/log.rs
@@ -10,6 +10,8 @@
 pub struct Log {
     snapshot: Snapshot,
     entries: Vec<Entry>,
+    /// Size of the payloads of `entries` in bytes.
+    bytes: usize,
     /// Last index that is synced to storage.
     persisted: LogIndex,
 }
@@ -19,6 +21,7 @@
     pub fn new(snapshot: Snapshot, entries: Vec<Entry>) -> Log {
         let mut log = Log {
             snapshot,
+            bytes: total_size(&entries),
             entries,
             persisted: 0,
         };
@@ -31,6 +34,11 @@
         &self.snapshot
     }
 
+    /// Returns the size of the payloads of all entries in bytes.
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
     /// Returns the index of the last entry.
     pub fn last_index(&self) -> LogIndex {
         self.snapshot.index + self.entries.len() as LogIndex
@@ -75,12 +83,15 @@
     /// Appends an entry; its index must follow the last one.
     pub fn push(&mut self, entry: Entry) {
         debug_assert_eq!(entry.index, self.last_index() + 1);
+        self.bytes += entry.payload.size();
         self.entries.push(entry);
     }
 
     /// Removes the entries from `first` on.
     pub fn truncate(&mut self, first: LogIndex) {
         let kept_count = first.saturating_sub(self.snapshot.index + 1) as usize;
+        let removed = self.entries.get(kept_count..).unwrap_or_default();
+        self.bytes -= total_size(removed);
         self.entries.truncate(kept_count);
         self.persisted = self.persisted.min(self.last_index());
     }
@@ -88,6 +99,7 @@
     /// Replaces the whole log with a snapshot.
     pub fn install(&mut self, snapshot: Snapshot) {
         self.entries.clear();
+        self.bytes = 0;
         self.snapshot = snapshot;
         self.persisted = self.snapshot.index;
     }
@@ -95,7 +107,8 @@
     /// Removes the entries that `snapshot` includes.
     pub fn compact(&mut self, snapshot: Snapshot) {
         let covered = snapshot.index.saturating_sub(self.snapshot.index) as usize;
-        self.entries.drain(..covered.min(self.entries.len()));
+        let removed = self.entries.drain(..covered.min(self.entries.len()));
+        self.bytes -= removed.map(|entry| entry.payload.size()).sum::<usize>();
         self.snapshot = snapshot;
     }
 
@@ -112,3 +125,7 @@
             .unwrap_or((self.snapshot.index, &self.snapshot.membership))
     }
 }
+
+fn total_size(entries: &[Entry]) -> usize {
+    entries.iter().map(|entry| entry.payload.size()).sum()
+}
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -152,7 +152,9 @@
         // The log is applied again from its snapshot or its first entry.
         *self.shared.state_mut() = ControlState::default();
         if let Some(identity) = persisted {
+            let started = Instant::now();
             let (log, restored) = (self.open_storage)(&self.folder).context(LogSnafu)?;
+            info!(target: LOG, took_ms = started.elapsed().as_millis() as u64; "the log was read");
             self.start_replica(identity, log, restored)?;
         } else {
             info!(target: LOG, "this replica has no identity and waits to join a group");
@@ -171,13 +173,16 @@
         if restored.snapshot.index > 0 {
             self.restore(&restored.snapshot);
         }
+        let entries = restored.entries.len();
+        let config = Config::new(identity.replica, rand::random());
+        let replica = Replica::new(config, restored, now);
         info!(
             target: LOG,
-            "replica {} begins in term {} with {} entries",
-            identity.replica, restored.hard_state.term, restored.entries.len()
+            entries = entries,
+            log_bytes = replica.log().bytes(),
+            snapshot_bytes = replica.log().snapshot().data.len();
+            "replica {} begins in term {}", identity.replica, replica.term()
         );
-        let config = Config::new(identity.replica, rand::random());
-        let replica = Replica::new(config, restored, now);
         let group = Group {
             identity,
             applied: replica.applied_index(),
--- a/crates/coursestand-daemon/src/control/shared.rs
+++ b/crates/coursestand-daemon/src/control/shared.rs
@@ -31,6 +31,10 @@
     pub last: u64,
     /// Index that the newest snapshot covers.
     pub snapshot: u64,
+    /// Size of the log entries after the newest snapshot in bytes.
+    pub log_bytes: usize,
+    /// Size of the state in the newest snapshot in bytes.
+    pub snapshot_bytes: usize,
     /// Members of the group.
     pub members: Vec<MemberStatus>,
     /// Why the replica stopped, if it failed.
--- a/crates/coursestand-daemon/src/control/status.rs
+++ b/crates/coursestand-daemon/src/control/status.rs
@@ -37,6 +37,8 @@
         commit: replica.commit_index(),
         last: replica.log().last_index(),
         snapshot: replica.log().snapshot().index,
+        log_bytes: replica.log().bytes(),
+        snapshot_bytes: replica.log().snapshot().data.len(),
         members,
         failure: None,
     }
--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -186,6 +186,7 @@
     }
 
     async fn execute(&self, call: Call, client: IpAddr) -> Response {
+        let _in_progress = self.mesh.metrics.start_call(kind_of(&call));
         match call {
             Call::PatchCatalog(patch) => self.commit(Command::PatchCatalog(patch)).await,
             Call::Evacuate { zone, is_active } => self.evacuate(zone, is_active).await,
@@ -320,6 +321,17 @@
     address.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), SocketAddr::ip)
 }
 
+/// Returns the kind of a call as named in metrics.
+fn kind_of(call: &Call) -> &'static str {
+    match call {
+        Call::PatchCatalog(_) | Call::Evacuate { .. } => "order",
+        Call::ReadCatalog => "read",
+        Call::Heartbeat(_) | Call::Deregister { .. } => "heartbeat",
+        Call::Lookup { .. } => "lookup",
+        Call::Ready => "ready",
+    }
+}
+
 /// Returns the number of catalog items that a command sets or removes.
 fn item_count(command: &Command) -> usize {
     match command {
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -12,9 +12,12 @@
     committed: IntGauge,
     members: IntGauge,
     catalog: IntGauge,
+    log_bytes: IntGauge,
+    snapshot_bytes: IntGauge,
     instances: IntGaugeVec,
     edges: IntGauge,
     rate_limited_backends: IntGauge,
+    calls: IntGaugeVec,
     /// Heartbeats of back ends received by this process.
     pub heartbeats: IntCounter,
     /// Operators' orders answered with success.
@@ -23,6 +26,15 @@
     pub refused: IntCounter,
 }
 
+/// A call in progress, which is counted until this value is dropped.
+pub struct CallInProgress(IntGauge);
+
+impl Drop for CallInProgress {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 /// Current counts of a control process.
 pub struct ControlCounts {
     /// Status of the replica.
@@ -71,6 +83,11 @@
             &["phase"],
         )?;
         registry.register(Box::new(instances.clone()))?;
+        let calls = IntGaugeVec::new(
+            Opts::new("coursestand_control_calls", "Calls in progress by kind"),
+            &["kind"],
+        )?;
+        registry.register(Box::new(calls.clone()))?;
         let gauge = |name, help| gauge(registry, name, help);
         let counter = |name, help| counter(registry, name, help);
         Ok(ControlMetrics {
@@ -82,6 +99,15 @@
             )?,
             members: gauge("coursestand_control_voters", "Voters of the control group")?,
             catalog: gauge("coursestand_catalog_version", "Newest catalog version")?,
+            log_bytes: gauge(
+                "coursestand_control_log_bytes",
+                "Size of the log entries after the newest snapshot",
+            )?,
+            snapshot_bytes: gauge(
+                "coursestand_control_snapshot_bytes",
+                "Size of the state in the newest snapshot",
+            )?,
+            calls,
             instances,
             edges: gauge("coursestand_edges", "Connected entry daemons")?,
             rate_limited_backends: gauge(
@@ -97,6 +123,13 @@
         })
     }
 
+    /// Counts a call of this kind as in progress until the returned guard is dropped.
+    pub fn start_call(&self, kind: &str) -> CallInProgress {
+        let gauge = self.calls.with_label_values(&[kind]);
+        gauge.inc();
+        CallInProgress(gauge)
+    }
+
     /// Updates the gauges.
     pub fn update(&self, counts: &ControlCounts) {
         let voters = counts.status.members.iter().filter(|member| member.voter);
@@ -105,6 +138,8 @@
         self.committed.set(counts.status.commit as i64);
         self.members.set(voters.count() as i64);
         self.catalog.set(counts.catalog as i64);
+        self.log_bytes.set(counts.status.log_bytes as i64);
+        self.snapshot_bytes.set(counts.status.snapshot_bytes as i64);
         self.edges.set(counts.edges as i64);
         self.rate_limited_backends
             .set(counts.rate_limited_backends as i64);
