Compact the control log by its bytes, and open it record by record

Cause: the log was compacted after 20,000 entries, whatever they weigh. A start held the bytes of each segment, all entries, a copy of them, the encoded record and its frame.

A start reads and writes the log one record at a time. The new segment gets its final name once it is synced, so an interrupted start loses nothing. Entries share their payload between the log, messages and the log writer (the encoding is unchanged).

--- a/crates/coursestand-consensus/src/config.rs
+++ b/crates/coursestand-consensus/src/config.rs
@@ -31,6 +31,11 @@
     pub max_batch: usize,
     /// Maximum bytes of snapshot data in one message.
     pub snapshot_chunk: usize,
+    /// Number of log entries at which the log is compacted.
+    pub max_log_entries: u64,
+    /// Bytes of log entries at which the log is compacted, unless twice the size of the
+    /// latest snapshot is more.
+    pub min_compaction_bytes: usize,
     /// Seed of the random election jitter.
     pub seed: u64,
     /// Safety mechanisms; tests disable them to verify that their checks can fail.
@@ -50,6 +55,8 @@
             max_batch_bytes: 2 * 1024 * 1024,
             max_batch: 256,
             snapshot_chunk: 256 * 1024,
+            max_log_entries: 20_000,
+            min_compaction_bytes: 4 * 1024 * 1024,
             seed,
             mechanisms: Mechanisms::default(),
         }
--- a/crates/coursestand-consensus/src/replica/replication.rs
+++ b/crates/coursestand-consensus/src/replica/replication.rs
@@ -4,18 +4,7 @@
 use crate::ids::{LogIndex, Millis, ReplicaId};
 use crate::message::{Append, AppendAnswer, Body, LogPosition};
 use crate::progress::{SendState, SentEntries};
-use crate::types::Entry;
-
-/// Returns the longest prefix of `entries` within `max_bytes`, but at least one entry.
-fn limit_bytes(entries: &[Entry], max_bytes: usize) -> &[Entry] {
-    let mut bytes = 0;
-    let fits = |entry: &&Entry| {
-        bytes += entry.payload.size();
-        bytes <= max_bytes
-    };
-    let count = entries.iter().take_while(fits).count();
-    &entries[..count.max(1).min(entries.len())]
-}
+use crate::types::prefix_within;
 
 impl Replica {
     pub(super) fn followers(&self) -> Vec<ReplicaId> {
@@ -86,7 +75,7 @@
         let first = progress.next.max(1);
         let entries = if progress.may_send(now, first, self.config.resend_after) {
             let entries = self.log.entries_from(first, max_batch);
-            limit_bytes(entries, self.config.max_batch_bytes).to_vec()
+            prefix_within(entries, self.config.max_batch_bytes).to_vec()
         } else {
             Vec::new()
         };
--- a/crates/coursestand-consensus/src/replica/snapshots.rs
+++ b/crates/coursestand-consensus/src/replica/snapshots.rs
@@ -6,7 +6,39 @@
 use crate::progress::SendState;
 use crate::types::{Entry, HardState, Snapshot};
 
+/// Multiple of the bounds on the log up to which a leader delays a compaction that would
+/// remove entries that a connected follower still needs.
+const MAX_COMPACTION_DELAY_FACTOR: usize = 3;
+
 impl Replica {
+    /// Returns the index up to which the log should be compacted, or `None` while it is within
+    /// its bounds. They follow the size of the state, so that the log on disk and the memory
+    /// for reading it at a start are bounded, however many changes led to the state.
+    pub fn compaction_due(&self, now: Millis) -> Option<LogIndex> {
+        let entries = self.applied.saturating_sub(self.log.snapshot().index);
+        let snapshot_bytes = self.log.snapshot().data.len();
+        let max_bytes = self.config.min_compaction_bytes.max(2 * snapshot_bytes);
+        let exceeds = |factor: usize| {
+            entries >= self.config.max_log_entries * factor as u64
+                || self.log.bytes() >= max_bytes * factor
+        };
+        // A follower that needs a removed entry has to receive a whole snapshot instead, and one
+        // that is receiving a snapshot has to start over with the new one.
+        let is_due = exceeds(1) && !self.has_follower_behind(now);
+        (entries > 0 && (is_due || exceeds(MAX_COMPACTION_DELAY_FACTOR))).then_some(self.applied)
+    }
+
+    /// Returns whether this replica leads and a follower that answered lately lacks entries
+    /// that are applied here.
+    fn has_follower_behind(&self, now: Millis) -> bool {
+        let connected_since = now.saturating_sub(self.config.election_timeout);
+        self.progress().is_some_and(|progress| {
+            progress.values().any(|follower| {
+                follower.last_contact_at > connected_since && follower.matched < self.applied
+            })
+        })
+    }
+
     /// Compacts the log with `data`, the state machine at `index`. Returns the snapshot,
     /// the hard state and the entries after `index`, for `Storage::compact`; `None` if
     /// `index` is not applied or already compacted.
--- a/crates/coursestand-consensus/src/types.rs
+++ b/crates/coursestand-consensus/src/types.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{LogIndex, ReplicaId, Term};
@@ -13,8 +14,8 @@
     /// The no-op that a leader appends on election, so that it can commit entries of
     /// earlier terms.
     Empty,
-    /// An encoded command of the state machine.
-    Command(Vec<u8>),
+    /// An encoded command of the state machine. Copies of the entry share it.
+    Command(Bytes),
     /// The membership that is in effect from this entry on.
     Membership(Membership),
 }
@@ -40,6 +41,17 @@
     pub payload: Payload,
 }
 
+/// Returns the longest prefix of `entries` within `max_bytes`, but at least one entry.
+pub(crate) fn prefix_within(entries: &[Entry], max_bytes: usize) -> &[Entry] {
+    let mut bytes = 0;
+    let fits = |entry: &&Entry| {
+        bytes += entry.payload.size();
+        bytes <= max_bytes
+    };
+    let count = entries.iter().take_while(fits).count();
+    &entries[..count.max(1).min(entries.len())]
+}
+
 /// State besides the log that a replica must persist across restarts.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HardState {
--- /dev/null
+++ b/crates/coursestand-consensus/src/wal/replay.rs
@@ -0,0 +1,111 @@
+//! Rebuilds the stored state from the files of a log.
+
+use std::path::Path;
+
+use snafu::ensure;
+
+use super::Record;
+use super::frames::{FrameRead, FrameReader};
+use crate::ids::LogIndex;
+use crate::storage::{CorruptSnafu, GapSnafu, Restored, StorageError};
+use crate::types::{Entry, Snapshot};
+
+/// Reads a snapshot file.
+pub(super) fn read_snapshot(path: &Path) -> Result<Snapshot, StorageError> {
+    let corrupt = |what| CorruptSnafu {
+        path,
+        offset: 0u64,
+        what,
+    };
+    // A snapshot is renamed only after its sync, so it can't be truncated.
+    let FrameRead::Complete(payload) = FrameReader::open(path)?.next()? else {
+        return corrupt("snapshot checksum mismatch").fail();
+    };
+    postcard::from_bytes(&payload).or_else(|_| corrupt("snapshot can't be decoded").fail())
+}
+
+/// The state that the records read so far lead to.
+pub(super) struct Replay {
+    pub(super) restored: Restored,
+    /// Whether the logged entry at the snapshot's index differs in term from the one in
+    /// the snapshot; the snapshot then replaces the entries that follow it.
+    has_conflict: bool,
+}
+
+impl Replay {
+    pub(super) fn new(snapshot: Snapshot) -> Replay {
+        Replay {
+            restored: Restored {
+                snapshot,
+                ..Restored::default()
+            },
+            has_conflict: false,
+        }
+    }
+
+    /// Applies the records of a segment. Only the newest segment may end in a truncated
+    /// frame, which is discarded.
+    pub(super) fn read_segment(
+        &mut self,
+        path: &Path,
+        is_newest: bool,
+    ) -> Result<(), StorageError> {
+        let mut frames = FrameReader::open(path)?;
+        loop {
+            let offset = frames.offset();
+            let corrupt = |what| CorruptSnafu { path, offset, what };
+            match frames.next()? {
+                FrameRead::Complete(payload) => {
+                    let Ok(record) = postcard::from_bytes::<Record>(&payload) else {
+                        return corrupt("record can't be decoded").fail();
+                    };
+                    drop(payload);
+                    self.apply_record(path, record)?;
+                }
+                FrameRead::End => return Ok(()),
+                FrameRead::Truncated if is_newest => return Ok(()),
+                FrameRead::Truncated => return corrupt("segment ends early").fail(),
+                FrameRead::Corrupt(what) => return corrupt(what).fail(),
+            }
+        }
+    }
+
+    fn apply_record(&mut self, path: &Path, record: Record) -> Result<(), StorageError> {
+        if let Some(hard_state) = record.hard_state {
+            self.restored.hard_state = hard_state;
+        }
+        let base = self.restored.snapshot.index;
+        if let Some(after) = record.restart_after {
+            let last = base;
+            let found = after;
+            ensure!(after <= base, GapSnafu { path, found, last });
+            self.restored.entries.clear();
+            self.has_conflict = false;
+        }
+        for entry in record.entries {
+            self.apply_entry(path, entry)?;
+        }
+        Ok(())
+    }
+
+    fn apply_entry(&mut self, path: &Path, entry: Entry) -> Result<(), StorageError> {
+        let base = self.restored.snapshot.index;
+        let entries = &mut self.restored.entries;
+        let found = entry.index;
+        if found == base {
+            self.has_conflict = entry.term != self.restored.snapshot.term;
+        }
+        if found <= base {
+            entries.clear();
+        }
+        if found <= base || self.has_conflict {
+            return Ok(());
+        }
+        let kept_count = (found - base - 1) as usize;
+        let last = base + entries.len() as LogIndex;
+        ensure!(kept_count <= entries.len(), GapSnafu { path, found, last });
+        entries.truncate(kept_count);
+        entries.push(entry);
+        Ok(())
+    }
+}
--- a/crates/coursestand-consensus/tests/resending.rs
+++ b/crates/coursestand-consensus/tests/resending.rs
@@ -24,7 +24,7 @@
     let entry = |index| Entry {
         term: 1,
         index,
-        payload: Payload::Command(vec![0; ENTRY_BYTES]),
+        payload: Payload::Command(vec![0; ENTRY_BYTES].into()),
     };
     let restored = Restored {
         hard_state: HardState {
--- a/crates/coursestand-consensus/tests/simulation/group.rs
+++ b/crates/coursestand-consensus/tests/simulation/group.rs
@@ -265,7 +265,7 @@
         };
         let clock = node.clock(now);
         if let Some(replica) = node.replica.as_mut().filter(|_| !node.is_paused) {
-            let payload = Payload::Command(command.to_le_bytes().to_vec());
+            let payload = Payload::Command(command.to_le_bytes().to_vec().into());
             if replica.propose(clock, payload).is_ok() {
                 self.next_command += 1;
             }
--- a/crates/coursestand-consensus/tests/wal.rs
+++ b/crates/coursestand-consensus/tests/wal.rs
@@ -17,7 +17,7 @@
     Entry {
         term,
         index,
-        payload: Payload::Command(vec![index as u8; 20]),
+        payload: Payload::Command(vec![index as u8; 20].into()),
     }
 }
 
@@ -230,3 +230,46 @@
     let error = WriteAheadLog::open(folder.path()).err().expect("refused");
     expect_that!(error.to_string(), contains_substring("another process"));
 }
+
+/// Entries of more than one record of the segment that is written when the log opens.
+fn large_entries() -> Vec<Entry> {
+    (1..=5)
+        .map(|index| Entry {
+            term: 1,
+            index,
+            payload: Payload::Command(vec![index as u8; 600_000].into()),
+        })
+        .collect()
+}
+
+#[gtest]
+fn a_log_of_several_megabytes_is_restored_at_each_start() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (mut log, _) = WriteAheadLog::open(folder.path()).expect("the log opens");
+    let batch = Batch {
+        entries: large_entries(),
+        ..entries(1, 1, 0)
+    };
+    log.save(&batch).expect("saved");
+    drop(log);
+    for _ in 0..3 {
+        let restored = reopen(folder.path());
+        expect_that!(restored.entries, eq(&large_entries()));
+        expect_that!(restored.hard_state.term, eq(1));
+    }
+}
+
+/// A process that ends while it opens the log leaves part of the new segment behind. The log
+/// must not lose entries by it.
+#[gtest]
+fn an_interrupted_start_loses_nothing() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let (segment, _) = log_with_two_frames(folder.path());
+    let next = folder.path().join("00000000000000000002.tmp");
+    let bytes = std::fs::read(&segment).expect("read");
+    for length in [0, 5, 20, bytes.len() - 1, bytes.len()] {
+        std::fs::write(&next, &bytes[..length]).expect("written");
+        expect_that!(reopen(folder.path()).entries.len(), eq(9));
+        expect_that!(next.exists(), eq(false));
+    }
+}
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -36,9 +36,6 @@
 /// Maximum time for which the driver waits for a sync before it continues with work that
 /// needs none. Most syncs take 5 to 20 ms; a leader's heartbeats are due every 100 ms.
 const MAX_SYNC_WAIT: Duration = Duration::from_millis(50);
-/// Number of applied entries after which a snapshot is taken and the log is compacted.
-const ENTRIES_PER_SNAPSHOT: u64 = 20_000;
-
 /// Delay before a replica whose storage failed restarts.
 const RESTART_DELAY: Duration = Duration::from_millis(500);
 
@@ -334,7 +331,7 @@
             command,
         };
         match postcard::to_stdvec(&stamped) {
-            Ok(bytes) => self.propose(Payload::Command(bytes), reply),
+            Ok(bytes) => self.propose(Payload::Command(bytes.into()), reply),
             Err(failure) => {
                 let answer = CommandAnswer::Refused(failure.to_string());
                 let _ = reply.send(Ok(answer));
@@ -525,14 +522,18 @@
         let Some(group) = &mut self.group else {
             return;
         };
-        let covered = group.replica.log().snapshot().index;
-        let applied = group.replica.applied_index();
-        if group.writing.is_some() || applied < covered + ENTRIES_PER_SNAPSHOT {
+        if group.writing.is_some() {
             return;
         }
+        let Some(applied) = group.replica.compaction_due(self.shared.clock.now()) else {
+            return;
+        };
         let encoded = postcard::to_stdvec(&*self.shared.state());
         let data = match encoded {
-            Ok(data) => data,
+            Ok(mut data) => {
+                data.shrink_to_fit();
+                data
+            }
             Err(failure) => {
                 error!(target: LOG, "the state can't be encoded: {failure}");
                 return;
