Encode the catalog once for all its readers

Cause: each read copied the whole catalog, the leader encoded it for the process that was asked, which decoded it, built a tree of JSON values and then the text; nothing bounded how many reads did so at the same time. Readers that gave up were worked for to the end, and the next ones began anew.

Change: the process that was asked learns the leader's catalog version, waits for its own copy to reach it, and encodes that without a tree of values, once per version for all readers. The catalog in the state is shared, not copied. Older processes ignore the new flag of the question and answer with the whole catalog, as the pattern of trailing flags.

--- a/crates/coursestand-coordination/src/state.rs
+++ b/crates/coursestand-coordination/src/state.rs
@@ -1,6 +1,8 @@
 //! The replicated control state: a deterministic function of the commands in the
 //! log.
 
+use std::sync::Arc;
+
 use coursestand_catalog::Catalog;
 use coursestand_model::bundle::{Bundle, MAX_SHIFT_WINDOW_MS, Once};
 use coursestand_model::platform::{BackendState, PlatformBackend};
@@ -33,7 +35,8 @@
     ledger: ShiftLedger,
     releases: Vec<Release>,
     once: OnceLedger,
-    catalog: Catalog,
+    /// Shared with readers; a change copies it while one of them holds it.
+    catalog: Arc<Catalog>,
     /// Longest deadline of all bundles that have been in force: a request that was
     /// dispatched under an earlier bundle may still run.
     longest_deadline_ms: Millis,
@@ -91,12 +94,14 @@
             Command::Confirm { all, daemons } => self.confirm(*all, daemons),
             Command::ForgetDaemons(daemons) => self.forget_daemons(daemons, index),
             Command::Once(command) => self.apply_once(command, rules),
-            Command::PatchCatalog(patch) => match self.catalog.merge(patch, index) {
-                Ok(()) => CommandAnswer::Done,
-                Err(invalid) => CommandAnswer::Refused(invalid.to_string()),
-            },
+            Command::PatchCatalog(patch) => {
+                match Arc::make_mut(&mut self.catalog).merge(patch, index) {
+                    Ok(()) => CommandAnswer::Done,
+                    Err(invalid) => CommandAnswer::Refused(invalid.to_string()),
+                }
+            }
             Command::Evacuate { zone, is_active } => {
-                self.catalog.set_evacuation(zone, *is_active, index);
+                Arc::make_mut(&mut self.catalog).set_evacuation(zone, *is_active, index);
                 CommandAnswer::Done
             }
         }
@@ -166,6 +171,11 @@
         &self.catalog
     }
 
+    /// Returns the catalog without copying it.
+    pub fn shared_catalog(&self) -> Arc<Catalog> {
+        Arc::clone(&self.catalog)
+    }
+
     /// Returns the longest time in milliseconds that a request may run after its dispatch.
     pub fn longest_deadline_ms(&self) -> Millis {
         self.longest_deadline_ms
--- a/crates/coursestand-daemon/src/control/shared.rs
+++ b/crates/coursestand-daemon/src/control/shared.rs
@@ -1,6 +1,7 @@
 //! State shared by the parts of a control replica.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard};
 
@@ -172,6 +173,13 @@
         self.membership_and_index().1
     }
 
+    /// Returns the address of the leader, if this replica has learned of one.
+    pub fn leader_address(&self) -> Option<SocketAddr> {
+        let leader = self.status().leader?;
+        let membership = self.membership();
+        membership.members.get(&leader)?.address.parse().ok()
+    }
+
     /// Returns the members of the group, and the log index of the change that made them
     /// current.
     pub fn membership_and_index(&self) -> (LogIndex, Membership) {
--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use coursestand_catalog::{Catalog, CatalogDelta};
 use coursestand_coordination::{Command, CommandAnswer};
 use coursestand_dialect::{Call, Dialect, Reply};
 use coursestand_discovery::LookupClient;
@@ -15,15 +14,17 @@
 use coursestand_model::fleet::FleetSettings;
 use coursestand_model::{Millis, RegionId, ZoneId};
 use log::info;
-use poem::http::StatusCode;
+use poem::http::header::RETRY_AFTER;
+use poem::http::{HeaderValue, StatusCode};
 use poem::{Body, Request, Response};
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
 use crate::control::handle::ControlHandle;
+use crate::fleet::catalog_reads::{CatalogReads, EncodedCatalog, ReadError};
 use crate::fleet::control_service::ControlMesh;
 use crate::fleet::hub::{Hub, NotReplicated};
-use crate::fleet::listener::{propose, read_catalog};
+use crate::fleet::listener::propose;
 use crate::fleet::peer_links::PeerLinks;
 use crate::fleet::wire::{Answer, Question};
 use crate::names;
@@ -37,6 +38,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Maximum length of the body of a call.
 const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
+/// Time after which a call that was refused for others in progress may be repeated.
+const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Divisor of the time of a planned stop: clients may use a look-up for three times its
 /// lifetime, and requests need time to finish.
 const STOP_TTL_DIVISOR: Millis = 3;
@@ -63,6 +66,7 @@
     control: Arc<ControlHandle>,
     hub: Arc<Hub>,
     links: Arc<PeerLinks>,
+    reads: CatalogReads,
     dialect: Arc<dyn Dialect>,
     zones: BTreeMap<ZoneId, RegionId>,
     ttl: Millis,
@@ -97,6 +101,11 @@
             hub: Arc::clone(&mesh.hub),
             links: Arc::clone(&mesh.links),
             mesh: Arc::clone(&mesh),
+            reads: CatalogReads::new(
+                Arc::clone(&mesh.control),
+                Arc::clone(&mesh.links),
+                Arc::clone(&self.dialect),
+            ),
             dialect: Arc::clone(&self.dialect),
             zones: self.settings.zones.clone(),
             ttl: lookup_ttl(&self.settings),
@@ -271,7 +280,7 @@
                 Err(_) => Answer::Unknown("not committed before the deadline".to_owned()),
             };
         }
-        let Some(leader) = self.leader() else {
+        let Some(leader) = self.control.shared.leader_address() else {
             return Answer::NotLeader;
         };
         let question = Question::Propose(command.clone());
@@ -280,38 +289,24 @@
         answer.unwrap_or_else(|| Answer::Unknown("the leader did not answer".to_owned()))
     }
 
-    fn leader(&self) -> Option<SocketAddr> {
-        let leader = self.control.shared.status().leader?;
-        let membership = self.control.shared.membership();
-        membership.members.get(&leader)?.address.parse().ok()
-    }
-
     async fn read(&self) -> Response {
-        let deadline = Instant::now() + CALL_TIMEOUT;
-        loop {
-            if let Some(catalog) = self.read_once(deadline).await {
-                return respond(StatusCode::OK, self.dialect.catalog(&catalog));
-            }
-            if Instant::now() + RETRY_DELAY >= deadline {
-                return unavailable("no leader is known");
-            }
-            tokio::time::sleep(RETRY_DELAY).await;
+        match self.reads.read(Instant::now() + CALL_TIMEOUT).await {
+            Ok(EncodedCatalog { content_type, body }) => Response::builder()
+                .status(StatusCode::OK)
+                .content_type(content_type)
+                .body(body),
+            Err(error @ ReadError::Overloaded) => self.refuse_overload(&error.to_string()),
+            Err(error) => unavailable(&error.to_string()),
         }
     }
 
-    async fn read_once(&self, deadline: Instant) -> Option<Catalog> {
-        if let Some(catalog) = read_catalog(&self.control) {
-            return Some(catalog);
-        }
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        let answer = self
-            .links
-            .ask(self.leader()?, Question::ReadCatalog, remaining)
-            .await?;
-        match answer {
-            Answer::Catalog(delta) => Some(catalog_of(delta)),
-            _ => None,
-        }
+    /// Refuses a call because of others in progress. It had no effect.
+    fn refuse_overload(&self, reason: &str) -> Response {
+        self.mesh.metrics.overloaded.inc();
+        let mut response = unavailable(reason);
+        let seconds = HeaderValue::from(OVERLOAD_RETRY_AFTER.as_secs());
+        response.headers_mut().insert(RETRY_AFTER, seconds);
+        response
     }
 }
 
@@ -339,9 +334,3 @@
         _ => 0,
     }
 }
-
-fn catalog_of(delta: CatalogDelta) -> Catalog {
-    let mut catalog = Catalog::default();
-    catalog.adopt(delta);
-    catalog
-}
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coursestand_catalog::{Catalog, CatalogDelta};
+use coursestand_catalog::CatalogDelta;
 use coursestand_coordination::Command;
 use coursestand_discovery::EdgeRecord;
 use coursestand_kernel::Tasks;
@@ -194,10 +194,9 @@
 async fn answer(context: &ConnectionContext, question: Question) -> Answer {
     match question {
         Question::Propose(command) => propose(&context.control, command).await,
-        Question::ReadCatalog => match read_catalog(&context.control) {
-            Some(catalog) => Answer::Catalog(catalog.delta(0)),
-            None => Answer::NotLeader,
-        },
+        Question::ReadCatalog {
+            version_only: TrailingFlag(version_only),
+        } => answer_read(&context.control, version_only),
         Question::Join { address, replica } => context.formation.admit(address, replica),
     }
 }
@@ -211,11 +210,21 @@
     }
 }
 
-/// Returns the newest catalog, if this replica is the leader.
-pub fn read_catalog(control: &ControlHandle) -> Option<Catalog> {
-    let catalog = control.shared.state().catalog().clone();
-    // Checked after the copy, so that no other leader can have committed before it.
-    control.shared.leading_term().map(|_| catalog)
+fn answer_read(control: &ControlHandle, version_only: bool) -> Answer {
+    let Some(version) = newest_catalog_version(control) else {
+        return Answer::NotLeader;
+    };
+    if version_only {
+        return Answer::CatalogVersion(version);
+    }
+    Answer::Catalog(control.shared.state().shared_catalog().delta(0))
+}
+
+/// Returns the version of the newest catalog, if this replica is the leader.
+pub fn newest_catalog_version(control: &ControlHandle) -> Option<u64> {
+    let version = control.shared.state().catalog().version();
+    // Checked after the read, so that no other leader can have committed before it.
+    control.shared.leading_term().map(|_| version)
 }
 
 async fn serve_edge(
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -24,6 +24,8 @@
     pub orders: IntCounter,
     /// Calls that could not be parsed; none of them took effect.
     pub refused: IntCounter,
+    /// Calls refused because of others in progress; none of them took effect.
+    pub overloaded: IntCounter,
 }
 
 /// A call in progress, which is counted until this value is dropped.
@@ -120,6 +122,10 @@
                 "coursestand_calls_refused_total",
                 "Calls that could not be parsed",
             )?,
+            overloaded: counter(
+                "coursestand_calls_overloaded_total",
+                "Calls refused because of others in progress",
+            )?,
         })
     }
 
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod catalog_follower;
 pub mod catalog_parts;
+mod catalog_reads;
 pub mod catalog_updates;
 pub mod control_api;
 mod control_link;
--- a/crates/coursestand-daemon/src/fleet/wire.rs
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -159,7 +159,11 @@
     /// Commit this command.
     Propose(Command),
     /// Read the newest catalog.
-    ReadCatalog,
+    ReadCatalog {
+        /// Whether the sender needs only the version, and reads its own copy once that has it.
+        /// An older leader ignores this and answers with the catalog.
+        version_only: TrailingFlag,
+    },
     /// Add this replica to the group.
     Join {
         /// Internal address of the replica.
@@ -218,6 +222,8 @@
     AskThese(Vec<SocketAddr>),
     /// It is unknown whether the command took effect; the text says why.
     Unknown(String),
+    /// Version of the newest catalog; sent only if the question asks for it.
+    CatalogVersion(u64),
 }
 
 /// Entry daemons that connected or disconnected, by name.
--- a/crates/coursestand-dialect/src/call.rs
+++ b/crates/coursestand-dialect/src/call.rs
@@ -7,6 +7,7 @@
 use coursestand_model::{BackendId, Millis, RegionId, ZoneId};
 use coursestand_proxy::HeaderNames;
 use http::{Method, StatusCode, Uri};
+use serde::Serialize;
 use snafu::Snafu;
 
 /// A call to a process.
@@ -84,6 +85,8 @@
     }
 }
 
+const JSON: &str = "application/json";
+
 /// The body of a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Reply {
@@ -97,10 +100,19 @@
     /// Returns a JSON reply.
     pub fn json(value: &serde_json::Value) -> Reply {
         Reply {
-            content_type: "application/json",
+            content_type: JSON,
             body: value.to_string().into_bytes(),
         }
     }
+
+    /// Returns a JSON reply without building a tree of values; fails if `value` can't be
+    /// written as JSON.
+    pub fn stream_json<T: Serialize>(value: &T) -> Result<Reply, serde_json::Error> {
+        Ok(Reply {
+            content_type: JSON,
+            body: serde_json::to_vec(value)?,
+        })
+    }
 }
 
 /// Returns the value of a query parameter, or an empty string if it is missing. The value is
@@ -123,8 +135,8 @@
     /// Parses a call.
     fn parse(&self, method: &Method, uri: &Uri, body: &[u8]) -> Result<Call, CallError>;
 
-    /// Encodes all current items of the catalog.
-    fn catalog(&self, catalog: &Catalog) -> Reply;
+    /// Encodes all current items of the catalog; fails if an item can't be encoded.
+    fn catalog(&self, catalog: &Catalog) -> Result<Reply, serde_json::Error>;
 
     /// Encodes the reply to an accepted heartbeat. `home` is the address to which the back end
     /// should send later heartbeats.
--- a/crates/coursestand-dialect/src/native.rs
+++ b/crates/coursestand-dialect/src/native.rs
@@ -2,13 +2,14 @@
 
 use std::net::SocketAddr;
 
-use coursestand_catalog::{Catalog, Patch};
+use coursestand_catalog::item::ItemVersion;
+use coursestand_catalog::{Catalog, Item, ItemKey, Patch};
 use coursestand_discovery::InstanceUpdate;
 use coursestand_model::{BackendId, Millis, RegionId, ZoneId};
 use coursestand_proxy::HeaderNames;
 use http::{Method, Uri};
-use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize, Serializer};
 use serde_json::json;
 
 use crate::call::{Call, CallError, Dialect, Reply, query_value};
@@ -31,6 +32,28 @@
     Ok(parse_json::<IncarnationStart>(body)?.born)
 }
 
+/// The reply to a read of the catalog. It is written item by item, without a JSON tree.
+#[derive(Serialize)]
+struct CatalogBody<'a> {
+    items: LiveItems<'a>,
+}
+
+struct LiveItems<'a>(&'a Catalog);
+
+#[derive(Serialize)]
+struct LiveItem<'a> {
+    item: &'a Item,
+    key: &'a ItemKey,
+    version: ItemVersion,
+}
+
+impl Serialize for LiveItems<'_> {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        let items = self.0.live_items();
+        serializer.collect_seq(items.map(|(key, version, item)| LiveItem { item, key, version }))
+    }
+}
+
 fn parse_json<T: DeserializeOwned>(body: &[u8]) -> Result<T, CallError> {
     serde_json::from_slice(body).map_err(|error| CallError::body("body", error))
 }
@@ -73,12 +96,10 @@
         Ok(call)
     }
 
-    fn catalog(&self, catalog: &Catalog) -> Reply {
-        let items: Vec<_> = catalog
-            .live_items()
-            .map(|(key, version, item)| json!({"key": key, "version": version, "item": item}))
-            .collect();
-        Reply::json(&json!({ "items": items }))
+    fn catalog(&self, catalog: &Catalog) -> Result<Reply, serde_json::Error> {
+        Reply::stream_json(&CatalogBody {
+            items: LiveItems(catalog),
+        })
     }
 
     fn heartbeat_accepted(&self, home: Option<SocketAddr>) -> Reply {
