Bound the bytes of large changes that are read at the same time

Cause: each call read its body, up to 16 MiB, whatever others were in progress, so operators that repeat large changes while there is no leader could fill the memory of a control process.

Change: bodies of more than 64 KiB share 16 MiB until their calls are answered; a call that doesn't fit is refused at once with 503 and Retry-After, without effect. Heartbeats, look-ups and small changes are not affected.

a_large_change_is_refused_while_others_fill_the_limit: on the commit before it times out, the call is read; passes now (one run each).

--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -14,13 +14,14 @@
 use coursestand_model::fleet::FleetSettings;
 use coursestand_model::{Millis, RegionId, ZoneId};
 use log::info;
-use poem::http::header::RETRY_AFTER;
+use poem::http::header::{CONTENT_LENGTH, RETRY_AFTER};
 use poem::http::{HeaderValue, StatusCode};
-use poem::{Body, Request, Response};
+use poem::{Request, Response};
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
 use crate::control::handle::ControlHandle;
+use crate::fleet::call_body::{BodyError, CallBodies};
 use crate::fleet::catalog_reads::{CatalogReads, EncodedCatalog, ReadError};
 use crate::fleet::control_service::ControlMesh;
 use crate::fleet::hub::{Hub, NotReplicated};
@@ -36,8 +37,6 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Delay before a request to the leader is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(50);
-/// Maximum length of the body of a call.
-const MAX_BODY_BYTES: usize = 16 * 1024 * 1024;
 /// Time after which a call that was refused for others in progress may be repeated.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Divisor of the time of a planned stop: clients may use a look-up for three times its
@@ -67,6 +66,7 @@
     hub: Arc<Hub>,
     links: Arc<PeerLinks>,
     reads: CatalogReads,
+    bodies: CallBodies,
     dialect: Arc<dyn Dialect>,
     zones: BTreeMap<ZoneId, RegionId>,
     ttl: Millis,
@@ -106,6 +106,7 @@
                 Arc::clone(&mesh.links),
                 Arc::clone(&self.dialect),
             ),
+            bodies: CallBodies::default(),
             dialect: Arc::clone(&self.dialect),
             zones: self.settings.zones.clone(),
             ttl: lookup_ttl(&self.settings),
@@ -174,15 +175,16 @@
 
 impl ApiHandler {
     async fn answer(&self, mut request: Request) -> Result<Response, poem::Error> {
-        let body = std::mem::replace(&mut request.take_body(), Body::empty());
-        let body = match body.into_bytes_limit(MAX_BODY_BYTES).await {
+        let length = content_length(&request);
+        let body = match self.bodies.read(request.take_body(), length).await {
             Ok(body) => body,
-            Err(error) => return Ok(refuse(StatusCode::BAD_REQUEST, error)),
+            Err(error) => return Ok(self.refuse_body(&error)),
         };
         let client = client_address(&request);
         let parsed = self
             .dialect
-            .parse(request.method(), request.original_uri(), &body);
+            .parse(request.method(), request.original_uri(), &body.bytes);
+        drop(body.bytes);
         let response = match parsed {
             Ok(call) => self.execute(call, client).await,
             Err(error) => {
@@ -300,6 +302,13 @@
         }
     }
 
+    fn refuse_body(&self, error: &BodyError) -> Response {
+        match error {
+            BodyError::Overloaded => self.refuse_overload(&error.to_string()),
+            _ => refuse(StatusCode::BAD_REQUEST, error),
+        }
+    }
+
     /// Refuses a call because of others in progress. It had no effect.
     fn refuse_overload(&self, reason: &str) -> Response {
         self.mesh.metrics.overloaded.inc();
@@ -310,6 +319,12 @@
     }
 }
 
+/// Returns the announced length of a call's body in bytes.
+fn content_length(request: &Request) -> Option<usize> {
+    let value = request.headers().get(CONTENT_LENGTH)?;
+    value.to_str().ok()?.parse().ok()
+}
+
 /// Returns the address of the caller. Callers whose address is not known count as one.
 fn client_address(request: &Request) -> IpAddr {
     let address = request.remote_addr().as_socket_addr();
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 
 mod deployment;
 mod fatal_requests;
+mod large_bodies;
 mod large_change;
 mod restarted_backend;
 mod silent_edge;
