Bound the queues to other control processes in bytes

What callers saw: a read or an order shortly after a restart of control was answered only after 2.5 s, by 503; one read of control_memory took 2,633 ms where others took 425 to 533.

Cause: a queue held 4,096 messages of up to 2 MiB of entries each, also without a connection, and was emptied when the connection stood. So memory grew for a peer that was away, and a question among those messages was lost without its asker knowing. That the slow read had this cause is by reading.

Change: messages are encoded when they are queued, once for a broadcast, and a queue holds 8 MiB (or one larger message). Without a connection nothing is queued, and a question fails at once as not sent: a read is tried again, and an order too, since the leader can't have seen it. Adds coursestand_control_peer_queue_bytes.

--- a/crates/coursestand-daemon/src/fleet/catalog_reads.rs
+++ b/crates/coursestand-daemon/src/fleet/catalog_reads.rs
@@ -195,7 +195,8 @@
         };
         let remaining = deadline.saturating_duration_since(Instant::now());
         let leader = self.leader()?;
-        self.links.ask(leader, question, remaining).await
+        // The leader is asked again, or another one is found, until the deadline.
+        self.links.ask(leader, question, remaining).await.ok()
     }
 
     fn leader(&self) -> Option<SocketAddr> {
--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -26,7 +26,7 @@
 use crate::fleet::control_service::ControlMesh;
 use crate::fleet::hub::{Hub, NotReplicated};
 use crate::fleet::listener::propose;
-use crate::fleet::peer_links::PeerLinks;
+use crate::fleet::peer_links::{AskError, PeerLinks};
 use crate::fleet::wire::{Answer, Question};
 use crate::names;
 
@@ -287,8 +287,12 @@
         };
         let question = Question::Propose(command.clone());
         let remaining = deadline.saturating_duration_since(Instant::now());
-        let answer = self.links.ask(leader, question, remaining).await;
-        answer.unwrap_or_else(|| Answer::Unknown("the leader did not answer".to_owned()))
+        match self.links.ask(leader, question, remaining).await {
+            Ok(answer) => answer,
+            // The leader has not seen the command, so it may be sent again.
+            Err(AskError::NotSent) => Answer::NotLeader,
+            Err(error) => Answer::Unknown(error.to_string()),
+        }
     }
 
     async fn read(&self) -> Response {
--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -52,6 +52,7 @@
             catalog: shared.state().catalog().version(),
             ready,
             draining,
+            peer_queue_bytes: self.links.queued_bytes(),
             edges,
             rate_limited_backends: self.hub.limited_backends(),
         });
--- a/crates/coursestand-daemon/src/fleet/formation.rs
+++ b/crates/coursestand-daemon/src/fleet/formation.rs
@@ -249,6 +249,7 @@
             .map(|address| links.ask(address, question.clone(), REQUEST_TIMEOUT));
         let answers = futures::future::join_all(requests).await;
         let mut joined = None;
+        // A process that did not answer is asked again in the next round.
         for answer in answers.into_iter().flatten() {
             match answer {
                 Answer::Joined { cluster, voters } => joined = Some((cluster, voters)),
--- a/crates/coursestand-daemon/src/fleet/hub/edges.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/edges.rs
@@ -97,7 +97,7 @@
         info!(target: LOG, edge = record.name, incarnation = record.incarnation,
             phase:? = record.phase, connected = is_connected; "an entry daemon changed");
         if let Some(links) = self.links() {
-            links.broadcast(&PeerMessage::Edge {
+            links.broadcast(PeerMessage::Edge {
                 record: record.clone(),
                 is_connected,
             });
--- a/crates/coursestand-daemon/src/fleet/hub/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -192,7 +192,7 @@
         if let Some(links) = self.links()
             && !changed.is_empty()
         {
-            links.broadcast(&PeerMessage::Instances {
+            links.broadcast(PeerMessage::Instances {
                 starts: StartTimes::of(&changed),
                 updates: changed,
                 receipt: None,
@@ -361,7 +361,7 @@
         if let Some(links) = self.links()
             && !heartbeats_received.is_empty()
         {
-            links.broadcast(&PeerMessage::HeartbeatsReceived(heartbeats_received));
+            links.broadcast(PeerMessage::HeartbeatsReceived(heartbeats_received));
         }
         self.drop_silent_peers(now);
         self.expire_instances(now);
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -18,6 +18,7 @@
     edges: IntGauge,
     rate_limited_backends: IntGauge,
     calls: IntGaugeVec,
+    peer_queue_bytes: IntGauge,
     /// Heartbeats of back ends received by this process.
     pub heartbeats: IntCounter,
     /// Operators' orders answered with success.
@@ -49,6 +50,8 @@
     pub ready: usize,
     /// Back ends that are draining.
     pub draining: usize,
+    /// Bytes in the queues to other control processes.
+    pub peer_queue_bytes: usize,
     /// Connected entry daemons.
     pub edges: usize,
     /// Back ends that reported a rate limit.
@@ -110,6 +113,10 @@
                 "Size of the state in the newest snapshot",
             )?,
             calls,
+            peer_queue_bytes: gauge(
+                "coursestand_control_peer_queue_bytes",
+                "Messages queued for other control processes",
+            )?,
             instances,
             edges: gauge("coursestand_edges", "Connected entry daemons")?,
             rate_limited_backends: gauge(
@@ -146,6 +153,7 @@
         self.catalog.set(counts.catalog as i64);
         self.log_bytes.set(counts.status.log_bytes as i64);
         self.snapshot_bytes.set(counts.status.snapshot_bytes as i64);
+        self.peer_queue_bytes.set(counts.peer_queue_bytes as i64);
         self.edges.set(counts.edges as i64);
         self.rate_limited_backends
             .set(counts.rate_limited_backends as i64);
--- a/crates/coursestand-daemon/src/fleet/peer_links.rs
+++ b/crates/coursestand-daemon/src/fleet/peer_links.rs
@@ -2,15 +2,18 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
+use bytes::Bytes;
 use coursestand_consensus::{Membership, Message, ReplicaId};
 use coursestand_discovery::InstanceUpdate;
 use coursestand_kernel::Tasks;
+use coursestand_transport::frame::encode;
 use coursestand_transport::stream::{self, StreamError};
-use log::{debug, info};
+use log::{debug, info, warn};
+use snafu::Snafu;
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
@@ -20,6 +23,9 @@
 const LOG: &str = "mesh";
 /// Queue length of a connection; messages beyond it are dropped.
 const QUEUE_MESSAGES: usize = 4_096;
+/// Maximum bytes in the queue of a connection; messages beyond it are dropped, but a single
+/// larger one is queued.
+const MAX_QUEUE_BYTES: usize = 8 * 1024 * 1024;
 /// Time between two pings.
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 /// A peer that sends nothing for this long is disconnected.
@@ -30,10 +36,25 @@
 /// Returns the messages that a new connection starts with.
 pub type InitialMessages = Arc<dyn Fn() -> Vec<PeerMessage> + Send + Sync>;
 
+/// Why a question has no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
+pub enum AskError {
+    /// The question was not sent: there is no connection, or its queue is full.
+    #[snafu(display("the control process is not connected"))]
+    NotSent,
+    /// No answer arrived in time. The question may have been received.
+    #[snafu(display("the control process did not answer"))]
+    NoAnswer,
+}
+
 /// A connection to one control process.
 struct PeerLink {
     address: SocketAddr,
-    outgoing: mpsc::Sender<PeerMessage>,
+    /// Encoded messages.
+    outgoing: mpsc::Sender<Bytes>,
+    queued_bytes: AtomicUsize,
+    /// Whether a connection is established. Nothing is queued without one.
+    is_connected: AtomicBool,
     pending: Mutex<HashMap<u64, oneshot::Sender<PeerReply>>>,
 }
 
@@ -85,6 +106,8 @@
             let link = Arc::new(PeerLink {
                 address,
                 outgoing,
+                queued_bytes: AtomicUsize::new(0),
+                is_connected: AtomicBool::new(false),
                 pending: Mutex::default(),
             });
             let task = keep_connected(
@@ -103,14 +126,30 @@
 
     /// Sends a message to one process, if it is connected.
     pub fn send_to(&self, address: SocketAddr, message: PeerMessage) {
-        // A full queue drops the message, as a network may.
-        let _ = self.link(address).outgoing.try_send(message);
+        let link = self.link(address);
+        if let Some(frame) = link.encode_if_connected(message) {
+            // A full queue drops the message, as a network may.
+            let _ = link.enqueue(frame);
+        }
+    }
+
+    /// Returns the bytes in the queues of all connections.
+    pub fn queued_bytes(&self) -> usize {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let queued = links
+            .values()
+            .map(|link| link.queued_bytes.load(Ordering::Relaxed));
+        queued.sum()
     }
 
     /// Sends a message to all connected processes.
-    pub fn broadcast(&self, message: &PeerMessage) {
+    pub fn broadcast(&self, message: PeerMessage) {
+        let Some(frame) = encode_message(message) else {
+            return;
+        };
         for address in self.addresses() {
-            self.send_to(address, message.clone());
+            // A full queue drops the message, as a network may.
+            let _ = self.link(address).enqueue(frame.clone());
         }
     }
 
@@ -129,24 +168,24 @@
             receipt: Some(number),
         };
         let reply = self.exchange(address, number, message, timeout).await;
-        matches!(reply, Some(PeerReply::Received(_)))
+        matches!(reply, Ok(PeerReply::Received(_)))
     }
 
-    /// Sends a question to one process and returns its answer, or `None` after `timeout`.
+    /// Sends a question to one process and returns its answer.
     pub async fn ask(
         &self,
         address: SocketAddr,
         question: Question,
         timeout: Duration,
-    ) -> Option<Answer> {
+    ) -> Result<Answer, AskError> {
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let message = PeerMessage::Ask {
             number,
             question: Box::new(question),
         };
         match self.exchange(address, number, message, timeout).await? {
-            PeerReply::Answer { answer, .. } => Some(answer),
-            _ => None,
+            PeerReply::Answer { answer, .. } => Ok(answer),
+            _ => Err(AskError::NoAnswer),
         }
     }
 
@@ -156,19 +195,69 @@
         number: u64,
         message: PeerMessage,
         timeout: Duration,
-    ) -> Option<PeerReply> {
+    ) -> Result<PeerReply, AskError> {
         let link = self.link(address);
+        let frame = link.encode_if_connected(message).ok_or(AskError::NotSent)?;
         let (reply, received) = oneshot::channel();
         link.pending().insert(number, reply);
-        // If the queue is full, no reply comes and the timeout below ends the wait.
-        let _ = link.outgoing.try_send(message);
-        let result = tokio::time::timeout(timeout, received).await;
+        let result = match link.enqueue(frame) {
+            Ok(()) => tokio::time::timeout(timeout, received)
+                .await
+                .ok()
+                .and_then(Result::ok)
+                .ok_or(AskError::NoAnswer),
+            Err(NotQueued) => Err(AskError::NotSent),
+        };
         link.pending().remove(&number);
-        result.ok()?.ok()
+        result
+    }
+}
+
+/// The message was not queued: there is no connection, or its queue is full.
+struct NotQueued;
+
+fn encode_message(message: PeerMessage) -> Option<Bytes> {
+    match encode(&ToControl::Peer(message)) {
+        Ok(frame) => Some(Bytes::from(frame)),
+        Err(error) => {
+            warn!(target: LOG, "a message to a control process can't be encoded: {error}");
+            None
+        }
     }
 }
 
 impl PeerLink {
+    fn encode_if_connected(&self, message: PeerMessage) -> Option<Bytes> {
+        let is_connected = self.is_connected.load(Ordering::SeqCst);
+        is_connected.then(|| encode_message(message)).flatten()
+    }
+
+    fn enqueue(&self, frame: Bytes) -> Result<(), NotQueued> {
+        let length = frame.len();
+        let reserve = |queued: usize| {
+            let fits = queued == 0 || queued + length <= MAX_QUEUE_BYTES;
+            (fits && self.is_connected.load(Ordering::SeqCst)).then_some(queued + length)
+        };
+        self.queued_bytes
+            .fetch_update(Ordering::SeqCst, Ordering::SeqCst, reserve)
+            .map_err(|_| NotQueued)?;
+        self.outgoing.try_send(frame).map_err(|_| {
+            self.queued_bytes.fetch_sub(length, Ordering::SeqCst);
+            NotQueued
+        })
+    }
+
+    /// Records that a frame was taken from the queue.
+    fn note_dequeued(&self, frame: &Bytes) {
+        self.queued_bytes.fetch_sub(frame.len(), Ordering::SeqCst);
+    }
+
+    fn discard_queue(&self, queue: &mut mpsc::Receiver<Bytes>) {
+        while let Ok(frame) = queue.try_recv() {
+            self.note_dequeued(&frame);
+        }
+    }
+
     fn pending(&self) -> std::sync::MutexGuard<'_, HashMap<u64, oneshot::Sender<PeerReply>>> {
         self.pending.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -187,7 +276,7 @@
 
 async fn keep_connected(
     link: Arc<PeerLink>,
-    mut queue: mpsc::Receiver<PeerMessage>,
+    mut queue: mpsc::Receiver<Bytes>,
     local_address: SocketAddr,
     initial_messages: InitialMessages,
 ) {
@@ -207,6 +296,8 @@
             }
             was_connected = false;
         }
+        link.is_connected.store(false, Ordering::SeqCst);
+        link.discard_queue(&mut queue);
         // Drops the waiting callers: no reply to what was sent on that connection can come.
         link.pending().clear();
         tokio::time::sleep(RECONNECT_DELAY).await;
@@ -215,15 +306,17 @@
 
 async fn run(
     link: &PeerLink,
-    queue: &mut mpsc::Receiver<PeerMessage>,
+    queue: &mut mpsc::Receiver<Bytes>,
     local_address: SocketAddr,
     initial_messages: &InitialMessages,
     was_connected: &mut bool,
 ) -> Result<(), StreamError> {
     let (mut receiver, mut sender) = stream::connect::<PeerReply, ToControl>(link.address).await?;
     sender.send(&ToControl::PeerHello(local_address)).await?;
-    // Messages queued before the connection are outdated; the initial messages are newer.
-    while queue.try_recv().is_ok() {}
+    // A message may have been queued while the last connection was closed.
+    link.discard_queue(queue);
+    // Set before the initial messages are collected, so that no later update is lost.
+    link.is_connected.store(true, Ordering::SeqCst);
     for message in initial_messages() {
         sender.send(&ToControl::Peer(message)).await?;
     }
@@ -232,7 +325,10 @@
     loop {
         tokio::select! {
             message = queue.recv() => match message {
-                Some(message) => sender.send(&ToControl::Peer(message)).await?,
+                Some(frame) => {
+                    link.note_dequeued(&frame);
+                    sender.send_frame(frame).await?;
+                }
                 None => return Ok(()),
             },
             reply = receiver.next() => {
