Give up on a large change whose caller stops sending it

By reading the change before: a caller that stops in the middle of a large body, for example because its machine lost power, would keep its share of the 16 MiB until its connection closed, and all later large changes would be refused.

--- a/crates/coursestand-daemon/src/fleet/call_body.rs
+++ b/crates/coursestand-daemon/src/fleet/call_body.rs
@@ -1,6 +1,7 @@
 //! Bodies of calls, with a bound on the bytes of large ones that are held at the same time.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use poem::Body;
 use snafu::{ResultExt, Snafu};
@@ -14,6 +15,8 @@
 const SMALL_BODY_BYTES: usize = 64 * 1024;
 /// Bytes of large bodies that calls in progress hold together.
 const LARGE_BODIES_BYTES: usize = MAX_BODY_BYTES;
+/// Time for a large body to arrive.
+const LARGE_BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Why a body can't be read.
 #[derive(Debug, Snafu)]
@@ -24,6 +27,12 @@
         /// Cause.
         source: std::io::Error,
     },
+    /// A large body did not arrive in time.
+    #[snafu(display("the body did not arrive within {} s", limit.as_secs()))]
+    TooSlow {
+        /// The limit.
+        limit: Duration,
+    },
     /// The body is too long.
     #[snafu(display("the body exceeds {MAX_BODY_BYTES} bytes"))]
     TooLong,
@@ -43,17 +52,26 @@
 /// Reads the bodies of calls.
 pub struct CallBodies {
     large: Arc<Semaphore>,
+    /// Time for a large body to arrive, so that a caller that stops sending does not keep its
+    /// share.
+    timeout: Duration,
 }
 
 impl Default for CallBodies {
     fn default() -> CallBodies {
+        CallBodies::with_timeout(LARGE_BODY_TIMEOUT)
+    }
+}
+
+impl CallBodies {
+    /// Returns a reader of bodies. Large ones must arrive within `timeout`.
+    pub fn with_timeout(timeout: Duration) -> CallBodies {
         CallBodies {
             large: Arc::new(Semaphore::new(LARGE_BODIES_BYTES)),
+            timeout,
         }
     }
-}
 
-impl CallBodies {
     /// Reads a body. `length` is its announced length; a body without one counts as
     /// [`MAX_BODY_BYTES`] once it turns out to be large. Fails at once if other large bodies
     /// leave no room for it.
@@ -81,10 +99,12 @@
             .map_err(|_| BodyError::Overloaded)?;
         bytes.reserve(length.unwrap_or_default().saturating_sub(bytes.len()));
         let rest_limit = (MAX_BODY_BYTES - bytes.len()) as u64 + 1;
-        reader
-            .take(rest_limit)
-            .read_to_end(&mut bytes)
+        let mut rest = reader.take(rest_limit);
+        tokio::time::timeout(self.timeout, rest.read_to_end(&mut bytes))
             .await
+            .map_err(|_| BodyError::TooSlow {
+                limit: self.timeout,
+            })?
             .context(ReadSnafu)?;
         if bytes.len() > MAX_BODY_BYTES {
             return Err(BodyError::TooLong);
--- a/crates/coursestand-daemon/src/fleet/catalog_reads.rs
+++ b/crates/coursestand-daemon/src/fleet/catalog_reads.rs
@@ -176,8 +176,8 @@
         }
     }
 
-    /// Returns the version of the leader's catalog, or 0 if the leader, an older process, tells
-    /// it only with the whole catalog.
+    /// Returns the version of the leader's catalog, or `None` if no leader answers. A leader of an
+    /// older version answers with the whole catalog.
     async fn newest_version(&self, deadline: Instant) -> Option<u64> {
         if let Some(version) = newest_catalog_version(&self.control) {
             return Some(version);
--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -309,6 +309,7 @@
     fn refuse_body(&self, error: &BodyError) -> Response {
         match error {
             BodyError::Overloaded => self.refuse_overload(&error.to_string()),
+            BodyError::TooSlow { .. } => refuse(StatusCode::REQUEST_TIMEOUT, error),
             _ => refuse(StatusCode::BAD_REQUEST, error),
         }
     }
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -3,7 +3,7 @@
 //!
 //! `docs/design/0006-fleet-on-a-platform.md` describes the division of work.
 
-mod call_body;
+pub mod call_body;
 pub mod catalog_follower;
 pub mod catalog_parts;
 mod catalog_reads;
