Soak large changes, readers of the catalog and the loss of all control processes

A third shape of the soak: operators rewrite 1,400 routes at once, two readers at each control process read the whole catalog over and over with a limit of one second, and all control processes are also killed at the same moment. Each read must have what was acknowledged before it began, and no control process may take more than 96 MiB. Both checks are shown to fail on a broken record. The schedules of the other shapes are unchanged.

--- a/crates/coursestand-daemon/tests/soak/faults.rs
+++ b/crates/coursestand-daemon/tests/soak/faults.rs
@@ -86,7 +86,9 @@
             6..9 => self.change_route(system).await,
             9 => self.reload(system),
             10 => self.kill_edges(system),
-            _ => self.suspend_backends(system),
+            11..13 => self.suspend_backends(system),
+            13..20 => self.change_many_routes(system).await,
+            _ => self.kill_all_controls(system),
         }
         Ok(())
     }
@@ -174,6 +176,23 @@
         }
     }
 
+    /// Kills all control processes that run, at the same time. Their disks stay.
+    fn kill_all_controls(&mut self, system: &mut System) {
+        let until = Instant::now() + self.random_duration(600);
+        for host in CONTROLS {
+            if let Entry::Vacant(entry) = self.recoveries.entry(host) {
+                system.processes.kill(host);
+                entry.insert((until, Recovery::Start));
+            }
+        }
+    }
+
+    async fn change_many_routes(&mut self, system: &System) {
+        self.version += 1;
+        let host = CONTROLS[self.random.random_range(0..CONTROLS.len())];
+        system.change_many_routes(host, self.version).await;
+    }
+
     /// Suspends half of the back ends, for up to some windows of the bounds.
     fn suspend_backends(&mut self, system: &System) {
         let half = system.backends.len() / 2;
@@ -248,7 +267,7 @@
         let body = serde_json::to_string(&patch).expect("JSON");
         let host = CONTROLS[self.random.random_range(0..CONTROLS.len())];
         if system.deployment.try_patch(host, &body).await == 200 {
-            system.acknowledged.insert(name, self.version);
+            system.acknowledged.add(name, self.version);
         }
     }
 
--- a/crates/coursestand-daemon/tests/soak/main.rs
+++ b/crates/coursestand-daemon/tests/soak/main.rs
@@ -14,6 +14,7 @@
 mod callers;
 mod faults;
 mod hangup;
+mod operators;
 mod processes;
 mod rate_limit;
 mod relay;
@@ -33,6 +34,7 @@
 use deployment::{Deployment, TEST_TIMEOUT, heartbeat_of, key_of};
 use faults::Faults;
 use googletest::prelude::*;
+use operators::{Acknowledged, Readers, check_catalog, check_memory};
 use processes::Processes;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
@@ -67,8 +69,7 @@
     pub relays: Vec<Relay>,
     pub backends: Vec<ScriptedBackend>,
     pub shape: Shape,
-    /// Newest acknowledged version of each route.
-    pub acknowledged: BTreeMap<String, u64>,
+    pub acknowledged: Acknowledged,
 }
 
 fn script(random: &mut StdRng) -> Vec<Behaviour> {
@@ -208,7 +209,7 @@
         relays: Vec::new(),
         backends: Vec::new(),
         shape,
-        acknowledged: BTreeMap::new(),
+        acknowledged: Acknowledged::default(),
     };
     let outcome = run(&mut system, random, seconds).await;
     outcome.map_err(|reason| {
@@ -264,6 +265,7 @@
     let caller_tasks: Vec<_> = (0..CALLERS)
         .map(|caller| tokio::spawn(call(Arc::clone(&log), fronts.clone(), caller, pause)))
         .collect();
+    let readers = Readers::start(system, &log);
     let started_at = Instant::now();
     let end = started_at + Duration::from_secs(seconds);
     let mut faults = Faults::new(random);
@@ -279,15 +281,11 @@
     heartbeat_task.await.expect("no panic in the heartbeats");
     check_processes(system)?;
     served?;
-    for (route, version) in &system.acknowledged {
-        let read = system.deployment.read(CONTROLS[0]).await;
-        let found = read.get(&key_of(route)).copied().unwrap_or_default();
-        if found < *version {
-            return Err(format!(
-                "route {route} has version {found}, {version} was acknowledged"
-            ));
-        }
-    }
+    let reads = readers.finish().await?;
+    println!("{reads} reads of the catalog");
+    check_memory(&system.control_memory_peaks())?;
+    let read = system.deployment.read(CONTROLS[0]).await;
+    check_catalog(&system.acknowledged.snapshot(), &read)?;
     check_repeats(&log.requests(), &system.backends, &system.shape)?;
     if system.shape.has_rate_limit {
         rate_limit::check(
@@ -382,6 +380,14 @@
     expect_that!(violations(seeds(), Shape::from_seed).await, is_empty());
 }
 
+/// Operators change many routes at once and read the whole catalog; control processes are also
+/// killed all at the same time.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn guarantees_hold_with_large_changes_and_readers() {
+    expect_that!(violations(seeds(), with_operators).await, is_empty());
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_for_seeds_that_failed_once() {
@@ -391,6 +397,10 @@
     );
 }
 
+fn with_operators(_seed: u64) -> Shape {
+    Shape::with_operators()
+}
+
 fn baseline(_seed: u64) -> Shape {
     Shape::baseline()
 }
@@ -424,6 +434,16 @@
         let sent = http.post(url).header("x-request-id", id).body("a").send();
         sent.await.expect("an answer");
     }
+    let acknowledged = BTreeMap::from([("a".to_owned(), 2)]);
+    let older = BTreeMap::from([(key_of("a"), 1)]);
+    expect_that!(
+        check_catalog(&acknowledged, &older),
+        err(contains_substring("has version 1, 2 was acknowledged"))
+    );
+    expect_that!(
+        check_memory(&[1, 97 * 1024 * 1024]),
+        err(contains_substring("a control process took"))
+    );
     let backends = [backend];
     let long_ago = Instant::now().checked_sub(TEST_TIMEOUT).expect("a moment");
     expect_that!(rate_limit::check(long_ago, &backends[0]), ok(eq(&())));
--- a/crates/coursestand-daemon/tests/soak/processes.rs
+++ b/crates/coursestand-daemon/tests/soak/processes.rs
@@ -134,6 +134,11 @@
             .id()
     }
 
+    /// Returns the process id of a host's daemon, or `None` if it was killed.
+    pub fn running_id(&self, host: u8) -> Option<u32> {
+        self.children.get(&host).map(Child::id)
+    }
+
     /// Whether the process of this host has run long enough to handle signals: before its
     /// handlers are installed, a signal terminates it.
     pub fn handles_signals(&self, host: u8) -> bool {
--- a/crates/coursestand-daemon/tests/soak/shape.rs
+++ b/crates/coursestand-daemon/tests/soak/shape.rs
@@ -15,6 +15,8 @@
 const BASELINE_FAULT_WEIGHT: u32 = 10;
 /// Sum of the weights with kills of all entry daemons and suspended back ends added.
 const TOTAL_FAULT_WEIGHT: u32 = 13;
+/// Sum of the weights with large changes and kills of all control processes added.
+const OPERATORS_FAULT_WEIGHT: u32 = 22;
 
 /// The shape of a deployment.
 #[derive(Clone, Debug)]
@@ -25,6 +27,8 @@
     /// Constant part of the retry bound.
     pub retry_extra: f64,
     pub has_all_faults: bool,
+    /// Whether operators make large changes and all control processes are killed at once.
+    pub has_operators: bool,
     /// Whether the last back end announces a rate limit with each complete answer.
     pub has_rate_limit: bool,
 }
@@ -37,10 +41,21 @@
             pause: Duration::from_millis(5),
             retry_extra: 64.0,
             has_all_faults: false,
+            has_operators: false,
             has_rate_limit: false,
         }
     }
 
+    /// Returns a shape with less load, large changes and kills of all control processes.
+    pub fn with_operators() -> Shape {
+        Shape {
+            pause: Duration::from_millis(50),
+            has_all_faults: true,
+            has_operators: true,
+            ..Shape::baseline()
+        }
+    }
+
     /// Returns the random shape of a seed.
     pub fn from_seed(seed: u64) -> Shape {
         let mut random = StdRng::seed_from_u64(!seed);
@@ -49,6 +64,7 @@
             pause: Duration::from_millis([5, 50, 300][random.random_range(0..3)]),
             retry_extra: [64.0, 20.0, 6.0][random.random_range(0..3)],
             has_all_faults: true,
+            has_operators: false,
             has_rate_limit: true,
         }
     }
@@ -61,7 +77,9 @@
     }
 
     pub fn fault_weight(&self) -> u32 {
-        if self.has_all_faults {
+        if self.has_operators {
+            OPERATORS_FAULT_WEIGHT
+        } else if self.has_all_faults {
             TOTAL_FAULT_WEIGHT
         } else {
             BASELINE_FAULT_WEIGHT
