--- a/crates/coursestand-daemon/tests/control_memory/group.rs
+++ b/crates/coursestand-daemon/tests/control_memory/group.rs
@@ -97,15 +97,7 @@
 
     /// Returns the peak resident memory of a process since its start, in bytes.
     pub fn peak_memory(&self, host: u8) -> u64 {
-        let path = format!("/proc/{}/status", self.processes.id(host));
-        let status = std::fs::read_to_string(path).expect("the process runs");
-        let kib = status
-            .lines()
-            .find_map(|line| line.strip_prefix("VmHWM:"))
-            .and_then(|line| line.split_whitespace().next())
-            .and_then(|kib| kib.parse::<u64>().ok())
-            .expect("a figure");
-        kib * 1024
+        self.processes.peak_memory(host).expect("the process runs")
     }
 }
 
--- a/crates/coursestand-daemon/tests/soak/operators.rs
+++ b/crates/coursestand-daemon/tests/soak/operators.rs
@@ -70,10 +70,10 @@
 impl System {
     /// Returns the peak memory in bytes of each control process that runs.
     pub fn control_memory_peaks(&self) -> Vec<u64> {
-        let running = CONTROLS
-            .iter()
-            .filter_map(|host| self.processes.running_id(*host));
-        running.filter_map(peak_memory).collect()
+        let hosts = CONTROLS.iter();
+        hosts
+            .filter_map(|host| self.processes.peak_memory(*host))
+            .collect()
     }
 
     /// Sets many routes to `version` in one change, sent once to one control process. Only
@@ -94,15 +94,6 @@
     }
 }
 
-fn peak_memory(process: u32) -> Option<u64> {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-    let line = status
-        .lines()
-        .find_map(|line| line.strip_prefix("VmHWM:"))?;
-    let kib: u64 = line.split_whitespace().next()?.parse().ok()?;
-    Some(kib * 1024)
-}
-
 /// Reads the catalog until the log is closed. Returns the number of successful reads, or an error
 /// if one lacked what was acknowledged before it began.
 async fn read_repeatedly(
--- a/crates/coursestand-daemon/tests/soak/processes.rs
+++ b/crates/coursestand-daemon/tests/soak/processes.rs
@@ -134,9 +134,16 @@
             .id()
     }
 
-    /// Returns the process id of a host's daemon, or `None` if it was killed.
-    pub fn running_id(&self, host: u8) -> Option<u32> {
-        self.children.get(&host).map(Child::id)
+    /// Returns the peak resident memory in bytes of a host's daemon since its start, or `None`
+    /// if it does not run.
+    pub fn peak_memory(&self, host: u8) -> Option<u64> {
+        let id = self.children.get(&host)?.id();
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+        let kib: u64 = line.split_whitespace().next()?.parse().ok()?;
+        Some(kib * 1024)
     }
 
     /// Whether the process of this host has run long enough to handle signals: before its
