Serve a request although the back ends that its key prefers refuse connections

Callers got 503 "unreachable" for some objects while 61 of 64 back ends were sound: after three crashes, the first three back ends of a key's ranking refused connections, and three refused connections used up a request's attempts. An ejection lapsed after 0.5 to 8 s, so that requests met the same back ends again and again.

A refused connection no longer costs an attempt, since nothing was sent. A back end that could not be reached, or of whose crash another daemon reported, gets no request until a connection without a request succeeds; the daemon opens one beside the requests when the ejection time is over. The log line of a request names the failures of its attempts.

Ruled out: the crash records (the refused request has none).

connect_times expects Refused instead of Unreachable for a refused connection: it is a failure of its own now, and still ejects the back end.

Before: two of four tests of refused_connections fail (503 with one sound back end of 12; 16 refused attempts in place of 3); crash_records_survive_restarts_of_daemons_and_control, six copies at a time beside four busy processes: 9 of 12 runs pass. After: all four pass, 12 of 12.

--- a/crates/coursestand-proxy/src/connect_times.rs
+++ b/crates/coursestand-proxy/src/connect_times.rs
@@ -58,9 +58,9 @@
 /// Returns why an attempt failed for which no connection could be made. `queueing_delay` is the
 /// longest one on the link during the attempt.
 pub fn connect_failure(cause: io::ErrorKind, queueing_delay: Duration) -> AttemptFailure {
-    if cause == io::ErrorKind::TimedOut && queueing_delay >= CONGESTED_DELAY {
-        AttemptFailure::Congested
-    } else {
-        AttemptFailure::Unreachable
+    match cause {
+        io::ErrorKind::TimedOut if queueing_delay >= CONGESTED_DELAY => AttemptFailure::Congested,
+        io::ErrorKind::ConnectionRefused => AttemptFailure::Refused,
+        _ => AttemptFailure::Unreachable,
     }
 }
--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -33,6 +33,7 @@
 use coursestand_routing::BackendReport;
 
 mod attempt;
+mod probes;
 mod tokens;
 
 const LOG: &str = "proxy";
@@ -166,8 +167,11 @@
         if failed.is_broken {
             self.broken_backends.push(target.incarnation_hash);
         }
+        let is_refused = failed.failure == AttemptFailure::Refused;
         if failed.failure.reached_back_end() {
             self.arrived += 1;
+        } else if is_refused && !target.sent_request.pick.is_ejected {
+            self.refused += 1;
         } else {
             self.unreachable += 1;
         }
@@ -420,7 +424,9 @@
         }
         loop {
             attempts.token = self.obtain_token(&prepared, &attempts).await;
-            let target = match self.phases.choose(&prepared.matched, &attempts) {
+            let chosen = self.phases.choose(&prepared.matched, &attempts);
+            self.start_due_probes(&prepared.matched.service);
+            let target = match chosen {
                 Ok(target) => target,
                 Err(reason) => {
                     let reason = reason_without_backend(&attempts, reason);
@@ -446,6 +452,7 @@
             };
             self.note_failure(&started.target, &failed);
             attempts.note(&started.target, &failed);
+            request_log.failed(failed.failure);
             let retry = self.decide_retry(&prepared, &attempts, failed.failure);
             self.metrics.count_retry(&prepared.matched.service, retry);
             self.log_failure(&prepared, &started.target, &attempts, &failed, retry);
@@ -516,7 +523,7 @@
             load = target.sent_request.pick.load,
             load_age_ms = target.sent_request.pick.load_age_ms,
             cold = target.sent_request.pick.is_cold,
-            attempt = attempts.arrived + attempts.unreachable,
+            attempt = attempts.arrived + attempts.unreachable + attempts.refused,
             left_ms = prepared.time_left().as_millis() as u64,
             told_running = report.load.map(|load| load.running),
             told_waiting = report.load.map(|load| load.waiting),
@@ -546,7 +553,9 @@
     match failure {
         AttemptFailure::TimedOut => Reason::TimedOut,
         _ if attempts.may_have_run => Reason::AnswerLost,
-        AttemptFailure::Unreachable | AttemptFailure::Congested => Reason::Unreachable,
+        AttemptFailure::Refused | AttemptFailure::Unreachable | AttemptFailure::Congested => {
+            Reason::Unreachable
+        }
         _ => Reason::Shed,
     }
 }
--- a/crates/coursestand-proxy/src/phases.rs
+++ b/crates/coursestand-proxy/src/phases.rs
@@ -6,8 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coursestand_discovery::Incarnation;
+use coursestand_discovery::{Incarnation, Instance};
 use coursestand_model::{BackendId, Millis, ServiceId, ZoneId};
+use coursestand_routing::backends::ProbeOutcome;
 use coursestand_routing::picker::SentRequest;
 use coursestand_routing::{BackendReport, Fingerprint, RouteEntry, SendToken, SentCopy};
 use http::Method;
@@ -100,6 +101,8 @@
 /// How an attempt at a back end failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptFailure {
+    /// The back end's address refused the connection: nothing was sent.
+    Refused,
     /// No connection could be made: nothing was sent.
     Unreachable,
     /// No connection could be made in time while the machine's own link was congested, which
@@ -144,6 +147,7 @@
     /// Returns the name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
+            AttemptFailure::Refused => "refused",
             AttemptFailure::Unreachable => "unreachable",
             AttemptFailure::Congested => "congested",
             AttemptFailure::Withdrawn => "withdrawn",
@@ -160,7 +164,10 @@
     pub fn reached_back_end(self) -> bool {
         !matches!(
             self,
-            AttemptFailure::Unreachable | AttemptFailure::Congested | AttemptFailure::Withdrawn
+            AttemptFailure::Refused
+                | AttemptFailure::Unreachable
+                | AttemptFailure::Congested
+                | AttemptFailure::Withdrawn
         )
     }
 
@@ -168,7 +175,8 @@
     pub fn did_not_run(self) -> bool {
         matches!(
             self,
-            AttemptFailure::Unreachable
+            AttemptFailure::Refused
+                | AttemptFailure::Unreachable
                 | AttemptFailure::Congested
                 | AttemptFailure::Withdrawn
                 | AttemptFailure::Shed
@@ -206,8 +214,11 @@
     pub excluded: Vec<BackendId>,
     /// Attempts that reached a back end.
     pub arrived: u32,
-    /// Attempts that reached none.
+    /// Attempts that reached none, except those counted in `refused`.
     pub unreachable: u32,
+    /// Attempts at back ends in service that refused the connection. They take one round trip
+    /// and eject the back end, so that their number needs no limit.
+    pub refused: u32,
     /// Whether the request may have run at any of them.
     pub may_have_run: bool,
     /// [`Target::incarnation_hash`] of the back ends to which the connection broke during an
@@ -245,6 +256,13 @@
     /// called.
     fn choose(&self, matched: &Matched, attempts: &Attempts) -> Result<Target, Reason>;
 
+    /// Returns the back ends of the service that could not be reached and have to be probed
+    /// now. [`Self::probed`] must be called for each of them.
+    fn take_due_probes(&self, service: &ServiceId) -> Vec<Instance>;
+
+    /// Called when a back end was probed with a connection that carries no request.
+    fn probed(&self, instance: &Instance, outcome: ProbeOutcome);
+
     /// Returns whether the request may still be sent to the chosen back end: connecting takes
     /// time, and the back end may have asked for a back-off in the meantime.
     fn may_still_send(&self, target: &Target) -> bool;
--- a/crates/coursestand-proxy/src/request_log.rs
+++ b/crates/coursestand-proxy/src/request_log.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use crate::metrics::ProxyMetrics;
-use crate::phases::{Matched, Target};
+use crate::phases::{AttemptFailure, Matched, Target};
 
 const LOG: &str = "proxy";
 /// Outcome of a request whose caller disconnected before the answer.
@@ -31,6 +31,8 @@
     is_warm: bool,
     expected_ms: Option<u64>,
     attempts: u32,
+    /// Names of the failures of its attempts, in order.
+    failures: Vec<&'static str>,
     has_ended: bool,
 }
 
@@ -60,6 +62,7 @@
             is_warm: false,
             expected_ms: None,
             attempts: 0,
+            failures: Vec::new(),
             has_ended: false,
         }
     }
@@ -80,6 +83,10 @@
         self.expected_ms = target.sent_request.pick.expected_ms.map(|time| time as u64);
     }
 
+    pub(crate) fn failed(&mut self, failure: AttemptFailure) {
+        self.failures.push(failure.name());
+    }
+
     pub(crate) fn end(&mut self, outcome: &str, status: StatusCode) {
         self.has_ended = true;
         self.record(outcome, status.as_u16());
@@ -107,6 +114,7 @@
             knows = self.is_warm,
             expected_ms = self.expected_ms,
             attempts = self.attempts,
+            failures = (!self.failures.is_empty()).then(|| self.failures.join(" ")),
             waited_ms = self.waited.as_millis() as u64,
             took_ms = took.as_millis() as u64,
             status = status,
--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coursestand_model::BackendId;
+use coursestand_discovery::Instance;
+use coursestand_model::{BackendId, ServiceId};
+use coursestand_routing::backends::ProbeOutcome;
 use coursestand_routing::hash::{combine, hash_of};
 use coursestand_routing::picker::SentRequest;
 use coursestand_routing::rate_limit::{
@@ -418,6 +420,20 @@
         Ok(target)
     }
 
+    fn take_due_probes(&self, service: &ServiceId) -> Vec<Instance> {
+        let now = self.state.now();
+        self.state.routing().backends.take_due_probes(now, service)
+    }
+
+    fn probed(&self, instance: &Instance, outcome: ProbeOutcome) {
+        let now = self.state.now();
+        let mut routing = self.state.routing();
+        let backend = routing.backends.get(&instance.id);
+        if backend.is_some_and(|backend| backend.instance.is_of(&instance.incarnation())) {
+            routing.backends.note_probe(now, &instance.id, outcome);
+        }
+    }
+
     fn may_still_send(&self, target: &Target) -> bool {
         let now = self.state.now();
         let routing = self.state.routing();
@@ -539,7 +555,9 @@
             return;
         }
         match failure {
-            AttemptFailure::Unreachable => routing.backends.note_unreachable(now, id),
+            AttemptFailure::Refused | AttemptFailure::Unreachable => {
+                routing.backends.note_unreachable(now, id)
+            }
             // A back end that is unreachable as well is ejected after a few attempts.
             AttemptFailure::Congested => routing.backends.note_failure(now, id),
             AttemptFailure::Misdirected => routing.backends.note_misdirected(now, id),
--- a/crates/coursestand-proxy/tests/attempts.rs
+++ b/crates/coursestand-proxy/tests/attempts.rs
@@ -8,8 +8,9 @@
 use std::time::Duration;
 
 use common::{Caller, Edge, NOT_RUN_STATUSES, RouteSettings, instance_update};
-use coursestand_discovery::InstancePhase;
+use coursestand_discovery::{Instance, InstancePhase};
 use coursestand_lab::scripted::{Behaviour, ScriptedBackend};
+use coursestand_model::ServiceId;
 use coursestand_proxy::answer::Reason;
 use coursestand_proxy::phases::{
     AttemptEnding, AttemptFailure, Attempts, Matched, PendingToken, RequestHead, RequestPhases,
@@ -17,6 +18,7 @@
 };
 use coursestand_proxy::retry::RetryVerdict;
 use coursestand_proxy::router::Router;
+use coursestand_routing::backends::ProbeOutcome;
 use coursestand_routing::{BackendReport, Fingerprint};
 use googletest::prelude::*;
 use tokio::sync::oneshot;
@@ -54,6 +56,12 @@
     ) -> std::result::Result<Target, Reason> {
         self.0.choose(matched, attempts)
     }
+    fn take_due_probes(&self, service: &ServiceId) -> Vec<Instance> {
+        self.0.take_due_probes(service)
+    }
+    fn probed(&self, instance: &Instance, outcome: ProbeOutcome) {
+        self.0.probed(instance, outcome);
+    }
     fn may_still_send(&self, target: &Target) -> bool {
         self.0.may_still_send(target)
     }
--- a/crates/coursestand-proxy/tests/backoff.rs
+++ b/crates/coursestand-proxy/tests/backoff.rs
@@ -12,9 +12,9 @@
 use std::time::{Duration, Instant};
 
 use common::{Answer, Caller, Edge, RouteSettings, instance_update};
-use coursestand_discovery::InstancePhase;
+use coursestand_discovery::{Instance, InstancePhase};
 use coursestand_lab::scripted::Behaviour;
-use coursestand_model::BackendId;
+use coursestand_model::{BackendId, ServiceId};
 use coursestand_proxy::EdgeState;
 use coursestand_proxy::answer::Reason;
 use coursestand_proxy::phases::{
@@ -23,6 +23,7 @@
 };
 use coursestand_proxy::retry::RetryVerdict;
 use coursestand_proxy::router::Router;
+use coursestand_routing::backends::ProbeOutcome;
 use coursestand_routing::{
     BackendReport, Finding, Fingerprint, Rate, RateLimitSignal, SharedFinding,
 };
@@ -188,6 +189,12 @@
         (self.after_choice)(&self.router, &target);
         Ok(target)
     }
+    fn take_due_probes(&self, service: &ServiceId) -> Vec<Instance> {
+        self.router.take_due_probes(service)
+    }
+    fn probed(&self, instance: &Instance, outcome: ProbeOutcome) {
+        self.router.probed(instance, outcome);
+    }
     fn may_still_send(&self, target: &Target) -> bool {
         self.router.may_still_send(target)
     }
--- a/crates/coursestand-routing/src/backends.rs
+++ b/crates/coursestand-routing/src/backends.rs
@@ -1,7 +1,7 @@
 //! The back ends as seen by one entry daemon: their state from discovery, combined with the
 //! load, failures and limits that the daemon's own requests show.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use coursestand_discovery::table::KnownInstance;
 use coursestand_discovery::{Instance, InstancePhase, InstanceTable, InstanceUpdate};
@@ -63,6 +63,28 @@
     }
 }
 
+/// Whether a connection has to succeed before a back end gets requests again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ProbeState {
+    /// It can be reached, as far as is known.
+    NotNeeded,
+    /// It could not be reached, and is probed after its ejection time.
+    Needed,
+    /// A probe is in progress.
+    InProgress,
+}
+
+/// Result of a probe: a connection without a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProbeOutcome {
+    /// The connection was accepted.
+    Accepted,
+    /// The connection was refused, or not accepted in time.
+    Failed,
+    /// The machine's own link is congested: the probe says nothing about the back end.
+    Inconclusive,
+}
+
 /// One back end.
 #[derive(Clone, Debug)]
 pub struct Backend {
@@ -84,6 +106,7 @@
     average_others_load: f64,
     failures: u32,
     ejected_until: Millis,
+    probe: ProbeState,
     backoff: Backoff,
     limit: Option<KnownLimit>,
 }
@@ -101,6 +124,7 @@
             average_others_load: 0.0,
             failures: 0,
             ejected_until: 0,
+            probe: ProbeState::NotNeeded,
             backoff: Backoff::default(),
             limit: None,
         }
@@ -137,9 +161,16 @@
         now < self.cold_until
     }
 
-    /// Returns whether it is ejected because of failures.
+    /// Returns whether it is ejected because of failures. A back end that could not be reached
+    /// stays ejected until a connection to it succeeds.
     pub fn is_ejected(&self, now: Millis) -> bool {
-        now < self.ejected_until
+        now < self.ejected_until || self.probe != ProbeState::NotNeeded
+    }
+
+    /// Returns whether its ejection time is over and a probe has to show whether it accepts
+    /// connections again.
+    fn is_probe_due(&self, now: Millis) -> bool {
+        now >= self.ejected_until && self.probe == ProbeState::Needed
     }
 
     /// Returns whether a back-off that it requested is active.
@@ -195,6 +226,8 @@
     by_service: HashMap<ServiceId, Vec<BackendId>>,
     /// Number of back ends that have a rate limit.
     limited_count: usize,
+    /// Back ends that could not be reached and have not been reached since.
+    unreachable: BTreeSet<BackendId>,
 }
 
 impl Backends {
@@ -244,6 +277,7 @@
     }
 
     fn remove(&mut self, id: &BackendId) {
+        self.unreachable.remove(id);
         let Some(backend) = self.backends.remove(id) else {
             return;
         };
@@ -308,10 +342,12 @@
         };
         backend.failures = 0;
         backend.ejected_until = 0;
+        backend.probe = ProbeState::NotNeeded;
         backend.backoff.note_answer(now, backend.instance.capacity);
         if let Some(report) = report {
             backend.record_report(now, report);
         }
+        self.unreachable.remove(id);
     }
 
     /// Records that the back end refused a request. Without a reported load the back end
@@ -454,18 +490,51 @@
         }
     }
 
-    /// Records that no connection to the back end could be established, and ejects it.
+    /// Records that no connection to the back end could be established, and ejects it until a
+    /// probe succeeds: with an ejection that only lapses, each request whose key prefers the
+    /// back end would meet it again.
     pub fn note_unreachable(&mut self, now: Millis, id: &BackendId) {
         if let Some(backend) = self.backends.get_mut(id) {
             backend.failures += 1;
             backend.eject(now);
+            backend.probe = ProbeState::Needed;
+            self.unreachable.insert(id.clone());
+        }
+    }
+
+    /// Returns the back ends of a service that have to be probed now. Each is returned again
+    /// only after [`Backends::note_probe`].
+    pub fn take_due_probes(&mut self, now: Millis, service: &ServiceId) -> Vec<Instance> {
+        let mut due = Vec::new();
+        for id in &self.unreachable {
+            if let Some(backend) = self.backends.get_mut(id)
+                && backend.instance.service == *service
+                && backend.is_probe_due(now)
+            {
+                backend.probe = ProbeState::InProgress;
+                due.push(backend.instance.clone());
+            }
         }
+        due
+    }
+
+    /// Records the outcome of a probe of the back end.
+    pub fn note_probe(&mut self, now: Millis, id: &BackendId, outcome: ProbeOutcome) {
+        if outcome == ProbeOutcome::Failed {
+            return self.note_unreachable(now, id);
+        }
+        if let Some(backend) = self.backends.get_mut(id) {
+            backend.probe = ProbeState::NotNeeded;
+            if outcome == ProbeOutcome::Accepted {
+                backend.failures = 0;
+            }
+        }
+        self.unreachable.remove(id);
     }
 
     /// Records that another daemon detected a crash of this incarnation. The back end is
-    /// ejected until this daemon can detect the crash itself: without this, daemons made
-    /// 1,004 futile connection attempts in seven seconds after one of 27 back ends had
-    /// crashed.
+    /// ejected until this daemon has probed it: without this, each daemon would send requests
+    /// to it to detect the crash itself.
     pub fn note_remote_crash(&mut self, now: Millis, incarnation_hash: u64) {
         let mut backends = self.backends.values_mut();
         if let Some(backend) = backends.find(|backend| backend.incarnation_hash == incarnation_hash)
@@ -473,6 +542,10 @@
         {
             let until = now.saturating_add(FIRST_EJECTION_MS);
             backend.ejected_until = backend.ejected_until.max(until);
+            if backend.probe == ProbeState::NotNeeded {
+                backend.probe = ProbeState::Needed;
+            }
+            self.unreachable.insert(backend.instance.id.clone());
         }
     }
 
@@ -485,8 +558,9 @@
         if self.shares_address(id) {
             self.table.mark_gone(now, id);
             self.remove(id);
-        } else {
-            self.note_unreachable(now, id);
+        } else if let Some(backend) = self.backends.get_mut(id) {
+            backend.failures += 1;
+            backend.eject(now);
         }
     }
 
--- a/crates/coursestand-routing/src/picker.rs
+++ b/crates/coursestand-routing/src/picker.rs
@@ -53,6 +53,8 @@
     pub load_age_ms: Millis,
     /// Whether it is cold.
     pub is_cold: bool,
+    /// Whether it is ejected, and was selected because no other back end is in service.
+    pub is_ejected: bool,
     /// Whether it is warm for the object, as observed by this daemon.
     pub is_warm: bool,
     /// Whether a slot was estimated to be free.
@@ -355,6 +357,7 @@
             load: candidate.load,
             load_age_ms: backend.load_age(request.now),
             is_cold: backend.is_cold(request.now),
+            is_ejected: backend.is_ejected(request.now),
             is_warm: self.is_warm(backend, request),
             is_free: candidate.is_free(),
             expected_ms: work.map(|work| wait_ms + work.warm_ms),
