Install the soak's signal handlers before its first daemon starts

After SIGHUP to a soak a daemon kept running. Cause: the thread that handles signals was started without waiting for it, so an early signal ended the soak by default.

--- a/crates/coursestand-daemon/tests/soak/processes.rs
+++ b/crates/coursestand-daemon/tests/soak/processes.rs
@@ -4,7 +4,7 @@
 use std::fs::File;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::{Mutex, MutexGuard, Once, PoisonError};
+use std::sync::{Mutex, MutexGuard, Once, PoisonError, mpsc};
 use std::time::{Duration, Instant};
 
 use coursestand_model::fleet::FleetSettings;
@@ -58,8 +58,8 @@
 }
 
 /// Kills all processes when this process gets a termination signal, since no destructors run then,
-/// and exits.
-fn kill_all_on_signal() {
+/// and exits. Reports once its signal handlers are installed.
+fn kill_all_on_signal(installed: mpsc::Sender<()>) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -68,6 +68,7 @@
         let mut hangup = signal(SignalKind::hangup()).expect("a handler");
         let mut terminate = signal(SignalKind::terminate()).expect("a handler");
         let mut interrupt = signal(SignalKind::interrupt()).expect("a handler");
+        installed.send(()).expect("the starter waits");
         tokio::select! {
             _ = hangup.recv() => {}
             _ = terminate.recv() => {}
@@ -94,7 +95,10 @@
     pub fn new(folder: &Path) -> Processes {
         std::fs::create_dir_all(folder).expect("a folder");
         SIGNAL_WATCHER.call_once(|| {
-            std::thread::spawn(kill_all_on_signal);
+            let (sender, installed) = mpsc::channel();
+            std::thread::spawn(|| kill_all_on_signal(sender));
+            // A signal before that would end this process and leave its daemons running.
+            installed.recv().expect("the handlers are installed");
         });
         Processes {
             folder: folder.to_owned(),
