Report every dropped log line, and the whole number in the last note

Operators saw dropped lines in several notes, each with a part of the number, and some in none until the next line. Cause: the writer reported before it flushed, and lines that were dropped while the flush blocked were followed by no batch; each note had the number since the last one. It now reports after the flush as well, a dropped line wakes a waiting writer, and a note has the number since the start.

Evidence: two tests with an output that is stepped by the test fail before (no note; 16 of 32 in the last note) and pass now.

--- a/crates/coursestand-kernel/src/logging/queue.rs
+++ b/crates/coursestand-kernel/src/logging/queue.rs
@@ -69,10 +69,22 @@
             }
             self.counts.queued.fetch_sub(1, Ordering::Relaxed);
         }
-        self.counts.dropped.fetch_add(1, Ordering::Relaxed);
+        self.counts.dropped.fetch_add(1, Ordering::SeqCst);
         if let Some(counter) = self.counts.counter.get() {
             counter.inc();
         }
+        self.wake_idle_writer();
+    }
+
+    /// Wakes the writer if it waits for a line, so that it reports a line that was dropped while
+    /// it finished its last batch.
+    fn wake_idle_writer(&self) {
+        if self.counts.queued.load(Ordering::SeqCst) == 0 {
+            self.counts.queued.fetch_add(1, Ordering::SeqCst);
+            if self.lines.try_send(String::new()).is_err() {
+                self.counts.queued.fetch_sub(1, Ordering::SeqCst);
+            }
+        }
     }
 
     /// Returns the number of lines dropped since the start.
@@ -125,12 +137,17 @@
         }
         self.report_dropped()?;
         self.output.flush()?;
-        self.counts.queued.fetch_sub(written, Ordering::Relaxed);
-        Ok(())
+        self.counts.queued.fetch_sub(written, Ordering::SeqCst);
+        // Lines may have been dropped while the output was blocked, and no further line may
+        // follow for a long time.
+        self.report_dropped()?;
+        self.output.flush()
     }
 
+    /// Writes the number of lines dropped since the start, if it has changed. A reader that
+    /// misses an earlier note still learns the whole number.
     fn report_dropped(&mut self) -> std::io::Result<()> {
-        let dropped = self.counts.dropped.load(Ordering::Relaxed);
+        let dropped = self.counts.dropped.load(Ordering::SeqCst);
         if dropped == self.reported {
             return Ok(());
         }
@@ -139,7 +156,8 @@
             "level": "WARN",
             "part": "kernel",
             "message": "log lines were dropped",
-            "dropped": dropped - self.reported,
+            "dropped": dropped,
+            "dropped_since_last_note": dropped - self.reported,
         });
         self.reported = dropped;
         writeln!(self.output, "{line}")
--- a/crates/coursestand-kernel/tests/logging.rs
+++ b/crates/coursestand-kernel/tests/logging.rs
@@ -2,7 +2,7 @@
 #![allow(missing_docs)]
 
 use std::io::Write;
-use std::sync::mpsc::{Receiver, channel};
+use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -12,6 +12,10 @@
 
 const QUEUE_CAPACITY: usize = 16;
 const MAX_WAIT: Duration = Duration::from_secs(20);
+/// The queue counts as written before the note that follows the last line.
+const AFTER_LAST_NOTE: Duration = Duration::from_millis(600);
+/// More writes than any of these tests causes.
+const MAX_WRITES: usize = 8;
 
 /// An output that blocks until the test opens its gate, like a pipe that is not read.
 struct BlockedOutput {
@@ -80,6 +84,115 @@
     expect_that!(text, contains_substring("failure\n"));
 }
 
+/// An output that reports each write before it waits for a permission to finish it.
+struct SteppedOutput {
+    entered: Sender<()>,
+    permissions: Receiver<()>,
+    written: Arc<Mutex<Vec<u8>>>,
+}
+
+impl Write for SteppedOutput {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        // Both fail once the test has ended.
+        let _ = self.entered.send(());
+        let _ = self.permissions.recv();
+        self.written.lock().expect("lock").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+struct SteppedQueue {
+    queue: LineQueue,
+    entered: Receiver<()>,
+    permissions: Sender<()>,
+    written: Arc<Mutex<Vec<u8>>>,
+}
+
+impl SteppedQueue {
+    /// Starts a queue whose writer has written one line and now waits for its next batch.
+    fn start() -> SteppedQueue {
+        let (entered_sender, entered) = channel();
+        let (permissions, permission_receiver) = channel();
+        let written = Arc::new(Mutex::new(Vec::new()));
+        let output = SteppedOutput {
+            entered: entered_sender,
+            permissions: permission_receiver,
+            written: Arc::clone(&written),
+        };
+        let queue = LineQueue::start(output, "edge-1".to_owned(), QUEUE_CAPACITY);
+        let stepped = SteppedQueue {
+            queue: queue.expect("a thread"),
+            entered,
+            permissions,
+            written,
+        };
+        stepped.queue.push("first\n".to_owned(), false);
+        stepped.finish_write();
+        stepped.queue.wait_until_written(MAX_WAIT);
+        stepped
+    }
+
+    fn finish_write(&self) {
+        self.entered.recv_timeout(MAX_WAIT).expect("a write");
+        self.permissions.send(()).expect("the writer waits");
+    }
+
+    fn text(&self) -> String {
+        String::from_utf8(self.written.lock().expect("lock").clone()).expect("text")
+    }
+}
+
+/// Guards against a dropped line that is not reported until the next line is logged, possibly
+/// never: the writer had taken all queued lines and was blocked by the output.
+#[gtest]
+fn a_line_dropped_while_the_last_batch_is_written_is_reported() {
+    let stepped = SteppedQueue::start();
+    // The writer pauses between batches, and then takes all of these lines at once.
+    for number in 0..QUEUE_CAPACITY * 3 / 4 {
+        stepped.queue.push(format!("line {number}\n"), false);
+    }
+    stepped.entered.recv_timeout(MAX_WAIT).expect("a write");
+    stepped.queue.push("dropped\n".to_owned(), false);
+    expect_that!(stepped.queue.dropped(), eq(1));
+    for _ in 0..MAX_WRITES {
+        // Fails if the writer has ended.
+        let _ = stepped.permissions.send(());
+    }
+    stepped.queue.wait_until_written(MAX_WAIT);
+    std::thread::sleep(AFTER_LAST_NOTE);
+    expect_that!(stepped.text(), contains_substring("\"dropped\":1"));
+}
+
+/// Guards against a total of dropped lines that a reader has to add up from all notes: if the
+/// writer runs between two pushes, it reports the dropped lines in several notes.
+#[gtest]
+fn the_last_note_tells_the_whole_number_of_dropped_lines() {
+    let stepped = SteppedQueue::start();
+    // Lines are dropped before and during the write of a batch, which reports the former.
+    for _ in 0..2 {
+        for number in 0..QUEUE_CAPACITY * 2 {
+            stepped.queue.push(format!("line {number}\n"), true);
+        }
+        stepped.entered.recv_timeout(MAX_WAIT).expect("a write");
+        stepped.permissions.send(()).expect("the writer waits");
+    }
+    let dropped = stepped.queue.dropped();
+    for _ in 0..MAX_WRITES {
+        // Fails if the writer has ended.
+        let _ = stepped.permissions.send(());
+    }
+    stepped.queue.wait_until_written(MAX_WAIT);
+    std::thread::sleep(AFTER_LAST_NOTE);
+    let text = stepped.text();
+    let notes = text.matches("log lines were dropped").count();
+    expect_that!(notes, ge(2));
+    expect_that!(text, contains_substring(format!("\"dropped\":{dropped},")));
+}
+
 fn record_at(line: u32) -> Record<'static> {
     Record::builder()
         .level(Level::Info)
