Close runs of a request as soon as it is known to crash back ends

- A daemon that learns of a crash closes its other runs of the same request; runs that must not be repeated, and repeats, from the second crash on.
Trials and requests that are answered often are not closed.
The caller of a closed run gets 502, unless the request may run twice and may run at this daemon after 150 ms.
The back end is probed 250 ms later, since its crash no longer shows.
- A daemon without control withholds requests with a crash record and repeats nothing after a broken connection, unless it is answered often.
- A trial is a lease, not a quarantine: a harmless request whose trial result is lost is not quarantined for it.
Its end is known to all processes.
- Quarantines and leases last by the number of crashes: 30 s up to three, 60 s with four, an hour with five, instead of 15, 30, 60 s, an hour by their order.

--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -18,6 +18,7 @@
 };
 use coursestand_model::{BackendId, RegionId, ServiceId, Span, ZoneId};
 use serde_json::Value;
+use tokio::task::JoinHandle;
 
 /// Longer than any step of a test should take.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(40);
@@ -407,6 +408,17 @@
             .map_or(0, |answer| answer.status().as_u16())
     }
 
+    /// Sends a request that names no object, so that any back end may get it. The task returns
+    /// the status, or 0 if there is no answer.
+    pub fn spawn_request_without_object(&self, host: u8, path: &str) -> JoinHandle<u16> {
+        let url = format!("http://{}{path}", self.front(host));
+        let request = self.http.get(url).header("host", "h.example").send();
+        tokio::spawn(async move {
+            let answer = request.await;
+            answer.map_or(0, |answer| answer.status().as_u16())
+        })
+    }
+
     /// Returns the phase of a back end according to an entry daemon.
     pub fn phase_at(&self, host: u8, id: &str) -> Option<String> {
         let dump = self.nodes[&host].kernel().dump();
--- a/crates/coursestand-lab/src/scripted.rs
+++ b/crates/coursestand-lab/src/scripted.rs
@@ -70,6 +70,9 @@
     /// Crashes with all its connections on a request whose path contains this text; runs
     /// and answers any other.
     CrashOn(&'static str),
+    /// Crashes with all its connections this long after a request whose path contains this text,
+    /// unless the caller closes the connection earlier; runs and answers any other.
+    CrashAfter(&'static str, Duration),
     /// Answers 400 before the body has arrived, then reads the body.
     EarlyAnswer,
     /// Runs it and sends a long answer in chunks with pauses between them.
@@ -387,6 +390,15 @@
         {
             return Ok(Served::Crashed);
         }
+        if let Behaviour::CrashAfter(text, pause) = behaviour
+            && head.run.target.contains(text)
+        {
+            if stays_open_for(&mut stream, pause).await {
+                return Ok(Served::Crashed);
+            }
+            abandoned_sender.send_modify(|abandoned| *abandoned += 1);
+            return Ok(Served::Closed);
+        }
         let runs = !matches!(
             behaviour,
             Behaviour::Shed
@@ -417,7 +429,7 @@
     let not_executed = format!("{}: 1\r\n", names.not_executed);
     let text = match behaviour {
         Behaviour::Answer(status) => answer(&id, *status, ""),
-        Behaviour::CrashOn(_) => answer(&id, 200, ""),
+        Behaviour::CrashOn(_) | Behaviour::CrashAfter(..) => answer(&id, 200, ""),
         Behaviour::AnswerOfSize(bytes) => answer_with(&id, 200, "", &"x".repeat(*bytes)),
         Behaviour::Shed => {
             format!("HTTP/1.1 503 X\r\n{not_executed}content-length: 0\r\n\r\n")
--- a/crates/coursestand-proxy/src/crash_detector.rs
+++ b/crates/coursestand-proxy/src/crash_detector.rs
@@ -21,6 +21,9 @@
 /// than a single request would.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Time from the recall of a run until its back end is probed.
+const RECALL_PROBE_DELAY: Duration = Duration::from_millis(250);
+
 /// Back ends that are being probed after a broken connection, with the requests that were in
 /// flight there.
 #[derive(Default)]
@@ -33,6 +36,22 @@
         self.probes.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Probes the back end of a recalled run after the time within which it notices that the
+    /// connection was closed.
+    pub(crate) fn probe_after_recall(
+        detector: &Arc<CrashDetector>,
+        target: &Target,
+        pool: Arc<Pool>,
+        phases: Arc<dyn RequestPhases>,
+    ) {
+        let detector = Arc::clone(detector);
+        let target = target.clone();
+        tokio::spawn(async move {
+            tokio::time::sleep(RECALL_PROBE_DELAY).await;
+            CrashDetector::probe(&detector, &target, pool, phases);
+        });
+    }
+
     /// Handles a broken connection that had a request in flight: records the request, and
     /// starts one probe of the back end if none is running.
     pub(crate) fn probe(
--- a/crates/coursestand-proxy/src/edge_state.rs
+++ b/crates/coursestand-proxy/src/edge_state.rs
@@ -20,7 +20,7 @@
     Backends, FatalRequests, Finding, Fingerprint, Picker, Rate, RateLimitUpdate, RetryAllowance,
     RetryBudget, RetryLimits, RouteTable, SharedCrashRecord, SharedFinding, TrialVerdict,
 };
-use tokio::sync::{broadcast, oneshot};
+use tokio::sync::{broadcast, oneshot, watch};
 
 use crate::tokens::{RateLimitMessage, TokenRequests, answer_of};
 use crate::trials::{CrashRecordMessage, TrialRequests};
@@ -79,6 +79,8 @@
     routing: Mutex<RoutingState>,
     /// Findings about back ends to send to other daemons.
     findings: broadcast::Sender<SharedFinding>,
+    /// Number of changes of crash records.
+    crash_record_changes: watch::Sender<u64>,
     trials: TrialRequests,
     tokens: TokenRequests,
 }
@@ -125,6 +127,7 @@
                 limit_reports: BackendReporters::default(),
             }),
             findings: broadcast::Sender::new(FINDING_QUEUE_LENGTH),
+            crash_record_changes: watch::Sender::new(0),
             trials: TrialRequests::default(),
             tokens: TokenRequests::default(),
         }
@@ -201,7 +204,26 @@
         }
         let changes = routing.fatal.apply_finding(now, shared);
         drop(routing);
-        log_crash_record_changes(changes, Some(shared));
+        self.announce_crash_record_changes(changes, Some(shared));
+    }
+
+    /// Logs changes of crash records, caused by a finding of a daemon or by a message from
+    /// control, and wakes the attempts that may have to be closed because of them.
+    fn announce_crash_record_changes(
+        &self,
+        changes: Vec<CrashRecordUpdate>,
+        finding: Option<&SharedFinding>,
+    ) {
+        if changes.is_empty() {
+            return;
+        }
+        log_crash_record_changes(changes, finding);
+        self.crash_record_changes.send_modify(|count| *count += 1);
+    }
+
+    /// Subscribes to changes of crash records.
+    pub fn crash_record_changes(&self) -> watch::Receiver<u64> {
+        self.crash_record_changes.subscribe()
     }
 
     /// Merges crash records that a control process sent.
@@ -209,7 +231,7 @@
         let now = self.now();
         for crash_record in crash_records {
             let changes = self.routing().fatal.merge(now, crash_record);
-            log_crash_record_changes(changes, None);
+            self.announce_crash_record_changes(changes, None);
         }
     }
 
@@ -247,7 +269,7 @@
             }
             TrialVerdict::Cleared(request) => {
                 let changes = self.routing().fatal.clear(now, request);
-                log_crash_record_changes(changes, None);
+                self.announce_crash_record_changes(changes, None);
                 request
             }
         };
@@ -387,6 +409,7 @@
         let mut routing = self.routing();
         let view = is_following.then(|| routing.daemons.clone());
         routing.owners.set(now, view);
+        routing.fatal.set_connected(is_following);
         if is_following {
             routing.is_synced = true;
             let RoutingState {
@@ -409,8 +432,7 @@
     }
 }
 
-/// Logs changes of crash records, caused by a finding of a daemon or by a message from
-/// control.
+/// Logs changes of crash records.
 fn log_crash_record_changes(changes: Vec<CrashRecordUpdate>, finding: Option<&SharedFinding>) {
     for change in changes {
         match change {
--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -8,7 +8,7 @@
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
 use hyper::body::{Body, Incoming};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use crate::answer::{AnswerBody, Reason, forwarded_response, local_response};
 use crate::answer_times::AnswerTimes;
@@ -31,9 +31,11 @@
 use crate::unread_headers::UnreadHeaders;
 use coursestand_model::Millis;
 use coursestand_routing::BackendReport;
+use coursestand_routing::fatal_requests::COMMON_CAUSE_MS;
 
 mod attempt;
 mod probes;
+mod recall;
 mod tokens;
 
 const LOG: &str = "proxy";
@@ -45,6 +47,10 @@
 /// How long a request waits for control to grant a trial.
 const TRIAL_WAIT: Duration = Duration::from_millis(300);
 
+/// How long a recalled request waits before it may be sent again: by then the reports of all
+/// daemons with requests at the crashed back end have arrived.
+const REPORT_WAIT: Duration = Duration::from_millis(COMMON_CAUSE_MS + 50);
+
 /// Forwards requests from callers to back ends.
 pub struct Exchange {
     phases: Arc<dyn RequestPhases>,
@@ -164,6 +170,7 @@
             self.excluded.push(target.id().clone());
         }
         self.may_have_run |= failed.failure.may_have_run();
+        self.is_recalled |= failed.failure == AttemptFailure::Recalled;
         if failed.is_broken {
             self.broken_backends.push(target.incarnation_hash);
         }
@@ -442,7 +449,9 @@
                 target,
                 is_resolved: AtomicBool::new(false),
             };
-            let result = self.attempt(&mut prepared, &started, &mut attempts).await;
+            let result = self
+                .attempt_unless_recalled(&mut prepared, &started, &mut attempts)
+                .await;
             let failed = match result {
                 Ok(received) => {
                     prepared.permit.answered(received.size());
@@ -456,7 +465,14 @@
             let retry = self.decide_retry(&prepared, &attempts, failed.failure);
             self.metrics.count_retry(&prepared.matched.service, retry);
             self.log_failure(&prepared, &started.target, &attempts, &failed, retry);
+            let was_recalled = failed.failure == AttemptFailure::Recalled;
+            if was_recalled {
+                self.detect_crash_after_recall(&started.target);
+            }
             drop(started);
+            if was_recalled && retry.is_granted() {
+                sleep(REPORT_WAIT.min(prepared.time_left())).await;
+            }
             if !retry.is_granted() {
                 return match failed.answer {
                     Some(answer) => Ok(*answer),
--- a/crates/coursestand-proxy/src/phases.rs
+++ b/crates/coursestand-proxy/src/phases.rs
@@ -12,7 +12,7 @@
 use coursestand_routing::picker::SentRequest;
 use coursestand_routing::{BackendReport, Fingerprint, RouteEntry, SendToken, SentCopy};
 use http::Method;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
 
 use crate::answer::Reason;
@@ -77,6 +77,10 @@
     pub incarnation_hash: u64,
     /// Whether the request has reached a back end before.
     pub is_retry: bool,
+    /// Revision of the request's crash record when the back end was chosen.
+    pub crash_revision: u64,
+    /// Whether the request may be sent again although it may have run.
+    pub is_repeatable: bool,
     /// Whether control granted this attempt as the one trial of a suspect request.
     pub is_trial: bool,
     /// Until when the request may be sent, if the back end has a rate limit.
@@ -124,6 +128,8 @@
     Silent,
     /// The back end answered with a server error, which may be forwarded.
     Failed,
+    /// The run was closed because such requests turned out to crash back ends: it may have run.
+    Recalled,
 }
 
 /// State of a copy of a request once no answer to it is awaited.
@@ -139,7 +145,9 @@
     /// Returns whether the back end may still read what was sent.
     pub fn ending(self) -> AttemptEnding {
         match self {
-            AttemptFailure::TimedOut | AttemptFailure::Silent => AttemptEnding::Unresolved,
+            AttemptFailure::TimedOut | AttemptFailure::Silent | AttemptFailure::Recalled => {
+                AttemptEnding::Unresolved
+            }
             _ => AttemptEnding::Resolved,
         }
     }
@@ -157,6 +165,7 @@
             AttemptFailure::TimedOut => "timed-out",
             AttemptFailure::Silent => "silent",
             AttemptFailure::Failed => "failed",
+            AttemptFailure::Recalled => "recalled",
         }
     }
 
@@ -192,6 +201,7 @@
                 | AttemptFailure::TimedOut
                 | AttemptFailure::Silent
                 | AttemptFailure::Failed
+                | AttemptFailure::Recalled
         )
     }
 }
@@ -221,6 +231,8 @@
     pub refused: u32,
     /// Whether the request may have run at any of them.
     pub may_have_run: bool,
+    /// Whether a run of it was closed because of a crash.
+    pub is_recalled: bool,
     /// [`Target::incarnation_hash`] of the back ends to which the connection broke during an
     /// attempt.
     pub broken_backends: Vec<u64>,
@@ -263,6 +275,13 @@
     /// Called when a back end was probed with a connection that carries no request.
     fn probed(&self, instance: &Instance, outcome: ProbeOutcome);
 
+    /// Subscribes to changes of crash records.
+    fn crash_record_changes(&self) -> watch::Receiver<u64>;
+
+    /// Returns whether the attempt has to be closed, because the crash of a back end that ran
+    /// the same request has become known since it began.
+    fn is_recalled(&self, target: &Target) -> bool;
+
     /// Returns whether the request may still be sent to the chosen back end: connecting takes
     /// time, and the back end may have asked for a back-off in the meantime.
     fn may_still_send(&self, target: &Target) -> bool;
--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -20,7 +20,7 @@
 
 use coursestand_model::Millis;
 use http::Method;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 use crate::answer::Reason;
 use crate::edge_state::{EdgeState, RoutingState};
@@ -198,10 +198,10 @@
         let again_in_ms = SYNC_RETRY_DELAY_MS;
         return Err(Reason::Suspected { again_in_ms });
     }
-    if routing.fatal.view(now, fingerprint).is_none() {
+    if attempts.arrived == 0 && routing.fatal.view(now, fingerprint).is_none() {
         return Ok(());
     }
-    let allowed = if attempts.arrived > 0 {
+    let allowed = if attempts.arrived > 0 && !attempts.is_recalled {
         let broken_backends = &attempts.broken_backends;
         routing.fatal.may_repeat(now, fingerprint, broken_backends)
     } else {
@@ -393,7 +393,9 @@
             backends.note_sent_without_token(now, &pick.id, limit_access.daemons);
         }
         let mut is_trial = false;
+        let mut crash_revision = 0;
         if let Some(fingerprint) = matched.fingerprint {
+            crash_revision = routing.fatal.revision(fingerprint);
             routing.fatal.start(fingerprint);
             is_trial = routing.fatal.take_permit(now, fingerprint);
         }
@@ -410,6 +412,8 @@
             fingerprint: matched.fingerprint,
             incarnation_hash,
             is_retry: attempts.arrived > 0,
+            crash_revision,
+            is_repeatable: matched.route.route.kind.is_repeatable(),
             is_trial,
             admitted_until,
         };
@@ -434,6 +438,22 @@
         }
     }
 
+    fn crash_record_changes(&self) -> watch::Receiver<u64> {
+        self.state.crash_record_changes()
+    }
+
+    fn is_recalled(&self, target: &Target) -> bool {
+        let Some(request) = target.fingerprint.filter(|_| !target.is_trial) else {
+            return false;
+        };
+        let may_repeat = target.is_repeatable && !target.is_retry;
+        let routing = self.state.routing();
+        let known_revision = target.crash_revision;
+        routing
+            .fatal
+            .is_recalled(request, known_revision, may_repeat)
+    }
+
     fn may_still_send(&self, target: &Target) -> bool {
         let now = self.state.now();
         let routing = self.state.routing();
@@ -569,7 +589,10 @@
                 routing.backends.note_failure(now, id);
             }
             // A silent connection says nothing about its back end.
-            AttemptFailure::Failed | AttemptFailure::Silent | AttemptFailure::Withdrawn => {}
+            AttemptFailure::Failed
+            | AttemptFailure::Silent
+            | AttemptFailure::Withdrawn
+            | AttemptFailure::Recalled => {}
         }
     }
 
--- a/crates/coursestand-proxy/tests/attempts.rs
+++ b/crates/coursestand-proxy/tests/attempts.rs
@@ -21,7 +21,7 @@
 use coursestand_routing::backends::ProbeOutcome;
 use coursestand_routing::{BackendReport, Fingerprint};
 use googletest::prelude::*;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 const GOOD: Behaviour = Behaviour::Answer(200);
 
@@ -62,6 +62,12 @@
     fn probed(&self, instance: &Instance, outcome: ProbeOutcome) {
         self.0.probed(instance, outcome);
     }
+    fn crash_record_changes(&self) -> watch::Receiver<u64> {
+        self.0.crash_record_changes()
+    }
+    fn is_recalled(&self, target: &Target) -> bool {
+        self.0.is_recalled(target)
+    }
     fn may_still_send(&self, target: &Target) -> bool {
         self.0.may_still_send(target)
     }
--- a/crates/coursestand-proxy/tests/backoff.rs
+++ b/crates/coursestand-proxy/tests/backoff.rs
@@ -28,7 +28,7 @@
     BackendReport, Finding, Fingerprint, Rate, RateLimitSignal, SharedFinding,
 };
 use googletest::prelude::*;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, watch};
 
 const GOOD: Behaviour = Behaviour::Answer(200);
 /// Refuses with a reported load of 0 and requests a back-off of two seconds.
@@ -195,6 +195,12 @@
     fn probed(&self, instance: &Instance, outcome: ProbeOutcome) {
         self.router.probed(instance, outcome);
     }
+    fn crash_record_changes(&self) -> watch::Receiver<u64> {
+        self.router.crash_record_changes()
+    }
+    fn is_recalled(&self, target: &Target) -> bool {
+        self.router.is_recalled(target)
+    }
     fn may_still_send(&self, target: &Target) -> bool {
         self.router.may_still_send(target)
     }
--- a/crates/coursestand-proxy/tests/fatal_requests.rs
+++ b/crates/coursestand-proxy/tests/fatal_requests.rs
@@ -94,3 +94,37 @@
     expect_that!(status, eq(200));
     expect_that!(crashed_count(&edge), eq(before));
 }
+
+/// Longer than the time for which a request is suspect after one crash.
+const AFTER_SUSPICION: Duration = Duration::from_millis(1_300);
+
+/// Guards against a daemon without control that crashes another back end with a request of which
+/// it has a crash record, since it does not hear of the crashes that others observe.
+#[gtest]
+#[tokio::test]
+async fn a_disconnected_daemon_withholds_a_request_with_a_crash_record() {
+    let settings = RouteSettings {
+        max_attempts: 1,
+        ..RouteSettings::default()
+    };
+    let script = (vec![], Behaviour::CrashOn("deadly"));
+    let edge = Edge::start(settings, vec![script; BACKENDS]).await;
+    request(&edge, "/safe/deadly", "first", "deadly").await;
+    edge.state.set_following(false);
+    tokio::time::sleep(AFTER_SUSPICION).await;
+    let withheld = request(&edge, "/safe/deadly", "second", "deadly").await;
+    expect_that!(withheld.status, eq(503));
+    expect_that!(crashed_count(&edge), eq(1));
+}
+
+/// Guards against a daemon without control that repeats a request at a second back end, although
+/// others may have observed crashes already.
+#[gtest]
+#[tokio::test]
+async fn a_disconnected_daemon_does_not_repeat_a_request_after_a_broken_connection() {
+    let edge = edge().await;
+    edge.state.set_following(false);
+    let answer = request(&edge, "/safe/deadly", "first", "deadly").await;
+    expect_that!(answer.status, eq(502));
+    expect_that!(crashed_count(&edge), eq(1));
+}
--- a/crates/coursestand-routing/src/fatal_requests/crash_record.rs
+++ b/crates/coursestand-routing/src/fatal_requests/crash_record.rs
@@ -22,14 +22,17 @@
 const MIN_QUARANTINE_REPORTERS: usize = 2;
 /// Crashes closer together than this may have a common cause. Longer than the latency from one
 /// daemon through control to another.
-pub(super) const COMMON_CAUSE_MS: Millis = 100;
+pub const COMMON_CAUSE_MS: Millis = 100;
 /// How long a crash counts as evidence. An answer usually clears the record long before.
 pub(super) const EVIDENCE_MS: Millis = 600_000;
 /// How long a request that was in flight at one crash runs only at its owner.
 const SUSPICION_MS: Millis = 1_000;
-/// Durations of the first quarantine of a request and of the following ones. Each trial
-/// without an answer starts the next one.
-const QUARANTINE_DURATIONS_MS: [Millis; 4] = [15_000, 30_000, 60_000, 3_600_000];
+/// Durations of a quarantine or of the lease of a trial, by the number of back ends that the
+/// request has crashed or may have crashed in trials. Up to three crashes may happen before the
+/// first report has reached all daemons; each further one must buy more time.
+const QUARANTINE_MS: Millis = 30_000;
+const QUARANTINE_AFTER_FOUR_CRASHES_MS: Millis = 60_000;
+const MAX_QUARANTINE_MS: Millis = 3_600_000;
 /// Daemons start and end a quarantine at times that differ by the latency between them: a
 /// trial may crash its back end before the quarantine is over at other daemons.
 const QUARANTINE_SKEW_MS: Millis = 500;
@@ -78,6 +81,12 @@
     pub(super) suspected_until: Millis,
     pub(super) quarantined_until: Millis,
     pub(super) quarantines: u32,
+    /// Crashes that led to its quarantines.
+    counted_crashes: u32,
+    /// Trials that were granted and that neither an answer nor a crash has followed.
+    pending_trials: u32,
+    /// Changes whenever the record gets new evidence.
+    pub(super) revision: u64,
     /// Time of the last crash or trial.
     pub(super) last_event_at: Millis,
     /// Whether this daemon answered the request frequently at the time of the last crash.
@@ -87,6 +96,7 @@
 impl CrashRecord {
     /// Adds the crash of a back end where the request was in flight.
     pub(super) fn add_crash(&mut self, crash: Crash) {
+        self.pending_trials = self.pending_trials.saturating_sub(1);
         self.last_event_at = self.last_event_at.max(crash.at);
         self.suspected_until = self.suspected_until.max(crash.at + SUSPICION_MS);
         self.crashes.push(crash);
@@ -95,17 +105,55 @@
     /// Quarantines the request, for longer than the last time. Returns the duration in
     /// milliseconds.
     pub(super) fn quarantine(&mut self, now: Millis) -> Millis {
-        let longest = QUARANTINE_DURATIONS_MS.len() - 1;
-        let lasts_ms = QUARANTINE_DURATIONS_MS[longest.min(self.quarantines as usize)];
         self.quarantines += 1;
-        self.quarantined_until = now + lasts_ms;
+        self.counted_crashes += self.crashes.len() as u32;
+        self.crashes.clear();
+        self.reject_until_evidence_expires(now)
+    }
+
+    /// Leases a trial: the request is rejected until it is answered or the lease ends, since the
+    /// daemon that runs the trial may stop before it reports the result. A trial is no evidence,
+    /// so that a harmless request is not quarantined because the result was lost.
+    pub(super) fn lease_trial(&mut self, now: Millis) {
+        self.pending_trials += 1;
+        self.last_event_at = now;
+        self.reject_until_evidence_expires(now);
+    }
+
+    /// Records a crash caused by a run that began before the quarantine.
+    pub(super) fn count_late_crash(&mut self, now: Millis) {
+        self.counted_crashes += 1;
+        let lasts_ms = self.quarantine_ms();
+        self.quarantined_until = self.quarantined_until.max(now + lasts_ms);
+    }
+
+    fn reject_until_evidence_expires(&mut self, now: Millis) -> Millis {
+        let lasts_ms = self.quarantine_ms();
+        self.quarantined_until = self.quarantined_until.max(now + lasts_ms);
         lasts_ms
     }
 
+    fn quarantine_ms(&self) -> Millis {
+        match self.counted_crashes + self.crashes.len() as u32 + self.pending_trials {
+            0..=3 => QUARANTINE_MS,
+            4 => QUARANTINE_AFTER_FOUR_CRASHES_MS,
+            _ => MAX_QUARANTINE_MS,
+        }
+    }
+
     /// Returns whether the request is quarantined for longer than `QUARANTINE_SKEW_MS` after
     /// `now`. A crash at such a time is due to a run that began before the quarantine.
     pub(super) fn is_quarantined(&self, now: Millis) -> bool {
-        now.saturating_add(QUARANTINE_SKEW_MS) < self.quarantined_until
+        self.quarantines > 0
+            && self.pending_trials == 0
+            && now.saturating_add(QUARANTINE_SKEW_MS) < self.quarantined_until
+    }
+
+    /// Returns whether a run that began before the latest evidence has to be closed.
+    /// `may_repeat` is true for the first run of a request that may run twice; other runs are
+    /// closed only from the evidence that makes the request run as a trial.
+    pub(super) fn recalls(&self, may_repeat: bool) -> bool {
+        !self.is_frequent && (may_repeat || self.needs_trial())
     }
 
     /// Returns whether the request runs only as a trial.
@@ -211,16 +259,19 @@
     /// Merges a quarantine that another process reports. Returns whether it changed the
     /// record.
     pub(super) fn merge_quarantine(&mut self, now: Millis, shared: &SharedCrashRecord) -> bool {
-        let longest = QUARANTINE_DURATIONS_MS[QUARANTINE_DURATIONS_MS.len() - 1];
-        let until = now + shared.rejected_ms.min(longest);
+        let until = now + shared.rejected_ms.min(MAX_QUARANTINE_MS);
         let is_later = until > self.quarantined_until.saturating_add(QUARANTINE_SKEW_MS);
-        let is_new = shared.convictions > self.quarantines || is_later && shared.rejected_ms > 0;
+        let is_quarantine = shared.convictions > self.quarantines;
+        let is_new = is_quarantine || is_later && shared.rejected_ms > 0;
         if is_new {
-            self.quarantines = self.quarantines.max(shared.convictions);
             self.quarantined_until = self.quarantined_until.max(until);
-            self.crashes.clear();
             self.last_event_at = self.last_event_at.max(now.saturating_sub(shared.idle_ms));
         }
+        if is_quarantine {
+            self.quarantines = shared.convictions;
+            self.counted_crashes += self.crashes.len() as u32;
+            self.crashes.clear();
+        }
         is_new
     }
 }
--- a/crates/coursestand-routing/src/fatal_requests/mod.rs
+++ b/crates/coursestand-routing/src/fatal_requests/mod.rs
@@ -13,9 +13,14 @@
 //!   are more crashes.
 //!
 //! A request with two crashes, or one whose quarantine is over, runs as a trial: one at a time
-//! in the whole system, granted by the leading control process and counted as failed as soon as
-//! it is granted. So the limit holds even if the daemon that runs the trial stops, and with any
-//! number of daemons.
+//! in the whole system, granted by the leading control process under a lease. Until the lease
+//! ends the request is rejected everywhere, so the limit holds even if the daemon that runs the
+//! trial stops, and with any number of daemons.
+//!
+//! Runs that are in flight when a crash becomes known are closed, before they crash their back
+//! ends as well: they are most of the crashes of a request that is sent several times a second.
+//! A daemon that is disconnected from control withholds requests with a crash record, since it
+//! does not learn what the others observe.
 //!
 //! A process starts without crash records. Control processes keep them and send them to each
 //! daemon that connects, and daemons send theirs to control processes. Without that exchange,
@@ -31,8 +36,8 @@
 use crate::findings::{Finding, SeenFindings, SharedFinding};
 
 use answers::RecentAnswers;
+pub use crash_record::{COMMON_CAUSE_MS, SharedCrash, SharedCrashRecord};
 use crash_record::{Crash, CrashRecord, EVIDENCE_MS, QUARANTINE_CRASHES_IF_FREQUENT};
-pub use crash_record::{SharedCrash, SharedCrashRecord};
 use known_crashes::KnownCrashes;
 use permits::Permits;
 pub use verdicts::{CrashRecordUpdate, CrashRecordView, TrialVerdict, WithholdReason};
@@ -73,6 +78,10 @@
     permits: Permits,
     /// Times at which requests were cleared, so that older reports of them change nothing.
     cleared: LruCache<Fingerprint, Millis>,
+    /// Number of changes of all records.
+    revision: u64,
+    /// Whether reports of other daemons arrive.
+    is_connected: bool,
 }
 
 impl FatalRequests {
@@ -87,9 +96,17 @@
             answers: RecentAnswers::default(),
             permits: Permits::default(),
             cleared: LruCache::new(MAX_CLEARED),
+            revision: 0,
+            is_connected: true,
         }
     }
 
+    /// Sets whether this daemon is connected to control, so that it receives the reports of
+    /// other daemons and can be granted trials.
+    pub fn set_connected(&mut self, is_connected: bool) {
+        self.is_connected = is_connected;
+    }
+
     /// Returns the hash of this daemon's name.
     pub fn own_hash(&self) -> u64 {
         self.own_hash
@@ -142,6 +159,9 @@
         if record.needs_trial() {
             return Err(WithholdReason::NeedsTrial { again_in_ms });
         }
+        if !self.is_connected && !record.is_frequent {
+            return Err(WithholdReason::Suspected { again_in_ms });
+        }
         if !record.is_suspect(now) {
             return Ok(());
         }
@@ -162,6 +182,12 @@
         request: Fingerprint,
         broken_backends: &[u64],
     ) -> Result<(), WithholdReason> {
+        // Others may have observed crashes that this daemon can't hear of.
+        let may_be_second = !self.is_connected && !broken_backends.is_empty();
+        if may_be_second && !self.answers.is_frequent(now, request) {
+            let again_in_ms = SUSPECT_RETRY_MS;
+            return Err(WithholdReason::Suspected { again_in_ms });
+        }
         match self.records.get(&request) {
             Some(record) if now < record.quarantined_until => Err(WithholdReason::Quarantined {
                 again_in_ms: record.quarantined_until - now,
@@ -185,6 +211,20 @@
         })
     }
 
+    /// Returns the revision of a request's crash record; 0 without a record.
+    pub fn revision(&self, request: Fingerprint) -> u64 {
+        let record = self.records.get(&request);
+        record.map_or(0, |record| record.revision)
+    }
+
+    /// Returns whether a run that began at `known_revision` has to be closed, because a crash
+    /// has become known since. `may_repeat` is true for the first run of a request that may run
+    /// twice. Trials are never closed.
+    pub fn is_recalled(&self, request: Fingerprint, known_revision: u64, may_repeat: bool) -> bool {
+        let record = self.records.get(&request);
+        record.is_some_and(|record| record.revision != known_revision && record.recalls(may_repeat))
+    }
+
     /// Records that control has granted this daemon a trial.
     pub fn grant_permit(&mut self, now: Millis, request: Fingerprint) {
         self.permits.grant(now, request);
@@ -269,6 +309,9 @@
         let mut new_requests: Vec<Fingerprint> = in_flight.to_vec();
         new_requests.retain(|request| self.known_crashes.add(backend, now, *request));
         if is_quarantined || self.known_crashes.is_attributed(backend) {
+            if !self.known_crashes.is_attributed(backend) {
+                self.count_late_crash(now, in_flight);
+            }
             self.attribute(now, &[backend]);
             return Vec::new();
         }
@@ -292,6 +335,17 @@
         new_requests
     }
 
+    /// Counts the crash of a run that began before its request was quarantined.
+    fn count_late_crash(&mut self, now: Millis, in_flight: &[Fingerprint]) {
+        for request in in_flight {
+            if let Some(record) = self.records.get_mut(request)
+                && record.is_quarantined(now)
+            {
+                record.count_late_crash(now);
+            }
+        }
+    }
+
     /// Adds daemons that observed the crash.
     fn add_reporters(&mut self, request: Fingerprint, backend: u64, reporters: &BTreeSet<u64>) {
         let record = self.records.get_mut(&request);
@@ -304,9 +358,11 @@
     /// Adds the crash of a back end where the request was in flight.
     fn add_crash(&mut self, now: Millis, request: Fingerprint, crash: Crash) {
         let is_frequent = self.answers.is_frequent(now, request);
+        self.revision += 1;
         let record = self.records.entry(request).or_default();
         if !record.is_quarantined(now) {
             record.is_frequent = is_frequent;
+            record.revision = self.revision;
             record.add_crash(crash);
         }
     }
@@ -355,9 +411,11 @@
                 changes.extend(self.view(now, request).map(CrashRecordUpdate::Crash));
             }
         }
-        if shared.convictions > 0 {
+        if shared.convictions > 0 || shared.rejected_ms > 0 {
+            self.revision += 1;
             let record = self.records.entry(request).or_default();
             if record.merge_quarantine(now, shared) {
+                record.revision = self.revision;
                 changes.push(CrashRecordUpdate::Quarantined {
                     request,
                     ends: record.crashes.len(),
@@ -394,9 +452,9 @@
         true
     }
 
-    /// Decides, for all daemons, whether one of them may run a trial of a request. The trial
-    /// counts as failed until an answer is reported, since the daemon that runs it may stop
-    /// before it reports the result.
+    /// Decides, for all daemons, whether one of them may run a trial of a request. The request
+    /// is rejected for the duration of a lease, or until an answer is reported, since the daemon
+    /// that runs the trial may stop before it reports the result.
     pub fn grant_trial(&mut self, now: Millis, request: Fingerprint) -> TrialVerdict {
         // A quarantine may have been deferred until all reports of a crash had arrived.
         self.quarantine_proven(now);
@@ -409,10 +467,7 @@
         if now < record.quarantined_until || record.may_share_cause(now) {
             return TrialVerdict::Refused(record.shared(now, request));
         }
-        record.quarantine(now);
-        // These crashes led to the trial, and don't cause another quarantine when it is over.
-        record.crashes.clear();
-        record.last_event_at = now;
+        record.lease_trial(now);
         TrialVerdict::Granted(record.shared(now, request))
     }
 
@@ -424,8 +479,10 @@
             let Some(record) = self.records.get_mut(&request) else {
                 break;
             };
-            let crashes = std::mem::take(&mut record.crashes);
+            let crashes = record.crashes.clone();
             let lasts_ms = record.quarantine(now);
+            self.revision += 1;
+            record.revision = self.revision;
             changes.push(CrashRecordUpdate::Quarantined {
                 request,
                 ends: crashes.len(),
--- a/crates/coursestand-routing/tests/fatal_requests_with_faults/schedule.rs
+++ b/crates/coursestand-routing/tests/fatal_requests_with_faults/schedule.rs
@@ -73,6 +73,8 @@
     pub sends: Vec<Millis>,
     /// Harmless requests that daemons reject at the end after wasted trials, summed over daemons.
     pub quarantined_harmless: usize,
+    /// Runs of harmless requests that were closed before they were answered.
+    pub recalled_harmless: usize,
     /// Highest number of quarantines of one harmless request known to any daemon at the end.
     pub max_harmless_quarantines: u32,
 }
