--- a/crates/coursestand-daemon/tests/common/mod.rs
+++ b/crates/coursestand-daemon/tests/common/mod.rs
@@ -15,6 +15,7 @@
 use coursestand_lab::load::{LoadPlan, run_load};
 use coursestand_lab::operator::{Operator, StatusAnswer};
 use coursestand_lab::records::{Ending, Record};
+use coursestand_model::BackendId;
 use coursestand_model::settings::DaemonSettings;
 use tempfile::TempDir;
 
@@ -242,8 +243,37 @@
                 running,
                 ..
             } = record;
-            format!("\n{started_ms} ms: {request_id} at {backend}, {running} running")
+            let running_there = describe_running(&records, backend, *started_ms);
+            format!(
+                "\n{started_ms} ms: {request_id} at {backend}, {running} running:{running_there}"
+            )
         })
         .collect();
     format!("{figures}\nrequests shed by a full back end:{shed_requests}")
 }
+
+/// Describes the requests that a back end was running at a time: which daemon sent them, and when
+/// and how they ended.
+fn describe_running(records: &[Record], backend: &BackendId, at_ms: u64) -> String {
+    let is_running_there = |record: &&Record| {
+        let has_ended = record.ended_ms.is_some_and(|ended| ended < at_ms);
+        record.backend == *backend
+            && record.ending != Ending::Shed
+            && record.started_ms <= at_ms
+            && !has_ended
+    };
+    records
+        .iter()
+        .filter(is_running_there)
+        .map(|record| {
+            let Record {
+                request_id,
+                started_ms,
+                ended_ms,
+                ending,
+                ..
+            } = record;
+            format!("\n  {request_id} since {started_ms} ms, until {ended_ms:?} ms: {ending:?}")
+        })
+        .collect()
+}
