Soak a request that crashes back ends, beside kills and restarts

The soak had no such requests. A shape of its own sends one to all entry daemons every 0.4 s from three callers, at 16 back ends that crash 150 ms later, while daemons and control are killed, suspended and restarted; more than five crashes break the run.

--- a/crates/coursestand-daemon/tests/soak/main.rs
+++ b/crates/coursestand-daemon/tests/soak/main.rs
@@ -12,6 +12,7 @@
 mod deployment;
 
 mod callers;
+mod fatal;
 mod faults;
 mod hangup;
 mod operators;
@@ -32,6 +33,7 @@
 use coursestand_lab::repeats::{Arrival, worst_window};
 use coursestand_lab::scripted::{Behaviour, ScriptedBackend};
 use deployment::{Deployment, TEST_TIMEOUT, heartbeat_of, key_of};
+use fatal::FatalRequests;
 use faults::Faults;
 use googletest::prelude::*;
 use operators::{Acknowledged, Readers, check_catalog, check_memory};
@@ -266,6 +268,10 @@
         .map(|caller| tokio::spawn(call(Arc::clone(&log), fronts.clone(), caller, pause)))
         .collect();
     let readers = Readers::start(system, &log);
+    let fatal = match system.shape.has_fatal_requests {
+        true => Some(FatalRequests::start(system, &log).await),
+        false => None,
+    };
     let started_at = Instant::now();
     let end = started_at + Duration::from_secs(seconds);
     let mut faults = Faults::new(random);
@@ -279,6 +285,9 @@
         task.await.expect("no panic in the callers");
     }
     heartbeat_task.await.expect("no panic in the heartbeats");
+    if let Some(fatal) = fatal {
+        fatal.finish().await?;
+    }
     check_processes(system)?;
     served?;
     let reads = readers.finish().await?;
@@ -388,6 +397,14 @@
     expect_that!(violations(seeds(), with_operators).await, is_empty());
 }
 
+/// Guards against a request that crashes more back ends than allowed while daemons and control
+/// processes are killed, suspended and restarted.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_fatal_request_crashes_few_back_ends_under_faults() {
+    expect_that!(violations(seeds(), with_fatal_requests).await, is_empty());
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn guarantees_hold_for_seeds_that_failed_once() {
@@ -397,6 +414,13 @@
     );
 }
 
+fn with_fatal_requests(seed: u64) -> Shape {
+    Shape {
+        has_fatal_requests: true,
+        ..Shape::from_seed(seed)
+    }
+}
+
 fn with_operators(_seed: u64) -> Shape {
     Shape::with_operators()
 }
--- a/crates/coursestand-daemon/tests/soak/shape.rs
+++ b/crates/coursestand-daemon/tests/soak/shape.rs
@@ -29,6 +29,8 @@
     pub has_all_faults: bool,
     /// Whether operators make large changes and all control processes are killed at once.
     pub has_operators: bool,
+    /// Whether a request that crashes back ends is sent.
+    pub has_fatal_requests: bool,
     /// Whether the last back end announces a rate limit with each complete answer.
     pub has_rate_limit: bool,
 }
@@ -42,6 +44,7 @@
             retry_extra: 64.0,
             has_all_faults: false,
             has_operators: false,
+            has_fatal_requests: false,
             has_rate_limit: false,
         }
     }
@@ -65,6 +68,7 @@
             retry_extra: [64.0, 20.0, 6.0][random.random_range(0..3)],
             has_all_faults: true,
             has_operators: false,
+            has_fatal_requests: false,
             has_rate_limit: true,
         }
     }
