Give a frequently answered request time to be cleared before its quarantine

Callers of an object that is requested all the time got 503 after five back ends had crashed within 210 ms: five crashes sufficed once they lay 100 ms apart, less than the next run of the object takes, so no answer could clear it. It is quarantined 3 s after the first crash at the earliest; from the third crash on it runs as a trial only, as before.

--- a/crates/coursestand-routing/src/fatal_requests/crash_record.rs
+++ b/crates/coursestand-routing/src/fatal_requests/crash_record.rs
@@ -13,6 +13,9 @@
 /// The same for a frequently answered request, and for several requests with equally many
 /// crashes: these may reach three by chance.
 pub(super) const QUARANTINE_CRASHES_IF_FREQUENT: usize = 5;
+/// Time after its first crash within which a harmless request that is frequently answered gets an
+/// answer to a later run, which clears it. Until then it is no evidence that no answer arrived.
+const FREQUENT_ANSWER_MS: Millis = 3_000;
 /// Crashes from which a request runs only as a trial, one at a time in the whole system.
 const TRIAL_CRASHES: usize = 2;
 /// The same for a frequently answered request.
@@ -197,17 +200,25 @@
     }
 
     /// Returns whether the crashes suffice for a quarantine by the daemon with this hash.
-    pub(super) fn has_sufficient_evidence(&self, own_hash: u64) -> bool {
+    pub(super) fn has_sufficient_evidence(&self, now: Millis, own_hash: u64) -> bool {
         let needed = if self.is_frequent {
             QUARANTINE_CRASHES_IF_FREQUENT
         } else {
             QUARANTINE_CRASHES
         };
         self.crashes.len() >= needed
+            && !self.may_be_answered_soon(now)
             && self.span_ms() >= COMMON_CAUSE_MS
             && self.has_enough_reporters(own_hash)
     }
 
+    /// Returns whether a frequently answered request may still be cleared by an answer.
+    fn may_be_answered_soon(&self, now: Millis) -> bool {
+        let first = self.crashes.iter().map(|crash| crash.at).min();
+        let is_recent = first.is_some_and(|first| now < first + FREQUENT_ANSWER_MS);
+        self.is_frequent && is_recent
+    }
+
     /// Returns the time between the first and the last crash, in milliseconds.
     fn span_ms(&self) -> Millis {
         let times = || self.crashes.iter().map(|crash| crash.at);
--- a/crates/coursestand-routing/src/fatal_requests/mod.rs
+++ b/crates/coursestand-routing/src/fatal_requests/mod.rs
@@ -523,7 +523,7 @@
         }
         let rank = |record: &CrashRecord| (!record.is_frequent, record.crashes.len());
         let proven: Vec<_> = candidates
-            .filter(|(_, record)| record.has_sufficient_evidence(self.own_hash))
+            .filter(|(_, record)| record.has_sufficient_evidence(now, self.own_hash))
             .collect();
         let best = proven.iter().map(|(_, record)| rank(record)).max()?;
         let equals = proven.iter().filter(|(_, record)| rank(record) == best);
