--- a/crates/coursestand-routing/src/fatal_requests/crash_record.rs
+++ b/crates/coursestand-routing/src/fatal_requests/crash_record.rs
@@ -84,7 +84,7 @@
     pub(super) suspected_until: Millis,
     pub(super) quarantined_until: Millis,
     pub(super) quarantines: u32,
-    /// Crashes that led to its quarantines.
+    /// Crashes that led to its quarantines, and earlier trials without a result.
     counted_crashes: u32,
     /// Trials that were granted and that neither an answer nor a crash has followed.
     pending_trials: u32,
@@ -109,9 +109,10 @@
     /// milliseconds.
     pub(super) fn quarantine(&mut self, now: Millis) -> Millis {
         self.quarantines += 1;
-        self.counted_crashes += self.crashes.len() as u32;
+        self.counted_crashes += self.crashes.len() as u32 + self.pending_trials;
+        self.pending_trials = 0;
         self.crashes.clear();
-        self.reject_until_evidence_expires(now)
+        self.reject(now)
     }
 
     /// Leases a trial: the request is rejected until it is answered or the lease ends, since the
@@ -120,17 +121,18 @@
     pub(super) fn lease_trial(&mut self, now: Millis) {
         self.pending_trials += 1;
         self.last_event_at = now;
-        self.reject_until_evidence_expires(now);
+        self.reject(now);
     }
 
     /// Records a crash caused by a run that began before the quarantine.
     pub(super) fn count_late_crash(&mut self, now: Millis) {
         self.counted_crashes += 1;
-        let lasts_ms = self.quarantine_ms();
-        self.quarantined_until = self.quarantined_until.max(now + lasts_ms);
+        self.reject(now);
     }
 
-    fn reject_until_evidence_expires(&mut self, now: Millis) -> Millis {
+    /// Rejects the request for as long as its crashes warrant. Returns the duration in
+    /// milliseconds.
+    fn reject(&mut self, now: Millis) -> Millis {
         let lasts_ms = self.quarantine_ms();
         self.quarantined_until = self.quarantined_until.max(now + lasts_ms);
         lasts_ms
