Let a crash during the lease of a trial count against no request

Cause, from the log of one: the trials of the fatal request and of a harmless one ran at the same back end; the crash was reported first by the daemon of the harmless one, which was quarantined, so that the earlier crashes no longer counted against the fatal one.

--- a/crates/coursestand-routing/src/fatal_requests/crash_record.rs
+++ b/crates/coursestand-routing/src/fatal_requests/crash_record.rs
@@ -124,8 +124,9 @@
         self.reject(now);
     }
 
-    /// Records a crash caused by a run that began before the quarantine.
+    /// Records a crash during the quarantine or the lease of a trial.
     pub(super) fn count_late_crash(&mut self, now: Millis) {
+        self.pending_trials = self.pending_trials.saturating_sub(1);
         self.counted_crashes += 1;
         self.reject(now);
     }
@@ -146,12 +147,12 @@
         }
     }
 
-    /// Returns whether the request is quarantined for longer than `QUARANTINE_SKEW_MS` after
-    /// `now`. A crash at such a time is due to a run that began before the quarantine.
+    /// Returns whether the request is quarantined, or a trial of it is leased, for longer than
+    /// `QUARANTINE_SKEW_MS` after `now`. A crash at such a time is due to the trial, or to a run
+    /// that began before, and is no evidence against another request: trials of two requests may
+    /// run at the same back end.
     pub(super) fn is_quarantined(&self, now: Millis) -> bool {
-        self.quarantines > 0
-            && self.pending_trials == 0
-            && now.saturating_add(QUARANTINE_SKEW_MS) < self.quarantined_until
+        now.saturating_add(QUARANTINE_SKEW_MS) < self.quarantined_until
     }
 
     /// Returns whether a run that began before the latest evidence has to be closed.
--- a/crates/coursestand-routing/src/fatal_requests/mod.rs
+++ b/crates/coursestand-routing/src/fatal_requests/mod.rs
@@ -335,7 +335,7 @@
         new_requests
     }
 
-    /// Counts the crash of a run that began before its request was quarantined.
+    /// Counts the crash of a trial, or of a run that began before its request was quarantined.
     fn count_late_crash(&mut self, now: Millis, in_flight: &[Fingerprint]) {
         for request in in_flight {
             if let Some(record) = self.records.get_mut(request)
--- a/crates/coursestand-routing/tests/fatal_requests/main.rs
+++ b/crates/coursestand-routing/tests/fatal_requests/main.rs
@@ -288,6 +288,36 @@
     }
 }
 
+/// Guards against quarantining a harmless request whose trial ran at the back end that the trial of
+/// a fatal one crashed: the crashes then counted against the fatal request no longer, and it
+/// crashed six back ends.
+#[gtest]
+fn a_crash_during_two_trials_quarantines_neither_request() {
+    let (harmless, fatal_request) = (1, 2);
+    let mut fatal = FatalRequests::new(99);
+    for number in 0..2 {
+        let report = crash_report(number, number, number, &[harmless, fatal_request]);
+        fatal.apply_finding(number * 200, &report);
+    }
+    for request in [harmless, fatal_request] {
+        let verdict = fatal.grant_trial(400, Fingerprint(request));
+        expect_that!(verdict, matches_pattern!(TrialVerdict::Granted(_)));
+    }
+    // The daemon with the harmless request reports the crash much earlier than the other one.
+    fatal.apply_finding(550, &crash_report(10, 5, 10, &[harmless]));
+    // Another report has the records judged again.
+    fatal.apply_finding(700, &crash_report(12, 7, 20, &[3]));
+    fatal.apply_finding(800, &crash_report(11, 6, 10, &[fatal_request]));
+    for request in [harmless, fatal_request].map(Fingerprint) {
+        let view = fatal.view(800, request).expect("a crash record");
+        expect_that!(view.convictions, eq(0));
+        expect_that!(
+            fatal.may_run(800, request, true),
+            err(matches_pattern!(WithholdReason::Quarantined { .. }))
+        );
+    }
+}
+
 /// Guards against a trial lease that only the daemon and the control process know which took part
 /// in it: the next leader would grant another trial.
 #[gtest]
