--- /dev/null
+++ b/crates/coursestand-daemon/tests/partition/network.rs
@@ -0,0 +1,168 @@
+//! A network between entry daemons and back ends that can be partitioned for single daemons.
+//!
+//! Each back end has a relay in front of it. The relay identifies the daemon at the other end of
+//! a connection by the process that owns the socket.
+
+use std::collections::BTreeSet;
+use std::net::{SocketAddr, SocketAddrV4};
+
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+
+/// How a partition shows to the daemon that is partitioned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Shape {
+    /// Open connections fall silent, and new ones are established but carry nothing.
+    Silent,
+    /// Open connections are reset, and new ones as soon as they are established.
+    Reset,
+    /// Open connections continue to work; new ones are reset as soon as they are established.
+    OnlyNewReset,
+}
+
+/// The daemons that are partitioned from the back ends, by process id.
+#[derive(Clone, Debug)]
+pub struct Partition {
+    pub shape: Shape,
+    pub processes: BTreeSet<u32>,
+}
+
+impl Partition {
+    pub fn none() -> Partition {
+        Partition {
+            shape: Shape::Silent,
+            processes: BTreeSet::new(),
+        }
+    }
+
+    fn applies_to(&self, process: Option<u32>) -> bool {
+        process.is_some_and(|process| self.processes.contains(&process))
+    }
+}
+
+/// Forwards connections of daemons to one back end.
+pub struct PartitionableRelay {
+    address: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Drop for PartitionableRelay {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl PartitionableRelay {
+    /// Starts a relay to `target`. `daemons` are the process ids of all entry daemons.
+    pub async fn start(
+        target: SocketAddr,
+        daemons: watch::Receiver<Vec<u32>>,
+        partition: watch::Receiver<Partition>,
+    ) -> PartitionableRelay {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let task = tokio::spawn(async move {
+            while let Ok((stream, peer)) = listener.accept().await {
+                let daemons = daemons.borrow().clone();
+                let partition = partition.clone();
+                tokio::spawn(async move {
+                    let owner = owner_of(peer, address, &daemons);
+                    forward(stream, target, owner, partition).await;
+                });
+            }
+        });
+        PartitionableRelay { address, task }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
+/// Returns which of `processes` owns the socket that is bound to `local` and connected to
+/// `remote`.
+fn owner_of(local: SocketAddr, remote: SocketAddr, processes: &[u32]) -> Option<u32> {
+    let (local, remote) = (kernel_format(local)?, kernel_format(remote)?);
+    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
+    let inode = table.lines().find_map(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let is_socket =
+            fields.get(1) == Some(&local.as_str()) && fields.get(2) == Some(&remote.as_str());
+        is_socket.then(|| fields.get(9).map(|inode| format!("socket:[{inode}]")))?
+    })?;
+    let owns = |process: &&u32| {
+        let descriptors = std::fs::read_dir(format!("/proc/{process}/fd"));
+        let mut descriptors = descriptors.into_iter().flatten().flatten();
+        descriptors.any(|entry| {
+            std::fs::read_link(entry.path())
+                .is_ok_and(|target| target.as_os_str() == inode.as_str())
+        })
+    };
+    processes.iter().find(owns).copied()
+}
+
+/// Formats an address as in `/proc/net/tcp`.
+fn kernel_format(address: SocketAddr) -> Option<String> {
+    let SocketAddr::V4(address) = address else {
+        return None;
+    };
+    let address: SocketAddrV4 = address;
+    let ip = u32::from_le_bytes(address.ip().octets());
+    Some(format!("{ip:08X}:{:04X}", address.port()))
+}
+
+async fn forward(
+    mut daemon: TcpStream,
+    target: SocketAddr,
+    owner: Option<u32>,
+    partition: watch::Receiver<Partition>,
+) {
+    // With zero linger, dropping a connection resets it.
+    let _ = daemon.set_zero_linger();
+    let is_reset_at_once = {
+        let partition = partition.borrow();
+        partition.applies_to(owner) && partition.shape != Shape::Silent
+    };
+    if is_reset_at_once {
+        return;
+    }
+    let Ok(mut backend) = TcpStream::connect(target).await else {
+        return;
+    };
+    let _ = backend.set_zero_linger();
+    let (from_daemon, to_daemon) = daemon.split();
+    let (from_backend, to_backend) = backend.split();
+    let mut resetting = partition.clone();
+    let requests = copy(from_daemon, to_backend, owner, partition.clone());
+    let answers = copy(from_backend, to_daemon, owner, partition);
+    tokio::select! {
+        _ = async { tokio::try_join!(requests, answers) } => {}
+        _ = resetting.wait_for(|partition| {
+            partition.shape == Shape::Reset && partition.applies_to(owner)
+        }) => {}
+    }
+}
+
+/// Copies data in one direction, and holds it back while the daemon's connections are silent.
+async fn copy(
+    mut from: ReadHalf<'_>,
+    mut to: WriteHalf<'_>,
+    owner: Option<u32>,
+    mut partition: watch::Receiver<Partition>,
+) -> std::io::Result<()> {
+    let mut chunk = [0; 16 * 1024];
+    loop {
+        let count = from.read(&mut chunk).await?;
+        // Fails if the test has ended.
+        let _ = partition
+            .wait_for(|partition| partition.shape != Shape::Silent || !partition.applies_to(owner))
+            .await;
+        if count == 0 {
+            return to.shutdown().await;
+        }
+        to.write_all(&chunk[..count]).await?;
+    }
+}
