--- a/crates/coursestand-daemon/src/fleet/control_link.rs
+++ b/crates/coursestand-daemon/src/fleet/control_link.rs
@@ -38,6 +38,11 @@
 const MAX_ANSWER_TIMEOUT: Duration = Duration::from_millis(8_000);
 /// Failed attempts after which the timeout stops doubling: it has reached its maximum.
 const MAX_DOUBLINGS: u32 = 3;
+/// First and longest time between two requests for the daemons to which requests may be relayed.
+/// A daemon needs them when it finds that it is partitioned, so it requests them in advance; just
+/// after a start of the whole fleet, few daemons are known.
+const FIRST_RELAY_REQUEST_INTERVAL: Duration = Duration::from_secs(1);
+const MAX_RELAY_REQUEST_INTERVAL: Duration = Duration::from_secs(32);
 /// A connection whose bytes are not acknowledged for this long is closed.
 const CONNECTION_TIMEOUT: Duration = Duration::from_millis(10_000);
 
@@ -92,6 +97,14 @@
     rate_limit_messages: broadcast::Receiver<RateLimitMessage>,
     /// Whether the control process accepts rate limits.
     reads_limits: bool,
+    /// Whether this daemon is partitioned from all back ends.
+    partitions: watch::Receiver<bool>,
+    /// Whether the control process supports relays.
+    reads_relays: bool,
+    /// When the daemons to which requests may be relayed are requested next.
+    next_relay_request: Instant,
+    /// Time until the request after that.
+    relay_request_interval: Duration,
     /// Messages to send next. A message stays here until it is sent, since sending may be
     /// cancelled; none of these does harm if it is sent twice.
     outgoing: VecDeque<ToControl>,
@@ -215,6 +228,7 @@
             reads_findings: TrailingFlag(true),
             reads_crash_records: TrailingFlag(true),
             reads_limits: TrailingFlag(true),
+            reads_relays: TrailingFlag(true),
         };
         sender.send(&hello).await?;
         let now = Instant::now();
@@ -233,6 +247,10 @@
             reads_crash_records: false,
             rate_limit_messages: follower.rate_limit_messages(),
             reads_limits: false,
+            partitions: follower.state().partitions(),
+            reads_relays: false,
+            next_relay_request: now,
+            relay_request_interval: FIRST_RELAY_REQUEST_INTERVAL,
             outgoing: VecDeque::new(),
         })
     }
@@ -313,6 +331,16 @@
                         self.outgoing.extend(rate_limit_message(message, control));
                     }
                 }
+                changed = self.partitions.changed(), if self.reads_relays => {
+                    if changed.is_err() {
+                        return Err(StreamError::Ended);
+                    }
+                    let is_partitioned = *self.partitions.borrow_and_update();
+                    self.outgoing.push_back(ToControl::Partitioned(is_partitioned));
+                    self.outgoing.push_back(ToControl::FindRelays);
+                    self.relay_request_interval = FIRST_RELAY_REQUEST_INTERVAL;
+                    self.next_relay_request = Instant::now() + FIRST_RELAY_REQUEST_INTERVAL;
+                }
                 Some(found) = probes.next(), if !probes.is_empty() => {
                     if let Some(found) = found {
                         self.sender.send(&found).await?;
@@ -358,6 +386,14 @@
             self.outgoing.push_back(ToControl::HaveCatalog(version));
         }
         self.send_outgoing().await?;
+        if self.reads_relays && now >= self.next_relay_request {
+            self.next_relay_request = now + self.relay_request_interval;
+            self.relay_request_interval = match *self.partitions.borrow() {
+                true => FIRST_RELAY_REQUEST_INTERVAL,
+                false => (self.relay_request_interval * 2).min(MAX_RELAY_REQUEST_INTERVAL),
+            };
+            self.sender.send(&ToControl::FindRelays).await?;
+        }
         // Never sent twice: a surplus answer would be matched to a later ping and prove the
         // catalog newer than it is.
         let ping = ToControl::EdgePing(follower.link_use());
@@ -412,6 +448,20 @@
                     self.outgoing.push_back(ToControl::Limits(limits));
                 }
             }
+            ToEdge::Relays(peers) => {
+                if !self.reads_relays {
+                    self.reads_relays = true;
+                    let endpoint = follower.state().relay_endpoint();
+                    self.outgoing.extend(endpoint.map(ToControl::RelayEndpoint));
+                    let is_partitioned = *self.partitions.borrow_and_update();
+                    if is_partitioned {
+                        self.outgoing.push_back(ToControl::Partitioned(true));
+                    }
+                }
+                if !peers.is_empty() {
+                    follower.state().relay_peers().set(control, peers);
+                }
+            }
             ToEdge::Token { number, verdict } => {
                 let state = follower.state();
                 state.handle_token_verdict(control, number, &verdict);
--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -416,6 +416,7 @@
             | ToEdge::CrashRecords(_)
             | ToEdge::Trial(_)
             | ToEdge::Limits(_)
+            | ToEdge::Relays(_)
             | ToEdge::Token { .. } => {}
             ToEdge::Catalog(delta) => {
                 self.catalog.apply(from, delta);
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -7,12 +7,13 @@
 
 use async_trait::async_trait;
 use coursestand_dialect::{Call, Dialect};
-use coursestand_discovery::{EdgePhase, EdgeRecord, LinkUse};
+use coursestand_discovery::{EdgePhase, EdgeRecord, LinkUse, RelayEndpoint};
 use coursestand_kernel::http::HttpServer;
 use coursestand_kernel::{Health, MonotonicClock, Registry, Service, ServiceError, Tasks};
 use coursestand_model::fleet::FleetSettings;
 use coursestand_proxy::caller_limits::CallerLimits;
 use coursestand_proxy::edge_state::{EdgeBounds, RoutingState};
+use coursestand_proxy::exchange::Relay;
 use coursestand_proxy::metrics::ProxyMetrics;
 use coursestand_proxy::pool::Pool;
 use coursestand_proxy::router::Router;
@@ -66,11 +67,23 @@
     pool: Arc<Pool>,
     exchange: Arc<Exchange>,
     server: Arc<ProxyServer>,
+    /// Accepts requests that other daemons relay; none if no internal port is free.
+    relay_server: Option<Arc<ProxyServer>>,
     ready: HttpServer,
     metrics: EdgeMetrics,
 }
 
 impl RunningEdge {
+    /// Stops accepting connections, and waits for the requests of callers and other daemons.
+    async fn close(&self) {
+        let relayed = async {
+            if let Some(relay_server) = &self.relay_server {
+                relay_server.close().await;
+            }
+        };
+        tokio::join!(self.server.close(), relayed);
+    }
+
     fn update_metrics(&self) {
         self.follower.update_metrics();
         self.metrics.idle.set(self.pool.idle_count() as i64);
@@ -91,6 +104,8 @@
         self.metrics
             .backing_off
             .set(count(&|backend| backend.is_backing_off(now)));
+        let is_partitioned = routing.paths.is_all_affected();
+        self.metrics.partitioned.set(i64::from(is_partitioned));
         let limited = routing.backends.limited_count();
         self.metrics.rate_limited.set(limited as i64);
         let crash_records = routing.fatal.views(now);
@@ -165,6 +180,39 @@
             .clone()
     }
 
+    /// Starts to accept relayed requests on a free internal port, and enables the exchange to relay
+    /// requests. The last ports are tried first, since control processes use the first one.
+    async fn start_relay(
+        &self,
+        state: &Arc<EdgeState>,
+        exchange: &Arc<Exchange>,
+    ) -> Option<Arc<ProxyServer>> {
+        let token = rand::random();
+        exchange.set_relay(Relay::new(
+            Arc::clone(state.relay_peers()),
+            self.settings.name.clone(),
+            self.settings.region.clone(),
+            token,
+        ));
+        let (first, last) = self.settings.internal_ports;
+        let first = match self.settings.control {
+            Some(_) => first.saturating_add(1),
+            None => first,
+        };
+        for port in (first..=last).rev() {
+            let address = SocketAddr::new(self.settings.ip, port);
+            let started = ProxyServer::start_for_daemons(address, Arc::clone(exchange));
+            match started.await {
+                Ok(server) => {
+                    state.set_relay_endpoint(RelayEndpoint { address, token });
+                    return Some(Arc::new(server));
+                }
+                Err(error) => info!(target: LOG, "no relayed requests are accepted: {error}"),
+            }
+        }
+        None
+    }
+
     fn balance(&self) -> Balance {
         let balance = &self.settings.balance;
         Balance {
@@ -228,6 +276,7 @@
             .await
             .map_err(|error| failed(&error))?;
         let server = Arc::new(server);
+        let relay_server = self.start_relay(&state, &exchange).await;
         let record = EdgeRecord {
             name: self.settings.name.clone(),
             incarnation: rand::random(),
@@ -259,6 +308,7 @@
             pool,
             exchange,
             server,
+            relay_server,
             ready,
             metrics: EdgeMetrics::new(registry.metrics()).map_err(|error| failed(&error))?,
         });
@@ -278,13 +328,16 @@
         running.follower.set_phase(EdgePhase::Draining);
         running.exchange.set_stop_time(deadline);
         running.server.announce_stop();
+        if let Some(relay_server) = &running.relay_server {
+            relay_server.announce_stop();
+        }
         let ttl = Duration::from_millis(lookup_ttl(&self.settings));
         let drain_time = ANNOUNCE_TIME + ttl * MAX_TTL_FACTOR;
         tokio::time::sleep(drain_time.min(stop.saturating_sub(EXIT_RESERVE))).await;
         info!(target: LOG, in_flight = running.exchange.metrics().in_flight.get();
             "new callers are rejected");
         let remaining = stop.saturating_sub(drain_time + EXIT_RESERVE);
-        if tokio::time::timeout(remaining, running.server.close())
+        if tokio::time::timeout(remaining, running.close())
             .await
             .is_err()
         {
@@ -298,6 +351,9 @@
         if let Some(running) = self.running() {
             running.ready.abort();
             running.server.abort();
+            if let Some(relay_server) = &running.relay_server {
+                relay_server.abort();
+            }
         }
     }
 
@@ -355,6 +411,8 @@
             "requests_that_end_back_ends": routing.fatal.views(now),
             "unread_answer_headers": running.exchange.unread_headers().views(),
             "idle_connections": idle_connections,
+            "paths_not_open": routing.paths.views(),
+            "relay_peers": running.state.relay_peers().count(),
         })
     }
 
@@ -403,6 +461,7 @@
             (known, limits)
         };
         running.pool.close_idle(|id| known.contains(id));
+        running.exchange.close_idle_relays();
         if let Some(limits) = limits {
             running.exchange.limits().set(limits);
         }
--- a/crates/coursestand-daemon/src/fleet/follower_metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/follower_metrics.rs
@@ -82,7 +82,7 @@
             | ToEdge::Trial(_)
             | ToEdge::Limits(_)
             | ToEdge::Token { .. } => BACKENDS,
-            ToEdge::Edges(_) => DAEMONS,
+            ToEdge::Edges(_) | ToEdge::Relays(_) => DAEMONS,
             ToEdge::Pong { .. } | ToEdge::Controls(_) | ToEdge::Probe(_) => OTHER,
         };
         let counter = self.received.with_label_values(&[kind]);
--- a/crates/coursestand-daemon/src/fleet/hub/edges.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/edges.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use coursestand_discovery::directory::OBSERVER_TIMEOUT_MS;
-use coursestand_discovery::{EdgeRecord, LinkUse, LookupClient};
+use coursestand_discovery::{EdgeRecord, LinkUse, LookupClient, RelayEndpoint, RelayPeer};
 use coursestand_model::Millis;
 use coursestand_transport::frame::encode;
 use log::info;
@@ -117,7 +117,7 @@
 
     fn edge_names(&self) -> BTreeSet<String> {
         let state = self.state();
-        let connected = state.directory.connected();
+        let connected = state.directory.connected_to_back_ends();
         connected.map(|record| record.name.clone()).collect()
     }
 
@@ -177,6 +177,30 @@
             .note_link_use(&record.name, record.incarnation, link_use);
     }
 
+    /// Records where a connected entry daemon accepts relayed requests.
+    pub fn note_relay(&self, record: &EdgeRecord, endpoint: RelayEndpoint) {
+        self.state()
+            .directory
+            .note_relay(&record.name, record.incarnation, endpoint);
+    }
+
+    /// Returns the daemons to which an entry daemon may relay requests.
+    pub fn relay_peers(&self, record: &EdgeRecord) -> Vec<RelayPeer> {
+        self.state().directory.relay_peers(record)
+    }
+
+    /// Records whether a connected entry daemon is partitioned from all back ends. The others
+    /// take over the cold back ends that it owns.
+    pub fn note_partitioned(&self, record: &EdgeRecord, is_partitioned: bool) {
+        self.state()
+            .directory
+            .note_partitioned(&record.name, record.incarnation, is_partitioned);
+        info!(target: LOG, edge = record.name, incarnation = record.incarnation,
+            partitioned = is_partitioned;
+            "an entry daemon reported whether it reaches back ends");
+        self.publish_edges();
+    }
+
     pub(super) fn drop_silent_peers(&self, now: Millis) {
         let mut state = self.state();
         let silent: Vec<SocketAddr> = state
--- a/crates/coursestand-daemon/src/fleet/hub/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -65,6 +65,8 @@
     pub crash_records: bool,
     /// Rate limits that back ends reported to other daemons.
     pub rate_limits: bool,
+    /// Daemons to which requests may be relayed.
+    pub relays: bool,
 }
 
 /// An entry daemon that receives updates, with its queue.
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -88,11 +88,13 @@
             reads_findings: TrailingFlag(findings),
             reads_crash_records: TrailingFlag(crash_records),
             reads_limits: TrailingFlag(rate_limits),
+            reads_relays: TrailingFlag(relays),
         } => {
             let subscriptions = EdgeSubscriptions {
                 findings,
                 crash_records,
                 rate_limits,
+                relays,
             };
             serve_edge(
                 record,
@@ -247,6 +249,9 @@
             .await?;
     }
     hub.note_edge(number, &record, true);
+    if subscriptions.relays {
+        sender.send(&ToEdge::Relays(Vec::new())).await?;
+    }
     let mut connection = EdgeConnection {
         context,
         number,
@@ -367,6 +372,13 @@
                         ToControl::RequestToken { number, request } => {
                             self.answer_token(number, request, sender).await?;
                         }
+                        ToControl::RelayEndpoint(endpoint) => hub.note_relay(record, endpoint),
+                        ToControl::FindRelays => {
+                            sender.send(&ToEdge::Relays(hub.relay_peers(record))).await?;
+                        }
+                        ToControl::Partitioned(is_partitioned) => {
+                            hub.note_partitioned(record, is_partitioned);
+                        }
                         ToControl::HaveCatalog(catalog_version) => self.catalog.note_version(catalog_version),
                         ToControl::FetchCatalog(catalog_version) => {
                             self.send_fetched(catalog_version, sender).await?;
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -183,6 +183,8 @@
     pub backing_off: IntGauge,
     /// Known back ends that reported a rate limit.
     pub rate_limited: IntGauge,
+    /// Whether this daemon is partitioned from all back ends, or returns after that.
+    pub partitioned: IntGauge,
     /// Suspect requests: back ends crashed while they were in flight, but they are not
     /// quarantined.
     pub suspects: IntGauge,
@@ -224,6 +226,10 @@
                 "coursestand_edge_rate_limited_backends",
                 "Back ends that reported a rate limit",
             )?,
+            partitioned: gauge(
+                "coursestand_edge_partitioned",
+                "Whether this daemon is partitioned from all back ends",
+            )?,
             suspects: gauge(
                 "coursestand_edge_case_suspects",
                 "Requests suspected to crash back ends, not quarantined",
--- a/crates/coursestand-daemon/src/fleet/wire.rs
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -5,7 +5,7 @@
 
 use coursestand_catalog::CatalogDelta;
 use coursestand_coordination::{Command, CommandAnswer};
-use coursestand_discovery::{EdgeRecord, InstanceUpdate, LinkUse};
+use coursestand_discovery::{EdgeRecord, InstanceUpdate, LinkUse, RelayEndpoint, RelayPeer};
 use coursestand_model::{BackendId, Millis};
 use coursestand_routing::rate_limit::{TokenRequest, TokenVerdict};
 use coursestand_routing::{RateLimitUpdate, SharedCrashRecord, SharedFinding, TrialVerdict};
@@ -30,6 +30,8 @@
         reads_crash_records: TrailingFlag,
         /// Whether the daemon sends and accepts rate limits of back ends.
         reads_limits: TrailingFlag,
+        /// Whether the daemon relays requests to other daemons.
+        reads_relays: TrailingFlag,
     },
     /// A message of another control process.
     Peer(PeerMessage),
@@ -71,6 +73,13 @@
         /// Back end and daemon that the token is for.
         request: TokenRequest,
     },
+    /// Where the entry daemon accepts relayed requests. Sent only to a control process that has
+    /// sent a `Relays` message itself; the same holds for the next two.
+    RelayEndpoint(RelayEndpoint),
+    /// Requests the daemons to which requests may be relayed.
+    FindRelays,
+    /// Whether the entry daemon is partitioned from all back ends.
+    Partitioned(bool),
 }
 
 /// Whether the sender supports a feature that older processes lack. Like [`StartTimes`], such
@@ -291,4 +300,7 @@
         /// Whether a token is granted.
         verdict: TokenVerdict,
     },
+    /// Daemons to which requests may be relayed. An empty list is sent first and announces that
+    /// the control process supports relays.
+    Relays(Vec<RelayPeer>),
 }
--- a/crates/coursestand-daemon/tests/fleet/silent_edge.rs
+++ b/crates/coursestand-daemon/tests/fleet/silent_edge.rs
@@ -73,6 +73,7 @@
         reads_findings: TrailingFlag::default(),
         reads_crash_records: TrailingFlag::default(),
         reads_limits: TrailingFlag::default(),
+        reads_relays: TrailingFlag::default(),
     };
     sender.send(&hello).await.expect("sent");
     let mut ping = tokio::time::interval(PING_INTERVAL);
--- a/crates/coursestand-daemon/tests/fleet/stale_catalog.rs
+++ b/crates/coursestand-daemon/tests/fleet/stale_catalog.rs
@@ -41,6 +41,7 @@
         reads_findings: TrailingFlag::default(),
         reads_crash_records: TrailingFlag::default(),
         reads_limits: TrailingFlag::default(),
+        reads_relays: TrailingFlag::default(),
     };
     sender.send(&hello).await.expect("sent");
     (receiver, sender)
--- a/crates/coursestand-daemon/tests/partition/callers.rs
+++ b/crates/coursestand-daemon/tests/partition/callers.rs
@@ -5,7 +5,8 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use reqwest::Client;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// A request and its answer as the caller sees them.
 #[derive(Clone, Debug)]
@@ -49,15 +50,10 @@
 /// Sends requests to the daemon of `host` until `end` and waits for their answers. Every fourth
 /// one may run at most once.
 pub async fn call_daemon(host: u8, front: SocketAddr, end: Instant, answers: Answers) {
-    let client = Client::builder()
-        .timeout(CALLER_TIMEOUT)
-        .pool_max_idle_per_host(0)
-        .build()
-        .expect("a client");
     let mut requests = Vec::new();
     let mut number = 0;
     while Instant::now() < end {
-        let request = call(client.clone(), host, front, number, answers.clone());
+        let request = call(host, front, number, answers.clone());
         requests.push(tokio::spawn(request));
         number += 1;
         tokio::time::sleep(PAUSE).await;
@@ -67,27 +63,19 @@
     }
 }
 
-async fn call(client: Client, host: u8, front: SocketAddr, number: u64, answers: Answers) {
+async fn call(host: u8, front: SocketAddr, number: u64, answers: Answers) {
     let is_once = number % 4 == 3;
     let kind = if is_once { "once" } else { "safe" };
     let id = format!("{kind}-{host}-{number}");
     let object = number % OBJECTS;
     let sent_at = Instant::now();
-    let request = client
-        .get(format!("http://{front}/{kind}/{object}"))
-        .header("host", "h.example")
-        .header("x-request-id", &id)
-        .header("x-object-key", object.to_string())
-        .header("x-deadline-ms", CALLER_TIMEOUT.as_millis().to_string());
-    let status = match request.send().await {
-        Ok(answer) => {
-            let status = answer.status().as_u16();
-            // An answer with an incomplete body counts as no answer.
-            let body = answer.text().await;
-            if body.is_ok() { status } else { 0 }
-        }
-        Err(_) => 0,
-    };
+    let request = format!(
+        "GET /{kind}/{object} HTTP/1.1\r\nhost: h.example\r\nconnection: close\r\n\
+         x-request-id: {id}\r\nx-object-key: {object}\r\nx-deadline-ms: {}\r\n\r\n",
+        CALLER_TIMEOUT.as_millis()
+    );
+    let answer = tokio::time::timeout(CALLER_TIMEOUT, exchange(front, &request)).await;
+    let status = answer.ok().and_then(Result::ok).unwrap_or(0);
     answers.add(Answered {
         id,
         host,
@@ -96,3 +84,31 @@
         status,
     });
 }
+
+/// Sends a request on a new connection. Returns the status of the answer, or 0 if it is not
+/// complete.
+async fn exchange(front: SocketAddr, request: &str) -> std::io::Result<u16> {
+    let mut stream = TcpStream::connect(front).await?;
+    // Closed connections would fill the kernel's table of sockets.
+    stream.set_zero_linger()?;
+    stream.write_all(request.as_bytes()).await?;
+    let mut bytes = Vec::new();
+    stream.read_to_end(&mut bytes).await?;
+    let answer = String::from_utf8_lossy(&bytes);
+    let Some((head, body)) = answer.split_once("\r\n\r\n") else {
+        return Ok(0);
+    };
+    let length = head.lines().find_map(|line| {
+        let (name, value) = line.split_once(':')?;
+        let is_length = name.eq_ignore_ascii_case("content-length");
+        is_length.then(|| value.trim().parse().ok())?
+    });
+    let status = head
+        .split_whitespace()
+        .nth(1)
+        .and_then(|status| status.parse().ok());
+    match length == Some(body.len()) {
+        true => Ok(status.unwrap_or(0)),
+        false => Ok(0),
+    }
+}
--- a/crates/coursestand-daemon/tests/partition/main.rs
+++ b/crates/coursestand-daemon/tests/partition/main.rs
@@ -95,7 +95,11 @@
 
 impl System {
     async fn start() -> System {
-        let deployment = Deployment::new(&CONTROLS);
+        let mut deployment = Deployment::new(&CONTROLS);
+        if std::env::var_os("COURSESTAND_KEEP_LOGS").is_some() {
+            deployment.folder.disable_cleanup(true);
+            println!("logs in {}", deployment.folder.path().display());
+        }
         let mut processes = Processes::new(&deployment.data_folder(0));
         for host in CONTROLS {
             processes.start(host, &deployment.control_settings(host, true));
@@ -267,7 +271,7 @@
 /// Guards against callers that are refused at daemons whose connections to all back ends are
 /// reset, while the other daemons serve theirs.
 #[gtest]
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn daemons_whose_connections_are_reset_serve_their_callers() {
     check_partition(Shape::Reset, &EDGES[..3]).await;
 }
@@ -275,7 +279,7 @@
 /// Guards against callers that wait for their deadline at daemons whose connections to all back
 /// ends have fallen silent.
 #[gtest]
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn daemons_whose_connections_are_silent_serve_their_callers() {
     check_partition(Shape::Silent, &EDGES[..3]).await;
 }
@@ -283,14 +287,14 @@
 /// Guards against callers that are refused at daemons that can't open new connections to back
 /// ends, and need more than they have open.
 #[gtest]
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn daemons_that_can_open_no_connection_serve_their_callers() {
     check_partition(Shape::OnlyNewReset, &EDGES[..3]).await;
 }
 
 /// Guards against daemons that rely on a particular other daemon, which may be partitioned too.
 #[gtest]
-#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn one_daemon_that_reaches_the_back_ends_serves_for_all() {
     check_partition(Shape::Reset, &EDGES[..5]).await;
 }
--- a/crates/coursestand-daemon/tests/partition/network.rs
+++ b/crates/coursestand-daemon/tests/partition/network.rs
@@ -3,8 +3,9 @@
 //! Each back end has a relay in front of it. The relay identifies the daemon at the other end of
 //! a connection by the process that owns the socket.
 
-use std::collections::BTreeSet;
-use std::net::{SocketAddr, SocketAddrV4};
+use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::sync::{Mutex, PoisonError};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
@@ -69,7 +70,10 @@
                 let daemons = daemons.borrow().clone();
                 let partition = partition.clone();
                 tokio::spawn(async move {
-                    let owner = owner_of(peer, address, &daemons);
+                    // Reads many files.
+                    let owner =
+                        tokio::task::spawn_blocking(move || owner_of(peer, address, &daemons));
+                    let owner = owner.await.expect("no panic");
                     forward(stream, target, owner, partition).await;
                 });
             }
@@ -82,17 +86,34 @@
     }
 }
 
+/// Sockets by local and remote address, in the format of the kernel, with their inodes.
+type SocketTable = HashMap<(String, String), String>;
+
+/// The last reading of the kernel's table of sockets; reading it takes milliseconds.
+static SOCKETS: Mutex<Option<SocketTable>> = Mutex::new(None);
+
+fn read_sockets() -> SocketTable {
+    let table = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
+    let sockets = table.lines().filter_map(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        let inode = fields.get(9).filter(|inode| **inode != "0")?;
+        let addresses = (fields[1].to_owned(), fields[2].to_owned());
+        Some((addresses, format!("socket:[{inode}]")))
+    });
+    sockets.collect()
+}
+
 /// Returns which of `processes` owns the socket that is bound to `local` and connected to
 /// `remote`.
 fn owner_of(local: SocketAddr, remote: SocketAddr, processes: &[u32]) -> Option<u32> {
-    let (local, remote) = (kernel_format(local)?, kernel_format(remote)?);
-    let table = std::fs::read_to_string("/proc/net/tcp").ok()?;
-    let inode = table.lines().find_map(|line| {
-        let fields: Vec<&str> = line.split_whitespace().collect();
-        let is_socket =
-            fields.get(1) == Some(&local.as_str()) && fields.get(2) == Some(&remote.as_str());
-        is_socket.then(|| fields.get(9).map(|inode| format!("socket:[{inode}]")))?
-    })?;
+    let addresses = (kernel_format(local)?, kernel_format(remote)?);
+    let mut sockets = SOCKETS.lock().unwrap_or_else(PoisonError::into_inner);
+    // An entry is removed when it is used, since its addresses may be reused.
+    let known = sockets
+        .as_mut()
+        .and_then(|sockets| sockets.remove(&addresses));
+    let inode = known.or_else(|| sockets.insert(read_sockets()).remove(&addresses))?;
+    drop(sockets);
     let owns = |process: &&u32| {
         let descriptors = std::fs::read_dir(format!("/proc/{process}/fd"));
         let mut descriptors = descriptors.into_iter().flatten().flatten();
@@ -109,7 +130,6 @@
     let SocketAddr::V4(address) = address else {
         return None;
     };
-    let address: SocketAddrV4 = address;
     let ip = u32::from_le_bytes(address.ip().octets());
     Some(format!("{ip:08X}:{:04X}", address.port()))
 }
--- a/crates/coursestand-discovery/src/directory.rs
+++ b/crates/coursestand-discovery/src/directory.rs
@@ -42,6 +42,11 @@
 /// link is at capacity.
 pub type LinkUse = u8;
 
+/// Maximum numbers of daemons of its own region and of other regions that a daemon gets to relay
+/// requests to.
+const MAX_NEAR_PEERS: usize = 8;
+const MAX_FAR_PEERS: usize = 4;
+
 /// Utilization in percent up to which requests do not queue for the link, so that balancing
 /// has no benefit.
 const MIN_BALANCED_LINK_USE: f64 = 35.0;
@@ -67,15 +72,58 @@
 /// day may jump back between two starts, so it can't order them.
 type EdgeIncarnation = (String, u64);
 
+/// Where an entry daemon accepts requests that other daemons relay, and how they prove that they
+/// are daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayEndpoint {
+    /// Internal address.
+    pub address: SocketAddr,
+    /// Secret that a relayed request must carry, drawn at the daemon's start. Only control
+    /// processes and other daemons learn it.
+    pub token: u128,
+}
+
+/// An entry daemon that relays requests, as another daemon learns of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelayPeer {
+    /// Its name.
+    pub name: String,
+    /// Where it accepts relayed requests.
+    pub endpoint: RelayEndpoint,
+    /// Zone in which it runs.
+    pub zone: ZoneId,
+    /// Region of that zone.
+    pub region: RegionId,
+    /// Utilization of its link, if known.
+    pub link_use: Option<LinkUse>,
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     record: EdgeRecord,
     /// Utilization of its link, if known.
     link_use: Option<LinkUse>,
+    /// Where it accepts relayed requests, if it does.
+    relay: Option<RelayEndpoint>,
+    /// Whether it reported that it is partitioned from all back ends.
+    is_partitioned: bool,
     /// Control processes that are connected with it.
     observers: BTreeSet<Observer>,
 }
 
+impl Entry {
+    /// Returns the daemon as one to which requests may be relayed, if it accepts them.
+    fn relay_peer(&self) -> Option<RelayPeer> {
+        Some(RelayPeer {
+            name: self.record.name.clone(),
+            endpoint: self.relay?,
+            zone: self.record.zone.clone(),
+            region: self.record.region.clone(),
+            link_use: self.link_use,
+        })
+    }
+}
+
 /// All entry daemons. An incarnation counts as live while any live control process is
 /// connected with it.
 #[derive(Clone, Debug, Default)]
@@ -115,6 +163,8 @@
         let entry = self.edges.entry(key).or_insert_with(|| Entry {
             record: record.clone(),
             link_use: None,
+            relay: None,
+            is_partitioned: false,
             observers: BTreeSet::new(),
         });
         let is_new_observer = entry.observers.insert(observer);
@@ -186,6 +236,13 @@
         self.edges.values().map(|entry| &entry.record)
     }
 
+    /// Returns the incarnations that any live control process is connected with and that are not
+    /// partitioned from all back ends.
+    pub fn connected_to_back_ends(&self) -> impl Iterator<Item = &EdgeRecord> {
+        let reachable = self.edges.values().filter(|entry| !entry.is_partitioned);
+        reachable.map(|entry| &entry.record)
+    }
+
     /// Returns the incarnations that `observer` is connected with.
     pub fn connected_with(&self, observer: Observer) -> impl Iterator<Item = &EdgeRecord> {
         self.edges
@@ -202,8 +259,49 @@
         }
     }
 
+    /// Records where an incarnation of a daemon accepts relayed requests.
+    pub fn note_relay(&mut self, name: &str, incarnation: u64, relay: RelayEndpoint) {
+        let key = (name.to_owned(), incarnation);
+        if let Some(entry) = self.edges.get_mut(&key) {
+            entry.relay = Some(relay);
+        }
+    }
+
+    /// Records whether an incarnation of a daemon is partitioned from all back ends.
+    pub fn note_partitioned(&mut self, name: &str, incarnation: u64, is_partitioned: bool) {
+        let key = (name.to_owned(), incarnation);
+        if let Some(entry) = self.edges.get_mut(&key) {
+            entry.is_partitioned = is_partitioned;
+        }
+    }
+
+    /// Returns the daemons to which `client` may relay requests: ready ones that reach back
+    /// ends, at most `MAX_NEAR_PEERS` of its region and `MAX_FAR_PEERS` of other ones. Each
+    /// client gets its own subset, so that all daemons are in equally many.
+    pub fn relay_peers(&self, client: &EdgeRecord) -> Vec<RelayPeer> {
+        let client_hash = hash_of(&client.name);
+        let is_candidate = |entry: &&Entry| {
+            entry.record.phase == EdgePhase::Ready
+                && entry.relay.is_some()
+                && !entry.is_partitioned
+                && entry.record.name != client.name
+        };
+        let (mut near, mut far): (Vec<&Entry>, Vec<&Entry>) = self
+            .edges
+            .values()
+            .filter(is_candidate)
+            .partition(|entry| entry.record.region == client.region);
+        for (entries, most) in [(&mut near, MAX_NEAR_PEERS), (&mut far, MAX_FAR_PEERS)] {
+            entries.sort_by_cached_key(|entry| combine(client_hash, hash_of(&entry.record.name)));
+            entries.truncate(most);
+        }
+        near.append(&mut far);
+        near.into_iter().filter_map(Entry::relay_peer).collect()
+    }
+
     /// Returns at most `max_answers` addresses for a client: the ready daemons of its region,
-    /// those of its zone first; if there are none, all ready ones. If they exceed
+    /// those of its zone first; if there are none, all ready ones. Daemons that are partitioned
+    /// from all back ends are left out if there are others in the region. If they exceed
     /// `max_answers`, the client gets its own subset of them, see [`sort_for_subset`].
     /// Daemons whose link utilization is above the mean are left out of some answers.
     /// `draw` returns random numbers in `0.0..1.0`.
@@ -223,6 +321,9 @@
         if nearest.is_empty() {
             nearest = ready;
         }
+        if nearest.iter().any(|candidate| !candidate.is_partitioned) {
+            nearest.retain(|candidate| !candidate.is_partitioned);
+        }
         if nearest.len() > max_answers {
             sort_for_subset(&mut nearest, client);
         } else {
@@ -254,11 +355,13 @@
         let connected = self.edges.values().map(|entry| Candidate {
             record: &entry.record,
             link_use: entry.link_use,
+            is_partitioned: entry.is_partitioned,
         });
         let reachable = self.suspects.values().filter_map(|suspect| {
             (now < suspect.reachable_until).then_some(Candidate {
                 record: &suspect.record,
                 link_use: None,
+                is_partitioned: false,
             })
         });
         connected
@@ -283,6 +386,7 @@
 struct Candidate<'a> {
     record: &'a EdgeRecord,
     link_use: Option<LinkUse>,
+    is_partitioned: bool,
 }
 
 impl Candidate<'_> {
--- a/crates/coursestand-discovery/src/lib.rs
+++ b/crates/coursestand-discovery/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod instance;
 pub mod table;
 
-pub use directory::{Directory, EdgePhase, EdgeRecord, LinkUse, LookupClient};
+pub use directory::{
+    Directory, EdgePhase, EdgeRecord, LinkUse, LookupClient, RelayEndpoint, RelayPeer,
+};
 pub use instance::{Incarnation, Instance, InstancePhase, InstanceUpdate};
 pub use table::InstanceTable;
--- a/crates/coursestand-proxy/src/answer.rs
+++ b/crates/coursestand-proxy/src/answer.rs
@@ -84,6 +84,8 @@
     Shed,
     /// No back end could be reached, and no further attempt was allowed.
     Unreachable,
+    /// This daemon is partitioned from the back ends, and no other daemon took the request.
+    Partitioned,
     /// The request may have run; its answer was lost or incomplete.
     AnswerLost,
     /// The request may have run; no answer was received in time.
@@ -91,6 +93,12 @@
 }
 
 impl Reason {
+    /// Names of the reasons for which a daemon reaches no back end of a service.
+    pub const NAMES_OF_NO_BACK_END: [&'static str; 3] =
+        ["no-backend", "unreachable", "partitioned"];
+    /// Names of the reasons that concern only the daemon itself.
+    pub const NAMES_OF_OWN_TROUBLE: [&'static str; 3] = ["no-catalog", "stopping", "link-full"];
+
     /// Returns the name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
@@ -110,6 +118,7 @@
             Reason::LinkFull { .. } => "link-full",
             Reason::Shed => "shed",
             Reason::Unreachable => "unreachable",
+            Reason::Partitioned => "partitioned",
             Reason::AnswerLost => "answer-lost",
             Reason::TimedOut => "timed-out",
         }
@@ -134,7 +143,8 @@
             | Reason::Busy { .. }
             | Reason::LinkFull { .. }
             | Reason::Shed
-            | Reason::Unreachable => StatusCode::SERVICE_UNAVAILABLE,
+            | Reason::Unreachable
+            | Reason::Partitioned => StatusCode::SERVICE_UNAVAILABLE,
             Reason::AnswerLost => StatusCode::BAD_GATEWAY,
             Reason::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -159,9 +169,10 @@
                 Some(Duration::from_millis(drained_in_ms))
             }
             Reason::Shed => Some(SHED_RETRY_DELAY),
-            Reason::Unreachable | Reason::DeadlinePassed | Reason::Stopping => {
-                Some(OTHER_DAEMON_RETRY_DELAY)
-            }
+            Reason::Unreachable
+            | Reason::Partitioned
+            | Reason::DeadlinePassed
+            | Reason::Stopping => Some(OTHER_DAEMON_RETRY_DELAY),
             _ => None,
         }
     }
--- a/crates/coursestand-proxy/src/answer_times.rs
+++ b/crates/coursestand-proxy/src/answer_times.rs
@@ -56,7 +56,20 @@
     /// Returns the time after which a connection counts as silent; none without earlier
     /// answers.
     pub(crate) fn silence_limit(&self, service: &ServiceId, zone: &ZoneId) -> Option<Duration> {
-        let usual = self.times().get(service)?.get(zone)?.limit();
+        let usual = self.usual_limit(service, zone)?;
         Some((usual * SILENCE_FACTOR).max(MIN_SILENCE_LIMIT))
     }
+
+    /// Returns the time that most answers take at most; none without earlier answers.
+    pub(crate) fn usual_limit(&self, service: &ServiceId, zone: &ZoneId) -> Option<Duration> {
+        let times = self.times();
+        Some(times.get(service)?.get(zone)?.limit())
+    }
+
+    /// Returns the time that most answers of any back end take at most.
+    pub(crate) fn longest_usual_limit(&self) -> Duration {
+        let times = self.times();
+        let limits = times.values().flat_map(HashMap::values);
+        limits.map(SmoothedTime::limit).max().unwrap_or_default()
+    }
 }
--- a/crates/coursestand-proxy/src/edge_state.rs
+++ b/crates/coursestand-proxy/src/edge_state.rs
@@ -3,25 +3,28 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
 use coursestand_catalog::{Catalog, CatalogDelta};
-use coursestand_discovery::InstanceUpdate;
+use coursestand_discovery::{InstanceUpdate, RelayEndpoint};
 use coursestand_kernel::MonotonicClock;
 use coursestand_model::{Millis, ServiceId, ZoneId};
 use coursestand_routing::cold::OwnerViews;
 use coursestand_routing::fatal_requests::CrashRecordUpdate;
 use coursestand_routing::findings::BackendReporters;
 use coursestand_routing::hash::hash_of;
+use coursestand_routing::paths::PathChange;
 use coursestand_routing::picker::PickerConfig;
 use coursestand_routing::rate_limit::TokenVerdict;
 use coursestand_routing::split::SplitState;
 use coursestand_routing::{
-    Backends, FatalRequests, Finding, Fingerprint, Picker, Rate, RateLimitUpdate, RetryAllowance,
-    RetryBudget, RetryLimits, RouteTable, SharedCrashRecord, SharedFinding, TrialVerdict,
+    Backends, FatalRequests, Finding, Fingerprint, PathScope, Paths, Picker, Rate, RateLimitUpdate,
+    RetryAllowance, RetryBudget, RetryLimits, RouteTable, SharedCrashRecord, SharedFinding,
+    TrialVerdict,
 };
 use tokio::sync::{broadcast, oneshot, watch};
 
+use crate::relay::RelayPeers;
 use crate::tokens::{RateLimitMessage, TokenRequests, answer_of};
 use crate::trials::{CrashRecordMessage, TrialRequests};
 
@@ -49,6 +52,8 @@
     pub routes: Arc<RouteTable>,
     /// Back ends.
     pub backends: Backends,
+    /// Paths to back ends.
+    pub paths: Paths,
     /// Picks back ends.
     pub picker: Picker,
     /// Names of the connected entry daemons, including this one.
@@ -70,6 +75,8 @@
     pub limit_reports: BackendReporters,
     /// State of the weighted splits by route name.
     pub splits: HashMap<String, SplitState>,
+    /// Whether the daemon is connected to a majority of the control processes.
+    is_following: bool,
 }
 
 /// Shared state of an entry daemon.
@@ -83,9 +90,32 @@
     crash_record_changes: watch::Sender<u64>,
     trials: TrialRequests,
     tokens: TokenRequests,
+    /// Number of changes of the paths to back ends.
+    path_changes: watch::Sender<u64>,
+    /// Whether this daemon is partitioned from all back ends, or returns after that.
+    is_partitioned: watch::Sender<bool>,
+    relay_peers: Arc<RelayPeers>,
+    relay_endpoint: OnceLock<RelayEndpoint>,
 }
 
 impl RoutingState {
+    /// Updates the owners of cold back ends and the lease of the retry allowance. The other
+    /// daemons take over from a partitioned daemon, so it does not count itself.
+    fn update_ownership(&mut self, now: Millis) {
+        let is_partitioned = self.paths.is_all_affected();
+        let view = self.is_following.then(|| {
+            let mut daemons = self.daemons.clone();
+            if is_partitioned {
+                daemons.remove(self.picker.daemon());
+            }
+            daemons
+        });
+        self.owners.set(now, view);
+        if self.is_following && !is_partitioned {
+            self.allowance.renew(now);
+        }
+    }
+
     /// Applies a finding of another daemon: a back end crashed or is draining.
     fn apply_remote_finding(&mut self, now: Millis, shared: &SharedFinding) {
         match shared.finding {
@@ -115,6 +145,7 @@
                 catalog: Catalog::default(),
                 routes: Arc::default(),
                 backends: Backends::default(),
+                paths: Paths::default(),
                 picker: Picker::new(config),
                 daemons,
                 owners,
@@ -125,12 +156,80 @@
                 is_synced: false,
                 draining: BackendReporters::default(),
                 limit_reports: BackendReporters::default(),
+                is_following: false,
             }),
             findings: broadcast::Sender::new(FINDING_QUEUE_LENGTH),
             crash_record_changes: watch::Sender::new(0),
             trials: TrialRequests::default(),
             tokens: TokenRequests::default(),
+            path_changes: watch::Sender::new(0),
+            is_partitioned: watch::Sender::new(false),
+            relay_peers: Arc::default(),
+            relay_endpoint: OnceLock::new(),
+        }
+    }
+
+    /// Returns the daemons that requests may be relayed to.
+    pub fn relay_peers(&self) -> &Arc<RelayPeers> {
+        &self.relay_peers
+    }
+
+    /// Sets where this daemon accepts relayed requests; called once.
+    pub fn set_relay_endpoint(&self, endpoint: RelayEndpoint) {
+        // Fails only if it is set already.
+        let _ = self.relay_endpoint.set(endpoint);
+    }
+
+    /// Returns where this daemon accepts relayed requests, if it does.
+    pub fn relay_endpoint(&self) -> Option<RelayEndpoint> {
+        self.relay_endpoint.get().copied()
+    }
+
+    /// Watches whether this daemon is partitioned from all back ends, or returns after that.
+    pub fn partitions(&self) -> watch::Receiver<bool> {
+        self.is_partitioned.subscribe()
+    }
+
+    /// Subscribes to changes of the paths to back ends.
+    pub fn path_changes(&self) -> watch::Receiver<u64> {
+        self.path_changes.subscribe()
+    }
+
+    /// Applies and logs changes of the paths to back ends.
+    pub fn apply_path_changes(&self, changes: &[PathChange]) {
+        if changes.is_empty() {
+            return;
         }
+        let now = self.now();
+        let mut routing = self.routing();
+        for change in changes.iter().filter(|change| change.is_returning()) {
+            let scope = &change.scope;
+            routing
+                .backends
+                .forgive_failures(|instance| scope.contains(instance));
+        }
+        let is_partitioned = routing.paths.is_all_affected();
+        routing.update_ownership(now);
+        drop(routing);
+        for change in changes {
+            log::warn!(target: LOG, scope = change.scope.label(), state = change.state,
+                failed = change.failed, silent_ms = change.silent_ms,
+                peers = self.relay_peers.count(); "the path to back ends changed");
+        }
+        self.is_partitioned.send_if_modified(|current| {
+            let has_changed = *current != is_partitioned;
+            *current = is_partitioned;
+            has_changed
+        });
+        self.path_changes.send_modify(|count| *count += 1);
+    }
+
+    /// Returns the number of back ends of a scope.
+    pub(crate) fn size_of(backends: &Backends, scope: &PathScope) -> usize {
+        let backends = backends.iter();
+        backends
+            .filter(|backend| scope.contains(&backend.instance))
+            .count()
     }
 
     /// Returns the time on the daemon's clock, in milliseconds.
@@ -407,8 +506,7 @@
     pub fn set_following(&self, is_following: bool) {
         let now = self.now();
         let mut routing = self.routing();
-        let view = is_following.then(|| routing.daemons.clone());
-        routing.owners.set(now, view);
+        routing.is_following = is_following;
         routing.fatal.set_connected(is_following);
         if is_following {
             routing.is_synced = true;
@@ -416,8 +514,8 @@
                 allowance, daemons, ..
             } = &mut *routing;
             allowance.note_listed(now, daemons.iter().map(String::as_str));
-            allowance.renew(now);
         }
+        routing.update_ownership(now);
     }
 
     /// Sets the entry daemons that are connected besides this one.
--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use coursestand_routing::{BackendReport, RateLimitSignal};
+use coursestand_routing::{BackendReport, ConnectionAge, PathUse, RateLimitSignal};
 use http::header::{CONTENT_LENGTH, HeaderValue};
-use http::{Request, Response};
+use http::{HeaderMap, Request, Response};
 use http_body_util::{Either, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use tokio::time::error::Elapsed;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 
 use super::{ActiveAttempt, BackendResponse, Exchange, FailedAttempt, LOG, PreparedRequest};
 use crate::answer_times::READING_GRACE;
@@ -72,15 +72,7 @@
                 status = head.status.as_u16(); "not the answer to this request: {what}");
             return Err(failure(AttemptFailure::Lost));
         }
-        let length: Option<usize> =
-            text_of(&head.headers, &CONTENT_LENGTH).and_then(|text| text.parse().ok());
-        let collected_result = if length.is_some_and(|length| length > MAX_BUFFERED_BYTES) {
-            Ok(Ok(Collected::Partial(Bytes::new(), body)))
-        } else {
-            self.within_deadline(prepared, collect(body, MAX_BUFFERED_BYTES))
-                .await
-        };
-        let collected = match collected_result {
+        let collected = match self.collect_answer(prepared, &head.headers, body).await {
             Ok(Ok(collected)) => collected,
             Ok(Err(_)) => {
                 return Err(FailedAttempt {
@@ -130,6 +122,22 @@
         }
     }
 
+    /// Reads a body up to its end, or as much of it as is buffered.
+    pub(super) async fn collect_answer(
+        &self,
+        prepared: &PreparedRequest,
+        headers: &HeaderMap,
+        body: Incoming,
+    ) -> Result<hyper::Result<Collected>, Elapsed> {
+        let length: Option<usize> =
+            text_of(headers, &CONTENT_LENGTH).and_then(|text| text.parse().ok());
+        if length.is_some_and(|length| length > MAX_BUFFERED_BYTES) {
+            return Ok(Ok(Collected::Partial(Bytes::new(), body)));
+        }
+        self.within_deadline(prepared, collect(body, MAX_BUFFERED_BYTES))
+            .await
+    }
+
     /// Applies and counts the signals of a back end in the head of an answer.
     fn apply_signals(&self, target: &Target, report: &BackendReport) {
         self.phases.head_received(target, report);
@@ -161,6 +169,10 @@
             };
             let mut connection = match idle {
                 Some(connection) => connection,
+                None if target.path_use < PathUse::Open => {
+                    prepared.body.give_back(request.into_body());
+                    return Err(FailedAttempt::of(AttemptFailure::Partitioned));
+                }
                 None => match self.open(prepared.deadline.usual, target).await {
                     Ok(connection) => connection,
                     Err(failed) => {
@@ -175,23 +187,38 @@
             }
             self.refresh_deadline(prepared, &mut request);
             let is_reused = connection.is_reused;
+            let age = match is_reused {
+                true => ConnectionAge::Kept,
+                false => ConnectionAge::New,
+            };
+            self.phases.request_sent(target);
             let sending = connection.sender.try_send_request(request);
             let outcome = self
                 .await_response(sending, prepared, target, attempts)
                 .await
-                .map_err(FailedAttempt::of)?;
+                .map_err(|failure| {
+                    self.phases.path_failed(target, age);
+                    FailedAttempt::of(failure)
+                })?;
             let mut error = match outcome {
-                Ok(response) => return Ok((response, connection)),
+                Ok(response) => {
+                    self.phases.path_answered(target, age);
+                    return Ok((response, connection));
+                }
                 Err(error) => error,
             };
             // A request that is handed back whole was not written.
             match error.take_message() {
                 Some(unsent) if is_reused => request = unsent,
                 Some(unsent) => {
+                    self.phases.path_failed(target, age);
                     prepared.body.give_back(unsent.into_body());
                     return Err(FailedAttempt::of(AttemptFailure::Unreachable));
                 }
-                None => return Err(FailedAttempt::broken()),
+                None => {
+                    self.phases.path_failed(target, age);
+                    return Err(FailedAttempt::broken());
+                }
             }
         }
     }
@@ -208,27 +235,23 @@
     ) -> Result<SendOutcome, AttemptFailure> {
         tokio::pin!(sending);
         let sent_at = Instant::now();
-        if let Some(limit) = self.silence_limit(prepared, target, attempts) {
-            let mut outcome = timeout(limit, sending.as_mut()).await;
-            if outcome.is_err() {
-                outcome = timeout(READING_GRACE, sending.as_mut()).await;
-            }
-            if let Ok(outcome) = outcome {
-                self.note_answer(&outcome, target, sent_at, attempts);
-                return Ok(outcome);
-            }
-            self.pool
-                .close_unanswered_since(&target.incarnation, sent_at);
-            let retry = self.may_retry_silent(prepared, attempts, limit);
-            if retry.is_granted() {
-                attempts.silent_connection = Some(SilentConnection {
-                    backend: target.incarnation.clone(),
-                    sent_at,
-                    retry,
-                });
-                return Err(AttemptFailure::Silent);
+        let may_retry = attempts.silent_connection.is_none() && !prepared.body.is_spent();
+        if may_retry {
+            let is_silent = tokio::select! {
+                biased;
+                outcome = sending.as_mut() => {
+                    self.note_answer(&outcome, target, sent_at, attempts);
+                    return Ok(outcome);
+                }
+                is_silent = self.silence(prepared, target) => is_silent,
+            };
+            if is_silent {
+                if let Ok(outcome) = timeout(READING_GRACE, sending.as_mut()).await {
+                    self.note_answer(&outcome, target, sent_at, attempts);
+                    return Ok(outcome);
+                }
+                self.handle_silence(prepared, target, attempts, sent_at)?;
             }
-            self.log_silent_wait(prepared, target, retry);
         }
         let outcome = self
             .within_deadline(prepared, sending)
@@ -238,8 +261,32 @@
         Ok(outcome)
     }
 
+    /// Handles a connection that counts as silent. Fails the attempt if the request may be sent
+    /// again.
+    fn handle_silence(
+        &self,
+        prepared: &PreparedRequest,
+        target: &Target,
+        attempts: &mut Attempts,
+        sent_at: Instant,
+    ) -> Result<(), AttemptFailure> {
+        self.pool
+            .close_unanswered_since(&target.incarnation, sent_at);
+        let retry = self.may_retry_silent(prepared, attempts, sent_at.elapsed());
+        if !retry.is_granted() {
+            self.log_silent_wait(prepared, target, retry);
+            return Ok(());
+        }
+        attempts.silent_connection = Some(SilentConnection {
+            backend: target.incarnation.clone(),
+            sent_at,
+            retry,
+        });
+        Err(AttemptFailure::Silent)
+    }
+
     /// Waits for a part of the answer until the request is abandoned.
-    async fn within_deadline<T>(
+    pub(super) async fn within_deadline<T>(
         &self,
         prepared: &PreparedRequest,
         part: impl Future<Output = T>,
@@ -252,18 +299,44 @@
         }
     }
 
-    fn silence_limit(
-        &self,
-        prepared: &PreparedRequest,
-        target: &Target,
-        attempts: &Attempts,
-    ) -> Option<Duration> {
-        if attempts.silent_connection.is_some() || prepared.body.is_spent() {
-            return None;
+    fn silence_limit(&self, prepared: &PreparedRequest, target: &Target) -> Option<Duration> {
+        let limit = match target.is_path_trial {
+            true => self.answer_times.usual_limit(&target.service, &target.zone),
+            false => self
+                .answer_times
+                .silence_limit(&target.service, &target.zone),
+        };
+        limit.filter(|limit| *limit < prepared.time_left())
+    }
+
+    /// Returns true when the connection counts as silent: after the silence limit, or for a request
+    /// that may be repeated when this daemon finds that it is partitioned from the back end.
+    /// Returns false when the time of the request is over before.
+    async fn silence(&self, prepared: &PreparedRequest, target: &Target) -> bool {
+        let limit = async {
+            match self.silence_limit(prepared, target) {
+                Some(limit) => sleep(limit).await,
+                None => std::future::pending().await,
+            }
+        };
+        let is_repeatable = prepared.matched.route.route.kind.is_repeatable();
+        tokio::select! {
+            () = limit => true,
+            () = self.path_closed(target), if is_repeatable => true,
+            () = sleep_until(prepared.deadline.usual) => false,
+        }
+    }
+
+    /// Completes when this daemon finds that it is partitioned from the back end.
+    async fn path_closed(&self, target: &Target) {
+        let Some(mut changes) = self.phases.path_changes() else {
+            return std::future::pending().await;
+        };
+        while !self.phases.is_path_closed(target) {
+            if changes.changed().await.is_err() {
+                return std::future::pending().await;
+            }
         }
-        self.answer_times
-            .silence_limit(&target.service, &target.zone)
-            .filter(|limit| *limit < prepared.time_left())
     }
 
     /// Returns whether a request that got no answer for `waited` may be sent on a new
@@ -331,13 +404,21 @@
         let queueing_delay = self.link.queueing_delay();
         let limit = self.connect_times.limit(&target.zone, queueing_delay);
         self.metrics.connections.inc();
-        let opened = self
-            .pool
-            .open(target.address, limit.min(time_left / CONNECT_TIME_DIVISOR))
-            .await;
+        let limit = limit.min(time_left / CONNECT_TIME_DIVISOR);
+        let opened = tokio::select! {
+            biased;
+            opened = self.pool.open(target.address, limit) => opened,
+            () = self.path_closed(target) => {
+                return Err(FailedAttempt::of(AttemptFailure::Partitioned));
+            }
+        };
         let connection = opened.map_err(|error| {
             let queueing_delay = queueing_delay.max(self.link.queueing_delay());
-            FailedAttempt::of(connect_failure(error.kind, queueing_delay))
+            let failure = connect_failure(error.kind, queueing_delay);
+            if failure != AttemptFailure::Congested {
+                self.phases.path_failed(target, ConnectionAge::New);
+            }
+            FailedAttempt::of(failure)
         })?;
         let took = started.elapsed();
         self.link.note_round_trip(target.zone.as_str(), took);
@@ -367,7 +448,11 @@
     }
 
     /// Sets the deadline header to the time left.
-    fn refresh_deadline(&self, prepared: &PreparedRequest, request: &mut Request<RequestBody>) {
+    pub(super) fn refresh_deadline(
+        &self,
+        prepared: &PreparedRequest,
+        request: &mut Request<RequestBody>,
+    ) {
         let time_left = prepared.time_left().as_millis().max(1) as u64;
         request
             .headers_mut()
--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -26,6 +26,7 @@
 };
 use crate::pool::Pool;
 use crate::prepared_body::PreparedBody;
+use crate::relay::RelayedRequest;
 use crate::request_log::RequestLog;
 use crate::retry::{RetryDenial, RetryVerdict};
 use crate::unread_headers::UnreadHeaders;
@@ -34,10 +35,14 @@
 use coursestand_routing::fatal_requests::COMMON_CAUSE_MS;
 
 mod attempt;
+mod path_probes;
 mod probes;
 mod recall;
+mod relay;
 mod tokens;
 
+pub use relay::Relay;
+
 const LOG: &str = "proxy";
 /// Upper bound on the retry delay of a request that was queued for longer than its timeout;
 /// the admission control uses the same bound. A process that was suspended for longer
@@ -66,6 +71,10 @@
     unread_headers: UnreadHeaders,
     /// When the process ends, if a planned stop has begun.
     stops_at: OnceLock<Instant>,
+    /// Relays requests to other daemons, if the deployment has any.
+    relay: OnceLock<Relay>,
+    /// Whether the back ends that may be partitioned are being probed.
+    are_paths_probed: Arc<AtomicBool>,
 }
 
 /// When a request's head was read, and how long it had been queued before.
@@ -93,6 +102,8 @@
     matched: Matched,
     deadline: Deadline,
     permit: LinkPermit,
+    /// What the daemon that relayed the request tells about it.
+    relayed: Option<RelayedRequest>,
 }
 
 impl PreparedRequest {
@@ -157,7 +168,9 @@
                 let report = &self.report;
                 report.backoff_ms.is_some() || report.load.is_some_and(|load| load.waiting == 0)
             }
-            AttemptFailure::Silent | AttemptFailure::Withdrawn => true,
+            AttemptFailure::Silent | AttemptFailure::Withdrawn | AttemptFailure::Partitioned => {
+                true
+            }
             _ => false,
         }
     }
@@ -177,6 +190,8 @@
         let is_refused = failed.failure == AttemptFailure::Refused;
         if failed.failure.reached_back_end() {
             self.arrived += 1;
+        } else if failed.failure == AttemptFailure::Partitioned {
+            self.is_path_lost = true;
         } else if is_refused && !target.sent_request.pick.is_ejected {
             self.refused += 1;
         } else {
@@ -231,6 +246,8 @@
             crash_detector: Arc::default(),
             limits: SharedLimits::default(),
             stops_at: OnceLock::new(),
+            relay: OnceLock::new(),
+            are_paths_probed: Arc::default(),
         }
     }
 
@@ -302,25 +319,41 @@
     }
 
     /// Answers one request. Dropping the future aborts the attempt in flight.
-    pub async fn serve(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+    pub async fn serve(&self, mut request: Request<Incoming>) -> Response<AnswerBody> {
+        RelayedRequest::remove(request.headers_mut());
+        let (response, _) = self.answer(request, None).await;
+        response
+    }
+
+    /// Answers one request, which another daemon relayed if `relayed` is set. Returns with the
+    /// answer why this daemon generated it, if it did.
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        relayed: Option<RelayedRequest>,
+    ) -> (Response<AnswerBody>, Result<(), Reason>) {
         let arrival = Arrival {
             read_at: Instant::now(),
             waited: self.link.queueing_delay(),
         };
         let id = text_of(request.headers(), &self.names.request_id).map(str::to_owned);
         let mut request_log = RequestLog::begin(&self.metrics, id, arrival.read_at, arrival.waited);
-        let result = match self.prepare(request, arrival).await {
+        if let Some(relayed) = &relayed {
+            request_log.relayed_by(&relayed.origin);
+        }
+        let result = match self.prepare(request, arrival, relayed).await {
             Ok(prepared) => self.forward(prepared, &mut request_log).await,
             Err(reason) => Err(reason),
         };
         match result {
             Ok(received) => {
                 request_log.end("served", received.status);
-                forwarded_response(received.status, received.headers, received.body)
+                let response = forwarded_response(received.status, received.headers, received.body);
+                (response, Ok(()))
             }
             Err(reason) => {
                 request_log.end(reason.name(), reason.status());
-                local_response(reason)
+                (local_response(reason), Err(reason))
             }
         }
     }
@@ -329,6 +362,7 @@
         &self,
         request: Request<Incoming>,
         arrival: Arrival,
+        relayed: Option<RelayedRequest>,
     ) -> Result<PreparedRequest, Reason> {
         let (mut parts, body) = request.into_parts();
         let head = self.head_of(&parts);
@@ -358,6 +392,7 @@
             matched,
             deadline,
             permit,
+            relayed,
         })
     }
 
@@ -423,18 +458,37 @@
         mut prepared: PreparedRequest,
         request_log: &mut RequestLog<'_>,
     ) -> Result<BackendResponse, Reason> {
-        let mut attempts = Attempts::default();
+        let relayed = prepared.relayed.as_ref();
+        let mut attempts = Attempts {
+            arrived: relayed.map_or(0, |relayed| relayed.attempts),
+            ..Attempts::default()
+        };
         request_log.matched(&prepared.matched);
         if let Some(answer) = self.phases.ask_for_trial(&prepared.matched) {
             // If no answer arrives in time, the request is refused as if no trial had been requested.
             let _ = timeout(TRIAL_WAIT.min(prepared.time_left()), answer).await;
         }
+        self.check_paths();
         loop {
             attempts.token = self.obtain_token(&prepared, &attempts).await;
-            let chosen = self.phases.choose(&prepared.matched, &attempts);
+            let chosen = match attempts.is_path_lost {
+                true => Err(Reason::Partitioned),
+                false => self.phases.choose(&prepared.matched, &attempts),
+            };
             self.start_due_probes(&prepared.matched.service);
             let target = match chosen {
                 Ok(target) => target,
+                Err(Reason::Partitioned) => {
+                    match self.relay(&mut prepared, &mut attempts, request_log).await {
+                        Some(result) => return result,
+                        // Back ends are tried all the same: some may be reachable.
+                        None => {
+                            attempts.is_path_lost = false;
+                            attempts.ignores_partition = true;
+                            continue;
+                        }
+                    }
+                }
                 Err(reason) => {
                     let reason = reason_without_backend(&attempts, reason);
                     log::info!(target: LOG, request = prepared.id, service = prepared.matched.service.as_str(),
@@ -460,6 +514,7 @@
                 Err(failed) => failed,
             };
             self.note_failure(&started.target, &failed);
+            self.check_paths();
             attempts.note(&started.target, &failed);
             request_log.failed(failed.failure);
             let retry = self.decide_retry(&prepared, &attempts, failed.failure);
@@ -569,9 +624,10 @@
     match failure {
         AttemptFailure::TimedOut => Reason::TimedOut,
         _ if attempts.may_have_run => Reason::AnswerLost,
-        AttemptFailure::Refused | AttemptFailure::Unreachable | AttemptFailure::Congested => {
-            Reason::Unreachable
-        }
+        AttemptFailure::Refused
+        | AttemptFailure::Unreachable
+        | AttemptFailure::Congested
+        | AttemptFailure::Partitioned => Reason::Unreachable,
         _ => Reason::Shed,
     }
 }
--- a/crates/coursestand-proxy/src/metrics.rs
+++ b/crates/coursestand-proxy/src/metrics.rs
@@ -29,6 +29,10 @@
     pub denied_retries: IntCounterVec,
     /// Connections opened to back ends.
     pub connections: IntCounter,
+    /// Requests that were relayed to other daemons, by outcome.
+    pub relays: IntCounterVec,
+    /// Requests that other daemons relayed to this one, by outcome.
+    pub relayed: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Seconds that requests were queued before they were read, as far as it is known.
@@ -95,6 +99,20 @@
                 "coursestand_backend_connections_total",
                 "Connections opened to back ends",
             )?,
+            relays: IntCounterVec::new(
+                Opts::new(
+                    "coursestand_relays_total",
+                    "Requests that were relayed to other daemons, by outcome",
+                ),
+                &["outcome"],
+            )?,
+            relayed: IntCounterVec::new(
+                Opts::new(
+                    "coursestand_relayed_requests_total",
+                    "Requests that other daemons relayed to this one, by outcome",
+                ),
+                &["outcome"],
+            )?,
             in_flight: IntGauge::new("coursestand_requests_in_flight", "Requests in flight")?,
             waited: Histogram::with_opts(HistogramOpts::new(
                 "coursestand_request_waited_seconds",
@@ -113,6 +131,10 @@
         metrics.unread_headers.with_label_values(&[OTHER]);
         metrics.rate_tokens.with_label_values(&["issued"]);
         metrics.backend_signals.with_label_values(&["rate-limit"]);
+        metrics.relays.with_label_values(&["forwarded"]);
+        metrics.relayed.with_label_values(&["forwarded"]);
+        registry.register(Box::new(metrics.relays.clone()))?;
+        registry.register(Box::new(metrics.relayed.clone()))?;
         registry.register(Box::new(metrics.requests.clone()))?;
         registry.register(Box::new(metrics.failures.clone()))?;
         registry.register(Box::new(metrics.backend_signals.clone()))?;
--- a/crates/coursestand-proxy/src/phases.rs
+++ b/crates/coursestand-proxy/src/phases.rs
@@ -10,7 +10,10 @@
 use coursestand_model::{BackendId, Millis, ServiceId, ZoneId};
 use coursestand_routing::backends::ProbeOutcome;
 use coursestand_routing::picker::SentRequest;
-use coursestand_routing::{BackendReport, Fingerprint, RouteEntry, SendToken, SentCopy};
+use coursestand_routing::{
+    BackendReport, ConnectionAge, Fingerprint, PathProbeOutcome, PathScope, PathUse, RouteEntry,
+    SendToken, SentCopy,
+};
 use http::Method;
 use tokio::sync::{oneshot, watch};
 use tokio::time::Instant;
@@ -85,6 +88,12 @@
     pub is_trial: bool,
     /// Until when the request may be sent, if the back end has a rate limit.
     pub admitted_until: Option<Millis>,
+    /// How the request may use the path to the back end.
+    pub path_use: PathUse,
+    /// Whether the back end was chosen although this daemon is partitioned from it.
+    pub ignores_partition: bool,
+    /// Whether the request is the trial of a path that returns after a partition.
+    pub is_path_trial: bool,
 }
 
 impl Target {
@@ -112,6 +121,9 @@
     /// No connection could be made in time while the machine's own link was congested, which
     /// says nothing about the back end: nothing was sent.
     Congested,
+    /// This daemon is partitioned from the back end, and has no connection to it that still
+    /// works: nothing was sent.
+    Partitioned,
     /// Since it was chosen, the back end asked for a back-off, started to drain or crashed:
     /// nothing was sent.
     Withdrawn,
@@ -158,6 +170,7 @@
             AttemptFailure::Refused => "refused",
             AttemptFailure::Unreachable => "unreachable",
             AttemptFailure::Congested => "congested",
+            AttemptFailure::Partitioned => "partitioned",
             AttemptFailure::Withdrawn => "withdrawn",
             AttemptFailure::Shed => "shed",
             AttemptFailure::Misdirected => "misdirected",
@@ -176,6 +189,7 @@
             AttemptFailure::Refused
                 | AttemptFailure::Unreachable
                 | AttemptFailure::Congested
+                | AttemptFailure::Partitioned
                 | AttemptFailure::Withdrawn
         )
     }
@@ -187,6 +201,7 @@
             AttemptFailure::Refused
                 | AttemptFailure::Unreachable
                 | AttemptFailure::Congested
+                | AttemptFailure::Partitioned
                 | AttemptFailure::Withdrawn
                 | AttemptFailure::Shed
                 | AttemptFailure::Misdirected
@@ -240,6 +255,11 @@
     pub silent_connection: Option<SilentConnection>,
     /// Token issued for the next attempt at a rate-limited back end.
     pub token: Option<SendToken>,
+    /// Whether back ends are chosen although this daemon is partitioned from them, because no
+    /// other daemon can be asked.
+    pub ignores_partition: bool,
+    /// Whether the last attempt found no connection that still works on a partitioned path.
+    pub is_path_lost: bool,
 }
 
 /// A token request that control has not answered yet.
@@ -251,6 +271,28 @@
     pub answer: oneshot::Receiver<TokenAnswer>,
 }
 
+/// Back ends of a scope that have to be probed to find out whether this daemon is partitioned from
+/// them.
+#[derive(Clone, Debug)]
+pub struct PathProbe {
+    /// The scope.
+    pub scope: PathScope,
+    /// The back ends.
+    pub instances: Vec<Instance>,
+}
+
+/// Back ends that are probed when one seems to have crashed: if none of them can be reached
+/// either, this daemon has lost its own path.
+#[derive(Clone, Debug, Default)]
+pub struct CrashReferences {
+    /// Of the same service and zone.
+    pub near: Vec<Instance>,
+    /// Of the same service in other zones.
+    pub service: Vec<Instance>,
+    /// Of other services in the same zone.
+    pub zone: Vec<Instance>,
+}
+
 /// The decisions about a request, in the order in which they are made.
 pub trait RequestPhases: Send + Sync {
     /// Finds the route and the service, or refuses the request.
@@ -305,6 +347,56 @@
     /// back end.
     fn finished(&self, target: &Target, ending: AttemptEnding);
 
+    /// Called when the request is sent to the back end.
+    fn request_sent(&self, _target: &Target) {}
+
+    /// Called when the back end answered on a connection of this age.
+    fn path_answered(&self, _target: &Target, _connection: ConnectionAge) {}
+
+    /// Called when the back end could not be reached, or a connection to it broke or was silent.
+    fn path_failed(&self, _target: &Target, _connection: ConnectionAge) {}
+
+    /// Suspects a partition if no back end has answered for far too long. `usual_time` returns how
+    /// long answers take at most.
+    fn check_silence(&self, _usual_time: &dyn Fn() -> Duration) {}
+
+    /// Returns whether this daemon can use the paths to all back ends.
+    fn are_paths_open(&self) -> bool {
+        true
+    }
+
+    /// Returns whether this daemon is partitioned from all back ends.
+    fn is_partitioned(&self) -> bool {
+        false
+    }
+
+    /// Subscribes to changes of the paths to back ends; none if they do not change.
+    fn path_changes(&self) -> Option<watch::Receiver<u64>> {
+        None
+    }
+
+    /// Returns whether an attempt at the back end has no chance, because this daemon has become
+    /// partitioned from it.
+    fn is_path_closed(&self, _target: &Target) -> bool {
+        false
+    }
+
+    /// Returns the probes that are due. [`Self::path_probed`] must be called for each.
+    fn take_due_path_probes(&self) -> Vec<PathProbe> {
+        Vec::new()
+    }
+
+    /// Called when the back ends of a scope were probed.
+    fn path_probed(&self, _scope: &PathScope, _outcome: PathProbeOutcome) {}
+
+    /// Returns back ends to probe when `target` seems to have crashed.
+    fn crash_references(&self, _target: &Target) -> CrashReferences {
+        CrashReferences::default()
+    }
+
+    /// Called when the request is relayed to another daemon, which counts it.
+    fn relayed(&self, _matched: &Matched) {}
+
     /// Decides whether the request may be sent again after `failure`, with `time_left` until its
     /// deadline. Takes the cost of the attempt from the budget.
     fn may_retry(
--- a/crates/coursestand-proxy/src/pool.rs
+++ b/crates/coursestand-proxy/src/pool.rs
@@ -10,6 +10,7 @@
 //! many connections are pooled.
 
 use std::collections::HashMap;
+use std::hash::Hash;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -43,6 +44,9 @@
 /// closed.
 const READY_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Time after which a connection that the network resets at once has been reset.
+const HOLD_TIME: Duration = Duration::from_millis(50);
+
 /// Silent connections to two back ends within this time have the same cause.
 const COMMON_CAUSE_WINDOW: Duration = Duration::from_secs(5);
 
@@ -83,14 +87,22 @@
     expires_at: Instant,
 }
 
-/// Idle connections by incarnation: a connection to an earlier incarnation of a back end is
-/// dead, or leads to another process at the same address.
-#[derive(Default)]
-pub struct Pool {
-    idle: Mutex<HashMap<Incarnation, Vec<Idle>>>,
+/// Idle connections by peer. Those to back ends are kept by incarnation: a connection to an
+/// earlier incarnation is dead, or leads to another process at the same address.
+pub struct Pool<K = Incarnation> {
+    idle: Mutex<HashMap<K, Vec<Idle>>>,
     last_silent: Mutex<Option<SilentConnection>>,
 }
 
+impl<K> Default for Pool<K> {
+    fn default() -> Self {
+        Pool {
+            idle: Mutex::default(),
+            last_silent: Mutex::default(),
+        }
+    }
+}
+
 impl Pool {
     /// Handles a connection that seems silent since a request was sent on it at `sent_at`:
     /// closes the idle connections to the same back end that have brought no answer since.
@@ -124,13 +136,15 @@
             connections.retain(|idle| idle.answered_at >= earlier);
         }
     }
+}
 
-    fn idle(&self) -> MutexGuard<'_, HashMap<Incarnation, Vec<Idle>>> {
+impl<K: Clone + Eq + Hash> Pool<K> {
+    fn idle(&self) -> MutexGuard<'_, HashMap<K, Vec<Idle>>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes an idle connection to the instance, the most recently used one first.
-    pub fn take(&self, id: &Incarnation) -> Option<Connection> {
+    /// Takes an idle connection to the peer, the most recently used one first.
+    pub fn take(&self, id: &K) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle();
         let connections = idle.get_mut(id)?;
@@ -171,14 +185,28 @@
         })
     }
 
+    /// Opens a new connection within `limit`, and checks that the peer does not close it at once:
+    /// some networks accept connections and reset them when nothing is behind them.
+    pub async fn open_and_hold(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> Result<Connection, ConnectError> {
+        let connection = self.open(address, limit).await?;
+        tokio::time::sleep(HOLD_TIME).await;
+        if connection.sender.is_closed() {
+            return Err(ConnectError {
+                address,
+                kind: io::ErrorKind::ConnectionReset,
+                reason: "closed at once".to_owned(),
+            });
+        }
+        Ok(connection)
+    }
+
     /// Returns a connection to the pool after its answer has ended, once its request has been
     /// sent completely as well.
-    pub async fn give_back(
-        &self,
-        id: Incarnation,
-        mut connection: Connection,
-        keep_alive: Option<Duration>,
-    ) {
+    pub async fn give_back(&self, id: K, mut connection: Connection, keep_alive: Option<Duration>) {
         let answered_at = Instant::now();
         let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
         if !matches!(ready, Ok(Ok(()))) || connection.driver.0.is_finished() {
@@ -194,9 +222,9 @@
         self.idle().entry(id).or_default().push(idle);
     }
 
-    /// Closes connections that have been idle for too long, and those to instances for which
+    /// Closes connections that have been idle for too long, and those to peers for which
     /// `is_known` returns false.
-    pub fn close_idle(&self, is_known: impl Fn(&Incarnation) -> bool) {
+    pub fn close_idle(&self, is_known: impl Fn(&K) -> bool) {
         let now = Instant::now();
         self.idle().retain(|id, idle| {
             idle.retain(|entry| now < entry.expires_at && !entry.connection.sender.is_closed());
--- a/crates/coursestand-proxy/src/request_log.rs
+++ b/crates/coursestand-proxy/src/request_log.rs
@@ -34,6 +34,10 @@
     /// Names of the failures of its attempts, in order.
     failures: Vec<&'static str>,
     has_ended: bool,
+    /// Daemon that relayed the request to this one.
+    relayed_by: Option<String>,
+    /// Daemons that the request was relayed to, in order.
+    relayed_to: Vec<String>,
 }
 
 impl<'a> RequestLog<'a> {
@@ -64,9 +68,19 @@
             attempts: 0,
             failures: Vec::new(),
             has_ended: false,
+            relayed_by: None,
+            relayed_to: Vec::new(),
         }
     }
 
+    pub(crate) fn relayed_by(&mut self, daemon: &str) {
+        self.relayed_by = Some(daemon.to_owned());
+    }
+
+    pub(crate) fn relayed_to(&mut self, daemon: &str) {
+        self.relayed_to.push(daemon.to_owned());
+    }
+
     pub(crate) fn matched(&mut self, matched: &Matched) {
         self.route = Some(Arc::clone(&matched.route));
         self.key = matched.key;
@@ -115,6 +129,8 @@
             expected_ms = self.expected_ms,
             attempts = self.attempts,
             failures = (!self.failures.is_empty()).then(|| self.failures.join(" ")),
+            relayed_by = self.relayed_by,
+            relayed_to = (!self.relayed_to.is_empty()).then(|| self.relayed_to.join(" ")),
             waited_ms = self.waited.as_millis() as u64,
             took_ms = took.as_millis() as u64,
             status = status,
--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -7,6 +7,7 @@
 use coursestand_model::{BackendId, ServiceId};
 use coursestand_routing::backends::ProbeOutcome;
 use coursestand_routing::hash::{combine, hash_of};
+use coursestand_routing::paths::DueProbe;
 use coursestand_routing::picker::SentRequest;
 use coursestand_routing::rate_limit::{
     AccessMode, FallbackShare, LimitChange, RateLimitSignal, Reading, TOKEN_LIFETIME_MS,
@@ -14,19 +15,20 @@
 };
 use coursestand_routing::split::SplitState;
 use coursestand_routing::{
-    Backend, BackendReport, Finding, Fingerprint, LimitAccess, Pick, PickRequest, Refusal,
-    WithholdReason,
+    Backend, BackendReport, ConnectionAge, Finding, Fingerprint, LimitAccess, PathProbeOutcome,
+    PathScope, PathTicket, PathUse, Pick, PickRequest, Refusal, WithholdReason,
 };
 
 use coursestand_model::Millis;
 use http::Method;
+use rand::seq::{IteratorRandom, SliceRandom};
 use tokio::sync::{oneshot, watch};
 
 use crate::answer::Reason;
 use crate::edge_state::{EdgeState, RoutingState};
 use crate::phases::{
-    AttemptEnding, AttemptFailure, Attempts, Matched, PendingToken, RequestHead, RequestPhases,
-    Target,
+    AttemptEnding, AttemptFailure, Attempts, CrashReferences, Matched, PathProbe, PendingToken,
+    RequestHead, RequestPhases, Target,
 };
 use crate::retry::{BudgetView, RetryDenial, RetryVerdict};
 
@@ -36,6 +38,14 @@
 /// A retry with less time left than this cannot succeed.
 const MIN_TIME_TO_RETRY: Duration = Duration::from_millis(20);
 
+/// Back ends that are probed to find out whether this daemon is partitioned: many, since most
+/// back ends of the scope may have crashed.
+const BACKENDS_PER_SUSPICION: usize = 16;
+/// Back ends that are probed to find out whether a partition has ended.
+const BACKENDS_PER_PARTITION: usize = 3;
+/// Back ends of each kind that are probed when one seems to have crashed.
+const REFERENCES_OF_A_KIND: usize = 2;
+
 /// Time within which a starting daemon receives the crash records.
 const SYNC_RETRY_DELAY_MS: Millis = 1_000;
 
@@ -58,6 +68,7 @@
         matched: &Matched,
         attempts: &Attempts,
         limits: LimitAccess,
+        ticket: PathTicket,
     ) -> Result<Pick, Refusal> {
         let request = PickRequest {
             service: &matched.service,
@@ -69,14 +80,44 @@
             limits,
             now,
         };
-        routing.picker.pick(
+        let paths = &routing.paths;
+        routing.picker.pick_reachable(
             &routing.backends,
             &routing.catalog,
             &routing.owners,
             &request,
+            |backend| {
+                attempts.ignores_partition
+                    || paths.path_use(now, &backend.instance, ticket) > PathUse::Closed
+            },
         )
     }
 
+    /// Returns what a request may do on paths that are not open. It is the trial of a returning path
+    /// only if it can be sent again should the trial fail.
+    fn path_ticket(
+        &self,
+        routing: &mut RoutingState,
+        now: Millis,
+        matched: &Matched,
+        attempts: &Attempts,
+    ) -> PathTicket {
+        let limits = self.state.bounds().retries;
+        let can_retry = || {
+            let budget = routing.budgets.get(&matched.service);
+            let left = budget.map(|budget| budget.left(now, limits, &routing.allowance));
+            let route = &matched.route.route;
+            route.kind.is_repeatable()
+                && attempts.arrived + 1 < route.max_attempts
+                && left.is_some_and(|left| left >= 1.0)
+        };
+        let is_trial = routing.paths.take_trial(now, can_retry);
+        PathTicket {
+            is_trial,
+            ..ticket_without_trial(attempts)
+        }
+    }
+
     /// Returns whether control can be asked for tokens. A daemon without control uses its own
     /// share of the rate limit.
     fn can_request_tokens(&self, routing: &RoutingState, now: Millis) -> bool {
@@ -185,6 +226,48 @@
     }
 }
 
+/// Returns what a request that is no trial may do on paths that are not open.
+fn ticket_without_trial(attempts: &Attempts) -> PathTicket {
+    PathTicket {
+        draw: rand::random(),
+        is_trial: false,
+        has_failed: attempts.arrived + attempts.unreachable + attempts.refused > 0,
+    }
+}
+
+/// Returns `count` back ends of a scope to probe: of different zones and services as far as possible, and
+/// those that have not failed first.
+fn instances_to_probe(
+    routing: &RoutingState,
+    now: Millis,
+    due: &DueProbe,
+    count: usize,
+) -> Vec<Instance> {
+    let DueProbe { scope, failed, .. } = due;
+    let in_scope = routing
+        .backends
+        .iter()
+        .filter(|backend| backend.is_ready() && scope.contains(&backend.instance));
+    let mut candidates: Vec<&Backend> = in_scope.collect();
+    candidates.shuffle(&mut rand::rng());
+    candidates.sort_by_key(|backend| {
+        failed.contains(&backend.incarnation_hash) || backend.is_ejected(now)
+    });
+    let mut chosen: Vec<&Instance> = Vec::new();
+    for is_distinct in [true, false] {
+        for candidate in candidates.iter().map(|backend| &backend.instance) {
+            let is_excluded = chosen.iter().any(|other| match is_distinct {
+                true => other.zone == candidate.zone && other.service == candidate.service,
+                false => other.id == candidate.id,
+            });
+            if chosen.len() < count && !is_excluded {
+                chosen.push(candidate);
+            }
+        }
+    }
+    chosen.into_iter().cloned().collect()
+}
+
 /// Returns why a request that may have crashed back ends is refused, or `Ok` if it may be sent.
 fn suspect_verdict(
     routing: &RoutingState,
@@ -318,8 +401,11 @@
         let now = self.state.now();
         let permission = {
             let routing = self.state.routing();
-            // Trials are granted by control only.
+            // Trials are granted by control only. A partitioned daemon could not make one.
             routing.owners.current()?;
+            if routing.paths.is_all_affected() {
+                return None;
+            }
             routing.fatal.may_run(now, request, false)
         };
         match permission {
@@ -344,8 +430,9 @@
         let daemons = routing.allowance.daemons(now);
         let mode = AccessMode::RequestToken { priority };
         let limit_access = LimitAccess { daemons, mode };
+        let ticket = ticket_without_trial(attempts);
         let pick = self
-            .pick(routing, now, matched, attempts, limit_access)
+            .pick(routing, now, matched, attempts, limit_access, ticket)
             .ok()?;
         let backend = routing.backends.get(&pick.id)?;
         let limit = backend.limit().filter(|limit| !limit.is_divided(daemons))?;
@@ -367,21 +454,31 @@
         let now = self.state.now();
         let mut guard = self.state.routing();
         let routing = &mut *guard;
+        let limit_access = self.limit_access(routing, now, attempts);
+        let ticket = self.path_ticket(routing, now, matched, attempts);
+        let pick = self.pick(routing, now, matched, attempts, limit_access, ticket);
+        // The daemon that such a request is relayed to decides whether it may run.
+        if pick == Err(Refusal::Partitioned) {
+            return Err(Reason::Partitioned);
+        }
         if let Some(fingerprint) = matched.fingerprint {
             self.check_suspect(routing, now, fingerprint, attempts)?;
         }
-        let limit_access = self.limit_access(routing, now, attempts);
-        let pick = self.pick(routing, now, matched, attempts, limit_access);
         let pick = pick.map_err(|refusal| match refusal {
             Refusal::NoBackend => Reason::NoBackend,
             Refusal::BackingOff { ends_in_ms } => Reason::BackingOff { ends_in_ms },
             Refusal::RateLimited { again_in_ms } => Reason::RateLimited { again_in_ms },
             Refusal::Busy { drained_in_ms } => Reason::Busy { drained_in_ms },
+            Refusal::Partitioned => Reason::Partitioned,
         })?;
         let Some(backend) = routing.backends.get(&pick.id) else {
             return Err(Reason::NoBackend);
         };
         let address = backend.instance.address;
+        let path_use = match attempts.ignores_partition {
+            true => PathUse::Open,
+            false => routing.paths.path_use(now, &backend.instance, ticket),
+        };
         let zone = backend.instance.zone.clone();
         let incarnation = backend.instance.incarnation();
         let incarnation_hash = backend.incarnation_hash;
@@ -416,6 +513,9 @@
             is_repeatable: matched.route.route.kind.is_repeatable(),
             is_trial,
             admitted_until,
+            path_use,
+            ignores_partition: attempts.ignores_partition,
+            is_path_trial: ticket.is_trial,
         };
         if target.is_retry {
             let budget = routing.budgets.entry(target.service.clone()).or_default();
@@ -591,11 +691,134 @@
             // A silent connection says nothing about its back end.
             AttemptFailure::Failed
             | AttemptFailure::Silent
+            | AttemptFailure::Partitioned
             | AttemptFailure::Withdrawn
             | AttemptFailure::Recalled => {}
         }
     }
 
+    fn request_sent(&self, target: &Target) {
+        let now = self.state.now();
+        let mut routing = self.state.routing();
+        routing.paths.note_sent(now, target.incarnation_hash);
+    }
+
+    fn path_answered(&self, target: &Target, connection: ConnectionAge) {
+        let now = self.state.now();
+        let mut guard = self.state.routing();
+        let routing = &mut *guard;
+        let Some(backend) = routing.backends.get(target.id()) else {
+            return;
+        };
+        let changes = routing
+            .paths
+            .note_answered(now, &backend.instance, connection);
+        drop(guard);
+        self.state.apply_path_changes(&changes);
+    }
+
+    fn path_failed(&self, target: &Target, connection: ConnectionAge) {
+        let now = self.state.now();
+        let mut guard = self.state.routing();
+        let routing = &mut *guard;
+        let Some(backend) = routing.backends.get(target.id()) else {
+            return;
+        };
+        let backends = &routing.backends;
+        let changes = routing.paths.note_failed(
+            now,
+            target.chosen_at,
+            &backend.instance,
+            target.incarnation_hash,
+            connection,
+            |scope| EdgeState::size_of(backends, scope),
+        );
+        drop(guard);
+        self.state.apply_path_changes(&changes);
+    }
+
+    fn check_silence(&self, usual_time: &dyn Fn() -> Duration) {
+        let now = self.state.now();
+        let mut routing = self.state.routing();
+        let usual_ms = || usual_time().as_millis() as Millis;
+        let change = routing.paths.check_silence(now, usual_ms);
+        drop(routing);
+        self.state.apply_path_changes(change.as_slice());
+    }
+
+    fn are_paths_open(&self) -> bool {
+        self.state.routing().paths.are_open()
+    }
+
+    fn is_partitioned(&self) -> bool {
+        self.state.routing().paths.is_all_affected()
+    }
+
+    fn path_changes(&self) -> Option<watch::Receiver<u64>> {
+        Some(self.state.path_changes())
+    }
+
+    fn is_path_closed(&self, target: &Target) -> bool {
+        let now = self.state.now();
+        let routing = self.state.routing();
+        let backend = routing.backends.get(target.id());
+        !target.ignores_partition
+            && backend.is_some_and(|backend| routing.paths.is_closed(now, &backend.instance))
+    }
+
+    fn take_due_path_probes(&self) -> Vec<PathProbe> {
+        let now = self.state.now();
+        let mut routing = self.state.routing();
+        let due = routing.paths.take_due_probes(now);
+        let probes = due.into_iter().map(|due| {
+            let count = match due.is_suspected {
+                true => BACKENDS_PER_SUSPICION,
+                false => BACKENDS_PER_PARTITION,
+            };
+            PathProbe {
+                instances: instances_to_probe(&routing, now, &due, count),
+                scope: due.scope,
+            }
+        });
+        probes.collect()
+    }
+
+    fn path_probed(&self, scope: &PathScope, outcome: PathProbeOutcome) {
+        let now = self.state.now();
+        let change = self.state.routing().paths.note_probe(now, scope, outcome);
+        self.state.apply_path_changes(change.as_slice());
+    }
+
+    fn crash_references(&self, target: &Target) -> CrashReferences {
+        let now = self.state.now();
+        let routing = self.state.routing();
+        let sample = |is_reference: &dyn Fn(&Instance) -> bool| {
+            let sound = routing
+                .backends
+                .iter()
+                .filter(|backend| backend.instance.id != *target.id() && !backend.is_ejected(now));
+            let references = sound.map(|backend| &backend.instance);
+            references
+                .filter(|instance| is_reference(instance))
+                .cloned()
+                .sample(&mut rand::rng(), REFERENCES_OF_A_KIND)
+        };
+        let (service, zone) = (&target.service, &target.zone);
+        CrashReferences {
+            near: sample(&|other| other.service == *service && other.zone == *zone),
+            service: sample(&|other| other.service == *service && other.zone != *zone),
+            zone: sample(&|other| other.service != *service && other.zone == *zone),
+        }
+    }
+
+    fn relayed(&self, matched: &Matched) {
+        let limits = self.state.bounds().retries;
+        let mut routing = self.state.routing();
+        if let Some(budget) = routing.budgets.get_mut(&matched.service) {
+            budget.forgo(limits);
+        }
+    }
+
     fn finished(&self, target: &Target, ending: AttemptEnding) {
         let now = self.state.now();
         let limits = self.state.bounds().retries;
--- a/crates/coursestand-proxy/src/server.rs
+++ b/crates/coursestand-proxy/src/server.rs
@@ -27,6 +27,8 @@
 const MAX_HEADER_BYTES: usize = 256 * 1024;
 /// A caller that acknowledges no bytes for this long counts as disconnected.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(10);
+/// Divisor of the maximum number of caller connections that gives that of other daemons.
+const RELAY_CONNECTIONS_DIVISOR: usize = 4;
 /// Pause after the system failed to accept a connection, for example for lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
@@ -38,6 +40,15 @@
     source: std::io::Error,
 }
 
+/// Who opens the connections of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Peers {
+    /// Callers.
+    Callers,
+    /// Other daemons, which relay requests.
+    Daemons,
+}
+
 /// How the server treats connections of callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Mode {
@@ -69,12 +80,30 @@
         ProxyServer::start_bounded(address, exchange, max_connections_by_descriptors()).await
     }
 
+    /// Listens on `address` for requests that other daemons relay, and answers with `exchange`.
+    pub async fn start_for_daemons(
+        address: SocketAddr,
+        exchange: Arc<Exchange>,
+    ) -> Result<ProxyServer, ListenError> {
+        let max_connections = max_connections_by_descriptors() / RELAY_CONNECTIONS_DIVISOR;
+        ProxyServer::listen(address, exchange, max_connections, Peers::Daemons).await
+    }
+
     /// Listens on `address` and answers with `exchange`, with at most `max_connections` caller
     /// connections.
     pub async fn start_bounded(
         address: SocketAddr,
         exchange: Arc<Exchange>,
         max_connections: usize,
+    ) -> Result<ProxyServer, ListenError> {
+        ProxyServer::listen(address, exchange, max_connections, Peers::Callers).await
+    }
+
+    async fn listen(
+        address: SocketAddr,
+        exchange: Arc<Exchange>,
+        max_connections: usize,
+        peers: Peers,
     ) -> Result<ProxyServer, ListenError> {
         let listener = TcpListener::bind(address)
             .await
@@ -87,6 +116,7 @@
         let acceptor = Acceptor {
             listener,
             exchange,
+            peers,
             caller_connections: Arc::clone(&caller_connections),
             connection_alive,
             tasks: Arc::clone(&tasks),
@@ -135,6 +165,7 @@
 struct Acceptor {
     listener: TcpListener,
     exchange: Arc<Exchange>,
+    peers: Peers,
     caller_connections: Arc<CallerConnections>,
     connection_alive: mpsc::Sender<()>,
     tasks: Arc<Tasks>,
@@ -155,6 +186,7 @@
                         stream,
                         guard,
                         exchange,
+                        self.peers,
                         mode.clone(),
                         self.connection_alive.clone(),
                     );
@@ -181,6 +213,7 @@
     stream: TcpStream,
     guard: ConnectionGuard,
     exchange: Arc<Exchange>,
+    peers: Peers,
     mut mode: watch::Receiver<Mode>,
     _connection_alive: mpsc::Sender<()>,
 ) {
@@ -200,8 +233,12 @@
             // follows the request in the socket buffer, and no back end then works on a
             // request whose caller has disconnected. Costs one scheduling turn of the task.
             tokio::task::yield_now().await;
-            let mut response = exchange.serve(request).await;
-            if *mode.borrow() != Mode::Serving {
+            let mut response = match peers {
+                Peers::Callers => exchange.serve(request).await,
+                Peers::Daemons => exchange.serve_relayed(request).await,
+            };
+            let is_led_away = peers == Peers::Callers && exchange.leads_callers_away();
+            if is_led_away || *mode.borrow() != Mode::Serving {
                 close_after(&mut response);
             }
             Ok::<_, Infallible>(response)
--- a/crates/coursestand-proxy/src/verdict.rs
+++ b/crates/coursestand-proxy/src/verdict.rs
@@ -23,7 +23,7 @@
 
 /// Statuses that promise the caller that the request was not run. They are forwarded only with
 /// the back end's own confirmation.
-const STATUSES_THAT_PROMISE_NOT_RUN: [StatusCode; 4] = [
+pub(crate) const STATUSES_THAT_PROMISE_NOT_RUN: [StatusCode; 4] = [
     StatusCode::REQUEST_TIMEOUT,
     StatusCode::MISDIRECTED_REQUEST,
     StatusCode::TOO_MANY_REQUESTS,
--- a/crates/coursestand-routing/src/backends.rs
+++ b/crates/coursestand-routing/src/backends.rs
@@ -518,6 +518,19 @@
         due
     }
 
+    /// Returns the back ends for which `is_affected` returns true to service: their failures are
+    /// those of this daemon's path to them.
+    pub fn forgive_failures(&mut self, is_affected: impl Fn(&Instance) -> bool) {
+        for backend in self.backends.values_mut() {
+            if is_affected(&backend.instance) {
+                backend.failures = 0;
+                backend.ejected_until = 0;
+                backend.probe = ProbeState::NotNeeded;
+                self.unreachable.remove(&backend.instance.id);
+            }
+        }
+    }
+
     /// Records the outcome of a probe of the back end.
     pub fn note_probe(&mut self, now: Millis, id: &BackendId, outcome: ProbeOutcome) {
         if outcome == ProbeOutcome::Failed {
--- a/crates/coursestand-routing/src/lib.rs
+++ b/crates/coursestand-routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod findings;
 pub mod link_admission;
 pub mod link_wait;
+pub mod paths;
 pub mod picker;
 pub mod ranking;
 pub mod rate_limit;
@@ -35,6 +36,7 @@
 pub use findings::{Finding, SharedFinding};
 pub use link_admission::LinkAdmission;
 pub use link_wait::LinkWait;
+pub use paths::{ConnectionAge, PathProbeOutcome, PathScope, PathTicket, PathUse, Paths};
 pub use picker::{Pick, PickRequest, Picker, Refusal};
 pub use rate_limit::{LimitAccess, Rate, RateLimitSignal, RateLimitUpdate, SendToken};
 pub use retry_allowance::RetryAllowance;
--- /dev/null
+++ b/crates/coursestand-routing/src/paths.rs
@@ -0,0 +1,633 @@
+//! Detects that this daemon is partitioned from back ends, as opposed to back ends that have
+//! failed.
+//!
+//! A daemon that has lost its own connections sees what many crashed back ends would look like.
+//! What sets it apart is that back ends fail together, and that none answers in between. The
+//! evidence is collected for all back ends, for each service and for each zone, so that a
+//! partition from one of them does not affect the others.
+//!
+//! Evidence only raises a suspicion. Connections without a request to further back ends of the
+//! scope, which the daemon makes at once, confirm or refute it; see `docs/design/0019`.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use coursestand_discovery::Instance;
+use coursestand_model::{Millis, ServiceId, ZoneId};
+
+/// Name of the state of a path that can be reached again.
+const RETURNING: &str = "returning";
+/// Back ends that must fail without an answer in between before a partition is suspected, if the
+/// scope has as many.
+const FAILURES_TO_SUSPECT: usize = 3;
+/// Age at which a failure stops counting.
+const FAILURE_LIFETIME_MS: Millis = 2_000;
+/// Shortest time without any answer after which probes are made while requests wait.
+const MIN_SILENCE_MS: Millis = 300;
+/// Factor on the mean time between two answers that gives the time without any answer after
+/// which probes are made.
+const SILENCE_GAPS: f64 = 8.0;
+/// Gain of the mean time between two answers.
+const GAP_GAIN: f64 = 0.1;
+/// Shortest time between two rounds of probes because of silence.
+const SILENCE_PROBE_INTERVAL_MS: Millis = 1_000;
+/// First and longest time between two rounds of probes during a partition.
+const FIRST_PROBE_INTERVAL_MS: Millis = 250;
+const MAX_PROBE_INTERVAL_MS: Millis = 2_000;
+/// Time that a trial request has before another one may be made.
+const TRIAL_LIFETIME_MS: Millis = 1_000;
+/// Share of the requests that use the path at first, once a trial request was answered.
+const FIRST_SHARE: f64 = 0.125;
+/// Time in which that share doubles.
+const SHARE_DOUBLING_MS: f64 = 200.0;
+/// Back ends that must fail without an answer in between to end the return of a path.
+const FAILURES_IN_RETURN: usize = 2;
+/// Kept connections count as working for this long after an answer on one of them.
+const KEPT_LIFETIME_MS: Millis = 1_500;
+/// Successful rounds of probes after which a request that can't be retried may be the trial.
+const PROBES_BEFORE_ANY_TRIAL: u32 = 20;
+
+/// A set of back ends that may be unreachable together.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PathScope {
+    /// All back ends.
+    All,
+    /// The back ends of a service.
+    Service(ServiceId),
+    /// The back ends in a zone.
+    Zone(ZoneId),
+}
+
+impl PathScope {
+    /// Returns the scopes that contain a back end.
+    pub fn of(instance: &Instance) -> [PathScope; 3] {
+        [
+            PathScope::All,
+            PathScope::Service(instance.service.clone()),
+            PathScope::Zone(instance.zone.clone()),
+        ]
+    }
+
+    /// Returns whether the scope contains a back end.
+    pub fn contains(&self, instance: &Instance) -> bool {
+        match self {
+            PathScope::All => true,
+            PathScope::Service(service) => *service == instance.service,
+            PathScope::Zone(zone) => *zone == instance.zone,
+        }
+    }
+
+    /// Returns the kind and the name in logs.
+    pub fn label(&self) -> String {
+        match self {
+            PathScope::All => "all".to_owned(),
+            PathScope::Service(service) => format!("service {service}"),
+            PathScope::Zone(zone) => format!("zone {zone}"),
+        }
+    }
+}
+
+/// The connection on which a back end answered or failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionAge {
+    /// Opened for this request, or not opened at all.
+    New,
+    /// Kept from an earlier request.
+    Kept,
+}
+
+/// How a request may use the path to a back end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum PathUse {
+    /// Not at all.
+    Closed,
+    /// On a connection that is open already.
+    KeptConnections,
+    /// Without restriction.
+    Open,
+}
+
+/// A round of probes that is due.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DueProbe {
+    /// The scope to probe.
+    pub scope: PathScope,
+    /// Whether a partition is suspected; otherwise its end is awaited.
+    pub is_suspected: bool,
+    /// Back ends of the scope that have failed.
+    pub failed: BTreeSet<u64>,
+}
+
+/// Result of a round of probes in a scope.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PathProbeOutcome {
+    /// At least one back end accepted a connection and kept it open.
+    Reached,
+    /// No back end could be reached.
+    Unreached,
+    /// The daemon's own link is congested, or there was nothing to probe.
+    Inconclusive,
+}
+
+/// A change of a scope that is worth a log line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PathChange {
+    /// The scope.
+    pub scope: PathScope,
+    /// Name of its new state.
+    pub state: &'static str,
+    /// Back ends that had failed.
+    pub failed: usize,
+    /// Time since the last answer of any back end, in milliseconds.
+    pub silent_ms: Millis,
+}
+
+impl PathChange {
+    /// Returns whether the scope can be reached again after a partition.
+    pub fn is_returning(&self) -> bool {
+        self.state == RETURNING
+    }
+}
+
+/// What a request may do, decided once per attempt.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PathTicket {
+    /// Number in `0.0..1.0` that is compared with the share of requests that a returning path
+    /// takes.
+    pub draw: f64,
+    /// Whether the request is the trial of a returning path.
+    pub is_trial: bool,
+    /// Whether the request has failed to reach a back end already.
+    pub has_failed: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum State {
+    /// Works, as far as is known.
+    Open,
+    /// May be partitioned; probes decide.
+    Suspected {
+        is_probed: bool,
+        /// Whether probes reached a back end, so that only continued silence is evidence.
+        was_reached: bool,
+    },
+    /// Partitioned.
+    Partitioned {
+        since: Millis,
+        next_probe_at: Millis,
+        interval: Millis,
+    },
+    /// Probes have succeeded; requests return step by step.
+    Returning {
+        /// Start of the partition.
+        partitioned_at: Millis,
+        /// First successful probe.
+        since: Millis,
+        /// When the trial request was answered.
+        answered_at: Option<Millis>,
+        trial_until: Millis,
+        probed: u32,
+        next_probe_at: Millis,
+    },
+}
+
+impl State {
+    fn name(self) -> &'static str {
+        match self {
+            State::Open => "open",
+            State::Suspected { .. } => "suspected",
+            State::Partitioned { .. } => "partitioned",
+            State::Returning { .. } => RETURNING,
+        }
+    }
+
+    /// Returns the share of requests that may open connections.
+    fn share(self, now: Millis) -> f64 {
+        match self {
+            State::Open | State::Suspected { .. } => 1.0,
+            State::Partitioned { .. } => 0.0,
+            State::Returning { answered_at, .. } => answered_at.map_or(0.0, |at| {
+                let doublings = now.saturating_sub(at) as f64 / SHARE_DOUBLING_MS;
+                (FIRST_SHARE * doublings.exp2()).min(1.0)
+            }),
+        }
+    }
+
+    /// Returns since when the path is partitioned or returning.
+    fn partitioned_at(self) -> Option<Millis> {
+        match self {
+            State::Partitioned { since, .. } => Some(since),
+            State::Returning { partitioned_at, .. } => Some(partitioned_at),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Scope {
+    state: State,
+    /// Back ends that failed since one of the scope last answered on a new connection, with the
+    /// time of the last failure.
+    failed: BTreeMap<u64, Millis>,
+    /// Last answer on a kept connection.
+    kept_answer_at: Option<Millis>,
+    /// Back ends that failed on kept connections since then.
+    kept_failed: BTreeSet<u64>,
+    /// Probe interval of the next partition: it grows while partitions follow each other.
+    next_interval: Millis,
+}
+
+impl Default for Scope {
+    fn default() -> Self {
+        Scope {
+            state: State::Open,
+            failed: BTreeMap::new(),
+            kept_answer_at: None,
+            kept_failed: BTreeSet::new(),
+            next_interval: FIRST_PROBE_INTERVAL_MS,
+        }
+    }
+}
+
+impl Scope {
+    fn partition(&mut self, now: Millis) {
+        let since = self.state.partitioned_at().unwrap_or(now);
+        let interval = self.next_interval;
+        self.next_interval = (interval * 2).min(MAX_PROBE_INTERVAL_MS);
+        self.state = State::Partitioned {
+            since,
+            next_probe_at: now + interval,
+            interval,
+        };
+    }
+
+    fn open(&mut self) {
+        self.state = State::Open;
+        self.failed.clear();
+        self.next_interval = FIRST_PROBE_INTERVAL_MS;
+    }
+
+    /// Returns whether connections that were open before the partition still work.
+    fn are_kept_working(&self, now: Millis, partitioned_at: Millis) -> bool {
+        self.kept_failed.len() < FAILURES_TO_SUSPECT
+            && self
+                .kept_answer_at
+                .is_some_and(|at| at >= partitioned_at && now < at + KEPT_LIFETIME_MS)
+    }
+
+    fn path_use(&self, now: Millis, ticket: PathTicket) -> PathUse {
+        if ticket.has_failed && matches!(self.state, State::Suspected { .. }) {
+            return PathUse::Closed;
+        }
+        let Some(partitioned_at) = self.state.partitioned_at() else {
+            return PathUse::Open;
+        };
+        let is_trial = ticket.is_trial && matches!(self.state, State::Returning { .. });
+        if is_trial || ticket.draw < self.state.share(now) {
+            PathUse::Open
+        } else if self.are_kept_working(now, partitioned_at) {
+            PathUse::KeptConnections
+        } else {
+            PathUse::Closed
+        }
+    }
+}
+
+/// The paths from this daemon to the back ends.
+#[derive(Clone, Debug, Default)]
+pub struct Paths {
+    scopes: BTreeMap<PathScope, Scope>,
+    last_answer_at: Millis,
+    /// Mean time between two answers.
+    mean_gap_ms: f64,
+    /// Back ends to which requests were sent since the last answer, and when.
+    sent_since_answer: Vec<(Millis, u64)>,
+    silence_probed_at: Option<Millis>,
+}
+
+impl Paths {
+    /// Returns whether all scopes are open.
+    pub fn are_open(&self) -> bool {
+        self.scopes.values().all(|scope| scope.state == State::Open)
+    }
+
+    /// Returns whether the daemon is partitioned from all back ends.
+    pub fn is_partitioned_from_all(&self) -> bool {
+        let all = self.scopes.get(&PathScope::All);
+        all.is_some_and(|scope| matches!(scope.state, State::Partitioned { .. }))
+    }
+
+    /// Returns whether the daemon is partitioned from all back ends, or returns after that.
+    pub fn is_all_affected(&self) -> bool {
+        let all = self.scopes.get(&PathScope::All);
+        all.is_some_and(|scope| scope.state.partitioned_at().is_some())
+    }
+
+    /// Returns whether an attempt at a back end has no chance.
+    pub fn is_closed(&self, now: Millis, instance: &Instance) -> bool {
+        let scopes = PathScope::of(instance);
+        let mut known = scopes.iter().filter_map(|scope| self.scopes.get(scope));
+        known.any(|scope| match scope.state {
+            State::Partitioned { since, .. } => !scope.are_kept_working(now, since),
+            _ => false,
+        })
+    }
+
+    /// Returns the scopes that are not open, with the names of their states.
+    pub fn views(&self) -> Vec<(String, &'static str)> {
+        let scopes = self.scopes.iter();
+        scopes
+            .filter(|(_, scope)| scope.state != State::Open)
+            .map(|(name, scope)| (name.label(), scope.state.name()))
+            .collect()
+    }
+
+    /// Returns how a request may use the path to a back end.
+    pub fn path_use(&self, now: Millis, instance: &Instance, ticket: PathTicket) -> PathUse {
+        if self.scopes.is_empty() {
+            return PathUse::Open;
+        }
+        let scopes = PathScope::of(instance);
+        let known = scopes.iter().filter_map(|scope| self.scopes.get(scope));
+        known
+            .map(|scope| scope.path_use(now, ticket))
+            .min()
+            .unwrap_or(PathUse::Open)
+    }
+
+    /// Returns whether the request may be the trial of a returning path, and reserves the trial.
+    /// `can_retry` tells whether the request can be sent again if the trial fails.
+    pub fn take_trial(&mut self, now: Millis, can_retry: impl Fn() -> bool) -> bool {
+        let mut is_taken = false;
+        for scope in self.scopes.values_mut() {
+            if let State::Returning {
+                answered_at: None,
+                trial_until,
+                probed,
+                ..
+            } = &mut scope.state
+                && now >= *trial_until
+                && (*probed >= PROBES_BEFORE_ANY_TRIAL || can_retry())
+            {
+                *trial_until = now + TRIAL_LIFETIME_MS;
+                is_taken = true;
+            }
+        }
+        is_taken
+    }
+
+    /// Records that a request is sent to a back end.
+    pub fn note_sent(&mut self, now: Millis, backend: u64) {
+        let is_known = self
+            .sent_since_answer
+            .iter()
+            .any(|(_, sent)| *sent == backend);
+        if !is_known && self.sent_since_answer.len() < FAILURES_TO_SUSPECT {
+            self.sent_since_answer.push((now, backend));
+        }
+    }
+
+    /// Suspects a partition if no back end has answered for far longer than usual although
+    /// requests wait at several. `usual_ms` returns how long an answer takes at most.
+    pub fn check_silence(
+        &mut self,
+        now: Millis,
+        usual_ms: impl FnOnce() -> Millis,
+    ) -> Option<PathChange> {
+        let (waiting_since, _) = *self.sent_since_answer.get(FAILURES_TO_SUSPECT - 1)?;
+        let silent_ms = now.saturating_sub(waiting_since);
+        let limit_ms = MIN_SILENCE_MS.max((self.mean_gap_ms * SILENCE_GAPS) as Millis);
+        if silent_ms < limit_ms {
+            return None;
+        }
+        let scope = self.scopes.entry(PathScope::All).or_default();
+        match scope.state {
+            State::Open => {
+                let probed_at = self.silence_probed_at;
+                let is_due = probed_at.is_none_or(|at| now >= at + SILENCE_PROBE_INTERVAL_MS);
+                if !is_due {
+                    return None;
+                }
+                self.silence_probed_at = Some(now);
+                scope.state = State::Suspected {
+                    is_probed: false,
+                    was_reached: false,
+                };
+            }
+            State::Suspected {
+                was_reached: true, ..
+            } if silent_ms >= usual_ms().max(2 * limit_ms) => self.partition_all(now),
+            _ => return None,
+        }
+        Some(self.change(now, PathScope::All))
+    }
+
+    fn partition_all(&mut self, now: Millis) {
+        self.scopes.retain(|scope, _| *scope == PathScope::All);
+        self.scopes
+            .entry(PathScope::All)
+            .or_default()
+            .partition(now);
+    }
+
+    fn change(&self, now: Millis, scope: PathScope) -> PathChange {
+        let known = self.scopes.get(&scope);
+        PathChange {
+            state: known.map_or(State::Open, |known| known.state).name(),
+            failed: known.map_or(0, |known| known.failed.len()),
+            silent_ms: now.saturating_sub(self.last_answer_at),
+            scope,
+        }
+    }
+
+    /// Records an answer of a back end.
+    pub fn note_answered(
+        &mut self,
+        now: Millis,
+        instance: &Instance,
+        connection: ConnectionAge,
+    ) -> Vec<PathChange> {
+        let gap = now.saturating_sub(self.last_answer_at) as f64;
+        self.mean_gap_ms += (gap.min(1_000.0) - self.mean_gap_ms) * GAP_GAIN;
+        self.last_answer_at = now;
+        self.sent_since_answer.clear();
+        if self.scopes.is_empty() {
+            return Vec::new();
+        }
+        let mut changed = Vec::new();
+        for name in PathScope::of(instance) {
+            let Some(scope) = self.scopes.get_mut(&name) else {
+                continue;
+            };
+            let before = scope.state.name();
+            if connection == ConnectionAge::Kept {
+                scope.kept_answer_at = Some(now);
+                scope.kept_failed.clear();
+            } else {
+                scope.failed.clear();
+            }
+            match &mut scope.state {
+                State::Suspected { was_reached, .. }
+                    if connection == ConnectionAge::New || *was_reached =>
+                {
+                    scope.open();
+                }
+                State::Returning { answered_at, .. } => {
+                    answered_at.get_or_insert(now);
+                    if scope.state.share(now) >= 1.0 {
+                        scope.open();
+                    }
+                }
+                _ => {}
+            }
+            if scope.state.name() != before {
+                changed.push(name);
+            }
+        }
+        let changes = changed.into_iter().map(|name| self.change(now, name));
+        let changes = changes.collect();
+        self.scopes
+            .retain(|_, scope| scope.state != State::Open || !scope.failed.is_empty());
+        changes
+    }
+
+    /// Records that a back end could not be reached, or that a connection to it brought no
+    /// answer. The attempt was made at `started_at`. `sizes` returns the number of back ends of a
+    /// scope.
+    pub fn note_failed(
+        &mut self,
+        now: Millis,
+        started_at: Millis,
+        instance: &Instance,
+        backend: u64,
+        connection: ConnectionAge,
+        sizes: impl Fn(&PathScope) -> usize,
+    ) -> Vec<PathChange> {
+        let mut changes = Vec::new();
+        for name in PathScope::of(instance) {
+            let is_covered = name != PathScope::All
+                && self
+                    .scopes
+                    .get(&PathScope::All)
+                    .is_some_and(|all| all.state.partitioned_at().is_some());
+            if is_covered {
+                continue;
+            }
+            let scope = self.scopes.entry(name.clone()).or_default();
+            if connection == ConnectionAge::Kept {
+                scope.kept_failed.insert(backend);
+            }
+            scope.failed.retain(|_, at| now < *at + FAILURE_LIFETIME_MS);
+            scope.failed.insert(backend, now);
+            let before = scope.state.name();
+            match scope.state {
+                State::Open => {
+                    let needed = FAILURES_TO_SUSPECT.min(sizes(&name)).max(1);
+                    if scope.failed.len() >= needed {
+                        scope.state = State::Suspected {
+                            is_probed: false,
+                            was_reached: false,
+                        };
+                    }
+                }
+                State::Returning {
+                    answered_at, since, ..
+                } if started_at >= since => {
+                    let is_half_open = answered_at.is_none();
+                    if is_half_open || scope.failed.len() >= FAILURES_IN_RETURN {
+                        scope.partition(now);
+                    }
+                }
+                _ => {}
+            }
+            if scope.state.name() != before {
+                changes.push(self.change(now, name));
+            }
+        }
+        changes
+    }
+
+    /// Returns the probes that have to be made now. [`Paths::note_probe`] must be called for each.
+    pub fn take_due_probes(&mut self, now: Millis) -> Vec<DueProbe> {
+        let mut due = Vec::new();
+        for (name, scope) in &mut self.scopes {
+            let is_due = match &mut scope.state {
+                State::Suspected { is_probed, .. } => !std::mem::replace(is_probed, true),
+                State::Partitioned {
+                    next_probe_at,
+                    interval,
+                    ..
+                } if now >= *next_probe_at => {
+                    *interval = (*interval * 2).min(MAX_PROBE_INTERVAL_MS);
+                    *next_probe_at = now + *interval;
+                    true
+                }
+                State::Returning {
+                    answered_at: None,
+                    next_probe_at,
+                    ..
+                } if now >= *next_probe_at => {
+                    *next_probe_at = now + FIRST_PROBE_INTERVAL_MS;
+                    true
+                }
+                _ => false,
+            };
+            if is_due {
+                due.push(DueProbe {
+                    scope: name.clone(),
+                    is_suspected: matches!(scope.state, State::Suspected { .. }),
+                    failed: scope.failed.keys().copied().collect(),
+                });
+            }
+        }
+        due
+    }
+
+    /// Records the outcome of a round of probes.
+    pub fn note_probe(
+        &mut self,
+        now: Millis,
+        name: &PathScope,
+        outcome: PathProbeOutcome,
+    ) -> Option<PathChange> {
+        let scope = self.scopes.get_mut(name)?;
+        let before = scope.state;
+        match (scope.state, outcome) {
+            (State::Suspected { .. }, PathProbeOutcome::Unreached) => match name {
+                PathScope::All => self.partition_all(now),
+                _ => scope.partition(now),
+            },
+            (State::Suspected { .. }, PathProbeOutcome::Reached) => {
+                scope.failed.clear();
+                scope.state = match name {
+                    // Only continued silence is evidence from now on.
+                    PathScope::All if !self.sent_since_answer.is_empty() => State::Suspected {
+                        is_probed: true,
+                        was_reached: true,
+                    },
+                    _ => State::Open,
+                };
+            }
+            (State::Suspected { .. }, PathProbeOutcome::Inconclusive) => scope.open(),
+            (State::Partitioned { since, .. }, PathProbeOutcome::Reached) => {
+                scope.failed.clear();
+                scope.state = State::Returning {
+                    partitioned_at: since,
+                    since: now,
+                    answered_at: None,
+                    trial_until: now,
+                    probed: 1,
+                    next_probe_at: now + FIRST_PROBE_INTERVAL_MS,
+                };
+            }
+            (State::Returning { .. }, PathProbeOutcome::Unreached) => scope.partition(now),
+            (State::Returning { .. }, PathProbeOutcome::Reached) => {
+                if let State::Returning { probed, .. } = &mut scope.state {
+                    *probed += 1;
+                }
+            }
+            _ => {}
+        }
+        let after = self.scopes.get(name)?.state;
+        (after.name() != before.name()).then(|| self.change(now, name.clone()))
+    }
+}
--- a/crates/coursestand-routing/src/picker.rs
+++ b/crates/coursestand-routing/src/picker.rs
@@ -93,6 +93,8 @@
         /// Time after which the queue is expected to be short enough, in milliseconds.
         drained_in_ms: Millis,
     },
+    /// This daemon is partitioned from all eligible back ends.
+    Partitioned,
 }
 
 /// Name and location of this daemon, and the limits of its deployment.
@@ -179,6 +181,19 @@
         catalog: &Catalog,
         owners: &OwnerViews,
         request: &PickRequest<'_>,
+    ) -> Result<Pick, Refusal> {
+        self.pick_reachable(backends, catalog, owners, request, |_| true)
+    }
+
+    /// Selects the back end of a request among those for which `is_reachable` returns true: this
+    /// daemon is not partitioned from them.
+    pub fn pick_reachable(
+        &mut self,
+        backends: &Backends,
+        catalog: &Catalog,
+        owners: &OwnerViews,
+        request: &PickRequest<'_>,
+        is_reachable: impl Fn(&Backend) -> bool,
     ) -> Result<Pick, Refusal> {
         let home = self.home_region(backends, catalog, request);
         let mut usable: Vec<&Backend> = backends
@@ -193,6 +208,10 @@
         if usable.is_empty() {
             return Err(refusal_if_none);
         }
+        usable.retain(|backend| is_reachable(backend));
+        if usable.is_empty() {
+            return Err(Refusal::Partitioned);
+        }
         let in_service: Vec<&Backend> = usable
             .iter()
             .copied()
--- a/crates/coursestand-routing/src/retry_budget.rs
+++ b/crates/coursestand-routing/src/retry_budget.rs
@@ -82,6 +82,19 @@
         }
     }
 
+    /// Removes fractions of retries, newest first.
+    fn remove(&mut self, retries: f64) {
+        let mut remaining = retries;
+        while let Some((_, sum)) = self.steps.back_mut() {
+            if *sum > remaining {
+                *sum -= remaining;
+                return;
+            }
+            remaining -= *sum;
+            self.steps.pop_back();
+        }
+    }
+
     fn left(&self, now: Millis, limits: RetryLimits) -> f64 {
         let step = now / limits.step_ms();
         self.steps
@@ -120,6 +133,11 @@
         self.earned.add(now, limits, EARNED_FRACTION * limits.ratio);
     }
 
+    /// Takes back what a request earned: another daemon serves it, where it earns as well.
+    pub fn forgo(&mut self, limits: RetryLimits) {
+        self.earned.remove(EARNED_FRACTION * limits.ratio);
+    }
+
     /// Returns the unresolved copies, which withhold retries.
     pub fn unresolved(&mut self) -> &mut UnresolvedCopies {
         &mut self.unresolved
