Bound answers without end in bytes and in time

A back end that sends interim answers without end was read at full speed: 226 to 254 MB in a request of one second, its connection was still being read 0.2 s after the caller had its 504, and 3 of 40 requests to a service with three sound back ends failed. A body without end, with or without chunks, was forwarded for as long as the caller read it, past the time-out of its route.

Cause: the HTTP library skips any number of interim answers within one scheduling turn, and a streamed body had no time limit.

Change: a connection reads 512 KiB at most before the head of an answer is complete, and then fails like any broken answer; a streamed body ends with its request's time, which aborts the caller's connection.

Endless header lines, one endless line, garbage, chunk extensions, trailers and bytes after an answer were bounded before. The comment on TCP_USER_TIMEOUT says that it also decides when keep-alive probes give up; no silent peer was provoked.

--- a/crates/coursestand-proxy/src/connect.rs
+++ b/crates/coursestand-proxy/src/connect.rs
@@ -18,8 +18,9 @@
 /// bytes wait for an acknowledgement.
 ///
 /// `TCP_USER_TIMEOUT` alone covers sent bytes; keep-alive probes extend it to a connection
-/// that is idle or waits for an answer. When the connection is closed this way, the peer has
-/// acknowledged nothing, but it may have received something.
+/// that is idle or waits for an answer. While it is set, it also decides when the probes give up,
+/// whatever their number: a probe must be sent before the time is over. When the connection is
+/// closed this way, the peer has acknowledged nothing, but it may have received something.
 pub fn configure(stream: &TcpStream, user_timeout: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -28,7 +28,7 @@
 /// Divisor of the time left that gives the maximum time for connecting.
 const CONNECT_TIME_DIVISOR: u32 = 2;
 /// Time for an answer to arrive that the back end sent at the deadline.
-const ANSWER_GRACE: Duration = Duration::from_millis(80);
+pub(super) const ANSWER_GRACE: Duration = Duration::from_millis(80);
 
 /// Result of sending a request on a connection.
 type SendOutcome = Result<Response<Incoming>, TrySendError<Request<RequestBody>>>;
@@ -97,7 +97,8 @@
                 Either::Left(Full::new(bytes))
             }
             Collected::Partial(first, rest) => {
-                Either::Right(StreamedBody::new(first, rest, connection))
+                let ends_at = prepared.deadline.latest + ANSWER_GRACE;
+                Either::Right(StreamedBody::new(first, rest, connection, ends_at))
             }
         };
         let received = BackendResponse {
@@ -192,7 +193,7 @@
                 false => ConnectionAge::New,
             };
             self.phases.request_sent(target);
-            let sending = connection.sender.try_send_request(request);
+            let sending = connection.send(request);
             let outcome = self
                 .await_response(sending, prepared, target, attempts)
                 .await
--- a/crates/coursestand-proxy/src/exchange/relay.rs
+++ b/crates/coursestand-proxy/src/exchange/relay.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use super::attempt::ANSWER_GRACE;
 use super::{BackendResponse, Exchange, LOG, PreparedRequest};
 use crate::answer::{AnswerBody, Reason};
 use crate::collect::Collected;
@@ -210,7 +211,7 @@
                 return RelayResult::NotHandled;
             };
             self.refresh_deadline(prepared, &mut request);
-            let sending = connection.sender.try_send_request(request);
+            let sending = connection.send(request);
             let mut error = match self.within_deadline(prepared, sending).await {
                 Ok(Ok(response)) => break (response, connection),
                 Ok(Err(error)) => error,
@@ -278,7 +279,8 @@
                 Either::Left(Full::new(bytes))
             }
             Collected::Partial(first, rest) => {
-                Either::Right(StreamedBody::new(first, rest, connection))
+                let ends_at = prepared.deadline.latest + ANSWER_GRACE;
+                Either::Right(StreamedBody::new(first, rest, connection, ends_at))
             }
         };
         RelayResult::Handled(Box::new(BackendResponse {
--- a/crates/coursestand-proxy/src/lib.rs
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod phases;
 pub mod pool;
 mod prepared_body;
+mod read_limit;
 pub mod relay;
 mod request_log;
 pub mod response_metadata;
--- a/crates/coursestand-proxy/src/pool.rs
+++ b/crates/coursestand-proxy/src/pool.rs
@@ -13,12 +13,15 @@
 use std::hash::Hash;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use coursestand_discovery::Incarnation;
+use http::{Request, Response};
 use http_body_util::{Either, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use snafu::Snafu;
@@ -27,6 +30,7 @@
 
 use crate::connect::connect;
 use crate::phases::SilentConnection;
+use crate::read_limit::{LimitedStream, ReadLimit};
 use crate::streamed_request_body::StreamedRequestBody;
 
 /// Body of a request to a back end: buffered or streamed.
@@ -73,13 +77,32 @@
 
 /// A connection to a back end. Dropping it closes it at once.
 pub struct Connection {
-    /// Sends requests on the connection.
+    /// Shows the state of the connection.
     pub sender: SendRequest<RequestBody>,
     /// Whether it has carried an earlier request.
     pub is_reused: bool,
+    read_limit: Arc<ReadLimit>,
     driver: Driver,
 }
 
+impl Connection {
+    /// Sends a request. The returned future resolves with the head of the answer.
+    pub fn send(
+        &mut self,
+        request: Request<RequestBody>,
+    ) -> impl Future<Output = Result<Response<Incoming>, TrySendError<Request<RequestBody>>>> + use<>
+    {
+        let read_limit = Arc::clone(&self.read_limit);
+        read_limit.expect_head();
+        let sending = self.sender.try_send_request(request);
+        async move {
+            let response = sending.await?;
+            read_limit.head_received();
+            Ok(response)
+        }
+    }
+}
+
 struct Idle {
     connection: Connection,
     /// When its last answer was complete.
@@ -171,6 +194,8 @@
         let stream = connect(address, limit, ACKNOWLEDGEMENT_TIMEOUT)
             .await
             .map_err(|error| connect_error(error.kind(), error.to_string()))?;
+        let read_limit = ReadLimit::for_head();
+        let stream = LimitedStream::new(stream, Arc::clone(&read_limit));
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| connect_error(io::ErrorKind::Other, error.to_string()))?;
@@ -181,6 +206,7 @@
         Ok(Connection {
             sender,
             is_reused: false,
+            read_limit,
             driver: Driver(driver),
         })
     }
--- a/crates/coursestand-proxy/src/streamed_body.rs
+++ b/crates/coursestand-proxy/src/streamed_body.rs
@@ -5,24 +5,49 @@
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use snafu::Snafu;
+use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::pool::Connection;
 
+/// Error that aborts an answer.
+#[derive(Debug, Snafu)]
+pub enum AnswerBodyError {
+    /// The back end broke off.
+    #[snafu(display("the answer broke off: {source}"))]
+    BackEnd {
+        /// Cause.
+        source: hyper::Error,
+    },
+    /// The time of the request was over before the end of the answer.
+    #[snafu(display("the answer did not end in time"))]
+    TimedOut,
+}
+
 /// Body of a long answer. An incomplete answer aborts the caller's connection, so that it
 /// never looks complete.
 pub struct StreamedBody {
     first: Option<Bytes>,
     rest: Incoming,
+    /// Ends an answer without end.
+    time_limit: Pin<Box<Sleep>>,
     /// Closed together with the body: its state after a long answer is not checked.
     _connection: Connection,
 }
 
 impl StreamedBody {
-    /// Creates a body of which `first` has been read on `connection`.
-    pub(crate) fn new(first: Bytes, rest: Incoming, connection: Connection) -> StreamedBody {
+    /// Creates a body of which `first` has been read on `connection`, and which has to end by
+    /// `ends_at`.
+    pub(crate) fn new(
+        first: Bytes,
+        rest: Incoming,
+        connection: Connection,
+        ends_at: Instant,
+    ) -> StreamedBody {
         StreamedBody {
             first: Some(first),
             rest,
+            time_limit: Box::pin(sleep_until(ends_at)),
             _connection: connection,
         }
     }
@@ -30,18 +55,22 @@
 
 impl Body for StreamedBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = AnswerBodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
         if let Some(first) = self.first.take()
             && !first.is_empty()
         {
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
-        Pin::new(&mut self.rest).poll_frame(context)
+        if self.time_limit.as_mut().poll(context).is_ready() {
+            return Poll::Ready(Some(Err(AnswerBodyError::TimedOut)));
+        }
+        let frame = Pin::new(&mut self.rest).poll_frame(context);
+        frame.map_err(|source| AnswerBodyError::BackEnd { source })
     }
 
     fn size_hint(&self) -> SizeHint {
