--- a/crates/coursestand-cli/src/commands/explain.rs
+++ b/crates/coursestand-cli/src/commands/explain.rs
@@ -82,7 +82,8 @@
 }
 
 /// Prefixes of the messages that report a state change.
-const STATE_CHANGES: [&str; 8] = [
+const STATE_CHANGES: [&str; 9] = [
+    "the path to back ends changed",
     "a back end changed",
     "an entry daemon changed",
     "control process lost",
@@ -273,6 +274,10 @@
             end.text("instance"),
             end.number("status")
         ),
+        "served" if !end.text("relayed_to").is_empty() => format!(
+            "none: it was relayed to {} and served there in {took_ms} ms",
+            end.text("relayed_to")
+        ),
         "served" => format!(
             "none: it was served by {} in {took_ms} ms",
             end.text("instance")
@@ -302,6 +307,17 @@
              exhausted"
                 .to_owned()
         }
+        "partitioned" => {
+            "the daemon was partitioned from the back ends of its service, and no other \
+                          daemon took it; it has not run"
+                .to_owned()
+        }
+        "answered-by-peer" => format!(
+            "the daemon was partitioned from the back ends of its service and relayed it to {}, \
+             whose log has the reason of status {}",
+            end.text("relayed_to"),
+            end.number("status")
+        ),
         "unreachable" => "no connection to its back ends could be made; it has not run".to_owned(),
         "link-full" => {
             "the link of the daemon's machine was full; it was refused before its body was read \
--- a/crates/coursestand-proxy/src/crash_detector.rs
+++ b/crates/coursestand-proxy/src/crash_detector.rs
@@ -143,10 +143,10 @@
     Some(false)
 }
 
-/// Connects to a back end and keeps the connection for requests. One that is closed at once does
-/// not count.
+/// Connects to a back end and keeps the connection for requests. It need not stay open: a network
+/// that accepts connections in place of back ends accepted that to the lost one as well.
 async fn probe_reference(pool: &Arc<Pool>, instance: &Instance) -> bool {
-    match pool.open_and_hold(instance.address, PROBE_TIMEOUT).await {
+    match pool.open(instance.address, PROBE_TIMEOUT).await {
         Ok(connection) => {
             let (pool, incarnation) = (Arc::clone(pool), instance.incarnation());
             tokio::spawn(async move { pool.give_back(incarnation, connection, None).await });
--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -27,7 +27,7 @@
 use crate::pool::Pool;
 use crate::prepared_body::PreparedBody;
 use crate::relay::RelayedRequest;
-use crate::request_log::RequestLog;
+use crate::request_log::{OUTCOME_SERVED, RequestLog};
 use crate::retry::{RetryDenial, RetryVerdict};
 use crate::unread_headers::UnreadHeaders;
 use coursestand_model::Millis;
@@ -347,7 +347,7 @@
         };
         match result {
             Ok(received) => {
-                request_log.end("served", received.status);
+                request_log.end(OUTCOME_SERVED, received.status);
                 let response = forwarded_response(received.status, received.headers, received.body);
                 (response, Ok(()))
             }
--- a/crates/coursestand-proxy/src/exchange/relay.rs
+++ b/crates/coursestand-proxy/src/exchange/relay.rs
@@ -53,8 +53,10 @@
 
 /// How relaying a request to one daemon ended.
 enum RelayResult {
-    /// The daemon handled the request, and this is the answer.
-    Handled(Box<BackendResponse>),
+    /// A back end answered there.
+    Forwarded(Box<BackendResponse>),
+    /// The daemon generated this answer itself.
+    Local(Box<BackendResponse>),
     /// The daemon did not run the request, and another one may be able to.
     NotHandled,
     /// The request may have run there, and its answer was lost.
@@ -141,7 +143,11 @@
             let result = self.relay_to(relay, &peer, prepared, attempts).await;
             tried.push(peer.name);
             match result {
-                RelayResult::Handled(response) => return Some(deliver(attempts, *response)),
+                RelayResult::Forwarded(response) => return Some(Ok(*response)),
+                RelayResult::Local(response) => {
+                    request_log.answered_by_peer();
+                    return Some(deliver(attempts, *response));
+                }
                 RelayResult::NotHandled => {}
                 RelayResult::TimedOut => return Some(Err(Reason::TimedOut)),
                 RelayResult::Lost => {
@@ -170,7 +176,8 @@
         let _outstanding = RelayPeers::start(&relay.peers, &peer.name);
         let result = self.exchange_with(relay, peer, prepared, attempts).await;
         let outcome = match &result {
-            RelayResult::Handled(_) => "forwarded",
+            RelayResult::Forwarded(_) => "forwarded",
+            RelayResult::Local(_) => "answered-there",
             RelayResult::NotHandled => "not-handled",
             RelayResult::Lost => "answer-lost",
             RelayResult::TimedOut => "timed-out",
@@ -283,11 +290,15 @@
                 Either::Right(StreamedBody::new(first, rest, connection, ends_at))
             }
         };
-        RelayResult::Handled(Box::new(BackendResponse {
+        let response = Box::new(BackendResponse {
             status: head.status,
             headers: head.headers,
             body,
-        }))
+        });
+        match outcome {
+            RelayOutcome::Forwarded => RelayResult::Forwarded(response),
+            _ => RelayResult::Local(response),
+        }
     }
 
     /// Returns the request for another daemon, unless its body is spent.
@@ -312,7 +323,7 @@
     }
 }
 
-/// Returns the answer of another daemon for the caller. A promise that the request was not run
+/// Returns an answer that another daemon generated for the caller. A promise that the request was not run
 /// holds only for that daemon.
 fn deliver(attempts: &Attempts, response: BackendResponse) -> Result<BackendResponse, Reason> {
     let promises_not_run = STATUSES_THAT_PROMISE_NOT_RUN.contains(&response.status);
