Bound the probes of paths that no request uses, and test what partitions change

A daemon without requests probed a path that had come back four times a second without end, and a suspicion that no request followed up never ended. A path opens after eight rounds of probes without a trial, with growing pauses; a suspicion ends after 10 s. Parts are probed only once it is known that not all back ends are lost: three rounds of probes at once tripled the connections. A service is rejected at once only if no daemon can be asked, not when one request has asked them all.

--- a/crates/coursestand-daemon/tests/soak/faults.rs
+++ b/crates/coursestand-daemon/tests/soak/faults.rs
@@ -10,7 +10,9 @@
 use coursestand_lab::scripted::ScriptedBackend;
 use rand::RngExt;
 use rand::rngs::StdRng;
+use rand::seq::IteratorRandom;
 
+use crate::network::{Partition, Shape};
 use crate::processes::Signal;
 use crate::relay::LinkFault;
 use crate::{CONTROLS, LOST_DISKS, System};
@@ -40,6 +42,8 @@
     faulty_relays: BTreeMap<usize, Instant>,
     /// When the suspended back ends resume.
     backends_resume_at: Option<Instant>,
+    /// When the partition of daemons from the back ends ends.
+    partition_ends_at: Option<Instant>,
     no_control_fault_before: Instant,
     version: u64,
 }
@@ -55,6 +59,13 @@
         settings.bounds.lost_disks = LOST_DISKS;
         settings.bounds.retry_extra = self.shape.retry_extra;
         self.processes.start(host, &settings);
+        if !CONTROLS.contains(&host) {
+            let id = self.processes.id(host);
+            self.daemons.send_modify(|daemons| {
+                daemons.retain(|_, known| *known != host);
+                daemons.insert(id, host);
+            });
+        }
     }
 }
 
@@ -65,6 +76,7 @@
             recoveries: BTreeMap::new(),
             faulty_relays: BTreeMap::new(),
             backends_resume_at: None,
+            partition_ends_at: None,
             no_control_fault_before: Instant::now() + CATCH_UP_TIME,
             version: 1,
         }
@@ -79,6 +91,10 @@
         let pause = self.random_duration(400);
         tokio::time::sleep(pause).await;
         self.recover_due(system, Instant::now())?;
+        if system.shape.has_partitions && self.random.random_ratio(1, 3) {
+            self.partition_edges(system);
+            return Ok(());
+        }
         match self.random.random_range(0..system.shape.fault_weight()) {
             0..3 => self.inject_link_fault(system),
             3..5 => self.inject_edge_fault(system),
@@ -103,6 +119,7 @@
             relay.set(LinkFault::None);
         }
         system.backends.iter().for_each(ScriptedBackend::resume);
+        system.partition.send_replace(Partition::none());
         Ok(())
     }
 
@@ -136,6 +153,10 @@
             self.backends_resume_at = None;
             system.backends.iter().for_each(ScriptedBackend::resume);
         }
+        if self.partition_ends_at.is_some_and(|until| due(&until)) {
+            self.partition_ends_at = None;
+            system.partition.send_replace(Partition::none());
+        }
         let relays: Vec<usize> = self
             .faulty_relays
             .iter()
@@ -165,6 +186,25 @@
         self.faulty_relays.insert(relay, until);
     }
 
+    /// Partitions one to all but one of the entry daemons from the back ends. Replaces the current
+    /// partition.
+    fn partition_edges(&mut self, system: &System) {
+        let edges = system.shape.edges();
+        let count = self.random.random_range(1..edges.len());
+        let hosts = edges.into_iter().sample(&mut self.random, count);
+        let shape = match self.random.random_range(0..3) {
+            0 => Shape::Silent,
+            1 => Shape::Reset,
+            _ => Shape::OnlyNewReset,
+        };
+        system.partition.send_replace(Partition {
+            shape,
+            hosts: hosts.into_iter().collect(),
+        });
+        let until = Instant::now() + self.random_duration(4_000);
+        self.partition_ends_at = Some(until);
+    }
+
     /// Kills all running entry daemons at the same time.
     fn kill_edges(&mut self, system: &mut System) {
         let until = Instant::now() + self.random_duration(600);
--- a/crates/coursestand-daemon/tests/soak/shape.rs
+++ b/crates/coursestand-daemon/tests/soak/shape.rs
@@ -33,6 +33,8 @@
     pub has_fatal_requests: bool,
     /// Whether the last back end announces a rate limit with each complete answer.
     pub has_rate_limit: bool,
+    /// Whether daemons are partitioned from the back ends.
+    pub has_partitions: bool,
 }
 
 impl Shape {
@@ -46,6 +48,18 @@
             has_operators: false,
             has_fatal_requests: false,
             has_rate_limit: false,
+            has_partitions: false,
+        }
+    }
+
+    /// Returns a shape whose daemons are partitioned from the back ends, besides all other faults.
+    pub fn with_partitions() -> Shape {
+        Shape {
+            daemons: 6,
+            pause: Duration::from_millis(20),
+            has_all_faults: true,
+            has_partitions: true,
+            ..Shape::baseline()
         }
     }
 
@@ -70,6 +84,7 @@
             has_operators: false,
             has_fatal_requests: false,
             has_rate_limit: true,
+            has_partitions: false,
         }
     }
 
--- a/crates/coursestand-proxy/src/exchange/path_probes.rs
+++ b/crates/coursestand-proxy/src/exchange/path_probes.rs
@@ -20,7 +20,7 @@
 /// farthest regions.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Time between two checks for due probes while a path is not open.
-const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Queueing delay on the daemon's own link from which on a failed probe proves nothing.
 const CONGESTED_DELAY: Duration = Duration::from_millis(50);
 
--- a/crates/coursestand-proxy/src/relay/peers.rs
+++ b/crates/coursestand-proxy/src/relay/peers.rs
@@ -18,7 +18,7 @@
 /// Why no daemon was chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerChoice {
-    /// None is known that may serve the request.
+    /// None is known that may serve the request, or it was relayed to all of them.
     NoPeer,
     /// None of the known ones can serve the service at present either.
     UnableToo,
@@ -102,7 +102,7 @@
 
     /// Chooses a daemon for a request of `service`: one in `region` if there is one, and of two
     /// random ones the less loaded. `allowed` are the regions that may serve the request, empty
-    /// for all; `tried` the daemons that were unable to serve it.
+    /// for all; `tried` the daemons that the request was relayed to before.
     pub fn choose(
         &self,
         service: &ServiceId,
@@ -128,15 +128,19 @@
         if peers.is_empty() {
             return Err(PeerChoice::NoPeer);
         }
-        let usable: Vec<&RelayPeer> = peers
+        let mut usable: Vec<&RelayPeer> = peers
             .iter()
-            .filter(|peer| !tried.contains(&peer.name) && known.is_usable(now, peer, service))
+            .filter(|peer| known.is_usable(now, peer, service))
             .collect();
         if usable.is_empty() {
             let pause = Pause::after(known.services.get(service), now);
             known.services.insert(service.clone(), pause);
             return Err(PeerChoice::UnableToo);
         }
+        usable.retain(|peer| !tried.contains(&peer.name));
+        if usable.is_empty() {
+            return Err(PeerChoice::NoPeer);
+        }
         let near: Vec<&RelayPeer> = usable
             .iter()
             .copied()
--- a/crates/coursestand-routing/src/paths.rs
+++ b/crates/coursestand-routing/src/paths.rs
@@ -22,7 +22,7 @@
 /// Age at which a failure stops counting.
 const FAILURE_LIFETIME_MS: Millis = 2_000;
 /// Shortest time without any answer after which probes are made while requests wait.
-const MIN_SILENCE_MS: Millis = 300;
+const MIN_SILENCE_MS: Millis = 200;
 /// Factor on the mean time between two answers that gives the time without any answer after
 /// which probes are made.
 const SILENCE_GAPS: f64 = 8.0;
@@ -44,7 +44,11 @@
 /// Kept connections count as working for this long after an answer on one of them.
 const KEPT_LIFETIME_MS: Millis = 1_500;
 /// Successful rounds of probes after which a request that can't be retried may be the trial.
-const PROBES_BEFORE_ANY_TRIAL: u32 = 20;
+const PROBES_BEFORE_ANY_TRIAL: u32 = 6;
+/// Successful rounds of probes after which a path opens without a trial: no request uses it.
+const PROBES_TO_OPEN: u32 = 8;
+/// Time after which a suspicion that probes have not confirmed ends.
+const SUSPICION_LIFETIME_MS: Millis = 10_000;
 
 /// A set of back ends that may be unreachable together.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -166,6 +170,7 @@
     Open,
     /// May be partitioned; probes decide.
     Suspected {
+        since: Millis,
         is_probed: bool,
         /// Whether probes reached a back end, so that only continued silence is evidence.
         was_reached: bool,
@@ -187,6 +192,7 @@
         trial_until: Millis,
         probed: u32,
         next_probe_at: Millis,
+        interval: Millis,
     },
 }
 
@@ -249,6 +255,14 @@
 }
 
 impl Scope {
+    fn suspect(&mut self, now: Millis) {
+        self.state = State::Suspected {
+            since: now,
+            is_probed: false,
+            was_reached: false,
+        };
+    }
+
     fn partition(&mut self, now: Millis) {
         let since = self.state.partitioned_at().unwrap_or(now);
         let interval = self.next_interval;
@@ -408,10 +422,7 @@
                     return None;
                 }
                 self.silence_probed_at = Some(now);
-                scope.state = State::Suspected {
-                    is_probed: false,
-                    was_reached: false,
-                };
+                scope.suspect(now);
             }
             State::Suspected {
                 was_reached: true, ..
@@ -523,10 +534,7 @@
                 State::Open => {
                     let needed = FAILURES_TO_SUSPECT.min(sizes(&name)).max(1);
                     if scope.failed.len() >= needed {
-                        scope.state = State::Suspected {
-                            is_probed: false,
-                            was_reached: false,
-                        };
+                        scope.suspect(now);
                     }
                 }
                 State::Returning {
@@ -549,8 +557,24 @@
     /// Returns the probes that have to be made now. [`Paths::note_probe`] must be called for each.
     pub fn take_due_probes(&mut self, now: Millis) -> Vec<DueProbe> {
         let mut due = Vec::new();
+        // Parts are probed once it is known whether all back ends are lost.
+        let is_all_pending = self.scopes.get(&PathScope::All).is_some_and(|all| {
+            matches!(
+                all.state,
+                State::Suspected {
+                    was_reached: false,
+                    ..
+                }
+            )
+        });
         for (name, scope) in &mut self.scopes {
+            if let State::Suspected { since, .. } = scope.state
+                && now >= since + SUSPICION_LIFETIME_MS
+            {
+                scope.open();
+            }
             let is_due = match &mut scope.state {
+                _ if is_all_pending && *name != PathScope::All => false,
                 State::Suspected { is_probed, .. } => !std::mem::replace(is_probed, true),
                 State::Partitioned {
                     next_probe_at,
@@ -564,9 +588,11 @@
                 State::Returning {
                     answered_at: None,
                     next_probe_at,
+                    interval,
                     ..
                 } if now >= *next_probe_at => {
-                    *next_probe_at = now + FIRST_PROBE_INTERVAL_MS;
+                    *interval = (*interval * 2).min(MAX_PROBE_INTERVAL_MS);
+                    *next_probe_at = now + *interval;
                     true
                 }
                 _ => false,
@@ -596,11 +622,12 @@
                 PathScope::All => self.partition_all(now),
                 _ => scope.partition(now),
             },
-            (State::Suspected { .. }, PathProbeOutcome::Reached) => {
+            (State::Suspected { since, .. }, PathProbeOutcome::Reached) => {
                 scope.failed.clear();
                 scope.state = match name {
                     // Only continued silence is evidence from now on.
                     PathScope::All if !self.sent_since_answer.is_empty() => State::Suspected {
+                        since,
                         is_probed: true,
                         was_reached: true,
                     },
@@ -617,12 +644,16 @@
                     trial_until: now,
                     probed: 1,
                     next_probe_at: now + FIRST_PROBE_INTERVAL_MS,
+                    interval: FIRST_PROBE_INTERVAL_MS,
                 };
             }
             (State::Returning { .. }, PathProbeOutcome::Unreached) => scope.partition(now),
             (State::Returning { .. }, PathProbeOutcome::Reached) => {
                 if let State::Returning { probed, .. } = &mut scope.state {
                     *probed += 1;
+                    if *probed >= PROBES_TO_OPEN {
+                        scope.open();
+                    }
                 }
             }
             _ => {}
