Take no slow start for a partition, and let no older catalog decide about a relayed request

It relayed for 7 s, since no retry could pay for a trial. The daemon that it relayed to was cut off from control and decided by its older catalog.

Change: silence that probes contradict shows a partition only beyond three times the usual time of answers, once that is known, and any answer refutes it. The catalog version goes with a relayed request, and a daemon with an older one rejects it. An answer on a connection from before a partition opens no new ones. A refuted suspicion is held off for 1 s, doubling to 16 s, and four back ends are probed before the others: resets under load had raised one every 0.3 s with up to 43 connections. A partitioned daemon keeps no earned retries for requests that it rejected.

--- a/crates/coursestand-proxy/src/answer.rs
+++ b/crates/coursestand-proxy/src/answer.rs
@@ -36,6 +36,8 @@
 pub enum Reason {
     /// The daemon has received no catalog yet.
     NoCatalog,
+    /// The daemon that relayed the request has a newer catalog than this one.
+    OldCatalog,
     /// No route matches the request.
     NoRoute,
     /// The headers are longer than allowed.
@@ -97,12 +99,14 @@
     pub const NAMES_OF_NO_BACK_END: [&'static str; 3] =
         ["no-backend", "unreachable", "partitioned"];
     /// Names of the reasons that concern only the daemon itself.
-    pub const NAMES_OF_OWN_TROUBLE: [&'static str; 3] = ["no-catalog", "stopping", "link-full"];
+    pub const NAMES_OF_OWN_TROUBLE: [&'static str; 4] =
+        ["no-catalog", "old-catalog", "stopping", "link-full"];
 
     /// Returns the name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Reason::NoCatalog => "no-catalog",
+            Reason::OldCatalog => "old-catalog",
             Reason::NoRoute => "no-route",
             Reason::HeadersTooLong => "headers-too-long",
             Reason::BodyTooLong => "body-too-long",
@@ -133,6 +137,7 @@
             Reason::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Reason::BodyBroken => StatusCode::BAD_REQUEST,
             Reason::NoCatalog
+            | Reason::OldCatalog
             | Reason::DeadlinePassed
             | Reason::Stopping
             | Reason::NoBackend
@@ -171,6 +176,7 @@
             Reason::Shed => Some(SHED_RETRY_DELAY),
             Reason::Unreachable
             | Reason::Partitioned
+            | Reason::OldCatalog
             | Reason::DeadlinePassed
             | Reason::Stopping => Some(OTHER_DAEMON_RETRY_DELAY),
             _ => None,
--- a/crates/coursestand-proxy/src/answer_times.rs
+++ b/crates/coursestand-proxy/src/answer_times.rs
@@ -66,10 +66,12 @@
         Some(times.get(service)?.get(zone)?.limit())
     }
 
-    /// Returns the time that most answers of any back end take at most.
-    pub(crate) fn longest_usual_limit(&self) -> Duration {
+    /// Returns the time after which a connection to any back end counts as silent; none without
+    /// earlier answers.
+    pub(crate) fn longest_silence_limit(&self) -> Option<Duration> {
         let times = self.times();
         let limits = times.values().flat_map(HashMap::values);
-        limits.map(SmoothedTime::limit).max().unwrap_or_default()
+        let usual = limits.map(SmoothedTime::limit).max()?;
+        Some((usual * SILENCE_FACTOR).max(MIN_SILENCE_LIMIT))
     }
 }
--- a/crates/coursestand-proxy/src/exchange/path_probes.rs
+++ b/crates/coursestand-proxy/src/exchange/path_probes.rs
@@ -19,6 +19,8 @@
 /// Time within which a back end must accept a probe: more than two round trips between the
 /// farthest regions.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Back ends of a round that are probed first.
+const FIRST_PROBES: usize = 4;
 /// Time between two checks for due probes while a path is not open.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Queueing delay on the daemon's own link from which on a failed probe proves nothing.
@@ -37,7 +39,7 @@
     /// Checks whether back ends have been silent for too long, and starts to probe paths that are
     /// not open.
     pub(super) fn check_paths(&self) {
-        let usual_time = || self.answer_times.longest_usual_limit();
+        let usual_time = || self.answer_times.longest_silence_limit();
         self.phases.check_silence(&usual_time);
         if self.phases.are_paths_open() || self.are_paths_probed.swap(true, Ordering::AcqRel) {
             return;
@@ -67,7 +69,7 @@
 
     async fn probe(&self, probe: PathProbe) {
         let queueing_delay = self.link.queueing_delay();
-        let reached = join_all(probe.instances.iter().map(|instance| self.reach(instance))).await;
+        let reached = self.reach_any(&probe.instances).await;
         let is_congested = queueing_delay.max(self.link.queueing_delay()) >= CONGESTED_DELAY;
         let outcome = if reached.contains(&true) {
             PathProbeOutcome::Reached
@@ -82,6 +84,17 @@
         self.phases.path_probed(&probe.scope, outcome);
     }
 
+    /// Probes a few back ends, and all of them if none of these can be reached. Returns for each
+    /// that was probed whether it can be reached.
+    async fn reach_any(&self, instances: &[Instance]) -> Vec<bool> {
+        let (first, others) = instances.split_at(instances.len().min(FIRST_PROBES));
+        let mut reached = join_all(first.iter().map(|instance| self.reach(instance))).await;
+        if !reached.contains(&true) {
+            reached.extend(join_all(others.iter().map(|instance| self.reach(instance))).await);
+        }
+        reached
+    }
+
     /// Returns whether a back end accepts a connection, which is kept for requests.
     async fn reach(&self, instance: &Instance) -> bool {
         self.metrics.connections.inc();
--- a/crates/coursestand-proxy/src/exchange/relay.rs
+++ b/crates/coursestand-proxy/src/exchange/relay.rs
@@ -12,7 +12,7 @@
 
 use super::attempt::ANSWER_GRACE;
 use super::{BackendResponse, Exchange, LOG, PreparedRequest};
-use crate::answer::{AnswerBody, Reason};
+use crate::answer::{AnswerBody, Reason, local_response};
 use crate::collect::Collected;
 use crate::discard::discard;
 use crate::headers::{closes_connection, keep_alive_of, strip_connection_headers};
@@ -99,7 +99,12 @@
             mark_outcome(&mut response, None);
             return response;
         };
-        let (mut response, result) = self.answer(request, Some(relayed)).await;
+        let (mut response, result) = if relayed.catalog_version > self.phases.catalog_version() {
+            discard(request.into_body());
+            (local_response(Reason::OldCatalog), Err(Reason::OldCatalog))
+        } else {
+            self.answer(request, Some(relayed)).await
+        };
         let outcome = result.map_or_else(Reason::name, |()| "forwarded");
         self.metrics.relayed.with_label_values(&[outcome]).inc();
         mark_outcome(&mut response, Some(result));
@@ -115,6 +120,7 @@
         request_log: &mut RequestLog<'_>,
     ) -> Option<Result<BackendResponse, Reason>> {
         if prepared.relayed.is_some() {
+            self.phases.relayed(&prepared.matched);
             return Some(Err(lost_or(attempts, Reason::Partitioned)));
         }
         let relay = self.relay.get().filter(|relay| relay.peers.count() > 0)?;
@@ -316,6 +322,7 @@
         let relayed = RelayedRequest {
             origin: relay.name.clone(),
             attempts: attempts.arrived,
+            catalog_version: self.phases.catalog_version(),
         };
         relayed.write(endpoint, &mut headers);
         *request.headers_mut() = headers;
--- a/crates/coursestand-proxy/src/phases.rs
+++ b/crates/coursestand-proxy/src/phases.rs
@@ -357,8 +357,8 @@
     fn path_failed(&self, _target: &Target, _connection: ConnectionAge) {}
 
     /// Suspects a partition if no back end has answered for far too long. `usual_time` returns how
-    /// long answers take at most.
-    fn check_silence(&self, _usual_time: &dyn Fn() -> Duration) {}
+    /// long answers take at most, if that is known.
+    fn check_silence(&self, _usual_time: &dyn Fn() -> Option<Duration>) {}
 
     /// Returns whether this daemon can use the paths to all back ends.
     fn are_paths_open(&self) -> bool {
@@ -394,9 +394,14 @@
         CrashReferences::default()
     }
 
-    /// Called when the request is relayed to another daemon, which counts it.
+    /// Called when another daemon handles the request and counts it.
     fn relayed(&self, _matched: &Matched) {}
 
+    /// Returns the version of the catalog that decisions are based on.
+    fn catalog_version(&self) -> u64 {
+        0
+    }
+
     /// Decides whether the request may be sent again after `failure`, with `time_left` until its
     /// deadline. Takes the cost of the attempt from the budget.
     fn may_retry(
--- a/crates/coursestand-proxy/src/relay/headers.rs
+++ b/crates/coursestand-proxy/src/relay/headers.rs
@@ -12,6 +12,8 @@
 const TOKEN: HeaderName = HeaderName::from_static("coursestand-relay-token");
 /// Attempts that reached a back end before.
 const ATTEMPTS: HeaderName = HeaderName::from_static("coursestand-relay-attempts");
+/// Catalog version of the relaying daemon.
+const CATALOG: HeaderName = HeaderName::from_static("coursestand-relay-catalog");
 /// Name of the relaying daemon.
 const ORIGIN: HeaderName = HeaderName::from_static("coursestand-relay-origin");
 /// Outcome at the receiving daemon, in its answer.
@@ -27,6 +29,8 @@
     pub origin: String,
     /// Attempts that reached a back end before.
     pub attempts: u32,
+    /// Version of its catalog: an older one must not decide about the request.
+    pub catalog_version: u64,
 }
 
 impl RelayedRequest {
@@ -37,6 +41,7 @@
             headers.insert(TOKEN, token);
         }
         headers.insert(ATTEMPTS, HeaderValue::from(self.attempts));
+        headers.insert(CATALOG, HeaderValue::from(self.catalog_version));
         if let Some(origin) = text(&self.origin) {
             headers.insert(ORIGIN, origin);
         }
@@ -46,18 +51,20 @@
     pub fn take(token: u128, headers: &mut HeaderMap) -> Option<RelayedRequest> {
         let is_allowed = text_of(headers, &TOKEN) == Some(&format!("{token:032x}"));
         let attempts = text_of(headers, &ATTEMPTS).and_then(|text| text.parse().ok());
+        let catalog_version = text_of(headers, &CATALOG).and_then(|text| text.parse().ok());
         let origin = text_of(headers, &ORIGIN).unwrap_or_default().to_owned();
         RelayedRequest::remove(headers);
         Some(RelayedRequest {
             origin,
             attempts: attempts?,
+            catalog_version: catalog_version?,
         })
         .filter(|_| is_allowed)
     }
 
     /// Removes the headers, which callers have no use for.
     pub fn remove(headers: &mut HeaderMap) {
-        for name in [TOKEN, ATTEMPTS, ORIGIN, OUTCOME] {
+        for name in [TOKEN, ATTEMPTS, CATALOG, ORIGIN, OUTCOME] {
             headers.remove(name);
         }
     }
--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -710,9 +710,10 @@
         let Some(backend) = routing.backends.get(target.id()) else {
             return;
         };
-        let changes = routing
-            .paths
-            .note_answered(now, &backend.instance, connection);
+        let changes =
+            routing
+                .paths
+                .note_answered(now, target.chosen_at, &backend.instance, connection);
         drop(guard);
         self.state.apply_path_changes(&changes);
     }
@@ -737,10 +738,10 @@
         self.state.apply_path_changes(&changes);
     }
 
-    fn check_silence(&self, usual_time: &dyn Fn() -> Duration) {
+    fn check_silence(&self, usual_time: &dyn Fn() -> Option<Duration>) {
         let now = self.state.now();
         let mut routing = self.state.routing();
-        let usual_ms = || usual_time().as_millis() as Millis;
+        let usual_ms = || usual_time().map(|time| time.as_millis() as Millis);
         let change = routing.paths.check_silence(now, usual_ms);
         drop(routing);
         self.state.apply_path_changes(change.as_slice());
@@ -811,6 +812,10 @@
         }
     }
 
+    fn catalog_version(&self) -> u64 {
+        self.state.routing().catalog.version()
+    }
+
     fn relayed(&self, matched: &Matched) {
         let limits = self.state.bounds().retries;
         let mut routing = self.state.routing();
--- a/crates/coursestand-proxy/tests/relay.rs
+++ b/crates/coursestand-proxy/tests/relay.rs
@@ -7,8 +7,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use common::{Caller, Edge, RouteSettings};
+use common::{Caller, Edge, RouteSettings, catalog};
+use coursestand_catalog::Patch;
 use coursestand_discovery::{RelayEndpoint, RelayPeer};
+use coursestand_lab::items;
 use coursestand_lab::scripted::Behaviour;
 use coursestand_model::{RegionId, ZoneId};
 use coursestand_proxy::ProxyServer;
@@ -178,7 +180,7 @@
 async fn only_daemons_can_relay_requests() {
     let pair = Pair::start(GOOD).await;
     let token = format!("coursestand-relay-token: {:032x}\r\n", 7);
-    let attempts = "coursestand-relay-attempts: 0\r\n";
+    let attempts = "coursestand-relay-attempts: 0\r\ncoursestand-relay-catalog: 0\r\n";
     for headers in ["", attempts, &format!("{token}{attempts}")] {
         let status = send_forged(pair.relay_server.address(), headers).await;
         expect_that!(status, eq("HTTP/1.1 403"));
@@ -190,6 +192,29 @@
     expect_that!(status, eq("HTTP/1.1 200"));
 }
 
+/// Guards against a daemon with an old catalog that decides about a request of one with a newer
+/// catalog, whose callers rely on the newer one.
+#[gtest]
+#[tokio::test]
+async fn a_daemon_with_an_older_catalog_decides_nothing() {
+    let pair = Pair::start(GOOD).await;
+    let patch = Patch {
+        upserts: vec![items::service("later")],
+        removals: Vec::new(),
+    };
+    let mut newer = catalog(RouteSettings::default());
+    newer.merge(&patch, 2).expect("valid");
+    pair.partitioned.state.adopt_catalog(newer.delta(1));
+    let answer = pair.partitioned.request("/safe/a", "r").await;
+    expect_that!(answer.status, eq(503));
+    expect_that!(pair.other.runs_of("r"), eq(0));
+    pair.other.state.adopt_catalog(newer.delta(1));
+    // The other daemon gets no further requests for a moment.
+    tokio::time::sleep(Duration::from_millis(700)).await;
+    let answer = pair.partitioned.request("/safe/a", "again").await;
+    expect_that!(answer.status, eq(200));
+}
+
 /// Guards against requests that travel from one partitioned daemon to the next, and against
 /// callers that wait for a rejection.
 #[gtest]
--- a/crates/coursestand-routing/src/paths.rs
+++ b/crates/coursestand-routing/src/paths.rs
@@ -47,6 +47,10 @@
 const PROBES_BEFORE_ANY_TRIAL: u32 = 6;
 /// Successful rounds of probes after which a path opens without a trial: no request uses it.
 const PROBES_TO_OPEN: u32 = 8;
+/// First and longest time after a refuted suspicion in which no further one is raised: back ends
+/// that reset new connections under load look like a partition again and again.
+const FIRST_HOLD_OFF_MS: Millis = 1_000;
+const MAX_HOLD_OFF_MS: Millis = 16_000;
 /// Time after which a suspicion that probes have not confirmed ends.
 const SUSPICION_LIFETIME_MS: Millis = 10_000;
 
@@ -178,6 +182,8 @@
     /// Partitioned.
     Partitioned {
         since: Millis,
+        /// Whether only silence showed the partition, so that any answer refutes it.
+        by_silence: bool,
         next_probe_at: Millis,
         interval: Millis,
     },
@@ -240,6 +246,9 @@
     kept_failed: BTreeSet<u64>,
     /// Probe interval of the next partition: it grows while partitions follow each other.
     next_interval: Millis,
+    /// Until when no suspicion is raised, and the time that follows the next refuted one.
+    no_suspicion_before: Millis,
+    hold_off_ms: Millis,
 }
 
 impl Default for Scope {
@@ -250,12 +259,17 @@
             kept_answer_at: None,
             kept_failed: BTreeSet::new(),
             next_interval: FIRST_PROBE_INTERVAL_MS,
+            no_suspicion_before: 0,
+            hold_off_ms: FIRST_HOLD_OFF_MS,
         }
     }
 }
 
 impl Scope {
     fn suspect(&mut self, now: Millis) {
+        if now < self.no_suspicion_before {
+            return;
+        }
         self.state = State::Suspected {
             since: now,
             is_probed: false,
@@ -263,12 +277,21 @@
         };
     }
 
-    fn partition(&mut self, now: Millis) {
+    /// Ends a suspicion that probes have refuted.
+    fn refute(&mut self, now: Millis) {
+        self.open();
+        self.no_suspicion_before = now + self.hold_off_ms;
+        self.hold_off_ms = (self.hold_off_ms * 2).min(MAX_HOLD_OFF_MS);
+    }
+
+    fn partition(&mut self, now: Millis, by_silence: bool) {
+        self.hold_off_ms = FIRST_HOLD_OFF_MS;
         let since = self.state.partitioned_at().unwrap_or(now);
         let interval = self.next_interval;
         self.next_interval = (interval * 2).min(MAX_PROBE_INTERVAL_MS);
         self.state = State::Partitioned {
             since,
+            by_silence,
             next_probe_at: now + interval,
             interval,
         };
@@ -401,11 +424,12 @@
     }
 
     /// Suspects a partition if no back end has answered for far longer than usual although
-    /// requests wait at several. `usual_ms` returns how long an answer takes at most.
+    /// requests wait at several. `usual_ms` returns how long an answer takes at most, if that is
+    /// known: at the start of the traffic every object is new to its back end.
     pub fn check_silence(
         &mut self,
         now: Millis,
-        usual_ms: impl FnOnce() -> Millis,
+        usual_ms: impl FnOnce() -> Option<Millis>,
     ) -> Option<PathChange> {
         let (waiting_since, _) = *self.sent_since_answer.get(FAILURES_TO_SUSPECT - 1)?;
         let silent_ms = now.saturating_sub(waiting_since);
@@ -426,18 +450,20 @@
             }
             State::Suspected {
                 was_reached: true, ..
-            } if silent_ms >= usual_ms().max(2 * limit_ms) => self.partition_all(now),
+            } if usual_ms().is_some_and(|usual_ms| silent_ms >= usual_ms.max(2 * limit_ms)) => {
+                self.partition_all(now, true);
+            }
             _ => return None,
         }
         Some(self.change(now, PathScope::All))
     }
 
-    fn partition_all(&mut self, now: Millis) {
+    fn partition_all(&mut self, now: Millis, by_silence: bool) {
         self.scopes.retain(|scope, _| *scope == PathScope::All);
         self.scopes
             .entry(PathScope::All)
             .or_default()
-            .partition(now);
+            .partition(now, by_silence);
     }
 
     fn change(&self, now: Millis, scope: PathScope) -> PathChange {
@@ -450,10 +476,11 @@
         }
     }
 
-    /// Records an answer of a back end.
+    /// Records an answer of a back end to an attempt that was made at `started_at`.
     pub fn note_answered(
         &mut self,
         now: Millis,
+        started_at: Millis,
         instance: &Instance,
         connection: ConnectionAge,
     ) -> Vec<PathChange> {
@@ -470,18 +497,25 @@
                 continue;
             };
             let before = scope.state.name();
-            if connection == ConnectionAge::Kept {
+            // A connection that was new before the partition is a kept one since then.
+            let is_kept = connection == ConnectionAge::Kept
+                || scope
+                    .state
+                    .partitioned_at()
+                    .is_some_and(|at| started_at < at);
+            if is_kept {
                 scope.kept_answer_at = Some(now);
                 scope.kept_failed.clear();
             } else {
                 scope.failed.clear();
             }
             match &mut scope.state {
-                State::Suspected { was_reached, .. }
-                    if connection == ConnectionAge::New || *was_reached =>
-                {
-                    scope.open();
+                State::Suspected { was_reached, .. } if !is_kept || *was_reached => {
+                    scope.refute(now);
                 }
+                State::Partitioned {
+                    by_silence: true, ..
+                } => scope.open(),
                 State::Returning { answered_at, .. } => {
                     answered_at.get_or_insert(now);
                     if scope.state.share(now) >= 1.0 {
@@ -496,8 +530,11 @@
         }
         let changes = changed.into_iter().map(|name| self.change(now, name));
         let changes = changes.collect();
-        self.scopes
-            .retain(|_, scope| scope.state != State::Open || !scope.failed.is_empty());
+        self.scopes.retain(|_, scope| {
+            let is_held_off =
+                scope.no_suspicion_before > 0 && now < scope.no_suspicion_before + MAX_HOLD_OFF_MS;
+            scope.state != State::Open || !scope.failed.is_empty() || is_held_off
+        });
         changes
     }
 
@@ -542,7 +579,7 @@
                 } if started_at >= since => {
                     let is_half_open = answered_at.is_none();
                     if is_half_open || scope.failed.len() >= FAILURES_IN_RETURN {
-                        scope.partition(now);
+                        scope.partition(now, false);
                     }
                 }
                 _ => {}
@@ -571,7 +608,7 @@
             if let State::Suspected { since, .. } = scope.state
                 && now >= since + SUSPICION_LIFETIME_MS
             {
-                scope.open();
+                scope.refute(now);
             }
             let is_due = match &mut scope.state {
                 _ if is_all_pending && *name != PathScope::All => false,
@@ -619,20 +656,22 @@
         let before = scope.state;
         match (scope.state, outcome) {
             (State::Suspected { .. }, PathProbeOutcome::Unreached) => match name {
-                PathScope::All => self.partition_all(now),
-                _ => scope.partition(now),
+                PathScope::All => self.partition_all(now, false),
+                _ => scope.partition(now, false),
             },
             (State::Suspected { since, .. }, PathProbeOutcome::Reached) => {
                 scope.failed.clear();
-                scope.state = match name {
+                let is_waiting = !self.sent_since_answer.is_empty();
+                if *name == PathScope::All && is_waiting {
                     // Only continued silence is evidence from now on.
-                    PathScope::All if !self.sent_since_answer.is_empty() => State::Suspected {
+                    scope.state = State::Suspected {
                         since,
                         is_probed: true,
                         was_reached: true,
-                    },
-                    _ => State::Open,
-                };
+                    };
+                } else {
+                    scope.refute(now);
+                }
             }
             (State::Suspected { .. }, PathProbeOutcome::Inconclusive) => scope.open(),
             (State::Partitioned { since, .. }, PathProbeOutcome::Reached) => {
@@ -647,7 +686,7 @@
                     interval: FIRST_PROBE_INTERVAL_MS,
                 };
             }
-            (State::Returning { .. }, PathProbeOutcome::Unreached) => scope.partition(now),
+            (State::Returning { .. }, PathProbeOutcome::Unreached) => scope.partition(now, false),
             (State::Returning { .. }, PathProbeOutcome::Reached) => {
                 if let State::Returning { probed, .. } = &mut scope.state {
                     *probed += 1;
--- a/crates/coursestand-routing/tests/paths.rs
+++ b/crates/coursestand-routing/tests/paths.rs
@@ -113,7 +113,7 @@
         let now = 100 * round;
         fail(&mut paths, now, "s", "x", 2);
         let answering = instance("s", "x", 3);
-        paths.note_answered(now, &answering, ConnectionAge::New);
+        paths.note_answered(now, now, &answering, ConnectionAge::New);
     }
     expect_that!(probed_scopes(&mut paths, 1_000), is_empty());
 }
@@ -157,7 +157,7 @@
     let mut paths = Paths::default();
     fail(&mut paths, 100, "s", "x", 3);
     answer_probes(&mut paths, 100, &BTreeSet::from([PathScope::All]));
-    paths.note_answered(200, &instance("s", "x", 0), ConnectionAge::Kept);
+    paths.note_answered(200, 200, &instance("s", "x", 0), ConnectionAge::Kept);
     expect_that!(use_of(&paths, 250, "s", "y"), eq(PathUse::KeptConnections));
     expect_that!(use_of(&paths, 5_000, "s", "y"), eq(PathUse::Closed));
 }
@@ -170,17 +170,23 @@
     for number in 0..100 {
         let at = 1_000 + 20 * number;
         paths.note_sent(at, number);
-        paths.note_answered(at, &instance("s", "x", 0), ConnectionAge::Kept);
+        paths.note_answered(at, at, &instance("s", "x", 0), ConnectionAge::Kept);
     }
     for number in 0..3 {
         paths.note_sent(3_000, number);
     }
-    expect_that!(paths.check_silence(3_150, || USUAL_MS), none());
-    expect_that!(paths.check_silence(3_201, || USUAL_MS), some(anything()));
+    expect_that!(paths.check_silence(3_150, || Some(USUAL_MS)), none());
+    expect_that!(
+        paths.check_silence(3_201, || Some(USUAL_MS)),
+        some(anything())
+    );
     answer_probes(&mut paths, 3_201, &BTreeSet::new());
-    expect_that!(paths.check_silence(3_399, || USUAL_MS), none());
+    expect_that!(paths.check_silence(3_399, || Some(USUAL_MS)), none());
     expect_that!(use_of(&paths, 3_399, "s", "x"), eq(PathUse::Open));
-    expect_that!(paths.check_silence(3_401, || USUAL_MS), some(anything()));
+    expect_that!(
+        paths.check_silence(3_401, || Some(USUAL_MS)),
+        some(anything())
+    );
     expect_that!(use_of(&paths, 3_401, "s", "x"), eq(PathUse::Closed));
 }
 
@@ -191,10 +197,10 @@
     for number in 0..3 {
         paths.note_sent(1_000, number);
     }
-    paths.check_silence(1_400, || USUAL_MS);
+    paths.check_silence(1_400, || Some(USUAL_MS));
     answer_probes(&mut paths, 1_400, &BTreeSet::new());
-    paths.note_answered(1_500, &instance("s", "x", 0), ConnectionAge::Kept);
-    paths.check_silence(9_000, || USUAL_MS);
+    paths.note_answered(1_500, 1_500, &instance("s", "x", 0), ConnectionAge::Kept);
+    paths.check_silence(9_000, || Some(USUAL_MS));
     expect_that!(use_of(&paths, 9_000, "s", "x"), eq(PathUse::Open));
 }
 
@@ -212,7 +218,7 @@
     expect_that!(paths.take_trial(450, || true), eq(true));
     expect_that!(paths.take_trial(460, || true), eq(false));
     let answering = instance("s", "x", 0);
-    paths.note_answered(500, &answering, ConnectionAge::New);
+    paths.note_answered(500, 500, &answering, ConnectionAge::New);
     let share = |paths: &Paths, now| {
         let draws = (0..100).map(|draw| PathTicket {
             draw: f64::from(draw) / 100.0,
@@ -225,7 +231,7 @@
     expect_that!(share(&paths, 500), eq(13));
     expect_that!(share(&paths, 700), eq(25));
     expect_that!(share(&paths, 900), eq(50));
-    paths.note_answered(1_100, &answering, ConnectionAge::New);
+    paths.note_answered(1_100, 1_100, &answering, ConnectionAge::New);
     expect_that!(share(&paths, 1_100), eq(100));
     expect_that!(paths.are_open(), eq(true));
 }
@@ -274,9 +280,66 @@
     for number in 0..3 {
         paths.note_sent(1_000, number);
     }
-    paths.check_silence(1_400, || USUAL_MS);
+    paths.check_silence(1_400, || Some(USUAL_MS));
     answer_probes(&mut paths, 1_400, &BTreeSet::new());
     expect_that!(paths.are_open(), eq(false));
     answer_probes(&mut paths, 12_000, &BTreeSet::new());
     expect_that!(paths.are_open(), eq(true));
 }
+
+/// Guards against a daemon that takes the first, slow answers of a day for a partition.
+#[gtest]
+fn silence_shows_nothing_before_the_time_of_answers_is_known() {
+    let mut paths = Paths::default();
+    for number in 0..3 {
+        paths.note_sent(1_000, number);
+    }
+    paths.check_silence(1_400, || None);
+    answer_probes(&mut paths, 1_400, &BTreeSet::new());
+    paths.check_silence(9_000, || None);
+    expect_that!(use_of(&paths, 9_000, "s", "x"), eq(PathUse::Open));
+}
+
+/// Guards against a partition that silence seemed to show and that lasts although back ends
+/// answer.
+#[gtest]
+fn an_answer_refutes_a_partition_that_only_silence_showed() {
+    let mut paths = Paths::default();
+    for number in 0..3 {
+        paths.note_sent(1_000, number);
+    }
+    paths.check_silence(1_400, || Some(USUAL_MS));
+    answer_probes(&mut paths, 1_400, &BTreeSet::new());
+    paths.check_silence(9_000, || Some(USUAL_MS));
+    expect_that!(paths.is_all_affected(), eq(true));
+    paths.note_answered(9_100, 1_000, &instance("s", "x", 0), ConnectionAge::New);
+    expect_that!(paths.are_open(), eq(true));
+}
+
+/// Guards against connections from before a partition whose answers seem to show that new ones
+/// can be opened again.
+#[gtest]
+fn an_answer_on_a_connection_from_before_the_partition_opens_nothing() {
+    let mut paths = Paths::default();
+    fail(&mut paths, 100, "s", "x", 3);
+    answer_probes(&mut paths, 100, &BTreeSet::from([PathScope::All]));
+    paths.note_answered(200, 50, &instance("s", "x", 0), ConnectionAge::New);
+    expect_that!(use_of(&paths, 250, "s", "y"), eq(PathUse::KeptConnections));
+}
+
+/// Guards against probes in every moment while back ends reset new connections under load.
+#[gtest]
+fn refuted_suspicions_become_rare() {
+    let mut paths = Paths::default();
+    let mut probes = 0;
+    for now in (0..60_000).step_by(100) {
+        fail(&mut paths, now, "s", "x", 3);
+        let due = probed_scopes(&mut paths, now);
+        probes += due.len();
+        for scope in due {
+            paths.note_probe(now, &scope, PathProbeOutcome::Reached);
+        }
+    }
+    // Three scopes, after 1 s, 2 s, 4 s, 8 s and then every 16 s.
+    expect_that!(probes, le(3 * 8));
+}
