--- a/crates/coursestand-proxy/src/router.rs
+++ b/crates/coursestand-proxy/src/router.rs
@@ -7,7 +7,6 @@
 use coursestand_model::{BackendId, ServiceId};
 use coursestand_routing::backends::ProbeOutcome;
 use coursestand_routing::hash::{combine, hash_of};
-use coursestand_routing::paths::DueProbe;
 use coursestand_routing::picker::SentRequest;
 use coursestand_routing::rate_limit::{
     AccessMode, FallbackShare, LimitChange, RateLimitSignal, Reading, TOKEN_LIFETIME_MS,
@@ -21,11 +20,11 @@
 
 use coursestand_model::Millis;
 use http::Method;
-use rand::seq::{IteratorRandom, SliceRandom};
 use tokio::sync::{oneshot, watch};
 
 use crate::answer::Reason;
 use crate::edge_state::{EdgeState, RoutingState};
+use crate::path_probing::{crash_references, instances_to_probe};
 use crate::phases::{
     AttemptEnding, AttemptFailure, Attempts, CrashReferences, Matched, PathProbe, PendingToken,
     RequestHead, RequestPhases, Target,
@@ -38,14 +37,6 @@
 /// A retry with less time left than this cannot succeed.
 const MIN_TIME_TO_RETRY: Duration = Duration::from_millis(20);
 
-/// Back ends that are probed to find out whether this daemon is partitioned: many, since most
-/// back ends of the scope may have crashed.
-const BACKENDS_PER_SUSPICION: usize = 16;
-/// Back ends that are probed to find out whether a partition has ended.
-const BACKENDS_PER_PARTITION: usize = 3;
-/// Back ends of each kind that are probed when one seems to have crashed.
-const REFERENCES_OF_A_KIND: usize = 2;
-
 /// Time within which a starting daemon receives the crash records.
 const SYNC_RETRY_DELAY_MS: Millis = 1_000;
 
@@ -235,39 +226,6 @@
     }
 }
 
-/// Returns `count` back ends of a scope to probe: of different zones and services as far as possible, and
-/// those that have not failed first.
-fn instances_to_probe(
-    routing: &RoutingState,
-    now: Millis,
-    due: &DueProbe,
-    count: usize,
-) -> Vec<Instance> {
-    let DueProbe { scope, failed, .. } = due;
-    let in_scope = routing
-        .backends
-        .iter()
-        .filter(|backend| backend.is_ready() && scope.contains(&backend.instance));
-    let mut candidates: Vec<&Backend> = in_scope.collect();
-    candidates.shuffle(&mut rand::rng());
-    candidates.sort_by_key(|backend| {
-        failed.contains(&backend.incarnation_hash) || backend.is_ejected(now)
-    });
-    let mut chosen: Vec<&Instance> = Vec::new();
-    for is_distinct in [true, false] {
-        for candidate in candidates.iter().map(|backend| &backend.instance) {
-            let is_excluded = chosen.iter().any(|other| match is_distinct {
-                true => other.zone == candidate.zone && other.service == candidate.service,
-                false => other.id == candidate.id,
-            });
-            if chosen.len() < count && !is_excluded {
-                chosen.push(candidate);
-            }
-        }
-    }
-    chosen.into_iter().cloned().collect()
-}
-
 /// Returns why a request that may have crashed back ends is refused, or `Ok` if it may be sent.
 fn suspect_verdict(
     routing: &RoutingState,
@@ -771,15 +729,9 @@
         let now = self.state.now();
         let mut routing = self.state.routing();
         let due = routing.paths.take_due_probes(now);
-        let probes = due.into_iter().map(|due| {
-            let count = match due.is_suspected {
-                true => BACKENDS_PER_SUSPICION,
-                false => BACKENDS_PER_PARTITION,
-            };
-            PathProbe {
-                instances: instances_to_probe(&routing, now, &due, count),
-                scope: due.scope,
-            }
+        let probes = due.into_iter().map(|due| PathProbe {
+            instances: instances_to_probe(&routing, now, &due),
+            scope: due.scope,
         });
         probes.collect()
     }
@@ -791,25 +743,7 @@
     }
 
     fn crash_references(&self, target: &Target) -> CrashReferences {
-        let now = self.state.now();
-        let routing = self.state.routing();
-        let sample = |is_reference: &dyn Fn(&Instance) -> bool| {
-            let sound = routing
-                .backends
-                .iter()
-                .filter(|backend| backend.instance.id != *target.id() && !backend.is_ejected(now));
-            let references = sound.map(|backend| &backend.instance);
-            references
-                .filter(|instance| is_reference(instance))
-                .cloned()
-                .sample(&mut rand::rng(), REFERENCES_OF_A_KIND)
-        };
-        let (service, zone) = (&target.service, &target.zone);
-        CrashReferences {
-            near: sample(&|other| other.service == *service && other.zone == *zone),
-            service: sample(&|other| other.service == *service && other.zone != *zone),
-            zone: sample(&|other| other.service != *service && other.zone == *zone),
-        }
+        crash_references(&self.state.routing(), self.state.now(), target)
     }
 
     fn catalog_version(&self) -> u64 {
