Show that a planned replacement and two lost disks end the control group for good

After a machine of the core was replaced as planned, the group counts the one that is gone as a voter for three seconds. If two others lose their disks then, which is within the tolerance, no leader is ever elected again and the configuration can't be read back.

--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -65,6 +65,7 @@
         self.folder = tempfile.mkdtemp(prefix="coursestand-review-")
         self.children = {}
         self.starts = {}
+        self.disks = {}
         zones = control_zones or ("in-kempton", "ec-ballito", "cs-paarl", "in-sandton", "ec-hillcrest")
         self.controls = {"c%d" % (i + 1): (self.ip(i + 1), zones[i % len(zones)]) for i in range(controls)}
         self.edges = {"e%d" % (i + 1): (self.ip(11 + i), edge_zones[i % len(edge_zones)]) for i in range(edges)}
@@ -84,6 +85,14 @@
     def front_address(self, name):
         return self.edges[name][0], 8548
 
+    def data_folder(self, name):
+        return os.path.join(self.folder, "%s-disk-%d" % (name, self.disks.get(name, 1)))
+
+    def lose_disk(self, name):
+        """From its next start on, the process has an empty disk."""
+        self.disks[name] = self.disks.get(name, 1) + 1
+        self.record.write("the disk of %s is lost" % name)
+
     def settings(self, name):
         """Fills the project's template as the platform does."""
         is_control = name in self.controls
@@ -94,7 +103,7 @@
             "Bootstrap": "true" if self.bootstrap else "false",
             "Listen.Control": "%s:8544" % ip, "Listen.Directory": "%s:8546" % ip,
             "Listen.Front": "%s:8548" % ip, "Listen.Ready": "%s:8542" % ip,
-            "DataDir": os.path.join(self.folder, name), "Limits.LinkMbps": "1000.0",
+            "DataDir": self.data_folder(name), "Limits.LinkMbps": "1000.0",
             "FaultTolerance.Machines": str(self.lost_disks), "Heartbeat": "1500ms",
         }
         fields.update({"Bounds." + key: str(value) for key, value in BOUNDS.items()})
@@ -106,7 +115,7 @@
 
     def start(self, name):
         if name in self.controls:
-            os.makedirs(os.path.join(self.folder, name), exist_ok=True)
+            os.makedirs(self.data_folder(name), exist_ok=True)
         path = os.path.join(self.folder, name + ".json")
         with open(path, "w") as file:
             file.write(self.settings(name))
