--- a/review/4/case.py
+++ b/review/findings/drain-not-applied/case.py
@@ -4,7 +4,7 @@
 import asyncio, os, sys, time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(HERE)), "lib"))
 import fleet as stand_ins
 from fleet import *
 
