Log each order that a control process receives, and each change of a zone's evacuation

An operator who finds a zone open that he evacuated could not see from the logs which order opened it: 'order answered' named neither the order nor its direction, and an order whose caller had left was not logged at all. Now each control process logs an order when it has read it, with whether it leads, and again when it is answered; each replica logs a zone whose evacuation changes, with the log index of the change and of the one that it replaced.

No decision changes.

--- a/crates/coursestand-catalog/src/catalog.rs
+++ b/crates/coursestand-catalog/src/catalog.rs
@@ -137,6 +137,11 @@
         self.version = self.version.max(index);
     }
 
+    /// Returns the evacuation state of a zone, or `None` if it was never evacuated.
+    pub fn evacuation(&self, zone: &ZoneId) -> Option<Evacuation> {
+        self.evacuations.get(zone).copied()
+    }
+
     /// Returns whether a zone is evacuated.
     pub fn is_evacuated(&self, zone: &ZoneId) -> bool {
         self.evacuations
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -498,7 +498,10 @@
             let (answer, needs_more_copies) = match &entry.payload {
                 Payload::Empty | Payload::Membership(_) => (CommandAnswer::Done, false),
                 Payload::Command(bytes) => match postcard::from_bytes(bytes) {
-                    Ok(stamped) => (state.apply(entry.index, &stamped), needs_more_copies),
+                    Ok(stamped) => {
+                        let answer = apply_command(&mut state, &entry, &stamped);
+                        (answer, needs_more_copies)
+                    }
                     Err(failure) => {
                         let answer = CommandAnswer::Refused(failure.to_string());
                         (answer, needs_more_copies)
@@ -597,3 +600,22 @@
         });
     }
 }
+
+/// Applies a committed command, and logs it if it changes whether a zone is evacuated.
+fn apply_command(
+    state: &mut ControlState,
+    entry: &Entry,
+    stamped: &StampedCommand,
+) -> CommandAnswer {
+    let Command::Evacuate { zone, is_active } = &stamped.command else {
+        return state.apply(entry.index, stamped);
+    };
+    let replaced = state.catalog().evacuation(zone);
+    let answer = state.apply(entry.index, stamped);
+    if replaced.is_some_and(|replaced| replaced.is_active) != *is_active {
+        info!(target: LOG, zone = zone.as_str(), is_active = *is_active, index = entry.index,
+            term = entry.term, replaced_index = replaced.map_or(0, |replaced| replaced.changed);
+            "the evacuation of a zone changed");
+    }
+    answer
+}
--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -247,6 +247,9 @@
     /// Commits a command on this replica, or through the leader.
     async fn commit(&self, command: Command) -> Response {
         let started = Instant::now();
+        info!(target: LOG, order = describe(&command),
+            leads = self.control.shared.leading_term().is_some();
+            "order received");
         let deadline = started + CALL_TIMEOUT;
         let items = item_count(&command);
         let answer = loop {
@@ -258,7 +261,7 @@
             tokio::time::sleep(RETRY_DELAY).await;
         };
         info!(target: LOG, took_ms = started.elapsed().as_millis() as u64, items = items,
-            answer:? = answer;
+            order = describe(&command), answer:? = answer;
             "order answered");
         match answer {
             Answer::Command(CommandAnswer::Done) => {
@@ -354,3 +357,18 @@
         _ => 0,
     }
 }
+
+/// Describes an order for the logs.
+fn describe(command: &Command) -> String {
+    match command {
+        Command::Evacuate {
+            zone,
+            is_active: true,
+        } => format!("evacuate zone {zone}"),
+        Command::Evacuate {
+            zone,
+            is_active: false,
+        } => format!("end the evacuation of zone {zone}"),
+        _ => "change the catalog".to_owned(),
+    }
+}
