List the evacuated zones in the dump of a control process

The dump told only the version of the catalog, so an operator could not see at a control process whether it holds a zone as evacuated, nor since which entry of the log.

--- a/crates/coursestand-catalog/src/catalog.rs
+++ b/crates/coursestand-catalog/src/catalog.rs
@@ -142,6 +142,11 @@
         self.evacuations.get(zone).copied()
     }
 
+    /// Iterates over the zones that were ever evacuated, with their state.
+    pub fn evacuations(&self) -> impl Iterator<Item = (&ZoneId, &Evacuation)> {
+        self.evacuations.iter()
+    }
+
     /// Returns whether a zone is evacuated.
     pub fn is_evacuated(&self, zone: &ZoneId) -> bool {
         self.evacuations
--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -209,11 +209,22 @@
         let Some(mesh) = self.mesh() else {
             return Value::Null;
         };
-        let catalog_version = mesh.control.shared.state().catalog().version();
+        let catalog = mesh.control.shared.state().shared_catalog();
+        let evacuations: Vec<Value> = catalog
+            .evacuations()
+            .map(|(zone, evacuation)| {
+                json!({
+                    "zone": zone,
+                    "is_active": evacuation.is_active,
+                    "changed_at_index": evacuation.changed,
+                })
+            })
+            .collect();
         json!({
             "replica": mesh.control.shared.status(),
             "leading_term": mesh.control.shared.leading_term(),
-            "catalog_version": catalog_version,
+            "catalog_version": catalog.version(),
+            "evacuations": evacuations,
             "soft_state": mesh.hub.dump(),
             "requests_that_end_back_ends": mesh.hub.crash_record_views(),
             "rate_limits": mesh.hub.token_bucket_views(),
