Carry out an order only if its caller still waits for it

Operators saw a zone that they had evacuated get requests again: a suspended control process carried out, when it continued, an order that its operator had given up seconds before, had got acknowledged elsewhere, and had since reversed. In the mirror a sound zone got no requests for good.

Cause: a process proposed whatever it read, whenever it read it, and orders without versions are ordered only by when they are committed. Ruled out: a proposal from before the suspension, and daemons that apply changes in the wrong order.

A process now notes a fence (how far the log is applied), then looks at the caller, and proposes the order with the fence; the leader appends it only if its whole log has no later order that concerns the same. Whatever the operator sends after it left is proposed after the look, so its index is above the fence; and the entries before an entry are the same wherever it is committed. Orders without a version whose caller may have left without a sign are answered 307 with the revision to confirm.

Same cause elsewhere: a change of the catalog that was refused and given up came into force once it had become valid; the same fence covers it.

--- a/crates/coursestand-catalog/src/catalog.rs
+++ b/crates/coursestand-catalog/src/catalog.rs
@@ -137,6 +137,11 @@
         self.version = self.version.max(index);
     }
 
+    /// Returns the index of the change that set an item to its version, or 0 if it was never set.
+    pub fn changed_at(&self, key: &ItemKey) -> ChangeIndex {
+        self.items.get(key).map_or(0, |entry| entry.changed)
+    }
+
     /// Returns the evacuation state of a zone, or `None` if it was never evacuated.
     pub fn evacuation(&self, zone: &ZoneId) -> Option<Evacuation> {
         self.evacuations.get(zone).copied()
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -12,7 +12,7 @@
     ReplicaId, Restored, Snapshot, Storage, StorageError,
 };
 use coursestand_coordination::command::StampedCommand;
-use coursestand_coordination::{Command, CommandAnswer, ControlState};
+use coursestand_coordination::{Command, CommandAnswer, ControlState, OrderFence, OrderHistory};
 use coursestand_kernel::clock::wall_ms;
 use log::{error, info, warn};
 use snafu::ResultExt;
@@ -73,6 +73,8 @@
     writing: Option<PendingWrite>,
     /// Proposals without an answer.
     proposals: Proposals,
+    /// When each part of the catalog was last ordered.
+    orders: OrderHistory,
 }
 
 /// A write in progress on the log writer's thread.
@@ -171,6 +173,7 @@
             self.restore(&restored.snapshot);
         }
         let entries = restored.entries.len();
+        let orders = OrderHistory::after_snapshot(restored.snapshot.index);
         let config = Config::new(identity.replica, rand::random());
         let replica = Replica::new(config, restored, now);
         info!(
@@ -187,6 +190,7 @@
             writer: LogWriter::start(log).context(ThreadSnafu)?,
             writing: None,
             proposals: Proposals::default(),
+            orders,
         };
         self.shared.set_log_extent(group.log_extent());
         self.group = Some(group);
@@ -271,9 +275,14 @@
                     group.replica.step(now, from, message);
                 }
             }
-            Event::Propose { command, reply } => self.propose_command(*command, reply),
+            Event::Propose {
+                command,
+                fence,
+                reply,
+            } => self.propose_command(*command, fence, reply),
             Event::ChangeMembers { next, reply } => {
-                self.propose(Payload::Membership(next), reply);
+                // Only orders need the index.
+                let _ = self.propose(Payload::Membership(next), reply);
             }
             Event::Join {
                 identity,
@@ -320,18 +329,35 @@
     }
 
     /// Stamps a command with the replicated clock and the wall clock, and proposes it.
-    fn propose_command(&mut self, command: Command, reply: ProposalReply) {
+    fn propose_command(
+        &mut self,
+        command: Command,
+        fence: Option<OrderFence>,
+        reply: ProposalReply,
+    ) {
         let Some(clock) = self.shared.replicated_clock() else {
             let _ = reply.send(Err(ControlError::NotLeader));
             return;
         };
+        if let Some(fence) = fence
+            && let Err(failure) = self.check_fence(&command, fence)
+        {
+            let _ = reply.send(Err(failure));
+            return;
+        }
         let stamped = StampedCommand {
             clock,
             wall_ms: wall_ms(),
             command,
         };
         match postcard::to_stdvec(&stamped) {
-            Ok(bytes) => self.propose(Payload::Command(bytes.into()), reply),
+            Ok(bytes) => {
+                let appended = self.propose(Payload::Command(bytes.into()), reply);
+                if let (Some(index), Some(group)) = (appended, &mut self.group) {
+                    let term = group.replica.term();
+                    group.orders.note_appended(term, index, &stamped.command);
+                }
+            }
             Err(failure) => {
                 let answer = CommandAnswer::Refused(failure.to_string());
                 let _ = reply.send(Ok(answer));
@@ -339,19 +365,41 @@
         }
     }
 
-    fn propose(&mut self, payload: Payload, reply: ProposalReply) {
+    /// Fails if something that the command concerns was ordered after `fence`, according to the
+    /// whole log of this leader.
+    fn check_fence(&mut self, command: &Command, fence: OrderFence) -> Result<(), ControlError> {
+        let now = self.shared.clock.now();
+        let group = self.group.as_mut().ok_or(ControlError::NotJoined)?;
+        // With the lease, all entries of earlier terms are applied.
+        if !group.replica.holds_lease(now) {
+            return Err(ControlError::NotLeader);
+        }
+        let term = group.replica.term();
+        let state = self.shared.state();
+        if group.orders.permits(term, command, fence, state.catalog()) {
+            return Ok(());
+        }
+        Err(ControlError::Superseded {
+            applied: group.applied,
+        })
+    }
+
+    /// Returns the index at which the proposal was appended to the log, if it was.
+    fn propose(&mut self, payload: Payload, reply: ProposalReply) -> Option<LogIndex> {
         let now = self.shared.clock.now();
         let Some(group) = &mut self.group else {
             let _ = reply.send(Err(ControlError::NotJoined));
-            return;
+            return None;
         };
         match group.replica.propose(now, payload).context(ProposeSnafu) {
             Ok(index) => {
                 let term = group.replica.term();
                 group.proposals.add(index, term, reply);
+                Some(index)
             }
             Err(failure) => {
                 let _ = reply.send(Err(failure));
+                None
             }
         }
     }
@@ -453,6 +501,9 @@
         if let Some(snapshot) = &ready.snapshot
             && self.restore(snapshot)
         {
+            if let Some(group) = &mut self.group {
+                group.orders = OrderHistory::after_snapshot(snapshot.index);
+            }
             self.set_applied(snapshot.index);
         }
     }
@@ -500,6 +551,7 @@
                 Payload::Command(bytes) => match postcard::from_bytes(bytes) {
                     Ok(stamped) => {
                         let answer = apply_command(&mut state, &entry, &stamped);
+                        group.orders.note_applied(entry.index, &stamped.command);
                         (answer, needs_more_copies)
                     }
                     Err(failure) => {
--- a/crates/coursestand-daemon/src/control/error.rs
+++ b/crates/coursestand-daemon/src/control/error.rs
@@ -60,6 +60,12 @@
     /// It is unknown whether the proposal was committed.
     #[snafu(display("leadership was lost before the change was known to be committed"))]
     LeadershipLost,
+    /// Something that the order concerns was ordered after its fence. The order has no effect.
+    #[snafu(display("a later order concerns the same; this one was not carried out"))]
+    Superseded {
+        /// Index up to which the leader has applied the log.
+        applied: u64,
+    },
     /// The replica has stopped.
     #[snafu(display("this replica has stopped"))]
     Stopped,
--- a/crates/coursestand-daemon/src/control/event.rs
+++ b/crates/coursestand-daemon/src/control/event.rs
@@ -1,7 +1,7 @@
 //! Events that the driver of a replica handles.
 
 use coursestand_consensus::{Membership, Message, ReplicaId};
-use coursestand_coordination::{Command, CommandAnswer};
+use coursestand_coordination::{Command, CommandAnswer, OrderFence};
 use tokio::sync::oneshot;
 
 use crate::control::error::ControlError;
@@ -23,6 +23,8 @@
     Propose {
         /// The command.
         command: Box<Command>,
+        /// If set, the command is proposed only if nothing that it concerns was ordered since.
+        fence: Option<OrderFence>,
         /// Receives the answer once the command is committed and applied.
         reply: ProposalReply,
     },
--- a/crates/coursestand-daemon/src/control/handle.rs
+++ b/crates/coursestand-daemon/src/control/handle.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use coursestand_consensus::Membership;
-use coursestand_coordination::{Command, CommandAnswer};
+use coursestand_coordination::{Command, CommandAnswer, OrderFence};
 use tokio::sync::{Notify, oneshot};
 
 use crate::control::error::ControlError;
@@ -41,12 +41,23 @@
 
     /// Proposes a command. Returns once it is committed and applied on this replica.
     pub async fn propose(&self, command: Command) -> Result<CommandAnswer, ControlError> {
+        self.propose_fenced(command, None).await
+    }
+
+    /// Proposes a command if nothing that it concerns was ordered after `fence`; otherwise fails
+    /// with [`ControlError::Superseded`]. Returns once it is committed and applied on this replica.
+    pub async fn propose_fenced(
+        &self,
+        command: Command,
+        fence: Option<OrderFence>,
+    ) -> Result<CommandAnswer, ControlError> {
         if self.shared.leading_term().is_none() {
             return Err(ControlError::NotLeader);
         }
         let (reply, answer) = oneshot::channel();
         self.deliver(Event::Propose {
             command: Box::new(command),
+            fence,
             reply,
         })?;
         answer.await.map_err(|_| ControlError::Stopped)?
--- a/crates/coursestand-daemon/src/control/operators.rs
+++ b/crates/coursestand-daemon/src/control/operators.rs
@@ -373,7 +373,9 @@
 fn error_response(error: &ControlError) -> Response {
     let status = match error {
         ControlError::NotLeader | ControlError::Propose { .. } => StatusCode::MISDIRECTED_REQUEST,
-        ControlError::AlreadyJoined { .. } => StatusCode::CONFLICT,
+        ControlError::AlreadyJoined { .. } | ControlError::Superseded { .. } => {
+            StatusCode::CONFLICT
+        }
         ControlError::LeadershipLost | ControlError::Stopped | ControlError::NotJoined => {
             StatusCode::SERVICE_UNAVAILABLE
         }
--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -6,37 +6,34 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
-use coursestand_coordination::{Command, CommandAnswer};
+use coursestand_coordination::{Command, OrderFence};
 use coursestand_dialect::{Call, Dialect, Reply};
 use coursestand_discovery::LookupClient;
+use coursestand_kernel::connections::CallerConnections;
 use coursestand_kernel::http::HttpServer;
-use coursestand_kernel::{Registry, Service, ServiceError};
+use coursestand_kernel::suspension::SuspensionWatch;
+use coursestand_kernel::{Registry, Service, ServiceError, Tasks};
 use coursestand_model::fleet::FleetSettings;
 use coursestand_model::{Millis, RegionId, ZoneId};
 use log::info;
-use poem::http::header::{CONTENT_LENGTH, RETRY_AFTER};
+use poem::http::header::{CONTENT_LENGTH, LOCATION, RETRY_AFTER};
 use poem::http::{HeaderValue, StatusCode};
 use poem::{Request, Response};
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
-use crate::control::handle::ControlHandle;
 use crate::fleet::call_body::{BodyError, CallBodies};
 use crate::fleet::catalog_reads::{CatalogReads, EncodedCatalog, ReadError};
 use crate::fleet::control_service::ControlMesh;
 use crate::fleet::hub::{Hub, NotReplicated};
-use crate::fleet::listener::propose;
-use crate::fleet::peer_links::{AskError, PeerLinks};
-use crate::fleet::wire::{Answer, Question};
+use crate::fleet::orders::{Order, OrderOutcome, Orders};
 use crate::names;
 
 const LOG: &str = "control";
 /// Time for calls in flight to finish at a planned stop.
 const SHUTDOWN_GRACE: Duration = Duration::from_millis(500);
-/// Timeout of a call, including the wait for a leader.
-const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
-/// Delay before a request to the leader is retried.
-const RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Timeout of a read, including the wait for a leader.
+const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time after which a call that was refused for others in progress may be repeated.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Divisor of the time of a planned stop: clients may use a look-up for three times its
@@ -58,13 +55,14 @@
     settings: FleetSettings,
     dialect: Arc<dyn Dialect>,
     servers: Mutex<Vec<HttpServer>>,
+    tasks: Tasks,
 }
 
 struct ApiHandler {
     mesh: Arc<ControlMesh>,
-    control: Arc<ControlHandle>,
     hub: Arc<Hub>,
-    links: Arc<PeerLinks>,
+    orders: Orders,
+    connections: Arc<CallerConnections>,
     reads: CatalogReads,
     bodies: CallBodies,
     dialect: Arc<dyn Dialect>,
@@ -80,6 +78,7 @@
             settings,
             dialect,
             servers: Mutex::default(),
+            tasks: Tasks::default(),
         }
     }
 }
@@ -96,10 +95,14 @@
         let Some(control) = &self.settings.control else {
             return Err(failed(&"the process has no control role"));
         };
+        let clock = mesh.control.shared.clock;
+        let suspensions = Arc::new(SuspensionWatch::new(clock));
+        let connections = Arc::new(CallerConnections::new(clock, Arc::clone(&suspensions)));
+        self.tasks.start(async move { suspensions.run().await });
         let handler = Arc::new(ApiHandler {
-            control: Arc::clone(&mesh.control),
             hub: Arc::clone(&mesh.hub),
-            links: Arc::clone(&mesh.links),
+            orders: Orders::new(Arc::clone(&mesh.control), Arc::clone(&mesh.links)),
+            connections: Arc::clone(&connections),
             mesh: Arc::clone(&mesh),
             reads: CatalogReads::new(
                 Arc::clone(&mesh.control),
@@ -117,9 +120,14 @@
                 let handler = Arc::clone(&handler);
                 async move { handler.answer(request).await }
             });
-            let server = HttpServer::start(address, endpoint, SHUTDOWN_GRACE)
-                .await
-                .map_err(|error| failed(&error))?;
+            let server = HttpServer::start_tracking(
+                address,
+                endpoint,
+                SHUTDOWN_GRACE,
+                Arc::clone(&connections),
+            )
+            .await
+            .map_err(|error| failed(&error))?;
             self.servers
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
@@ -141,6 +149,7 @@
     }
 
     async fn stop(&self) {
+        self.tasks.abort();
         let mut servers = self.servers.lock().unwrap_or_else(PoisonError::into_inner);
         for server in servers.drain(..) {
             server.abort();
@@ -180,13 +189,13 @@
             Ok(body) => body,
             Err(error) => return Ok(self.refuse_body(&error)),
         };
-        let client = client_address(&request);
+        let connection = ConnectionAddresses::of(&request);
         let parsed = self
             .dialect
             .parse(request.method(), request.original_uri(), &body.bytes);
         drop(body.bytes);
         let response = match parsed {
-            Ok(call) => self.execute(call, client).await,
+            Ok(call) => self.execute(call, connection).await,
             Err(error) => {
                 self.mesh.metrics.refused.inc();
                 info!(target: LOG, path = request.original_uri().path(); "a call is refused: {error}");
@@ -196,11 +205,25 @@
         Ok(response)
     }
 
-    async fn execute(&self, call: Call, client: IpAddr) -> Response {
+    async fn execute(&self, call: Call, connection: ConnectionAddresses) -> Response {
         let _in_progress = self.mesh.metrics.start_call(kind_of(&call));
         match call {
-            Call::PatchCatalog(patch) => self.commit(Command::PatchCatalog(patch)).await,
-            Call::Evacuate { zone, is_active } => self.evacuate(zone, is_active).await,
+            Call::PatchCatalog(patch) => {
+                let order = self.order(Command::PatchCatalog(patch), None, connection);
+                self.carry_out(order, connection).await
+            }
+            Call::Evacuate {
+                zone,
+                is_active,
+                revision,
+            } => {
+                if !self.zones.contains_key(&zone) {
+                    return self.refuse_zone(&zone);
+                }
+                let command = Command::Evacuate { zone, is_active };
+                let order = self.order(command, revision.map(OrderFence), connection);
+                self.carry_out(order, connection).await
+            }
             Call::ReadCatalog => self.read().await,
             Call::Heartbeat(update) => {
                 self.mesh.metrics.heartbeats.inc();
@@ -212,7 +235,7 @@
             Call::Lookup { region, zone } => self.lookup(&LookupClient {
                 region: &region,
                 zone: &zone,
-                address: client,
+                address: connection.remote.ip(),
             }),
             Call::Ready => done(),
         }
@@ -235,71 +258,64 @@
         respond(StatusCode::OK, self.dialect.lookup(&addresses, self.ttl))
     }
 
-    async fn evacuate(&self, zone: ZoneId, is_active: bool) -> Response {
-        if !self.zones.contains_key(&zone) {
-            let known: Vec<&str> = self.zones.keys().map(ZoneId::as_str).collect();
-            let reason = format!("unknown zone `{zone}`, allowed: {}", known.join(", "));
-            return refuse(StatusCode::NOT_FOUND, reason);
+    fn refuse_zone(&self, zone: &ZoneId) -> Response {
+        let known: Vec<&str> = self.zones.keys().map(ZoneId::as_str).collect();
+        let reason = format!("unknown zone `{zone}`, allowed: {}", known.join(", "));
+        refuse(StatusCode::NOT_FOUND, reason)
+    }
+
+    fn order(
+        &self,
+        command: Command,
+        confirmed: Option<OrderFence>,
+        connection: ConnectionAddresses,
+    ) -> Order {
+        Order {
+            command,
+            confirmed,
+            caller: connection.remote,
+            connection: self.connections.find(connection.local, connection.remote),
         }
-        self.commit(Command::Evacuate { zone, is_active }).await
     }
 
-    /// Commits a command on this replica, or through the leader.
-    async fn commit(&self, command: Command) -> Response {
-        let started = Instant::now();
-        info!(target: LOG, order = describe(&command),
-            leads = self.control.shared.leading_term().is_some();
-            "order received");
-        let deadline = started + CALL_TIMEOUT;
-        let items = item_count(&command);
-        let answer = loop {
-            let answer = self.propose_once(&command, deadline).await;
-            let is_final = !matches!(answer, Answer::NotLeader);
-            if is_final || Instant::now() + RETRY_DELAY >= deadline {
-                break answer;
-            }
-            tokio::time::sleep(RETRY_DELAY).await;
-        };
-        info!(target: LOG, took_ms = started.elapsed().as_millis() as u64, items = items,
-            order = describe(&command), answer:? = answer;
-            "order answered");
-        match answer {
-            Answer::Command(CommandAnswer::Done) => {
-                self.mesh.metrics.orders.inc();
-                done()
-            }
-            Answer::Command(CommandAnswer::Refused(reason)) => {
-                refuse(StatusCode::BAD_REQUEST, reason)
+    async fn carry_out(&self, order: Order, connection: ConnectionAddresses) -> Response {
+        let outcome = self.orders.carry_out(&order).await;
+        self.mesh.metrics.count_order(&outcome);
+        match outcome {
+            OrderOutcome::Done => done(),
+            OrderOutcome::Refused(reason) => refuse(StatusCode::BAD_REQUEST, reason),
+            OrderOutcome::CallerLeft => unavailable("the caller has closed the connection"),
+            OrderOutcome::Unavailable(reason) => unavailable(&reason),
+            OrderOutcome::Unconfirmed(revision) => {
+                self.redirect_to_confirm(&order.command, revision, connection)
             }
-            Answer::NotLeader => unavailable("no leader is known"),
-            Answer::Unknown(reason) => unavailable(&reason),
-            _ => unavailable("unexpected answer from the leader"),
         }
     }
 
-    async fn propose_once(&self, command: &Command, deadline: Instant) -> Answer {
-        if self.control.shared.leading_term().is_some() {
-            let proposing = propose(&self.control, command.clone());
-            return match tokio::time::timeout_at(deadline, proposing).await {
-                Ok(answer) => answer,
-                Err(_) => Answer::Unknown("not committed before the deadline".to_owned()),
-            };
-        }
-        let Some(leader) = self.control.shared.leader_address() else {
-            return Answer::NotLeader;
+    /// Redirects the caller to the same order for a revision.
+    fn redirect_to_confirm(
+        &self,
+        command: &Command,
+        revision: OrderFence,
+        connection: ConnectionAddresses,
+    ) -> Response {
+        let Command::Evacuate { zone, is_active } = command else {
+            return unavailable("the caller may have left");
         };
-        let question = Question::Propose(command.clone());
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        match self.links.ask(leader, question, remaining).await {
-            Ok(answer) => answer,
-            // The leader has not seen the command, so it may be sent again.
-            Err(AskError::NotSent) => Answer::NotLeader,
-            Err(error) => Answer::Unknown(error.to_string()),
+        let path = self.dialect.evacuation_path(zone, *is_active, revision.0);
+        let reason = "send the order again to confirm it";
+        let mut response = refuse(StatusCode::TEMPORARY_REDIRECT, reason);
+        match HeaderValue::try_from(format!("http://{}{path}", connection.local)) {
+            Ok(location) => {
+                response.headers_mut().insert(LOCATION, location);
+                response
+            }
+            Err(_) => unavailable("the zone can't be named in a header"),
         }
     }
 
     async fn read(&self) -> Response {
-        match self.reads.read(Instant::now() + CALL_TIMEOUT).await {
+        match self.reads.read(Instant::now() + READ_TIMEOUT).await {
             Ok(EncodedCatalog { content_type, body }) => Response::builder()
                 .status(StatusCode::OK)
                 .content_type(content_type)
@@ -333,10 +349,22 @@
     value.to_str().ok()?.parse().ok()
 }
 
-/// Returns the address of the caller. Callers whose address is not known count as one.
-fn client_address(request: &Request) -> IpAddr {
-    let address = request.remote_addr().as_socket_addr();
-    address.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), SocketAddr::ip)
+/// Both ends of the connection of a call. Callers whose address is not known count as one.
+#[derive(Clone, Copy)]
+struct ConnectionAddresses {
+    local: SocketAddr,
+    remote: SocketAddr,
+}
+
+impl ConnectionAddresses {
+    fn of(request: &Request) -> ConnectionAddresses {
+        const UNKNOWN: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::UNSPECIFIED), 0);
+        let known = |address: Option<&SocketAddr>| address.copied().unwrap_or(UNKNOWN);
+        ConnectionAddresses {
+            local: known(request.local_addr().as_socket_addr()),
+            remote: known(request.remote_addr().as_socket_addr()),
+        }
+    }
 }
 
 /// Returns the kind of a call as named in metrics.
@@ -349,26 +377,3 @@
         Call::Ready => "ready",
     }
 }
-
-/// Returns the number of catalog items that a command sets or removes.
-fn item_count(command: &Command) -> usize {
-    match command {
-        Command::PatchCatalog(patch) => patch.upserts.len() + patch.removals.len(),
-        _ => 0,
-    }
-}
-
-/// Describes an order for the logs.
-fn describe(command: &Command) -> String {
-    match command {
-        Command::Evacuate {
-            zone,
-            is_active: true,
-        } => format!("evacuate zone {zone}"),
-        Command::Evacuate {
-            zone,
-            is_active: false,
-        } => format!("end the evacuation of zone {zone}"),
-        _ => "change the catalog".to_owned(),
-    }
-}
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use coursestand_catalog::CatalogDelta;
-use coursestand_coordination::Command;
+use coursestand_coordination::{Command, OrderFence};
 use coursestand_discovery::EdgeRecord;
 use coursestand_kernel::Tasks;
 use coursestand_routing::SharedCrashRecord;
@@ -195,7 +195,9 @@
 
 async fn answer(context: &ConnectionContext, question: Question) -> Answer {
     match question {
-        Question::Propose(command) => propose(&context.control, command).await,
+        Question::Propose(command, fence) => {
+            propose(&context.control, command, fence.fence()).await
+        }
         Question::ReadCatalog {
             version_only: TrailingFlag(version_only),
         } => answer_read(&context.control, version_only),
@@ -203,10 +205,16 @@
     }
 }
 
-/// Commits a command on this replica, if it is the leader.
-pub async fn propose(control: &ControlHandle, command: Command) -> Answer {
-    match control.propose(command).await {
+/// Commits a command on this replica, if it is the leader and nothing that the command concerns
+/// was ordered after `fence`.
+pub async fn propose(
+    control: &ControlHandle,
+    command: Command,
+    fence: Option<OrderFence>,
+) -> Answer {
+    match control.propose_fenced(command, fence).await {
         Ok(answer) => Answer::Command(answer),
+        Err(ControlError::Superseded { applied }) => Answer::Superseded { applied },
         Err(ControlError::NotLeader | ControlError::NotJoined) => Answer::NotLeader,
         Err(error) => Answer::Unknown(error.to_string()),
     }
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus::{GaugeVec, IntCounter, IntGauge, IntGaugeVec, Opts, Registry};
 
 use crate::control::shared::ReplicaStatus;
+use crate::fleet::orders::OrderOutcome;
 
 /// Metrics of a control process.
 pub struct ControlMetrics {
@@ -22,7 +23,9 @@
     /// Heartbeats of back ends received by this process.
     pub heartbeats: IntCounter,
     /// Operators' orders answered with success.
-    pub orders: IntCounter,
+    orders: IntCounter,
+    abandoned_orders: IntCounter,
+    unconfirmed_orders: IntCounter,
     /// Calls that could not be parsed; none of them took effect.
     pub refused: IntCounter,
     /// Calls refused because of others in progress; none of them took effect.
@@ -125,6 +128,14 @@
             )?,
             heartbeats: counter("coursestand_heartbeats_total", "Heartbeats of back ends")?,
             orders: counter("coursestand_orders_total", "Orders acknowledged")?,
+            abandoned_orders: counter(
+                "coursestand_orders_abandoned_total",
+                "Orders not carried out because their callers had left",
+            )?,
+            unconfirmed_orders: counter(
+                "coursestand_orders_unconfirmed_total",
+                "Orders whose callers were asked to confirm them",
+            )?,
             refused: counter(
                 "coursestand_calls_refused_total",
                 "Calls that could not be parsed",
@@ -143,6 +154,16 @@
         CallInProgress(gauge)
     }
 
+    /// Counts an order by its outcome.
+    pub fn count_order(&self, outcome: &OrderOutcome) {
+        match outcome {
+            OrderOutcome::Done => self.orders.inc(),
+            OrderOutcome::CallerLeft => self.abandoned_orders.inc(),
+            OrderOutcome::Unconfirmed(_) => self.unconfirmed_orders.inc(),
+            OrderOutcome::Refused(_) | OrderOutcome::Unavailable(_) => {}
+        }
+    }
+
     /// Updates the gauges.
     pub fn update(&self, counts: &ControlCounts) {
         let voters = counts.status.members.iter().filter(|member| member.voter);
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 pub mod listener;
 pub mod metrics;
 pub mod node;
+mod orders;
 pub mod peer_links;
 mod prober;
 pub mod report_limit;
--- a/crates/coursestand-daemon/src/fleet/wire.rs
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use coursestand_catalog::CatalogDelta;
-use coursestand_coordination::{Command, CommandAnswer};
+use coursestand_coordination::{Command, CommandAnswer, OrderFence};
 use coursestand_discovery::{EdgeRecord, InstanceUpdate, LinkUse, RelayEndpoint, RelayPeer};
 use coursestand_model::{BackendId, Millis};
 use coursestand_routing::rate_limit::{TokenRequest, TokenVerdict};
@@ -98,6 +98,33 @@
     }
 }
 
+/// The fence of a proposed command. Like [`TrailingFlag`], it is the last field of its message: a
+/// message from an older process reads as no fence.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct TrailingFence(Option<u64>);
+
+impl From<OrderFence> for TrailingFence {
+    fn from(fence: OrderFence) -> TrailingFence {
+        TrailingFence(Some(fence.0))
+    }
+}
+
+impl TrailingFence {
+    /// Returns the fence, if there is one.
+    pub fn fence(self) -> Option<OrderFence> {
+        self.0.map(OrderFence)
+    }
+}
+
+impl<'de> Deserialize<'de> for TrailingFence {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        // Nothing follows in the message, so the only possible error is missing bytes.
+        Ok(TrailingFence(
+            Option::deserialize(deserializer).unwrap_or_default(),
+        ))
+    }
+}
+
 /// Start times of the incarnations in a list of instance updates, in the list's order.
 ///
 /// This is the last field of its message. A process that does not support the field ignores
@@ -165,8 +192,9 @@
 /// Requests from one control process to another, mostly to the leader.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Question {
-    /// Commit this command.
-    Propose(Command),
+    /// Commit this command, unless something that it concerns was ordered after the fence. An older
+    /// leader ignores the fence.
+    Propose(Command, TrailingFence),
     /// Read the newest catalog.
     ReadCatalog {
         /// Whether the sender needs only the version, and reads its own copy once that has it.
@@ -233,6 +261,12 @@
     Unknown(String),
     /// Version of the newest catalog; sent only if the question asks for it.
     CatalogVersion(u64),
+    /// The command was not proposed: something that it concerns was ordered after its fence. Sent
+    /// only if the question has a fence.
+    Superseded {
+        /// Index up to which the leader has applied the log.
+        applied: u64,
+    },
 }
 
 /// Entry daemons that connected or disconnected, by name.
--- a/crates/coursestand-dialect/src/call.rs
+++ b/crates/coursestand-dialect/src/call.rs
@@ -33,6 +33,8 @@
         zone: ZoneId,
         /// Whether the zone is evacuated: its back ends receive no requests.
         is_active: bool,
+        /// Revision for which the caller confirms the order, from [`Dialect::evacuation_path`].
+        revision: Option<u64>,
     },
     /// Asks which entry daemons a client should use.
     Lookup {
@@ -126,6 +128,18 @@
         .unwrap_or_default()
 }
 
+/// Returns the number in a query parameter, or `None` if it is missing. Fails if it is not a number.
+pub fn query_number(uri: &Uri, name: &str) -> Result<Option<u64>, CallError> {
+    let value = query_value(uri, name);
+    if value.is_empty() {
+        return Ok(None);
+    }
+    let number = value.parse();
+    number
+        .map(Some)
+        .map_err(|error| CallError::body(name, error))
+}
+
 /// Maps the HTTP interface of a deployment to calls and replies. A dialect only translates:
 /// it makes no decisions and holds no state.
 pub trait Dialect: Send + Sync {
@@ -135,6 +149,10 @@
     /// Parses a call.
     fn parse(&self, method: &Method, uri: &Uri, body: &[u8]) -> Result<Call, CallError>;
 
+    /// Returns the path and query of the call that confirms an order to evacuate a zone, or to end
+    /// its evacuation, for `revision`.
+    fn evacuation_path(&self, zone: &ZoneId, is_active: bool, revision: u64) -> String;
+
     /// Encodes all current items of the catalog; fails if an item can't be encoded.
     fn catalog(&self, catalog: &Catalog) -> Result<Reply, serde_json::Error>;
 
--- a/crates/coursestand-dialect/src/native.rs
+++ b/crates/coursestand-dialect/src/native.rs
@@ -12,7 +12,10 @@
 use serde::{Deserialize, Serialize, Serializer};
 use serde_json::json;
 
-use crate::call::{Call, CallError, Dialect, Reply, query_value};
+use crate::call::{Call, CallError, Dialect, Reply, query_number, query_value};
+
+/// Query parameter with the revision for which an order is confirmed.
+const REVISION: &str = "revision";
 
 /// The default dialect: JSON bodies under `/v1`.
 #[derive(Clone, Copy, Debug, Default)]
@@ -80,6 +83,7 @@
             ("PUT" | "DELETE", ["v1", "closed-zones", zone]) => Call::Evacuate {
                 zone: ZoneId::from(*zone),
                 is_active: method == Method::PUT,
+                revision: query_number(uri, REVISION)?,
             },
             ("GET", ["v1", "entry-daemons"]) => Call::Lookup {
                 region: RegionId(query_value(uri, "region")),
@@ -96,6 +100,11 @@
         Ok(call)
     }
 
+    /// The redirected call keeps its method, which says whether the zone is evacuated.
+    fn evacuation_path(&self, zone: &ZoneId, _is_active: bool, revision: u64) -> String {
+        format!("/v1/closed-zones/{zone}?{REVISION}={revision}")
+    }
+
     fn catalog(&self, catalog: &Catalog) -> Result<Reply, serde_json::Error> {
         Reply::stream_json(&CatalogBody {
             items: LiveItems(catalog),
--- a/crates/coursestand-kernel/src/http.rs
+++ b/crates/coursestand-kernel/src/http.rs
@@ -1,7 +1,7 @@
 //! An HTTP server with graceful shutdown.
 
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use poem::listener::{Acceptor, TcpAcceptor};
@@ -10,6 +10,8 @@
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
+use crate::connections::{CallerConnections, TrackingAcceptor};
+
 /// Why a server could not start.
 #[derive(Debug, Snafu)]
 pub enum HttpError {
@@ -47,14 +49,43 @@
             .context(ListenSnafu { address })?;
         let address = listener.local_addr().context(ListenSnafu { address })?;
         let acceptor = TcpAcceptor::from_tokio(listener).context(ListenSnafu { address })?;
+        Ok(HttpServer::serve(address, acceptor, endpoint, grace))
+    }
+
+    /// Like [`Self::start`], and enters each open connection into `connections`.
+    pub async fn start_tracking<E>(
+        address: SocketAddr,
+        endpoint: E,
+        grace: Duration,
+        connections: Arc<CallerConnections>,
+    ) -> Result<HttpServer, HttpError>
+    where
+        E: poem::IntoEndpoint,
+        E::Endpoint: 'static,
+    {
+        let listener = TcpListener::bind(address)
+            .await
+            .context(ListenSnafu { address })?;
+        let address = listener.local_addr().context(ListenSnafu { address })?;
+        let acceptor =
+            TrackingAcceptor::new(listener, connections).context(ListenSnafu { address })?;
+        Ok(HttpServer::serve(address, acceptor, endpoint, grace))
+    }
+
+    fn serve<A, E>(address: SocketAddr, acceptor: A, endpoint: E, grace: Duration) -> HttpServer
+    where
+        A: Acceptor + 'static,
+        E: poem::IntoEndpoint,
+        E::Endpoint: 'static,
+    {
         let (shutdown, signal) = watch::channel(false);
         let endpoint = endpoint.into_endpoint();
         let task = tokio::spawn(serve(acceptor, endpoint, signal, grace));
-        Ok(HttpServer {
+        HttpServer {
             address,
             shutdown,
             task: Mutex::new(Some(task)),
-        })
+        }
     }
 
     /// Returns the address on which the server listens.
--- a/crates/coursestand-kernel/src/lib.rs
+++ b/crates/coursestand-kernel/src/lib.rs
@@ -4,11 +4,13 @@
 
 pub mod admin;
 pub mod clock;
+pub mod connections;
 pub mod http;
 pub mod kernel;
 pub mod logging;
 pub mod registry;
 pub mod service;
+pub mod suspension;
 pub mod tasks;
 
 pub use clock::MonotonicClock;
