Replace what a control process reported before when it reconnects

Cause: control processes tell each other of the daemons that they are connected with, one message for each change. A process that is killed before it notices the end of a daemon, and is back within the three seconds after which the others count it as silent, never takes its report back: its new run reports the daemons that it is connected with, and the others add these to the old ones. A message lost with a connection has the same effect.

A process starts each connection to another one with a full report, and its first ping follows. The receiver now collects the report until that ping, and drops what it does not contain; reports that arrive late on an earlier connection are ignored. A daemon that only the restarted process knew becomes a suspect that counts as reachable for 2.5 s, unless this process had found it silent itself, so that sound daemons have time to reconnect. No message changes.

Tests: restarted_control in daemon/tests/fleet: two of three failed before (with one and two processes restarted; with all of them it held), and two tests of the directory.

--- a/crates/coursestand-daemon/src/fleet/hub/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -54,6 +54,8 @@
     edge_links: HashMap<(String, u64), HashSet<u64>>,
     /// Time of the last contact with each of the other control processes.
     peers: BTreeMap<SocketAddr, Millis>,
+    /// Number of the latest connection of each of the other control processes.
+    peer_connections: HashMap<SocketAddr, u64>,
 }
 
 /// Optional messages that an entry daemon accepts.
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -1,12 +1,13 @@
 //! Accepts connections of other control processes and of entry daemons.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use coursestand_catalog::CatalogDelta;
 use coursestand_coordination::{Command, OrderFence};
-use coursestand_discovery::EdgeRecord;
+use coursestand_discovery::{EdgeIncarnation, EdgeRecord};
 use coursestand_kernel::Tasks;
 use coursestand_routing::SharedCrashRecord;
 use coursestand_routing::rate_limit::TokenRequest;
@@ -120,6 +121,11 @@
     if let Some(links) = context.formation.links() {
         links.ensure_link(peer);
     }
+    let mut connection = PeerConnection {
+        peer,
+        number: context.hub.begin_peer_connection(peer),
+        first_report: Some(BTreeSet::new()),
+    };
     let mut last_received_at = Instant::now();
     loop {
         tokio::select! {
@@ -127,8 +133,14 @@
                 last_received_at = Instant::now();
                 context.hub.note_peer_contact(peer);
                 match message? {
-                    ToControl::Ping => sender.send(&PeerReply::Pong).await?,
-                    ToControl::Peer(message) => handle_peer_message(peer, message, context, &replies),
+                    ToControl::Ping => {
+                        connection.finish_first_report(&context.hub);
+                        sender.send(&PeerReply::Pong).await?;
+                    }
+                    ToControl::Peer(PeerMessage::Edge { record, is_connected }) => {
+                        connection.note_edge(&context.hub, &record, is_connected);
+                    }
+                    ToControl::Peer(message) => handle_peer_message(message, context, &replies),
                     _ => return Err(StreamError::Ended),
                 }
             }
@@ -140,8 +152,37 @@
     }
 }
 
-fn handle_peer_message(
+/// What another control process reports about entry daemons on one connection.
+struct PeerConnection {
     peer: SocketAddr,
+    /// Number of the connection in the hub.
+    number: u64,
+    /// The entry daemons that it has reported so far, until its first ping. It sends its initial
+    /// report before that.
+    first_report: Option<BTreeSet<EdgeIncarnation>>,
+}
+
+impl PeerConnection {
+    fn note_edge(&mut self, hub: &Hub, record: &EdgeRecord, is_connected: bool) {
+        if let Some(report) = &mut self.first_report {
+            let incarnation = (record.name.clone(), record.incarnation);
+            if is_connected {
+                report.insert(incarnation);
+            } else {
+                report.remove(&incarnation);
+            }
+        }
+        hub.note_peer_edge(self.peer, self.number, record, is_connected);
+    }
+
+    fn finish_first_report(&mut self, hub: &Hub) {
+        if let Some(report) = self.first_report.take() {
+            hub.finish_peer_report(self.peer, self.number, &report);
+        }
+    }
+}
+
+fn handle_peer_message(
     message: PeerMessage,
     context: &Arc<ConnectionContext>,
     replies: &mpsc::Sender<PeerReply>,
@@ -161,10 +202,8 @@
             }
         }
         PeerMessage::HeartbeatsReceived(ids) => context.hub.note_peer_heartbeats(&ids),
-        PeerMessage::Edge {
-            record,
-            is_connected,
-        } => context.hub.note_peer_edge(peer, &record, is_connected),
+        // Handled by the connection, to which reports belong.
+        PeerMessage::Edge { .. } => {}
         PeerMessage::Ask { number, question } => {
             let context = Arc::clone(context);
             let replies = replies.clone();
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod large_bodies;
 mod large_change;
 mod restarted_backend;
+mod restarted_control;
 mod silent_edge;
 mod stale_catalog;
 mod state_dump;
--- a/crates/coursestand-discovery/src/directory.rs
+++ b/crates/coursestand-discovery/src/directory.rs
@@ -70,7 +70,7 @@
 
 /// Name and incarnation of an entry daemon. Incarnations are random numbers: the time of
 /// day may jump back between two starts, so it can't order them.
-type EdgeIncarnation = (String, u64);
+pub type EdgeIncarnation = (String, u64);
 
 /// Where an entry daemon accepts requests that other daemons relay, and how they prove that they
 /// are daemons.
@@ -223,6 +223,39 @@
         suspects.map(|suspect| suspect.record.clone()).collect()
     }
 
+    /// Reduces the connections that `observer` reported to those with the incarnations in
+    /// `connected`: a list of all that it is connected with. An incarnation that no other control
+    /// process is connected with becomes a suspect. It counts as reachable at first, since it may
+    /// be about to reconnect, unless it was a suspect already. Returns whether anything changed.
+    pub fn replace_connections(
+        &mut self,
+        now: Millis,
+        observer: Observer,
+        connected: &BTreeSet<EdgeIncarnation>,
+    ) -> bool {
+        let outdated: Vec<EdgeIncarnation> = self
+            .edges
+            .iter()
+            .filter(|(key, entry)| entry.observers.contains(&observer) && !connected.contains(key))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in &outdated {
+            let Some(entry) = self.edges.get_mut(key) else {
+                continue;
+            };
+            entry.observers.remove(&observer);
+            if entry.observers.is_empty() {
+                let record = entry.record.clone();
+                self.edges.remove(key);
+                if !self.suspects.contains_key(key) {
+                    self.suspect(now, &record);
+                    self.note_reachable(now, &record.name, record.incarnation);
+                }
+            }
+        }
+        !outdated.is_empty()
+    }
+
     /// Removes all connections that `observer` reported, because it is silent.
     pub fn remove_observer(&mut self, observer: Observer) {
         self.edges.retain(|_, entry| {
--- a/crates/coursestand-discovery/src/lib.rs
+++ b/crates/coursestand-discovery/src/lib.rs
@@ -11,7 +11,8 @@
 pub mod table;
 
 pub use directory::{
-    Directory, EdgePhase, EdgeRecord, LinkUse, LookupClient, RelayEndpoint, RelayPeer,
+    Directory, EdgeIncarnation, EdgePhase, EdgeRecord, LinkUse, LookupClient, RelayEndpoint,
+    RelayPeer,
 };
 pub use instance::{Incarnation, Instance, InstancePhase, InstanceUpdate};
 pub use table::InstanceTable;
--- a/crates/coursestand-discovery/tests/directory.rs
+++ b/crates/coursestand-discovery/tests/directory.rs
@@ -1,6 +1,7 @@
 //! Entry daemons that look-ups return.
 #![allow(missing_docs)]
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use coursestand_discovery::{Directory, EdgePhase, EdgeRecord, LookupClient};
@@ -250,3 +251,42 @@
     directory.note_reachable(0, "edge-1", 1);
     expect_that!(resolve_at(&directory, 1), is_empty());
 }
+
+/// Guards against daemons that stay listed for good because a control process that was connected
+/// with them restarted before it noticed their end.
+#[gtest]
+fn a_full_report_replaces_what_a_control_process_reported_before() {
+    let mut directory = Directory::default();
+    let (kept, lost) = (
+        edge(1, 1, "a-1", EdgePhase::Ready),
+        edge(2, 1, "a-1", EdgePhase::Ready),
+    );
+    directory.connect(address(FIRST), &kept);
+    directory.connect(address(FIRST), &lost);
+    directory.connect(address(SECOND), &lost);
+    // The second one has noticed that the daemon fell silent.
+    directory.disconnect(address(SECOND), &lost.name, lost.incarnation);
+    directory.suspect(0, &lost);
+    expect_that!(resolve(&directory, "a-1").len(), eq(2));
+    let report = BTreeSet::from([(kept.name.clone(), kept.incarnation)]);
+    expect_that!(
+        directory.replace_connections(0, address(FIRST), &report),
+        eq(true)
+    );
+    expect_that!(resolve(&directory, "a-1"), elements_are![eq(&address(1))]);
+    expect_that!(
+        directory.replace_connections(0, address(FIRST), &report),
+        eq(false)
+    );
+}
+
+/// Guards against sound daemons that drop out of look-ups while they reconnect to a control process
+/// that has restarted.
+#[gtest]
+fn a_daemon_that_only_a_restarted_control_process_knew_has_time_to_reconnect() {
+    let mut directory = Directory::default();
+    directory.connect(address(FIRST), &edge(1, 1, "a-1", EdgePhase::Ready));
+    directory.replace_connections(0, address(FIRST), &BTreeSet::new());
+    expect_that!(resolve(&directory, "a-1"), elements_are![eq(&address(1))]);
+    expect_that!(directory.suspects(0).len(), eq(1));
+}
