Reset connections on which a request is given up

Requests that may run once are the gravest: their callers were told that they failed.

Cause: an attempt that is given up drops its connection, and the system closes it in the ordinary way: bytes that a partition holds up, and the close behind them, are delivered when it ends. DEPLOY.md: they 'are lost if their sender resets the connection'.

A connection now knows whether the answer to its request is complete, and is reset when it is dropped before that. This covers every way to give a request up (time-out, caller gone, planned stop, retry after silence, relay to another daemon), since all of them drop the connection. After a complete answer, and in the pool, connections close as before.

--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -86,6 +86,7 @@
         strip_connection_headers(&mut headers);
         let body = match collected {
             Collected::Complete(bytes) => {
+                connection.answer_completed();
                 if !metadata.closes {
                     let pool = Arc::clone(&self.pool);
                     let incarnation = target.incarnation.clone();
--- a/crates/coursestand-proxy/src/exchange/relay.rs
+++ b/crates/coursestand-proxy/src/exchange/relay.rs
@@ -285,6 +285,7 @@
         strip_connection_headers(&mut head.headers);
         let body = match collected {
             Collected::Complete(bytes) => {
+                connection.answer_completed();
                 if keeps_open {
                     let pool = Arc::clone(&relay.pool);
                     tokio::spawn(async move { pool.give_back(key, connection, keep_alive).await });
--- a/crates/coursestand-proxy/src/lib.rs
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod link_gate;
 pub mod link_watch;
 pub mod metrics;
+mod open_request;
 mod path_probing;
 pub mod phases;
 pub mod pool;
--- a/crates/coursestand-proxy/src/pool.rs
+++ b/crates/coursestand-proxy/src/pool.rs
@@ -29,6 +29,7 @@
 use tokio::time::Instant;
 
 use crate::connect::connect;
+use crate::open_request::OpenRequest;
 use crate::phases::SilentConnection;
 use crate::read_limit::{LimitedStream, ReadLimit};
 use crate::streamed_request_body::StreamedRequestBody;
@@ -75,13 +76,15 @@
     }
 }
 
-/// A connection to a back end. Dropping it closes it at once.
+/// A connection to a back end. Dropping it closes it at once; with a request whose answer is not
+/// complete, it is reset.
 pub struct Connection {
     /// Shows the state of the connection.
     pub sender: SendRequest<RequestBody>,
     /// Whether it has carried an earlier request.
     pub is_reused: bool,
     read_limit: Arc<ReadLimit>,
+    open_request: Arc<OpenRequest>,
     driver: Driver,
 }
 
@@ -94,6 +97,7 @@
     {
         let read_limit = Arc::clone(&self.read_limit);
         read_limit.expect_head();
+        self.open_request.begin();
         let sending = self.sender.try_send_request(request);
         async move {
             let response = sending.await?;
@@ -101,6 +105,12 @@
             Ok(response)
         }
     }
+
+    /// Records that the answer to the request is complete: from now on the connection may be closed
+    /// in the ordinary way.
+    pub fn answer_completed(&self) {
+        self.open_request.end();
+    }
 }
 
 struct Idle {
@@ -195,7 +205,8 @@
             .await
             .map_err(|error| connect_error(error.kind(), error.to_string()))?;
         let read_limit = ReadLimit::for_head();
-        let stream = LimitedStream::new(stream, Arc::clone(&read_limit));
+        let open_request = OpenRequest::none();
+        let stream = LimitedStream::new(stream, Arc::clone(&read_limit), Arc::clone(&open_request));
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
             .map_err(|error| connect_error(io::ErrorKind::Other, error.to_string()))?;
@@ -207,6 +218,7 @@
             sender,
             is_reused: false,
             read_limit,
+            open_request,
             driver: Driver(driver),
         })
     }
@@ -233,6 +245,7 @@
     /// Returns a connection to the pool after its answer has ended, once its request has been
     /// sent completely as well.
     pub async fn give_back(&self, id: K, mut connection: Connection, keep_alive: Option<Duration>) {
+        connection.answer_completed();
         let answered_at = Instant::now();
         let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
         if !matches!(ready, Ok(Ok(()))) || connection.driver.0.is_finished() {
--- a/crates/coursestand-proxy/src/read_limit.rs
+++ b/crates/coursestand-proxy/src/read_limit.rs
@@ -8,10 +8,14 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::open_request::OpenRequest;
+
 /// Bytes that may arrive before the head of an answer is complete: its headers and interim
 /// answers.
 const MAX_HEAD_BYTES: u64 = 512 * 1024;
@@ -45,15 +49,34 @@
     }
 }
 
-/// A connection that fails to read once the limit is reached.
+/// A connection that fails to read once the limit is reached, and that is reset when it is dropped
+/// while a request is open on it.
 pub(crate) struct LimitedStream {
     stream: TcpStream,
     limit: Arc<ReadLimit>,
+    open_request: Arc<OpenRequest>,
 }
 
 impl LimitedStream {
-    pub(crate) fn new(stream: TcpStream, limit: Arc<ReadLimit>) -> LimitedStream {
-        LimitedStream { stream, limit }
+    pub(crate) fn new(
+        stream: TcpStream,
+        limit: Arc<ReadLimit>,
+        open_request: Arc<OpenRequest>,
+    ) -> LimitedStream {
+        LimitedStream {
+            stream,
+            limit,
+            open_request,
+        }
+    }
+}
+
+impl Drop for LimitedStream {
+    fn drop(&mut self) {
+        if self.open_request.is_open() {
+            // Fails if the connection has failed already: then nothing is delivered any more.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
     }
 }
 
--- a/crates/coursestand-proxy/src/streamed_body.rs
+++ b/crates/coursestand-proxy/src/streamed_body.rs
@@ -32,7 +32,7 @@
     /// Ends an answer without end.
     time_limit: Pin<Box<Sleep>>,
     /// Closed together with the body: its state after a long answer is not checked.
-    _connection: Connection,
+    connection: Connection,
 }
 
 impl StreamedBody {
@@ -48,7 +48,7 @@
             first: Some(first),
             rest,
             time_limit: Box::pin(sleep_until(ends_at)),
-            _connection: connection,
+            connection,
         }
     }
 }
@@ -70,6 +70,9 @@
             return Poll::Ready(Some(Err(AnswerBodyError::TimedOut)));
         }
         let frame = Pin::new(&mut self.rest).poll_frame(context);
+        if matches!(frame, Poll::Ready(None)) {
+            self.connection.answer_completed();
+        }
         frame.map_err(|source| AnswerBodyError::BackEnd { source })
     }
 
