Let a stopping daemon break off no request for silence

Cause: an answer that takes longer than usual counts as missing, for trials of returning paths after the usual time already. Back ends that have come back know no objects and take longer, so their work is broken off.

A daemon that stops now waits for the answer until the deadline of the request or its own end. A request on a connection that really is silent waits longer than before during a planned stop.

--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -247,7 +247,9 @@
                 }
                 is_silent = self.silence(prepared, target) => is_silent,
             };
-            if is_silent {
+            // A stopping daemon lets back ends finish: their silence does not show whether they
+            // are at work.
+            if is_silent && self.stops_at.get().is_none() {
                 if let Ok(outcome) = timeout(READING_GRACE, sending.as_mut()).await {
                     self.note_answer(&outcome, target, sent_at, attempts);
                     return Ok(outcome);
--- a/crates/coursestand-proxy/tests/serving.rs
+++ b/crates/coursestand-proxy/tests/serving.rs
@@ -131,3 +131,32 @@
         }
     }
 }
+
+/// Guards against requests that a stopping daemon breaks off while back ends that are slower than
+/// usual work on them. A daemon that is not stopping repeats such a request.
+#[gtest]
+#[tokio::test]
+async fn a_stopping_daemon_breaks_off_no_request_for_silence() {
+    const WARM_UP_REQUESTS: usize = 4;
+    for is_stopping in [true, false] {
+        let slow = Behaviour::Slow(Duration::from_millis(1_500));
+        let script = vec![GOOD; WARM_UP_REQUESTS];
+        let edge = Edge::start(RouteSettings::default(), vec![(script, slow)]).await;
+        let mut caller = Caller::connect(edge.server.address()).await;
+        for number in 0..WARM_UP_REQUESTS {
+            let answer = caller.request("/safe/a", &format!("w{number}"), "").await;
+            expect_that!(answer.status, eq(200));
+        }
+        caller.send("/safe/a", "r1", "", b"").await;
+        while edge.arrival_count() == WARM_UP_REQUESTS {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        if is_stopping {
+            edge.exchange.set_stop_time(Instant::now() + TEST_TIMEOUT);
+            edge.server.announce_stop();
+        }
+        expect_that!(caller.receive().await.status, eq(200));
+        let runs = edge.arrival_count() - WARM_UP_REQUESTS;
+        expect_that!(runs, eq(if is_stopping { 1 } else { 2 }));
+    }
+}
