Show a zone's evacuation among the state changes that explain lists

An operator who asks why a request met other back ends, or none, did not see that a zone had been opened or closed before it. coursestand explain now lists the change once, however many replicas log it. The daemons do not change.

Test: a_zone_that_was_evacuated_before_the_request_is_shown, failed before.

--- a/crates/coursestand-cli/src/commands/explain.rs
+++ b/crates/coursestand-cli/src/commands/explain.rs
@@ -50,6 +50,10 @@
             .unwrap_or_default()
     }
 
+    fn is_evacuation_change(&self) -> bool {
+        self.text("message") == EVACUATION_CHANGE
+    }
+
     fn is_end(&self) -> bool {
         self.text("message") == "a request ended"
     }
@@ -81,14 +85,18 @@
     state_changes: Vec<Line>,
 }
 
+/// Message of a replica that applied an order to evacuate a zone, or to end that.
+const EVACUATION_CHANGE: &str = "the evacuation of a zone changed";
+
 /// Prefixes of the messages that report a state change.
-const STATE_CHANGES: [&str; 9] = [
+const STATE_CHANGES: [&str; 10] = [
     "the path to back ends changed",
     "a back end changed",
     "an entry daemon changed",
     "control process lost",
     "control process followed",
     "the catalog changed",
+    EVACUATION_CHANGE,
     "this daemon is ready",
     "a planned stop begins",
     "started",
@@ -199,7 +207,7 @@
         let is_of_back_end = !instance.is_empty() && instances.contains(&instance);
         let is_of_daemon = instance.is_empty() && processes.contains(&line.text("process"));
         let is_in_window = line.time >= start - STATE_CHANGE_WINDOW_S && line.time <= end;
-        is_in_window && (is_of_back_end || is_of_daemon)
+        is_in_window && (is_of_back_end || is_of_daemon || line.is_evacuation_change())
     };
     let mut changes: Vec<&Line> = Vec::new();
     let mut sorted: Vec<&Line> = lines
@@ -209,12 +217,16 @@
         .collect();
     sorted.sort_by(|left, right| left.time.total_cmp(&right.time));
     for line in sorted {
-        // Several control processes log the same change of a back end.
+        // Several control processes log the same change of a back end or a zone.
         let is_duplicate = changes.iter().any(|earlier| {
-            earlier.text("instance") == line.text("instance")
+            let is_same_back_end_change = earlier.text("instance") == line.text("instance")
                 && !line.text("instance").is_empty()
                 && earlier.text("phase") == line.text("phase")
-                && earlier.number("sequence") == line.number("sequence")
+                && earlier.number("sequence") == line.number("sequence");
+            let is_same_zone_change = earlier.is_evacuation_change()
+                && line.is_evacuation_change()
+                && earlier.number("index") == line.number("index");
+            is_same_back_end_change || is_same_zone_change
         });
         if !is_duplicate {
             changes.push(line);
--- a/crates/coursestand-cli/tests/explain.rs
+++ b/crates/coursestand-cli/tests/explain.rs
@@ -20,6 +20,8 @@
 const CONTROL_LOG: &str = r#"
 {"time":"98.000","process":"control-1","level":"INFO","part":"hub","message":"a back end changed","instance":"i-1","phase":"Draining","sequence":9}
 {"time":"98.001","process":"control-2","level":"INFO","part":"hub","message":"a back end changed","instance":"i-1","phase":"Draining","sequence":9}
+{"time":"99.000","process":"control-1","level":"INFO","part":"consensus","message":"the evacuation of a zone changed","zone":"z-1","is_active":true,"index":6,"term":1,"replaced_index":5}
+{"time":"99.004","process":"control-2","level":"INFO","part":"consensus","message":"the evacuation of a zone changed","zone":"z-1","is_active":true,"index":6,"term":1,"replaced_index":5}
 {"time":"50.000","process":"control-1","level":"INFO","part":"hub","message":"a back end changed","instance":"i-1","phase":"Ready","sequence":1}
 "#;
 
@@ -54,6 +56,17 @@
     expect_that!(output, not(contains_substring("phase=Ready")));
 }
 
+/// A zone that opens or closes explains why requests met other back ends.
+#[gtest]
+fn a_zone_that_was_evacuated_before_the_request_is_shown() {
+    let output = explain("r-lost");
+    expect_that!(
+        output,
+        contains_substring("the evacuation of a zone changed")
+    );
+    expect_that!(output, contains_substring("zone=z-1"));
+}
+
 #[gtest]
 fn refused_timed_out_unfinished_and_unknown_requests_have_their_causes() {
     expect_that!(
