Tell which process holds a zone evacuated, by which entry of the log

An on-call engineer who finds requests in an evacuated zone could not tell an order that was carried out late from a daemon with an old copy, from an order that was acknowledged and is not in the state, or from a back end whose zone is not what it seems. The logs named neither the index of an acknowledgement nor what became of a zone in a daemon's copy.

Now 'order answered' has the index of the entry that acknowledges it, each entry daemon logs a zone that changes in its own copy with the index and who sent it, the dump of a daemon lists the evacuations like that of a control process, gauges count them in both, and a change of a back end names its zone and address. The index travels as the last field of an answer, as the fence does in a question: older processes neither send nor miss it. No decision changes.

Tests: daemons_and_replicas_tell_which_zones_they_hold_evacuated, the_index_of_an_answer_may_be_missing_or_unread, and the test that compares METRICS.md with what is served.

--- a/crates/coursestand-catalog/src/catalog.rs
+++ b/crates/coursestand-catalog/src/catalog.rs
@@ -63,6 +63,22 @@
     pub evacuations: Vec<(ZoneId, Evacuation)>,
 }
 
+/// What adopting a delta changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AdoptedChanges {
+    /// Number of items that changed.
+    pub items: usize,
+    /// Zones whose evacuation was started or ended, with the new state.
+    pub evacuations: Vec<(ZoneId, Evacuation)>,
+}
+
+impl AdoptedChanges {
+    /// Returns whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.items == 0 && self.evacuations.is_empty()
+    }
+}
+
 impl Catalog {
     /// Returns the index of the latest change that had an effect.
     pub fn version(&self) -> ChangeIndex {
@@ -152,6 +168,14 @@
         self.evacuations.iter()
     }
 
+    /// Returns the number of evacuated zones.
+    pub fn evacuated_zone_count(&self) -> usize {
+        let evacuations = self.evacuations.values();
+        evacuations
+            .filter(|evacuation| evacuation.is_active)
+            .count()
+    }
+
     /// Returns whether a zone is evacuated.
     pub fn is_evacuated(&self, zone: &ZoneId) -> bool {
         self.evacuations
@@ -197,29 +221,29 @@
 
     /// Applies a delta from another catalog. Items with a version that is not newer, and
     /// zones with a change that is not newer, are ignored. A delta that starts after this
-    /// catalog's version is ignored too, because it would skip changes. Returns whether
-    /// anything changed.
-    pub fn adopt(&mut self, delta: CatalogDelta) -> bool {
+    /// catalog's version is ignored too, because it would skip changes. Returns what
+    /// changed.
+    pub fn adopt(&mut self, delta: CatalogDelta) -> AdoptedChanges {
+        let mut changes = AdoptedChanges::default();
         if delta.since > self.version {
-            return false;
+            return changes;
         }
-        let mut has_changed = false;
         for (key, entry) in delta.items {
             let current = self.items.get(&key);
             if current.is_none_or(|current| entry.version > current.version) {
                 self.items.insert(key, entry);
-                has_changed = true;
+                changes.items += 1;
             }
         }
         for (zone, evacuation) in delta.evacuations {
             let current = self.evacuations.get(&zone);
             if current.is_none_or(|current| evacuation.changed > current.changed) {
-                self.evacuations.insert(zone, evacuation);
-                has_changed = true;
+                self.evacuations.insert(zone.clone(), evacuation);
+                changes.evacuations.push((zone, evacuation));
             }
         }
         self.version = self.version.max(delta.version);
-        has_changed
+        changes
     }
 
     /// Iterates over the items that are not removed.
--- a/crates/coursestand-catalog/src/lib.rs
+++ b/crates/coursestand-catalog/src/lib.rs
@@ -8,6 +8,6 @@
 pub mod item;
 pub mod patch;
 
-pub use catalog::{Catalog, CatalogDelta, VersionedItem};
+pub use catalog::{AdoptedChanges, Catalog, CatalogDelta, Evacuation, VersionedItem};
 pub use item::{Item, ItemKey, ItemVersion, Limits, Route, RouteKind, RouteTarget, ServiceItem};
 pub use patch::{InvalidPatch, Patch};
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -18,7 +18,7 @@
 use snafu::ResultExt;
 
 use crate::control::error::{ControlError, LogSnafu, ProposeSnafu, ThreadSnafu};
-use crate::control::event::{Event, ProposalReply};
+use crate::control::event::{Committed, Event, ProposalReply};
 use crate::control::identity::{self, Identity};
 use crate::control::log_writer::{Job, LogWriter};
 use crate::control::peers::PeerSender;
@@ -360,7 +360,10 @@
             }
             Err(failure) => {
                 let answer = CommandAnswer::Refused(failure.to_string());
-                let _ = reply.send(Ok(answer));
+                let _ = reply.send(Ok(Committed {
+                    answer,
+                    index: None,
+                }));
             }
         }
     }
--- a/crates/coursestand-daemon/src/control/event.rs
+++ b/crates/coursestand-daemon/src/control/event.rs
@@ -1,14 +1,23 @@
 //! Events that the driver of a replica handles.
 
-use coursestand_consensus::{Membership, Message, ReplicaId};
+use coursestand_consensus::{LogIndex, Membership, Message, ReplicaId};
 use coursestand_coordination::{Command, CommandAnswer, OrderFence};
 use tokio::sync::oneshot;
 
 use crate::control::error::ControlError;
 use crate::control::identity::Identity;
 
+/// A committed and applied proposal.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Committed {
+    /// Answer of the replicated state.
+    pub answer: CommandAnswer,
+    /// Index of the entry in the log; `None` if the proposal was refused before it was appended.
+    pub index: Option<LogIndex>,
+}
+
 /// Channel for the result of a proposal.
-pub type ProposalReply = oneshot::Sender<Result<CommandAnswer, ControlError>>;
+pub type ProposalReply = oneshot::Sender<Result<Committed, ControlError>>;
 
 /// An event for the driver of a replica.
 pub enum Event {
--- a/crates/coursestand-daemon/src/control/handle.rs
+++ b/crates/coursestand-daemon/src/control/handle.rs
@@ -8,7 +8,7 @@
 use tokio::sync::{Notify, oneshot};
 
 use crate::control::error::ControlError;
-use crate::control::event::Event;
+use crate::control::event::{Committed, Event};
 use crate::control::identity::Identity;
 use crate::control::shared::ControlShared;
 use crate::control::tenure::Tenure;
@@ -41,7 +41,8 @@
 
     /// Proposes a command. Returns once it is committed and applied on this replica.
     pub async fn propose(&self, command: Command) -> Result<CommandAnswer, ControlError> {
-        self.propose_fenced(command, None).await
+        let committed = self.propose_fenced(command, None).await?;
+        Ok(committed.answer)
     }
 
     /// Proposes a command if nothing that it concerns was ordered after `fence`; otherwise fails
@@ -50,7 +51,7 @@
         &self,
         command: Command,
         fence: Option<OrderFence>,
-    ) -> Result<CommandAnswer, ControlError> {
+    ) -> Result<Committed, ControlError> {
         if self.shared.leading_term().is_none() {
             return Err(ControlError::NotLeader);
         }
@@ -64,7 +65,7 @@
     }
 
     /// Proposes a membership change. Returns once it is committed.
-    pub async fn change_members(&self, next: Membership) -> Result<CommandAnswer, ControlError> {
+    pub async fn change_members(&self, next: Membership) -> Result<Committed, ControlError> {
         let (reply, answer) = oneshot::channel();
         self.deliver(Event::ChangeMembers { next, reply })?;
         answer.await.map_err(|_| ControlError::Stopped)?
--- a/crates/coursestand-daemon/src/control/proposals.rs
+++ b/crates/coursestand-daemon/src/control/proposals.rs
@@ -7,7 +7,7 @@
 use coursestand_coordination::CommandAnswer;
 
 use crate::control::error::ControlError;
-use crate::control::event::ProposalReply;
+use crate::control::event::{Committed, ProposalReply};
 
 /// The unanswered proposals of one replica.
 #[derive(Default)]
@@ -17,14 +17,14 @@
     /// Answers to committed commands that are on too few disks.
     withheld: Vec<WithheldAnswer>,
     /// Answers that can be sent to their proposers.
-    ready: Vec<(ProposalReply, Result<CommandAnswer, ControlError>)>,
+    ready: Vec<(ProposalReply, Result<Committed, ControlError>)>,
 }
 
 /// The answer to a committed command.
 struct WithheldAnswer {
     index: LogIndex,
     reply: ProposalReply,
-    answer: CommandAnswer,
+    committed: Committed,
 }
 
 impl Proposals {
@@ -45,6 +45,10 @@
         let Some((proposed_in, reply)) = self.waiting.remove(&index) else {
             return;
         };
+        let committed = Committed {
+            answer,
+            index: Some(index),
+        };
         if proposed_in != term {
             // A later leader replaced the proposed entry by another one.
             self.ready.push((reply, Err(ControlError::LeadershipLost)));
@@ -52,10 +56,10 @@
             self.withheld.push(WithheldAnswer {
                 index,
                 reply,
-                answer,
+                committed,
             });
         } else {
-            self.ready.push((reply, Ok(answer)));
+            self.ready.push((reply, Ok(committed)));
         }
     }
 
@@ -85,7 +89,7 @@
             .partition(|withheld| copies_of(withheld.index) >= min_copies);
         self.withheld = withheld;
         for replicated in ready {
-            let _ = replicated.reply.send(Ok(replicated.answer));
+            let _ = replicated.reply.send(Ok(replicated.committed));
         }
     }
 
--- a/crates/coursestand-daemon/src/fleet/catalog_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/catalog_follower.rs
@@ -75,10 +75,16 @@
                 "catalog changes ignored: earlier changes are missing");
         }
         self.catch_up().note_available(from, version);
-        if self.state.adopt_catalog(delta) {
+        let changes = self.state.adopt_catalog(delta);
+        if !changes.is_empty() {
             info!(target: LOG, control:% = from, catalog = version, items = items;
                 "the catalog changed");
         }
+        for (zone, evacuation) in &changes.evacuations {
+            info!(target: LOG, control:% = from, catalog = version, zone = zone.as_str(),
+                is_active = evacuation.is_active, index = evacuation.changed;
+                "the evacuation of a zone changed in this daemon");
+        }
         let version = self.version();
         self.catch_up().advance_version(version);
         self.freshness().advance_version(version);
--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -282,7 +282,7 @@
         let outcome = self.orders.carry_out(&order).await;
         self.mesh.metrics.count_order(&outcome);
         match outcome {
-            OrderOutcome::Done => done(),
+            OrderOutcome::Done { .. } => done(),
             OrderOutcome::Refused(reason) => refuse(StatusCode::BAD_REQUEST, reason),
             OrderOutcome::CallerLeft => unavailable("the caller has closed the connection"),
             OrderOutcome::Unavailable(reason) => unavailable(&reason),
--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -18,6 +18,7 @@
 use crate::control::event::Event;
 use crate::control::handle::ControlHandle;
 use crate::control::shared::ControlShared;
+use crate::fleet::dumps;
 use crate::fleet::formation::{Formation, FormationRules};
 use crate::fleet::hub::Hub;
 use crate::fleet::listener::{ConnectionContext, accept};
@@ -50,6 +51,7 @@
             status: shared.status(),
             is_leader: shared.leading_term().is_some(),
             catalog: shared.state().catalog().version(),
+            evacuated_zones: shared.state().catalog().evacuated_zone_count(),
             ready,
             draining,
             peer_queue_bytes: self.links.queued_bytes(),
@@ -210,21 +212,11 @@
             return Value::Null;
         };
         let catalog = mesh.control.shared.state().shared_catalog();
-        let evacuations: Vec<Value> = catalog
-            .evacuations()
-            .map(|(zone, evacuation)| {
-                json!({
-                    "zone": zone,
-                    "is_active": evacuation.is_active,
-                    "changed_at_index": evacuation.changed,
-                })
-            })
-            .collect();
         json!({
             "replica": mesh.control.shared.status(),
             "leading_term": mesh.control.shared.leading_term(),
             "catalog_version": catalog.version(),
-            "evacuations": evacuations,
+            "evacuations": dumps::evacuations(&catalog),
             "soft_state": mesh.hub.dump(),
             "requests_that_end_back_ends": mesh.hub.crash_record_views(),
             "rate_limits": mesh.hub.token_bucket_views(),
--- a/crates/coursestand-daemon/src/fleet/edge_follower.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_follower.rs
@@ -23,6 +23,7 @@
 use crate::control::shared::LogExtent;
 use crate::fleet::catalog_follower::CatalogFollower;
 use crate::fleet::control_link::follow_control;
+use crate::fleet::dumps;
 use crate::fleet::follower_metrics::FollowerMetrics;
 use crate::fleet::prober::Prober;
 use crate::fleet::wire::{ControlGroup, ToEdge};
@@ -501,6 +502,7 @@
     /// Returns the follower's state for the dump.
     pub fn dump(&self) -> Value {
         let now = self.state.now();
+        let evacuations = dumps::evacuations(&self.state.routing().catalog);
         let followed_controls: BTreeMap<String, bool> = self
             .followed_controls()
             .iter()
@@ -510,6 +512,7 @@
             "phase": format!("{:?}", self.phase()),
             "controls": *self.controls(),
             "catalog_age_ms": self.catalog.age_ms(),
+            "evacuations": evacuations,
             "followed": followed_controls,
         })
     }
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -94,6 +94,8 @@
             backends.filter(|backend| is_counted(backend)).count() as i64
         };
         self.metrics.catalog.set(routing.catalog.version() as i64);
+        let evacuated_zones = routing.catalog.evacuated_zone_count();
+        self.metrics.evacuated_zones.set(evacuated_zones as i64);
         self.metrics.backends.set(count(&|_| true));
         self.metrics
             .cold
--- a/crates/coursestand-daemon/src/fleet/hub/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -226,7 +226,7 @@
         for update in changed {
             let instance = &update.instance;
             info!(target: LOG, instance = instance.id.as_str(), service = instance.service.as_str(),
-                phase:? = instance.phase, born = instance.born, sequence = instance.sequence, cold_ms = update.cold_ms;
+                zone = instance.zone.as_str(), address:% = instance.address, phase:? = instance.phase, born = instance.born, sequence = instance.sequence, cold_ms = update.cold_ms;
                 "a back end changed");
         }
         let starts = StartTimes::of(changed);
@@ -411,6 +411,7 @@
                     "id": entry.instance.id,
                     "service": entry.instance.service,
                     "address": entry.instance.address,
+                    "zone": entry.instance.zone,
                     "phase": format!("{:?}", entry.instance.phase),
                     "born": entry.instance.born,
                     "sequence": entry.instance.sequence,
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -29,7 +29,7 @@
 use crate::fleet::report_limit::ReportLimit;
 use crate::fleet::wire::{
     Answer, EdgeChanges, PeerMessage, PeerReply, Question, StartTimes, ToControl, ToEdge,
-    TrailingFlag,
+    TrailingFlag, TrailingIndex,
 };
 
 const LOG: &str = "mesh";
@@ -252,7 +252,7 @@
     fence: Option<OrderFence>,
 ) -> Answer {
     match control.propose_fenced(command, fence).await {
-        Ok(answer) => Answer::Command(answer),
+        Ok(committed) => Answer::Command(committed.answer, TrailingIndex::from(committed.index)),
         Err(ControlError::Superseded { applied }) => Answer::Superseded { applied },
         Err(ControlError::NotLeader | ControlError::NotJoined) => Answer::NotLeader,
         Err(error) => Answer::Unknown(error.to_string()),
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -13,6 +13,7 @@
     committed: IntGauge,
     members: IntGauge,
     catalog: IntGauge,
+    evacuated_zones: IntGauge,
     log_bytes: IntGauge,
     snapshot_bytes: IntGauge,
     instances: IntGaugeVec,
@@ -49,6 +50,8 @@
     pub is_leader: bool,
     /// Newest catalog version.
     pub catalog: u64,
+    /// Zones that are evacuated according to this replica.
+    pub evacuated_zones: usize,
     /// Back ends that are ready.
     pub ready: usize,
     /// Back ends that are draining.
@@ -107,6 +110,7 @@
             )?,
             members: gauge("coursestand_control_voters", "Voters of the control group")?,
             catalog: gauge("coursestand_catalog_version", "Newest catalog version")?,
+            evacuated_zones: gauge("coursestand_evacuated_zones", "Evacuated zones")?,
             log_bytes: gauge(
                 "coursestand_control_log_bytes",
                 "Size of the log entries after the newest snapshot",
@@ -157,7 +161,7 @@
     /// Counts an order by its outcome.
     pub fn count_order(&self, outcome: &OrderOutcome) {
         match outcome {
-            OrderOutcome::Done => self.orders.inc(),
+            OrderOutcome::Done { .. } => self.orders.inc(),
             OrderOutcome::CallerLeft => self.abandoned_orders.inc(),
             OrderOutcome::Unconfirmed(_) => self.unconfirmed_orders.inc(),
             OrderOutcome::Refused(_) | OrderOutcome::Unavailable(_) => {}
@@ -172,6 +176,7 @@
         self.committed.set(counts.status.commit as i64);
         self.members.set(voters.count() as i64);
         self.catalog.set(counts.catalog as i64);
+        self.evacuated_zones.set(counts.evacuated_zones as i64);
         self.log_bytes.set(counts.status.log_bytes as i64);
         self.snapshot_bytes.set(counts.status.snapshot_bytes as i64);
         self.peer_queue_bytes.set(counts.peer_queue_bytes as i64);
@@ -194,6 +199,8 @@
 pub struct EdgeMetrics {
     /// Newest catalog version in force.
     pub catalog: IntGauge,
+    /// Zones that are evacuated according to this daemon's copy of the catalog.
+    pub evacuated_zones: IntGauge,
     /// Known back ends that have not stopped.
     pub backends: IntGauge,
     /// Known back ends that are cold.
@@ -233,6 +240,10 @@
                 "coursestand_edge_catalog_version",
                 "Catalog version in force",
             )?,
+            evacuated_zones: gauge(
+                "coursestand_edge_evacuated_zones",
+                "Evacuated zones in the catalog in force",
+            )?,
             backends: gauge("coursestand_edge_backends", "Known back ends")?,
             cold: gauge("coursestand_edge_cold_backends", "Back ends that are cold")?,
             ejected: gauge(
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 pub mod control_api;
 mod control_link;
 pub mod control_service;
+mod dumps;
 pub mod edge_follower;
 pub mod edge_service;
 pub mod follower_metrics;
--- a/crates/coursestand-daemon/src/fleet/orders.rs
+++ b/crates/coursestand-daemon/src/fleet/orders.rs
@@ -24,7 +24,7 @@
 use crate::control::handle::ControlHandle;
 use crate::fleet::listener::propose;
 use crate::fleet::peer_links::{AskError, PeerLinks};
-use crate::fleet::wire::{Answer, Question, TrailingFence};
+use crate::fleet::wire::{Answer, Question, TrailingIndex};
 
 const LOG: &str = "control";
 /// Timeout of an order, including the wait for a leader.
@@ -47,8 +47,8 @@
 /// What became of an order.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OrderOutcome {
-    /// It is in force.
-    Done,
+    /// It is in force, by the entry at this index of the log; an older leader does not tell it.
+    Done { index: Option<u64> },
     /// It is invalid and has no effect.
     Refused(String),
     /// The caller has left; the order was not carried out.
@@ -122,8 +122,11 @@
                 OrderStep::Confirm(fence) => return OrderOutcome::Unconfirmed(fence),
             };
             let reason = match answer {
-                Answer::Command(CommandAnswer::Done) => return OrderOutcome::Done,
-                Answer::Command(CommandAnswer::Refused(reason)) => {
+                Answer::Command(CommandAnswer::Done, index) => {
+                    let index = index.index();
+                    return OrderOutcome::Done { index };
+                }
+                Answer::Command(CommandAnswer::Refused(reason), _) => {
                     return OrderOutcome::Refused(reason);
                 }
                 Answer::Unknown(reason) => return OrderOutcome::Unavailable(reason),
@@ -158,7 +161,7 @@
         let Some(leader) = self.control.shared.leader_address() else {
             return Answer::NotLeader;
         };
-        let question = Question::Propose(order.command.clone(), TrailingFence::from(fence));
+        let question = Question::Propose(order.command.clone(), TrailingIndex::from(fence));
         let remaining = deadline.saturating_duration_since(Instant::now());
         match self.links.ask(leader, question, remaining).await {
             Ok(answer) => answer,
--- a/crates/coursestand-daemon/src/fleet/wire.rs
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -98,28 +98,39 @@
     }
 }
 
-/// The fence of a proposed command. Like [`TrailingFlag`], it is the last field of its message: a
-/// message from an older process reads as no fence.
+/// An index of the log. Like [`TrailingFlag`], it is the last field of its message: a message from
+/// an older process reads as no index.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-pub struct TrailingFence(Option<u64>);
+pub struct TrailingIndex(Option<u64>);
 
-impl From<OrderFence> for TrailingFence {
-    fn from(fence: OrderFence) -> TrailingFence {
-        TrailingFence(Some(fence.0))
+impl From<Option<u64>> for TrailingIndex {
+    fn from(index: Option<u64>) -> TrailingIndex {
+        TrailingIndex(index)
     }
 }
 
-impl TrailingFence {
-    /// Returns the fence, if there is one.
+impl From<OrderFence> for TrailingIndex {
+    fn from(fence: OrderFence) -> TrailingIndex {
+        TrailingIndex(Some(fence.0))
+    }
+}
+
+impl TrailingIndex {
+    /// Returns the index, if there is one.
+    pub fn index(self) -> Option<u64> {
+        self.0
+    }
+
+    /// Returns the index as the fence of a proposed command.
     pub fn fence(self) -> Option<OrderFence> {
         self.0.map(OrderFence)
     }
 }
 
-impl<'de> Deserialize<'de> for TrailingFence {
+impl<'de> Deserialize<'de> for TrailingIndex {
     fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
         // Nothing follows in the message, so the only possible error is missing bytes.
-        Ok(TrailingFence(
+        Ok(TrailingIndex(
             Option::deserialize(deserializer).unwrap_or_default(),
         ))
     }
@@ -194,7 +205,7 @@
 pub enum Question {
     /// Commit this command, unless something that it concerns was ordered after the fence. An older
     /// leader ignores the fence.
-    Propose(Command, TrailingFence),
+    Propose(Command, TrailingIndex),
     /// Read the newest catalog.
     ReadCatalog {
         /// Whether the sender needs only the version, and reads its own copy once that has it.
@@ -242,8 +253,8 @@
 /// Answers to [`Question`]s.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub enum Answer {
-    /// The command was committed with this result.
-    Command(CommandAnswer),
+    /// The command was committed with this result, at this index of the log.
+    Command(CommandAnswer, TrailingIndex),
     /// The newest catalog, complete.
     Catalog(CatalogDelta),
     /// The replica is a member of this group.
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 #![allow(missing_docs)]
 
 mod deployment;
+mod evacuations;
 mod fatal_requests;
 mod large_bodies;
 mod large_change;
--- a/crates/coursestand-proxy/src/edge_state.rs
+++ b/crates/coursestand-proxy/src/edge_state.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 
-use coursestand_catalog::{Catalog, CatalogDelta};
+use coursestand_catalog::{AdoptedChanges, Catalog, CatalogDelta};
 use coursestand_discovery::{InstanceUpdate, RelayEndpoint};
 use coursestand_kernel::MonotonicClock;
 use coursestand_model::{Millis, ServiceId, ZoneId};
@@ -249,8 +249,8 @@
         self.routing.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Applies configuration changes. Returns whether anything changed.
-    pub fn adopt_catalog(&self, delta: CatalogDelta) -> bool {
+    /// Applies configuration changes. Returns those that were not applied before.
+    pub fn adopt_catalog(&self, delta: CatalogDelta) -> AdoptedChanges {
         let now = self.now();
         let mut routing = self.routing();
         let ended_evacuations: Vec<ZoneId> = delta
@@ -259,12 +259,11 @@
             .filter(|(zone, change)| !change.is_active && routing.catalog.is_evacuated(zone))
             .map(|(zone, _)| zone.clone())
             .collect();
-        let has_items = !delta.items.is_empty();
-        let changed = routing.catalog.adopt(delta);
-        if !changed {
-            return false;
+        let changes = routing.catalog.adopt(delta);
+        if changes.is_empty() {
+            return changes;
         }
-        if has_items {
+        if changes.items > 0 {
             routing.routes = Arc::new(RouteTable::new(&routing.catalog));
         }
         if !ended_evacuations.is_empty() {
@@ -274,7 +273,7 @@
                 .treat_as_cold(until, |instance| ended_evacuations.contains(&instance.zone));
         }
         routing.picker.invalidate(now);
-        true
+        changes
     }
 
     /// Applies updates of back ends.
--- a/crates/coursestand-proxy/tests/fatal_requests.rs
+++ b/crates/coursestand-proxy/tests/fatal_requests.rs
@@ -85,7 +85,8 @@
         removals: Vec::new(),
     };
     catalog.merge(&patch, 2).expect("valid");
-    expect_that!(edge.state.adopt_catalog(catalog.delta(1)), eq(true));
+    let adopted = edge.state.adopt_catalog(catalog.delta(1));
+    expect_that!(adopted.is_empty(), eq(false));
     for number in 5..10 {
         request(&edge, PATH, &format!("d{number}"), "deadly").await;
         tokio::time::sleep(PAUSE).await;
