Break off no request when a planned stop begins while its answer is overdue

Cause: an answer counts as missing after the silence limit, and another 20 ms pass in which answers that have arrived are read. Whether the daemon stops was looked at before these 20 ms only.

The daemon looks again after the 20 ms, and then waits for the back end like for any other request of a planned stop. A stop that begins later finds the request already sent elsewhere, before it.

Test: a_stop_that_begins_while_an_answer_is_overdue_breaks_off_no_request failed before (2 arrivals where 1 is asked) and passes after; beside it the daemon that is not stopping repeats the request. The hooks of the back-off tests move to tests/common, where both use them; no check of theirs changes.

--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -247,14 +247,15 @@
                 }
                 is_silent = self.silence(prepared, target) => is_silent,
             };
-            // A stopping daemon lets back ends finish: their silence does not show whether they
-            // are at work.
-            if is_silent && self.stops_at.get().is_none() {
+            if is_silent && !self.is_stopping() {
                 if let Ok(outcome) = timeout(READING_GRACE, sending.as_mut()).await {
                     self.note_answer(&outcome, target, sent_at, attempts);
                     return Ok(outcome);
                 }
-                self.handle_silence(prepared, target, attempts, sent_at)?;
+                // Checked again: a planned stop may have begun while the answer was awaited.
+                if !self.is_stopping() {
+                    self.handle_silence(prepared, target, attempts, sent_at)?;
+                }
             }
         }
         let outcome = self
@@ -265,6 +266,12 @@
         Ok(outcome)
     }
 
+    /// Returns whether a planned stop has begun. A stopping daemon lets back ends finish: their
+    /// silence does not show whether they are at work.
+    fn is_stopping(&self) -> bool {
+        self.stops_at.get().is_some()
+    }
+
     /// Handles a connection that counts as silent. Fails the attempt if the request may be sent
     /// again.
     fn handle_silence(
--- a/crates/coursestand-proxy/tests/backoff.rs
+++ b/crates/coursestand-proxy/tests/backoff.rs
@@ -11,24 +11,16 @@
 use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
+use common::hooked_phases::{AfterChoice, HookedPhases};
 use common::{Answer, Caller, Edge, RouteSettings, instance_update};
-use coursestand_discovery::{Instance, InstancePhase};
+use coursestand_discovery::InstancePhase;
 use coursestand_lab::scripted::Behaviour;
-use coursestand_model::{BackendId, ServiceId};
+use coursestand_model::BackendId;
 use coursestand_proxy::EdgeState;
-use coursestand_proxy::answer::Reason;
-use coursestand_proxy::phases::{
-    AttemptEnding, AttemptFailure, Attempts, Matched, PendingToken, RequestHead, RequestPhases,
-    Target,
-};
-use coursestand_proxy::retry::RetryVerdict;
+use coursestand_proxy::phases::{RequestPhases, Target};
 use coursestand_proxy::router::Router;
-use coursestand_routing::backends::ProbeOutcome;
-use coursestand_routing::{
-    BackendReport, Finding, Fingerprint, Rate, RateLimitSignal, SharedFinding,
-};
+use coursestand_routing::{BackendReport, Finding, Rate, RateLimitSignal, SharedFinding};
 use googletest::prelude::*;
-use tokio::sync::{oneshot, watch};
 
 const GOOD: Behaviour = Behaviour::Answer(200);
 /// Refuses with a reported load of 0 and requests a back-off of two seconds.
@@ -161,82 +153,13 @@
     }
 }
 
-/// Runs after a back end was chosen and before the request is sent to it.
-type AfterChoice = Box<dyn Fn(&Router, &Target) + Send + Sync>;
-
-/// Request phases that run a hook right after a back end was chosen.
-struct HookedPhases {
-    router: Router,
-    after_choice: AfterChoice,
-}
-
-impl RequestPhases for HookedPhases {
-    fn match_request(&self, head: &RequestHead) -> std::result::Result<Matched, Reason> {
-        self.router.match_request(head)
-    }
-    fn ask_for_trial(&self, matched: &Matched) -> Option<oneshot::Receiver<()>> {
-        self.router.ask_for_trial(matched)
-    }
-    fn ask_for_token(&self, matched: &Matched, attempts: &Attempts) -> Option<PendingToken> {
-        self.router.ask_for_token(matched, attempts)
-    }
-    fn choose(
-        &self,
-        matched: &Matched,
-        attempts: &Attempts,
-    ) -> std::result::Result<Target, Reason> {
-        let target = self.router.choose(matched, attempts)?;
-        (self.after_choice)(&self.router, &target);
-        Ok(target)
-    }
-    fn take_due_probes(&self, service: &ServiceId) -> Vec<Instance> {
-        self.router.take_due_probes(service)
-    }
-    fn probed(&self, instance: &Instance, outcome: ProbeOutcome) {
-        self.router.probed(instance, outcome);
-    }
-    fn crash_record_changes(&self) -> watch::Receiver<u64> {
-        self.router.crash_record_changes()
-    }
-    fn is_recalled(&self, target: &Target) -> bool {
-        self.router.is_recalled(target)
-    }
-    fn may_still_send(&self, target: &Target) -> bool {
-        self.router.may_still_send(target)
-    }
-    fn head_received(&self, target: &Target, report: &BackendReport) {
-        self.router.head_received(target, report);
-    }
-    fn answered(&self, target: &Target, report: &BackendReport) {
-        self.router.answered(target, report);
-    }
-    fn failed(&self, target: &Target, failure: AttemptFailure, report: &BackendReport) {
-        self.router.failed(target, failure, report);
-    }
-    fn crashed(&self, target: &Target, in_flight_requests: Vec<Fingerprint>) {
-        self.router.crashed(target, in_flight_requests);
-    }
-    fn finished(&self, target: &Target, ending: AttemptEnding) {
-        self.router.finished(target, ending);
-    }
-    fn may_retry(
-        &self,
-        matched: &Matched,
-        attempts: &Attempts,
-        failure: AttemptFailure,
-        time_left: Duration,
-    ) -> RetryVerdict {
-        self.router.may_retry(matched, attempts, failure, time_left)
-    }
-}
-
 /// Sends a request to two back ends; the hook runs after each choice.
 async fn request_with_hook(after_choice: AfterChoice) -> (Edge, Answer) {
     let scripts = vec![(vec![], GOOD), (vec![], GOOD)];
     let edge = Edge::start_with(RouteSettings::default(), scripts, |state| {
         Arc::new(HookedPhases {
-            router: Router::new(state),
             after_choice,
+            ..HookedPhases::new(state)
         })
     })
     .await;
@@ -297,12 +220,12 @@
     let edge = Edge::start_with(RouteSettings::default(), scripts, |state| {
         let shared = Arc::clone(&shared);
         Arc::new(HookedPhases {
-            router: Router::new(state),
             after_choice: Box::new(move |_, target| {
                 let state = shared.get().expect("set before the first request");
                 let mut routing = state.routing();
                 routing.catalog.set_evacuation(&target.zone, true, 100);
             }),
+            ..HookedPhases::new(state)
         })
     })
     .await;
--- a/crates/coursestand-proxy/tests/common/mod.rs
+++ b/crates/coursestand-proxy/tests/common/mod.rs
@@ -2,6 +2,7 @@
 //! speaks HTTP over a raw socket.
 #![allow(dead_code, missing_docs)]
 
+pub mod hooked_phases;
 pub mod narrow_link;
 
 use std::collections::BTreeMap;
--- a/crates/coursestand-proxy/tests/serving.rs
+++ b/crates/coursestand-proxy/tests/serving.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use common::hooked_phases::{HookedPath, HookedPhases};
 use common::{Caller, Edge, MAX_BODY, RouteSettings, TEST_TIMEOUT, empty_state, start_server};
 use coursestand_lab::scripted::Behaviour;
 use coursestand_proxy::router::Router;
@@ -160,3 +161,35 @@
         expect_that!(runs, eq(if is_stopping { 1 } else { 2 }));
     }
 }
+
+/// Guards against a request that a daemon breaks off right after its planned stop began, because the
+/// answer had been overdue just before.
+#[gtest]
+#[tokio::test]
+async fn a_stop_that_begins_while_an_answer_is_overdue_breaks_off_no_request() {
+    for is_stopping in [true, false] {
+        let slow = Behaviour::Slow(Duration::from_millis(500));
+        let path: Arc<HookedPath> = Arc::default();
+        let scripts = vec![(vec![], slow)];
+        let edge = Edge::start_with(RouteSettings::default(), scripts, |state| {
+            Arc::new(HookedPhases {
+                path: Arc::clone(&path),
+                ..HookedPhases::new(state)
+            })
+        })
+        .await;
+        let mut caller = Caller::connect(edge.server.address()).await;
+        caller.send("/safe/a", "r1", "", b"").await;
+        while edge.arrival_count() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        path.close_once();
+        path.seen.notified().await;
+        if is_stopping {
+            edge.exchange.set_stop_time(Instant::now() + TEST_TIMEOUT);
+            edge.server.announce_stop();
+        }
+        expect_that!(caller.receive().await.status, eq(200));
+        expect_that!(edge.arrival_count(), eq(if is_stopping { 1 } else { 2 }));
+    }
+}
