Let a control process leave the group before a planned stop, if it can be spared

Cause: a replica that stops as planned stayed a voter until it had been silent for 3 s. With its successor the group had six voters; an election needs four, and after the loss of two disks three were left.

A stopping replica now asks the leader to remove it, after it has passed on the leadership. The leader does so only if more than twice as many other voters are alive as disks may be lost, the rule by which it removes lost voters; so in a group of five nothing changes. The core allows one membership change at a time, as before. A process of an older version cannot read the request, closes that connection and opens it again; the stop goes on as before.

Test: a_planned_replacement_does_not_reduce_the_number_of_disks_that_may_be_lost timed out after 40 s without a leader with the request taken out, and passes with it; a_replica_that_stops_as_planned_remains_a_voter_if_there_is_none_to_spare passes in both.

Left: a process that ends for good without a signal counts for 3 s as before; no operator's command forms a group anew.

--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -30,6 +30,8 @@
 const HUB_INTERVAL: Duration = Duration::from_secs(1);
 /// Timeout for another replica to take over the leadership.
 const TRANSFER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Timeout for the leader to remove this replica from the group.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Components of the control role for other services.
 pub struct ControlMesh {
@@ -39,6 +41,8 @@
     pub hub: Arc<Hub>,
     /// Connections to the other control processes.
     pub links: Arc<PeerLinks>,
+    /// Membership of the control group.
+    pub formation: Arc<Formation>,
     /// Metrics of the role.
     pub metrics: ControlMetrics,
 }
@@ -158,12 +162,13 @@
         });
         let accepting = accept(listener, context, Arc::clone(&self.tasks));
         self.tasks.start(accepting);
-        self.tasks.start(formation.run());
+        self.tasks.start(Arc::clone(&formation).run());
         let metrics = ControlMetrics::new(registry.metrics()).map_err(|error| failed(&error))?;
         let mesh = Arc::new(ControlMesh {
             control,
             hub,
             links,
+            formation,
             metrics,
         });
         self.tasks.start(run_periodic_work(Arc::clone(&mesh)));
@@ -173,7 +178,8 @@
         Ok(())
     }
 
-    /// Transfers the leadership to another voter before the process stops.
+    /// Transfers the leadership to another voter before the process stops, and leaves the group if
+    /// that has voters to spare.
     async fn drain(&self) {
         const POLL_INTERVAL: Duration = Duration::from_millis(20);
         let Some(mesh) = self.mesh() else {
@@ -188,6 +194,7 @@
                 tokio::time::sleep(POLL_INTERVAL).await;
             }
         }
+        mesh.formation.leave(LEAVE_TIMEOUT).await;
     }
 
     async fn stop(&self) {
--- a/crates/coursestand-daemon/src/fleet/formation.rs
+++ b/crates/coursestand-daemon/src/fleet/formation.rs
@@ -5,9 +5,14 @@
 //! other processes, and every process that lost its disk, have the leader add them under a
 //! new identity: first as learners and, once they have caught up, as voters in place of the
 //! earlier replica at their address.
+//!
+//! A voter that stops as planned asks the leader to remove it first, if the others tolerate the
+//! loss of as many disks as the group has to without it. Otherwise the group would count a replica
+//! that does not come back until it has been silent for [`LOST_AFTER_MS`].
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -17,19 +22,22 @@
 use coursestand_routing::hash::{combine, hash_of};
 use log::{info, warn};
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::control::handle::ControlHandle;
 use crate::control::identity::Identity;
 use crate::control::shared::{MemberStatus, ReplicaStatus};
 use crate::fleet::hub::Hub;
 use crate::fleet::peer_links::PeerLinks;
-use crate::fleet::wire::{Answer, ControlGroup, Question};
+use crate::fleet::wire::{Answer, ControlGroup, LeaveAnswer, Question};
 
 const LOG: &str = "formation";
 /// Time between two checks of the group.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Timeout for an answer or a membership change.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Delay before a request to leave is sent again.
+const LEAVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// How long a request to join is valid.
 const JOIN_REQUEST_TTL_MS: Millis = 4_000;
 /// A member that was silent for less than this is alive.
@@ -68,6 +76,8 @@
     joins: Mutex<BTreeMap<SocketAddr, JoinRequest>>,
     /// Identity under which this process requests to join while it has none.
     new_replica: u64,
+    /// Whether this process stops as planned, and must not join again.
+    is_leaving: AtomicBool,
 }
 
 impl Formation {
@@ -88,6 +98,7 @@
             seeds,
             joins: Mutex::default(),
             new_replica: rand::random(),
+            is_leaving: AtomicBool::new(false),
         }
     }
 
@@ -133,6 +144,73 @@
         Answer::AskThese(Vec::new())
     }
 
+    /// Removes a replica that stops as planned, if this process leads and the others tolerate the
+    /// loss of enough disks without it.
+    pub async fn release(&self, replica: u64) -> Answer {
+        if self.control.shared.leading_term().is_none() {
+            return Answer::NotLeader;
+        }
+        let status = self.control.shared.status();
+        let mut next = self.control.shared.membership();
+        if !next.members.contains_key(&replica) {
+            return Answer::Leave(LeaveAnswer::Removed);
+        }
+        if next.is_voter(replica) && !is_dispensable(&status, replica, self.rules.lost_disks) {
+            return Answer::Leave(LeaveAnswer::Needed);
+        }
+        next.members.remove(&replica);
+        info!(target: LOG, replica = replica; "removing a replica that stops as planned");
+        match tokio::time::timeout(REQUEST_TIMEOUT, self.control.change_members(next)).await {
+            Ok(Ok(_)) => Answer::Leave(LeaveAnswer::Removed),
+            Ok(Err(error)) => Answer::Unknown(error.to_string()),
+            Err(_) => Answer::Unknown("not committed before the deadline".to_owned()),
+        }
+    }
+
+    /// Asks the leader to remove this replica before a planned stop, for `timeout` at most. From
+    /// then on this process does not join again.
+    pub async fn leave(&self, timeout: Duration) {
+        self.is_leaving.store(true, Ordering::Relaxed);
+        let deadline = Instant::now() + timeout;
+        let Some(identity) = self.control.shared.status().identity else {
+            return;
+        };
+        let replica = identity.replica;
+        loop {
+            match self.ask_to_leave(replica, deadline).await {
+                Some(LeaveAnswer::Removed) => {
+                    info!(target: LOG, replica = replica; "left the control group");
+                    return;
+                }
+                Some(LeaveAnswer::Needed) => {
+                    info!(target: LOG, replica = replica;
+                        "remains a member of the control group, which has no replica to spare");
+                    return;
+                }
+                None if Instant::now() + LEAVE_RETRY_DELAY >= deadline => {
+                    info!(target: LOG, replica = replica;
+                        "remains a member of the control group: no leader removed it in time");
+                    return;
+                }
+                None => tokio::time::sleep(LEAVE_RETRY_DELAY).await,
+            }
+        }
+    }
+
+    async fn ask_to_leave(&self, replica: u64, deadline: Instant) -> Option<LeaveAnswer> {
+        let leader = self.control.shared.leader_address()?;
+        let links = self.links()?;
+        let timeout = deadline.saturating_duration_since(Instant::now());
+        let question = Question::Leave { replica };
+        match links
+            .ask(leader, question, timeout.min(REQUEST_TIMEOUT))
+            .await
+        {
+            Ok(Answer::Leave(answer)) => Some(answer),
+            _ => None,
+        }
+    }
+
     /// Runs until it is dropped.
     pub async fn run(self: Arc<Self>) {
         let mut leaderless_since = self.clock.now();
@@ -143,10 +221,12 @@
                 leaderless_since = self.clock.now();
             }
             let leaderless_ms = self.clock.now().saturating_sub(leaderless_since);
+            let is_leaving = self.is_leaving.load(Ordering::Relaxed);
             match status.role {
-                "blank" => self.join_as_blank().await,
                 "leader" => self.change_group_if_due(&status).await,
                 "failed" => {}
+                _ if is_leaving => {}
+                "blank" => self.join_as_blank().await,
                 _ if leaderless_ms > LEADERLESS_LIMIT_MS => self.request_rejoin(&status).await,
                 _ => {}
             }
@@ -349,6 +429,15 @@
     Some(next)
 }
 
+/// Returns whether the group tolerates the loss of `lost_disks` disks without this voter.
+fn is_dispensable(status: &ReplicaStatus, replica: u64, lost_disks: usize) -> bool {
+    let others = status
+        .members
+        .iter()
+        .filter(|member| member.voter && member.replica != replica);
+    others.filter(|member| is_alive(member)).count() > 2 * lost_disks
+}
+
 /// Removes a silent voter if the remaining ones tolerate the loss of `lost_disks` disks without
 /// it. Otherwise its data may be needed when it returns.
 pub fn remove_lost(
@@ -356,16 +445,11 @@
     membership: &Membership,
     lost_disks: usize,
 ) -> Option<Membership> {
-    let alive = status
-        .members
-        .iter()
-        .filter(|member| member.voter && is_alive(member))
-        .count();
     let lost = status.members.iter().find(|member| {
         let is_lost = member
             .silent_ms
             .is_some_and(|silent| silent > LOST_AFTER_MS);
-        let is_removable = !member.voter || alive > 2 * lost_disks;
+        let is_removable = !member.voter || is_dispensable(status, member.replica, lost_disks);
         is_lost && is_removable
     })?;
     info!(target: LOG, replica = lost.replica, address = lost.address; "removing a lost replica");
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -241,6 +241,7 @@
             version_only: TrailingFlag(version_only),
         } => answer_read(&context.control, version_only),
         Question::Join { address, replica } => context.formation.admit(address, replica),
+        Question::Leave { replica } => context.formation.release(replica).await,
     }
 }
 
--- a/crates/coursestand-daemon/src/fleet/wire.rs
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -219,6 +219,21 @@
         /// Identity of the replica.
         replica: u64,
     },
+    /// Remove this replica from the group, because it stops as planned. A process of an older
+    /// version can't read this and closes the connection.
+    Leave {
+        /// Identity of the replica.
+        replica: u64,
+    },
+}
+
+/// Answers to [`Question::Leave`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LeaveAnswer {
+    /// The replica is not a member any more.
+    Removed,
+    /// The replica stays a member: the group would tolerate too few losses without it.
+    Needed,
 }
 
 /// Replies that a control process receives on a connection that it opened to another.
@@ -278,6 +293,8 @@
         /// Index up to which the leader has applied the log.
         applied: u64,
     },
+    /// Whether the replica left the group; sent only if it asked for that.
+    Leave(LeaveAnswer),
 }
 
 /// Entry daemons that connected or disconnected, by name.
--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -238,6 +238,16 @@
         voters
     }
 
+    /// Returns the host that leads, if one does.
+    pub fn leader(&self) -> Option<u8> {
+        let leads = |node: &Node| !node.kernel().dump()["hub"]["leading_term"].is_null();
+        let nodes = self.nodes.iter();
+        nodes
+            .filter(|(_, node)| leads(node))
+            .map(|(host, _)| *host)
+            .next()
+    }
+
     /// Waits until each of these hosts reports exactly these hosts as voters.
     pub async fn wait_for_voters(&self, hosts: &[u8]) {
         let mut expected: Vec<String> = hosts
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -130,6 +130,43 @@
     deployment.wait_for_voters(&[1, 2, 3, 4, 5, 6]).await;
 }
 
+/// Guards against a group without a leader for good: a replaced process that has stopped as planned
+/// still counts as a voter when two others lose their disks.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_replacement_does_not_reduce_the_number_of_disks_that_may_be_lost() {
+    let mut deployment = form_group(&ALL_CONTROLS).await;
+    expect_that!(deployment.patch(&[1], &first_items()).await, eq(200));
+    deployment.start_control(6, false).await;
+    deployment.wait_for_voters(&[1, 2, 3, 4, 5, 6]).await;
+    let replaced = deployment.nodes.remove(&5).expect("the process runs");
+    replaced.drain_and_stop().await;
+    expect_that!(deployment.patch(&[1], &one_route("b", 4)).await, eq(200));
+    let leader = deployment.leader().expect("a leader");
+    let other = if leader == 2 { 3 } else { 2 };
+    for host in [leader, other] {
+        deployment.wipe(host).await;
+    }
+    for host in [leader, other] {
+        deployment.start_control(host, false).await;
+    }
+    deployment.wait_for_voters(&[1, 2, 3, 4, 6]).await;
+    expect_that!(deployment.read(6).await.get(&key_of("b")), some(eq(&4)));
+}
+
+/// Guards against a group that gives up replicas which it needs: without voters to spare, one that
+/// stops as planned remains a member and returns with its data.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_stops_as_planned_remains_a_voter_if_there_is_none_to_spare() {
+    let mut deployment = form_group(&ALL_CONTROLS).await;
+    let stopping = deployment.nodes.remove(&5).expect("the process runs");
+    stopping.drain_and_stop().await;
+    expect_that!(deployment.voters(1), len(eq(ALL_CONTROLS.len())));
+    deployment.start_control(5, false).await;
+    deployment.wait_for_voters(&ALL_CONTROLS).await;
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread")]
 async fn entry_daemons_route_by_the_newest_catalog_and_leave_look_ups_when_they_stop() {
