Let the soak's operators evacuate zones, and judge what back ends see

A further shape of the soak has five control processes, entry daemons and back ends in six zones. Five operators evacuate and take back, give each call a second and ask another process, follow redirections, leave one order in eight after its first call, and at times begin with a process that does not run; two share their zones. Control processes are suspended for up to 20 s, killed, stopped, lose their disks, two at a time at most, and now and then are all killed at once; daemons restart and are suspended; changes that must be refused come in between. Callers use open connections as long as they last.

A zone that was taken back must get requests, all processes must hold the same catalog at the end, and no part of a refused change may be in force. judge_tests shows that it finds each of these and excuses no more.

More by hand: COURSESTAND_SOAK_SEEDS, COURSESTAND_EVACUATION_SECONDS, COURSESTAND_EVACUATION_DAEMONS.

--- a/crates/coursestand-daemon/tests/soak/main.rs
+++ b/crates/coursestand-daemon/tests/soak/main.rs
@@ -14,7 +14,12 @@
 #[path = "../partition/network.rs"]
 mod network;
 
+#[path = "../late_orders/operator.rs"]
+#[allow(dead_code)]
+mod order_calls;
+
 mod callers;
+mod evacuations;
 mod fatal;
 mod faults;
 mod hangup;
@@ -382,8 +387,13 @@
 }
 
 fn seeds() -> Vec<u64> {
+    seeds_or(&DEFAULT_SEEDS)
+}
+
+/// Returns the seeds that the environment names, or else `default_seeds`.
+fn seeds_or(default_seeds: &[u64]) -> Vec<u64> {
     let Ok(range) = std::env::var("COURSESTAND_SOAK_SEEDS") else {
-        return DEFAULT_SEEDS.to_vec();
+        return default_seeds.to_vec();
     };
     let (first, end) = range.split_once("..").expect("FIRST..END");
     (first.parse().expect("a number")..end.parse().expect("a number")).collect()
