Share the delivery of heartbeats in the soak, and keep logs of evacuation runs on request

Both shapes of the soak that bring back ends of their own sent heartbeats with the same loop. The logs and the record of a run of evacuations could be read only if a guarantee was violated; COURSESTAND_KEEP_LOGS=1 keeps them, as in the other tests with real processes. No check changes.

--- a/crates/coursestand-daemon/tests/soak/evacuations/mod.rs
+++ b/crates/coursestand-daemon/tests/soak/evacuations/mod.rs
@@ -146,6 +146,10 @@
     let outcome = run(&mut system, seed).await;
     let record = system.record.describe();
     std::fs::write(logs.join("record.txt"), record).expect("written");
+    if std::env::var_os("COURSESTAND_KEEP_LOGS").is_some() {
+        system.deployment.folder.disable_cleanup(true);
+        println!("seed {seed}: logs in {}", logs.display());
+    }
     outcome.map_err(|reason| {
         let folder = &mut system.deployment.folder;
         folder.disable_cleanup(true);
--- a/crates/coursestand-daemon/tests/soak/evacuations/traffic.rs
+++ b/crates/coursestand-daemon/tests/soak/evacuations/traffic.rs
@@ -14,6 +14,7 @@
 
 use super::{CONTROLS, SERVICE, ZONES};
 use crate::deployment::{Deployment, heartbeat_of};
+use crate::heartbeats;
 
 const BACKENDS_PER_ZONE: usize = 2;
 /// Time between two requests to all daemons together.
@@ -137,14 +138,7 @@
     while !is_over.load(Ordering::Relaxed) {
         update.instance.sequence += 1;
         urls.shuffle(&mut rand::rng());
-        let body = serde_json::to_string(&update).expect("JSON");
-        for url in &urls {
-            let url = format!("{url}/v1/backends/{}", update.instance.id);
-            let sent = http.post(url).body(body.clone()).send().await;
-            if sent.is_ok_and(|answer| answer.status() == 200) {
-                break;
-            }
-        }
+        heartbeats::deliver(&http, &urls, &update).await;
         tokio::time::sleep(HEARTBEAT_INTERVAL).await;
     }
 }
--- a/crates/coursestand-daemon/tests/soak/fatal.rs
+++ b/crates/coursestand-daemon/tests/soak/fatal.rs
@@ -14,7 +14,7 @@
 
 use crate::callers::RequestLog;
 use crate::deployment::heartbeat_of;
-use crate::{CONTROLS, HEARTBEAT, System};
+use crate::{CONTROLS, HEARTBEAT, System, heartbeats};
 
 /// Service whose back ends crash.
 const SERVICE: &str = "fragile";
@@ -112,14 +112,7 @@
                 continue;
             }
             let update = heartbeat(number, backend.address(), sequence);
-            let body = serde_json::to_string(&update).expect("JSON");
-            for url in &urls {
-                let url = format!("{url}/v1/backends/{}", update.instance.id);
-                let sent = http.post(url).body(body.clone()).send().await;
-                if sent.is_ok_and(|answer| answer.status() == 200) {
-                    break;
-                }
-            }
+            heartbeats::deliver(&http, &urls, &update).await;
         }
         tokio::time::sleep(HEARTBEAT).await;
     }
--- a/crates/coursestand-daemon/tests/soak/main.rs
+++ b/crates/coursestand-daemon/tests/soak/main.rs
@@ -23,6 +23,7 @@
 mod fatal;
 mod faults;
 mod hangup;
+mod heartbeats;
 mod operators;
 mod processes;
 mod rate_limit;
