Split the listener by kind of connection

serve_edge, serve_peer and the answers to questions stood in one module of 600 lines. Each is a module of its own now: edge_connection, peer_connection, questions.

Checked: cargo check -p coursestand-daemon. No test was run for this move alone.

--- a/crates/coursestand-daemon/src/fleet/catalog_reads.rs
+++ b/crates/coursestand-daemon/src/fleet/catalog_reads.rs
@@ -17,8 +17,8 @@
 use tokio::time::Instant;
 
 use crate::control::handle::ControlHandle;
-use crate::fleet::listener::newest_catalog_version;
 use crate::fleet::peer_links::PeerLinks;
+use crate::fleet::questions::newest_catalog_version;
 use crate::fleet::wire::{Answer, Question, TrailingFlag};
 
 /// Maximum number of reads in progress.
--- a/crates/coursestand-daemon/src/fleet/orders.rs
+++ b/crates/coursestand-daemon/src/fleet/orders.rs
@@ -22,8 +22,8 @@
 use tokio::time::Instant;
 
 use crate::control::handle::ControlHandle;
-use crate::fleet::listener::propose;
 use crate::fleet::peer_links::{AskError, PeerLinks};
+use crate::fleet::questions::propose;
 use crate::fleet::wire::{Answer, Question, TrailingIndex};
 
 const LOG: &str = "control";
--- /dev/null
+++ b/crates/coursestand-daemon/src/fleet/peer_connection.rs
@@ -0,0 +1,147 @@
+//! Connection that another control process opened: consensus messages, updates of back ends,
+//! reports about entry daemons, and questions.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use coursestand_discovery::{EdgeIncarnation, EdgeRecord};
+use coursestand_transport::stream::{Receiver, Sender, StreamError};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::control::event::Event;
+use crate::control::handle::ControlHandle;
+use crate::control::peers::Envelope;
+use crate::fleet::hub::Hub;
+use crate::fleet::listener::ConnectionContext;
+use crate::fleet::questions::answer;
+use crate::fleet::wire::{PeerMessage, PeerReply, ToControl};
+
+/// A peer that sends nothing for this long is disconnected.
+const PEER_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Queue length of replies to a peer.
+const REPLY_QUEUE_MESSAGES: usize = 1_024;
+
+/// Serves a connection of another control process until it fails.
+pub(super) async fn serve_peer(
+    peer: SocketAddr,
+    mut receiver: Receiver<ToControl>,
+    mut sender: Sender<PeerReply>,
+    context: &Arc<ConnectionContext>,
+) -> Result<(), StreamError> {
+    let (replies, mut queue) = mpsc::channel::<PeerReply>(REPLY_QUEUE_MESSAGES);
+    if let Some(links) = context.formation.links() {
+        links.ensure_link(peer);
+    }
+    let mut connection = PeerConnection {
+        peer,
+        number: context.hub.begin_peer_connection(peer),
+        first_report: Some(BTreeSet::new()),
+    };
+    let mut last_received_at = Instant::now();
+    loop {
+        tokio::select! {
+            message = receiver.next() => {
+                last_received_at = Instant::now();
+                context.hub.note_peer_contact(peer);
+                match message? {
+                    ToControl::Ping => {
+                        connection.finish_first_report(&context.hub);
+                        sender.send(&PeerReply::Pong).await?;
+                    }
+                    ToControl::Peer(PeerMessage::Edge { record, is_connected }) => {
+                        connection.note_edge(&context.hub, &record, is_connected);
+                    }
+                    ToControl::Peer(message) => handle_peer_message(message, context, &replies),
+                    _ => return Err(StreamError::Ended),
+                }
+            }
+            Some(reply) = queue.recv() => sender.send(&reply).await?,
+            () = tokio::time::sleep_until(last_received_at + PEER_TIMEOUT) => {
+                return Err(StreamError::ReceiveTimeout { limit_ms: PEER_TIMEOUT.as_millis() });
+            }
+        }
+    }
+}
+
+/// What another control process reports about entry daemons on one connection.
+struct PeerConnection {
+    peer: SocketAddr,
+    /// Number of the connection in the hub.
+    number: u64,
+    /// The entry daemons that it has reported so far, until its first ping. It sends its initial
+    /// report before that.
+    first_report: Option<BTreeSet<EdgeIncarnation>>,
+}
+
+impl PeerConnection {
+    fn note_edge(&mut self, hub: &Hub, record: &EdgeRecord, is_connected: bool) {
+        if let Some(report) = &mut self.first_report {
+            let incarnation = (record.name.clone(), record.incarnation);
+            if is_connected {
+                report.insert(incarnation);
+            } else {
+                report.remove(&incarnation);
+            }
+        }
+        hub.note_peer_edge(self.peer, self.number, record, is_connected);
+    }
+
+    fn finish_first_report(&mut self, hub: &Hub) {
+        if let Some(report) = self.first_report.take() {
+            hub.finish_peer_report(self.peer, self.number, &report);
+        }
+    }
+}
+
+fn handle_peer_message(
+    message: PeerMessage,
+    context: &Arc<ConnectionContext>,
+    replies: &mpsc::Sender<PeerReply>,
+) {
+    match message {
+        PeerMessage::Consensus(bytes) => deliver_consensus(&context.control, &bytes),
+        PeerMessage::Instances {
+            updates,
+            receipt,
+            starts,
+        } => {
+            context.hub.merge_peer_updates(starts.join(updates));
+            if let Some(receipt) = receipt {
+                // A lost acknowledgement is like a lost message: the sender times out and tries
+                // again.
+                let _ = replies.try_send(PeerReply::Received(receipt));
+            }
+        }
+        PeerMessage::HeartbeatsReceived(ids) => context.hub.note_peer_heartbeats(&ids),
+        // Handled by the connection, to which reports belong.
+        PeerMessage::Edge { .. } => {}
+        PeerMessage::Ask { number, question } => {
+            let context = Arc::clone(context);
+            let replies = replies.clone();
+            tokio::spawn(async move {
+                let answer = answer(&context, *question).await;
+                let _ = replies.send(PeerReply::Answer { number, answer }).await;
+            });
+        }
+    }
+}
+
+fn deliver_consensus(control: &ControlHandle, bytes: &[u8]) {
+    let Ok(envelope) = postcard::from_bytes::<Envelope>(bytes) else {
+        return;
+    };
+    let identity = control.shared.status().identity;
+    let is_for_this_replica = identity.is_some_and(|identity| {
+        identity.cluster == envelope.cluster && identity.replica == envelope.to
+    });
+    if is_for_this_replica {
+        // Fails only if the driver has stopped.
+        let _ = control.deliver(Event::Message {
+            from: envelope.from,
+            message: envelope.message,
+        });
+    }
+}
