Tell why look-ups name a daemon that this control process isn't connected with

What callers saw: look-ups named entry daemons that had ended. The logs said which connections a process has, but not on whose word it names a daemon: the report of another control process, a probe, or the grace after a restart. So a leaked connection, a lost message and a wrong probe could not be told apart.

Now each control process logs, once a second and only on change, the daemons that its look-ups name without an own connection, with the processes that report them or how long they count as reachable; the dump has the same list, and coursestand_edges_named_without_connection counts them. Lines about own connections have the number of the connection. At level debug each report of another process is logged with its connection.

No decision changes. Bounded: at most one line a daemon a second, none while nothing changes.

--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -60,6 +60,7 @@
             draining,
             peer_queue_bytes: self.links.queued_bytes(),
             edges,
+            edges_named_without_connection: self.hub.named_without_connection().len(),
             rate_limited_backends: self.hub.limited_backends(),
         });
     }
--- a/crates/coursestand-daemon/src/fleet/hub/edges.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/edges.rs
@@ -12,7 +12,7 @@
 };
 use coursestand_model::Millis;
 use coursestand_transport::frame::encode;
-use log::info;
+use log::{debug, info};
 use rand::seq::IndexedRandom;
 use tokio::sync::watch;
 
@@ -65,6 +65,9 @@
             }
         };
         if changed {
+            debug!(target: LOG, peer:% = peer, connection = number, edge = record.name,
+                incarnation = record.incarnation, phase:? = record.phase, connected = is_connected;
+                "another control process reported an entry daemon");
             self.publish_edges();
         }
     }
@@ -94,7 +97,7 @@
     /// daemon may have two connections: it opens a new one before it closes one that is silent.
     pub fn note_edge(&self, number: u64, record: &EdgeRecord, is_connected: bool) {
         if self.change_edge_link(number, record, is_connected) {
-            self.announce_edge(record, is_connected);
+            self.announce_edge(number, record, is_connected);
         }
     }
 
@@ -102,7 +105,7 @@
     /// daemon's only one, other daemons probe whether it is still serving.
     pub fn mark_edge_silent(&self, number: u64, record: &EdgeRecord) {
         if self.change_edge_link(number, record, false) {
-            self.announce_edge(record, false);
+            self.announce_edge(number, record, false);
             self.suspect_edge(record);
         }
     }
@@ -133,10 +136,10 @@
             .disconnect(self.local_address, &record.name, record.incarnation)
     }
 
-    fn announce_edge(&self, record: &EdgeRecord, is_connected: bool) {
+    fn announce_edge(&self, number: u64, record: &EdgeRecord, is_connected: bool) {
         self.publish_edges();
         info!(target: LOG, edge = record.name, incarnation = record.incarnation,
-            phase:? = record.phase, connected = is_connected; "an entry daemon changed");
+            connection = number, phase:? = record.phase, connected = is_connected; "an entry daemon changed");
         if let Some(links) = self.links() {
             links.broadcast(PeerMessage::Edge {
                 record: record.clone(),
--- a/crates/coursestand-daemon/src/fleet/hub/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -8,7 +8,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use coursestand_discovery::{Directory, Instance, InstancePhase, InstanceTable, InstanceUpdate};
+use coursestand_discovery::{
+    Directory, EdgeIncarnation, Evidence, Instance, InstancePhase, InstanceTable, InstanceUpdate,
+    NamedDaemon,
+};
 use coursestand_kernel::MonotonicClock;
 use coursestand_model::{BackendId, Millis, ServiceId, ZoneId};
 use coursestand_transport::frame::encode;
@@ -25,6 +28,7 @@
 
 mod crash_records;
 mod edges;
+mod named_edges;
 mod rate_limits;
 
 const LOG: &str = "hub";
@@ -56,6 +60,8 @@
     peers: BTreeMap<SocketAddr, Millis>,
     /// Number of the latest connection of each of the other control processes.
     peer_connections: HashMap<SocketAddr, u64>,
+    /// Entry daemons named without a connection, as last logged.
+    named_without_connection: BTreeMap<EdgeIncarnation, NamedDaemon>,
 }
 
 /// Optional messages that an entry daemon accepts.
@@ -370,6 +376,7 @@
         self.drop_silent_peers(now);
         self.expire_instances(now);
         self.probe_suspects(now);
+        self.log_named_without_connection();
     }
 
     fn expire_instances(&self, now: Millis) {
@@ -425,14 +432,35 @@
             .connected()
             .map(|record| json!({"name": record.name, "phase": format!("{:?}", record.phase)}))
             .collect();
+        let named_without_connection: Vec<Value> = state
+            .directory
+            .named_without_connection(now, self.local_address)
+            .iter()
+            .map(|named| named_without_connection_view(now, named))
+            .collect();
         json!({
             "instances": instances,
             "edges": edges,
+            "named_without_connection": named_without_connection,
             "controls": self.controls.borrow().members,
         })
     }
 }
 
+/// Returns a daemon that look-ups name without a connection, for the dump.
+fn named_without_connection_view(now: Millis, named: &NamedDaemon) -> Value {
+    let (reported_by, reachable_ms) = match &named.evidence {
+        Evidence::Connections(observers) => (Some(observers), None),
+        Evidence::Reachable { until } => (None, Some(until.saturating_sub(now))),
+    };
+    json!({
+        "name": named.record.name,
+        "incarnation": named.record.incarnation,
+        "reported_by": reported_by,
+        "reachable_ms": reachable_ms,
+    })
+}
+
 /// Returns a placeholder for a back end that deregisters and has no record here.
 fn placeholder_instance(id: &BackendId) -> InstanceUpdate {
     InstanceUpdate {
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -18,6 +18,7 @@
     snapshot_bytes: IntGauge,
     instances: IntGaugeVec,
     edges: IntGauge,
+    edges_named_without_connection: IntGauge,
     rate_limited_backends: IntGauge,
     calls: IntGaugeVec,
     peer_queue_bytes: IntGauge,
@@ -60,6 +61,8 @@
     pub peer_queue_bytes: usize,
     /// Connected entry daemons.
     pub edges: usize,
+    /// Entry daemons that look-ups name although this process is not connected with them.
+    pub edges_named_without_connection: usize,
     /// Back ends that reported a rate limit.
     pub rate_limited_backends: usize,
 }
@@ -126,6 +129,10 @@
             )?,
             instances,
             edges: gauge("coursestand_edges", "Connected entry daemons")?,
+            edges_named_without_connection: gauge(
+                "coursestand_edges_named_without_connection",
+                "Entry daemons in look-ups that this process is not connected with",
+            )?,
             rate_limited_backends: gauge(
                 "coursestand_control_rate_limited_backends",
                 "Back ends that reported a rate limit",
@@ -181,6 +188,8 @@
         self.snapshot_bytes.set(counts.status.snapshot_bytes as i64);
         self.peer_queue_bytes.set(counts.peer_queue_bytes as i64);
         self.edges.set(counts.edges as i64);
+        self.edges_named_without_connection
+            .set(counts.edges_named_without_connection as i64);
         self.rate_limited_backends
             .set(counts.rate_limited_backends as i64);
         for (phase, count) in [
--- a/crates/coursestand-discovery/src/directory.rs
+++ b/crates/coursestand-discovery/src/directory.rs
@@ -7,6 +7,10 @@
 use coursestand_model::{Millis, RegionId, ZoneId};
 use serde::{Deserialize, Serialize};
 
+pub use evidence::{Evidence, NamedDaemon};
+
+mod evidence;
+
 /// Whether an entry daemon accepts requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum EdgePhase {
