Let a process listen on another address than the one others connect to

What users met: a process told others the address on which it listens, so it could not run behind address translation, and no test could put a relay between two processes: loopback resets at once, and delayed or cut links between entry daemons and control were never played.

listen_ip in the settings of a process, if set, is where it accepts connections of other processes; ip stays what it tells them. Unset, nothing changes.

--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -128,9 +128,10 @@
             return Err(failed(&"the process has no control role"));
         };
         let local_address = self.settings.internal_address();
-        let listener = TcpListener::bind(local_address)
+        let listen_address = self.settings.internal_listen_address();
+        let listener = TcpListener::bind(listen_address)
             .await
-            .map_err(|error| failed(&format!("cannot listen on {local_address}: {error}")))?;
+            .map_err(|error| failed(&format!("cannot listen on {listen_address}: {error}")))?;
         let heartbeat = self.settings.bounds.heartbeat.0;
         let hub = Arc::new(Hub::new(local_address, self.clock, heartbeat));
         let snapshot_hub = Arc::clone(&hub);
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -203,7 +203,8 @@
         };
         for port in (first..=last).rev() {
             let address = SocketAddr::new(self.settings.ip, port);
-            let started = ProxyServer::start_for_daemons(address, Arc::clone(exchange));
+            let listen_address = SocketAddr::new(self.settings.listen_ip(), port);
+            let started = ProxyServer::start_for_daemons(listen_address, Arc::clone(exchange));
             match started.await {
                 Ok(server) => {
                     state.set_relay_endpoint(RelayEndpoint { address, token });
--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -113,6 +113,11 @@
         ip_in(self.network.number, host)
     }
 
+    /// Returns an address at which a process of this host can listen behind a relay at its own one.
+    pub fn hidden_ip(&self, host: u8) -> IpAddr {
+        IpAddr::V4(Ipv4Addr::new(127, 79, self.network.number, host))
+    }
+
     fn address(&self, host: u8, port: usize) -> SocketAddr {
         SocketAddr::new(self.ip(host), self.ports[port])
     }
@@ -128,6 +133,7 @@
             region: RegionId::from("z"),
             zones: BTreeMap::from([(ZoneId::from("z-1"), RegionId::from("z"))]),
             ip: self.ip(host),
+            listen_ip: None,
             internal_ports: (self.ports[INTERNAL], self.ports[INTERNAL]),
             seeds: self
                 .seeds
@@ -353,9 +359,13 @@
         answer.map_or(0, |answer| answer.status().as_u16())
     }
 
+    /// Returns the URL of look-ups without the client's place.
+    pub fn lookup_url(&self, host: u8) -> String {
+        format!("http://{}/v1/entry-daemons", self.address(host, LOOKUP))
+    }
+
     pub async fn lookup(&self, host: u8) -> Vec<String> {
-        let address = self.address(host, LOOKUP);
-        let url = format!("http://{address}/v1/entry-daemons?region=z&zone=z-1");
+        let url = format!("{}?region=z&zone=z-1", self.lookup_url(host));
         let Ok(answer) = self.http.get(url).send().await else {
             return Vec::new();
         };
--- a/crates/coursestand-daemon/tests/following/late_requests.rs
+++ b/crates/coursestand-daemon/tests/following/late_requests.rs
@@ -70,6 +70,7 @@
         region: RegionId::from("z"),
         zones: [(ZoneId::from("z-1"), RegionId::from("z"))].into(),
         ip: front.ip(),
+        listen_ip: None,
         internal_ports: (0, 0),
         seeds: Vec::new(),
         bootstrap: false,
--- a/crates/coursestand-model/src/fleet.rs
+++ b/crates/coursestand-model/src/fleet.rs
@@ -101,8 +101,12 @@
     pub region: RegionId,
     /// Region of each zone.
     pub zones: BTreeMap<ZoneId, RegionId>,
-    /// IP address of the machine.
+    /// IP address under which other processes reach this one.
     pub ip: IpAddr,
+    /// IP address on which the process accepts their connections, if it differs from `ip`, as
+    /// behind address translation.
+    #[serde(default)]
+    pub listen_ip: Option<IpAddr>,
     /// First and last port for connections between processes, the same on all machines.
     pub internal_ports: (u16, u16),
     /// Addresses of some control processes. Only the IP addresses are used, with the first
@@ -135,11 +139,21 @@
 }
 
 impl FleetSettings {
-    /// Returns the address on which this process accepts connections of other processes.
+    /// Returns the address under which other processes connect with this one.
     pub fn internal_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.internal_ports.0)
     }
 
+    /// Returns the address on which this process accepts connections of other processes.
+    pub fn internal_listen_address(&self) -> SocketAddr {
+        SocketAddr::new(self.listen_ip(), self.internal_ports.0)
+    }
+
+    /// Returns the IP address on which this process accepts connections of other processes.
+    pub fn listen_ip(&self) -> IpAddr {
+        self.listen_ip.unwrap_or(self.ip)
+    }
+
     /// Returns the addresses on which the seed processes accept connections of other
     /// processes.
     pub fn seed_addresses(&self) -> Vec<SocketAddr> {
