Let the soak look up entry daemons, and judge the answers

Nothing in the soak asked for daemons; the fault's own test uses daemons in the test's process.

The new shape runs five control processes and twelve daemons in six zones (up to 240 with COURSESTAND_LOOK_UP_DAEMONS). Clients ask every control process from every zone ten times a second. Daemons end silently, by kill and as planned, some again and again while they connect; control processes are killed, suspended and restarted in series, one or all; connections to them are delayed, cut and reset by relays.

The judge of evacuations shares the history of processes; its checks and bounds are the same.

--- a/crates/coursestand-daemon/tests/soak/evacuations/judge.rs
+++ b/crates/coursestand-daemon/tests/soak/evacuations/judge.rs
@@ -2,17 +2,15 @@
 
 use std::time::{Duration, Instant};
 
-use super::record::{ProcessEvent, Record, ZoneOrder};
+use super::record::{Record, ZoneOrder};
 use super::traffic::ZoneArrival;
 use super::{CONTROLS, ZONES};
+use crate::process_history::ProcessHistory;
 
 /// Time after the acknowledgement within which an evacuation is in force at every daemon.
 const EVACUATE_BOUND: Duration = Duration::from_secs(5);
 /// Addition to the bound while the control group is not stable, if most of it ran all the time.
 const MAX_STRETCH: Duration = Duration::from_secs(5);
-/// Time for which a process must have run undisturbed to be judged, and time after a fault of a
-/// control process until the group counts as stable.
-const CONTACT: Duration = Duration::from_secs(3);
 /// Time after the end of an evacuation within which the zone gets requests.
 const RETURN_BOUND: Duration = Duration::from_secs(10);
 /// A zone gets none of this many requests with a probability of less than one in a million.
@@ -39,7 +37,7 @@
 /// Judges the arrivals of a run.
 pub struct Judge<'a> {
     record: &'a Record,
-    processes: Vec<ProcessEvent>,
+    history: ProcessHistory,
     periods: Vec<Period>,
 }
 
@@ -49,7 +47,7 @@
         let periods = orders.iter().filter_map(|order| period(order, &orders));
         Judge {
             record,
-            processes: record.processes(),
+            history: ProcessHistory::new(record.processes()),
             periods: periods.collect(),
         }
     }
@@ -93,53 +91,22 @@
             return false;
         }
         let age = arrival.at - period.acknowledged_at;
-        if age <= EVACUATE_BOUND || !self.runs_undisturbed(arrival.edge, arrival.at) {
+        if age <= EVACUATE_BOUND || !self.history.runs_undisturbed(arrival.edge, arrival.at) {
             return false;
         }
-        self.is_group_stable(arrival.at)
+        self.history.is_group_stable(arrival.at)
             || age > EVACUATE_BOUND + MAX_STRETCH
                 && self.has_majority_run(period.acknowledged_at, arrival.at)
     }
 
-    fn events_of(&self, host: u8) -> impl Iterator<Item = &ProcessEvent> {
-        self.processes
-            .iter()
-            .filter(move |event| event.host == host)
-    }
-
-    fn runs_at(&self, host: u8, at: Instant) -> bool {
-        let last = self
-            .events_of(host)
-            .take_while(|event| event.at <= at)
-            .last();
-        last.is_some_and(|event| event.runs)
-    }
-
-    fn has_event_in(&self, host: u8, from: Instant, to: Instant) -> bool {
-        self.events_of(host)
-            .any(|event| event.at >= from && event.at <= to)
-    }
-
-    /// Returns whether a process has run without a fault for [`CONTACT`].
-    fn runs_undisturbed(&self, host: u8, at: Instant) -> bool {
-        self.runs_at(host, at) && !self.has_event_in(host, at - CONTACT, at)
-    }
-
-    /// Returns whether most control processes run and none was disturbed for [`CONTACT`].
-    fn is_group_stable(&self, at: Instant) -> bool {
-        let running = CONTROLS.into_iter().filter(|host| self.runs_at(*host, at));
-        let is_calm = CONTROLS
-            .into_iter()
-            .all(|host| !self.has_event_in(host, at - CONTACT, at));
-        is_calm && running.count() > CONTROLS.len() / 2
-    }
-
     /// Returns whether most control processes ran at each moment of a period.
     fn has_majority_run(&self, from: Instant, to: Instant) -> bool {
-        let events = self.processes.iter().map(|event| event.at);
+        let events = self.history.events().iter().map(|event| event.at);
         let moments = events.filter(|at| *at >= from && *at <= to);
         std::iter::once(from).chain(moments).all(|at| {
-            let running = CONTROLS.into_iter().filter(|host| self.runs_at(*host, at));
+            let running = CONTROLS
+                .into_iter()
+                .filter(|host| self.history.runs_at(*host, at));
             running.count() > CONTROLS.len() / 2
         })
     }
@@ -150,8 +117,8 @@
         let is_judged = |arrival: &&ZoneArrival| {
             period.contains(arrival.at)
                 && arrival.at - period.acknowledged_at > RETURN_BOUND
-                && self.runs_undisturbed(arrival.edge, arrival.at)
-                && self.is_group_stable(arrival.at)
+                && self.history.runs_undisturbed(arrival.edge, arrival.at)
+                && self.history.is_group_stable(arrival.at)
         };
         let judged: Vec<&ZoneArrival> = arrivals.iter().filter(is_judged).collect();
         let elsewhere = judged.iter().filter(|arrival| arrival.zone == ZONES[0]);
--- a/crates/coursestand-daemon/tests/soak/evacuations/mod.rs
+++ b/crates/coursestand-daemon/tests/soak/evacuations/mod.rs
@@ -6,7 +6,7 @@
 mod judge;
 mod judge_tests;
 mod operators;
-mod record;
+pub mod record;
 mod traffic;
 
 use std::time::{Duration, Instant};
@@ -31,14 +31,14 @@
 
 pub const CONTROLS: [u8; 5] = [1, 2, 3, 4, 5];
 /// Control processes whose addresses all processes are told.
-const SEEDS: [u8; 3] = [1, 2, 3];
+pub const SEEDS: [u8; 3] = [1, 2, 3];
 /// Number of control processes that may be lost at the same time.
 pub const LOST_DISKS: usize = 2;
-const FIRST_EDGE: u8 = 11;
+pub const FIRST_EDGE: u8 = 11;
 const DEFAULT_EDGES: u8 = 3;
 /// The first zone is never evacuated.
 pub const ZONES: [&str; 6] = ["z-1", "z-2", "z-3", "z-4", "z-5", "z-6"];
-const REGION: &str = "z";
+pub const REGION: &str = "z";
 pub const SERVICE: &str = "zoned";
 /// Route of changes that are refused.
 pub const REFUSED_ROUTE: &str = "refused";
@@ -102,7 +102,7 @@
     }
 }
 
-fn initial_items() -> Patch {
+pub fn initial_items() -> Patch {
     let route = items::route(SERVICE, SERVICE, RouteKind::Repeatable, 2_000);
     Patch {
         upserts: vec![
@@ -114,7 +114,7 @@
     }
 }
 
-fn number_from_environment(variable: &str) -> Option<u64> {
+pub fn number_from_environment(variable: &str) -> Option<u64> {
     let text = std::env::var(variable).ok()?;
     Some(text.parse().expect("a number"))
 }
--- a/crates/coursestand-daemon/tests/soak/evacuations/record.rs
+++ b/crates/coursestand-daemon/tests/soak/evacuations/record.rs
@@ -14,6 +14,14 @@
     pub runs: bool,
 }
 
+/// A fault of the connections to a process began or ended.
+#[derive(Clone, Copy, Debug)]
+struct LinkEvent {
+    host: u8,
+    at: Instant,
+    is_disturbed: bool,
+}
+
 /// An order of an operator, with all its attempts.
 #[derive(Clone, Debug)]
 pub struct ZoneOrder {
@@ -29,6 +37,7 @@
 struct Entries {
     started_at: Instant,
     processes: Vec<ProcessEvent>,
+    links: Vec<LinkEvent>,
     orders: Vec<ZoneOrder>,
     notes: Vec<(Instant, String)>,
 }
@@ -42,6 +51,7 @@
         Record(Arc::new(Mutex::new(Entries {
             started_at: Instant::now(),
             processes: Vec::new(),
+            links: Vec::new(),
             orders: Vec::new(),
             notes: Vec::new(),
         })))
@@ -63,6 +73,36 @@
         self.entries().processes.push(event);
     }
 
+    /// Notes that a fault of the connections to a process begins or ends.
+    pub fn note_link(&self, host: u8, is_disturbed: bool) {
+        let at = Instant::now();
+        self.add_link_event(host, at, is_disturbed);
+    }
+
+    pub fn add_link_event(&self, host: u8, at: Instant, is_disturbed: bool) {
+        self.entries().links.push(LinkEvent {
+            host,
+            at,
+            is_disturbed,
+        });
+    }
+
+    /// Returns whether no connections were disturbed at any time of a period.
+    pub fn are_links_undisturbed(&self, from: Instant, to: Instant) -> bool {
+        let entries = self.entries();
+        let mut disturbed = BTreeSet::new();
+        for event in entries.links.iter().filter(|event| event.at <= to) {
+            match event.is_disturbed {
+                true => disturbed.insert(event.host),
+                false => disturbed.remove(&event.host),
+            };
+            if event.at >= from {
+                return false;
+            }
+        }
+        disturbed.is_empty()
+    }
+
     /// Adds an order that has ended.
     pub fn add_order(&self, order: ZoneOrder) {
         self.entries().orders.push(order);
--- a/crates/coursestand-daemon/tests/soak/relay.rs
+++ b/crates/coursestand-daemon/tests/soak/relay.rs
@@ -1,4 +1,4 @@
-//! A loopback relay in front of a back end, which injects faults into its connections.
+//! A loopback relay in front of a back end or a control process, which injects faults into its connections.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -31,7 +31,12 @@
 
 impl Relay {
     pub async fn start(target: SocketAddr) -> Relay {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        Relay::start_at(SocketAddr::from(([127, 0, 0, 1], 0)), target).await
+    }
+
+    /// Starts a relay that listens on `address`; port 0 stands for any free one.
+    pub async fn start_at(address: SocketAddr, target: SocketAddr) -> Relay {
+        let listener = TcpListener::bind(address).await.expect("a free address");
         let address = listener.local_addr().expect("an address");
         let fault = watch::Sender::new(LinkFault::None);
         let receiver = fault.subscribe();
