Remove an entry daemon whose connection fails while it is greeted

What callers saw, or would: look-ups at every control process name an entry daemon that has ended, until the one that accepted its last connection restarts.

Cause: between the entry of the daemon in the directory and the loop whose end removes it, the control process sends one more message. If the connection is reset before that one, the function returned without removing the entry, its connection's number or its subscription; its reports told the other control processes the same.

Fix: the entries belong to a value that removes them on drop, so every way out does.

--- a/crates/coursestand-daemon/src/fleet/edge_connection.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_connection.rs
@@ -15,7 +15,7 @@
 
 use crate::control::shared::{ControlShared, LogExtent};
 use crate::fleet::catalog_updates::{CatalogDistribution, CatalogMessage};
-use crate::fleet::hub::{EdgeNames, EdgeSubscriptions};
+use crate::fleet::hub::{EdgeNames, EdgeSubscriptions, Hub};
 use crate::fleet::listener::ConnectionContext;
 use crate::fleet::report_limit::ReportLimit;
 use crate::fleet::wire::{EdgeChanges, StartTimes, ToControl, ToEdge};
@@ -32,7 +32,7 @@
 
 /// Serves a connection of an entry daemon until it fails.
 pub(super) async fn serve_edge(
-    mut record: EdgeRecord,
+    record: EdgeRecord,
     catalog_version: u64,
     subscriptions: EdgeSubscriptions,
     mut receiver: Receiver<ToControl>,
@@ -45,12 +45,17 @@
         sender.send(&ToEdge::Findings(Vec::new())).await?;
     }
     let (number, queue, instances) = hub.subscribe(subscriptions);
+    let mut registration = Registration {
+        hub,
+        number,
+        record,
+    };
     if subscriptions.crash_records {
         sender
             .send(&ToEdge::CrashRecords(hub.shared_crash_records()))
             .await?;
     }
-    hub.note_edge(number, &record, true);
+    hub.note_edge(number, &registration.record, true);
     if subscriptions.relays {
         sender.send(&ToEdge::Relays(Vec::new())).await?;
     }
@@ -67,17 +72,39 @@
         tokens: ReportLimit::default(),
     };
     let result = connection
-        .run(&mut record, instances, &mut receiver, &mut sender)
+        .run(
+            &mut registration.record,
+            instances,
+            &mut receiver,
+            &mut sender,
+        )
         .await;
-    hub.unsubscribe(number);
-    hub.note_edge(number, &record, false);
     if let Err(error) = &result {
+        let record = &registration.record;
         info!(target: LOG, edge = record.name, incarnation = record.incarnation,
-            catalog = connection.catalog.version_sent(); "connection of an entry daemon closed: {error}");
+            connection = number, catalog = connection.catalog.version_sent();
+            "connection of an entry daemon closed: {error}");
     }
     result
 }
 
+/// The entries of a connection in the hub, which are removed on drop: a connection may fail at
+/// any message.
+struct Registration<'a> {
+    hub: &'a Hub,
+    /// Number of the connection in the hub.
+    number: u64,
+    /// The daemon, in its latest phase.
+    record: EdgeRecord,
+}
+
+impl Drop for Registration<'_> {
+    fn drop(&mut self) {
+        self.hub.unsubscribe(self.number);
+        self.hub.note_edge(self.number, &self.record, false);
+    }
+}
+
 fn edge_changes(before: &EdgeNames, now: &EdgeNames) -> EdgeChanges {
     EdgeChanges {
         added: now.difference(before).cloned().collect(),
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -7,6 +7,7 @@
 mod fatal_requests;
 mod large_bodies;
 mod large_change;
+mod reset_connections;
 mod restarted_backend;
 mod restarted_control;
 mod silent_edge;
