Notice lost reports about entry daemons by a digest in each ping

What callers saw, or would: a control process names an entry daemon that has ended for as long as its connection with one other control process lasts, or leaves out a live one.

Cause: the end of a daemon's connection is told once. A queue that is full drops the message, and only a new connection between the two starts with a full report.

Fix: each ping between control processes (two a second) has a digest of the daemons that the sender is connected with, and of their phases. If two in a row don't match what the receiver holds, it asks for a full report, which replaces that. Two, because a ping overtakes changes that are still queued. A daemon that such a report lacks gets no time to reconnect: the reporter hasn't restarted. The digest is the last field of its message, so older processes ignore it, send none, and are never asked.

Evidence: lost_reports fills the queue between two control processes while a daemon ends.

--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -23,7 +23,7 @@
 use crate::fleet::hub::Hub;
 use crate::fleet::listener::{ConnectionContext, accept};
 use crate::fleet::metrics::{ControlCounts, ControlMetrics};
-use crate::fleet::peer_links::{PeerLinkSender, PeerLinks};
+use crate::fleet::peer_links::{PeerLinkSender, PeerLinks, PeerState};
 use crate::names;
 
 /// Time between two rounds of the hub's periodic work.
@@ -134,10 +134,9 @@
             .map_err(|error| failed(&format!("cannot listen on {listen_address}: {error}")))?;
         let heartbeat = self.settings.bounds.heartbeat.0;
         let hub = Arc::new(Hub::new(local_address, self.clock, heartbeat));
-        let snapshot_hub = Arc::clone(&hub);
         let links = Arc::new(PeerLinks::new(
             local_address,
-            Arc::new(move || snapshot_hub.snapshot()),
+            Arc::clone(&hub) as Arc<dyn PeerState>,
             Arc::clone(&self.tasks),
         ));
         let shared = Arc::new(ControlShared::new(self.clock));
--- a/crates/coursestand-daemon/src/fleet/hub/edges.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/edges.rs
@@ -2,17 +2,14 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
 
 use bytes::Bytes;
 use coursestand_discovery::directory::OBSERVER_TIMEOUT_MS;
-use coursestand_discovery::{
-    EdgeIncarnation, EdgeRecord, LinkUse, LookupClient, RelayEndpoint, RelayPeer,
-};
+use coursestand_discovery::{EdgeRecord, LinkUse, LookupClient, RelayEndpoint, RelayPeer};
 use coursestand_model::Millis;
 use coursestand_transport::frame::encode;
-use log::{debug, info};
+use log::info;
 use rand::seq::IndexedRandom;
 use tokio::sync::watch;
 
@@ -28,71 +25,6 @@
         self.edges.subscribe()
     }
 
-    /// Records that a message from another control process was received.
-    pub fn note_peer_contact(&self, peer: SocketAddr) {
-        let now = self.clock.now();
-        self.state().peers.insert(peer, now);
-    }
-
-    /// Records that another control process opened a connection, and returns its number. The peer
-    /// first reports all entry daemons that it is connected with.
-    pub fn begin_peer_connection(&self, peer: SocketAddr) -> u64 {
-        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
-        self.state().peer_connections.insert(peer, number);
-        number
-    }
-
-    /// Records that another control process reported on connection `number` that it connected with
-    /// an entry daemon or lost the connection. Reports on an earlier connection are outdated.
-    pub fn note_peer_edge(
-        &self,
-        peer: SocketAddr,
-        number: u64,
-        record: &EdgeRecord,
-        is_connected: bool,
-    ) {
-        let changed = {
-            let mut state = self.state();
-            if state.peer_connections.get(&peer) != Some(&number) {
-                return;
-            }
-            if is_connected {
-                state.directory.connect(peer, record)
-            } else {
-                state
-                    .directory
-                    .disconnect(peer, &record.name, record.incarnation)
-            }
-        };
-        if changed {
-            debug!(target: LOG, peer:% = peer, connection = number, edge = record.name,
-                incarnation = record.incarnation, phase:? = record.phase, connected = is_connected;
-                "another control process reported an entry daemon");
-            self.publish_edges();
-        }
-    }
-
-    /// Records that another control process has reported on connection `number` all entry daemons
-    /// that it is connected with. What it reported before, perhaps in an earlier run, is dropped.
-    pub fn finish_peer_report(
-        &self,
-        peer: SocketAddr,
-        number: u64,
-        connected: &BTreeSet<EdgeIncarnation>,
-    ) {
-        let now = self.clock.now();
-        let changed = {
-            let mut state = self.state();
-            let is_current = state.peer_connections.get(&peer) == Some(&number);
-            is_current && state.directory.replace_connections(now, peer, connected)
-        };
-        if changed {
-            info!(target: LOG, peer:% = peer, reported = connected.len();
-                "a control process no longer reports some entry daemons");
-            self.publish_edges();
-        }
-    }
-
     /// Records that the connection `number` with an entry daemon is active or closed. The
     /// daemon may have two connections: it opens a new one before it closes one that is silent.
     pub fn note_edge(&self, number: u64, record: &EdgeRecord, is_connected: bool) {
@@ -148,7 +80,7 @@
         }
     }
 
-    fn publish_edges(&self) {
+    pub(super) fn publish_edges(&self) {
         let names = self.edge_names();
         self.edges.send_if_modified(|published| {
             let changed = **published != names;
--- a/crates/coursestand-daemon/src/fleet/hub/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -29,6 +29,7 @@
 mod crash_records;
 mod edges;
 mod named_edges;
+mod peer_reports;
 mod rate_limits;
 
 const LOG: &str = "hub";
@@ -343,24 +344,6 @@
             .collect()
     }
 
-    /// Returns the initial state for another control process.
-    pub fn snapshot(&self) -> Vec<PeerMessage> {
-        let updates = self.all_instances();
-        let mut messages = vec![PeerMessage::Instances {
-            starts: StartTimes::of(&updates),
-            updates,
-            receipt: None,
-        }];
-        let state = self.state();
-        for record in state.directory.connected_with(self.local_address) {
-            messages.push(PeerMessage::Edge {
-                record: record.clone(),
-                is_connected: true,
-            });
-        }
-        messages
-    }
-
     /// Periodic work: sends the digest of heartbeats, and removes silent peers and back ends.
     pub fn tick(&self) {
         let now = self.clock.now();
--- a/crates/coursestand-daemon/src/fleet/peer_connection.rs
+++ b/crates/coursestand-daemon/src/fleet/peer_connection.rs
@@ -6,8 +6,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coursestand_discovery::{EdgeIncarnation, EdgeRecord};
+use coursestand_discovery::{ConnectionDigest, EdgeIncarnation, EdgeRecord};
 use coursestand_transport::stream::{Receiver, Sender, StreamError};
+use log::info;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
@@ -17,12 +18,16 @@
 use crate::fleet::hub::Hub;
 use crate::fleet::listener::ConnectionContext;
 use crate::fleet::questions::answer;
-use crate::fleet::wire::{PeerMessage, PeerReply, ToControl};
+use crate::fleet::wire::{PeerMessage, PeerReply, ToControl, TrailingDigest};
 
+const LOG: &str = "mesh";
 /// A peer that sends nothing for this long is disconnected.
 const PEER_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Queue length of replies to a peer.
 const REPLY_QUEUE_MESSAGES: usize = 1_024;
+/// Consecutive digests without a match after which a full report is requested. A ping overtakes the
+/// changes that are still queued, so a single mismatch does not mean that a message was lost.
+const MAX_MISMATCHES: u32 = 2;
 
 /// Serves a connection of another control process until it fails.
 pub(super) async fn serve_peer(
@@ -39,6 +44,7 @@
         peer,
         number: context.hub.begin_peer_connection(peer),
         first_report: Some(BTreeSet::new()),
+        mismatches: 0,
     };
     let mut last_received_at = Instant::now();
     loop {
@@ -47,9 +53,15 @@
                 last_received_at = Instant::now();
                 context.hub.note_peer_contact(peer);
                 match message? {
-                    ToControl::Ping => {
+                    ToControl::Ping(TrailingDigest(digest)) => {
                         connection.finish_first_report(&context.hub);
                         sender.send(&PeerReply::Pong).await?;
+                        if digest.is_some_and(|digest| connection.needs_report(&context.hub, digest)) {
+                            sender.send(&PeerReply::ReportEdges).await?;
+                        }
+                    }
+                    ToControl::Peer(PeerMessage::Edges(connected)) => {
+                        context.hub.set_peer_report(peer, connection.number, &connected);
                     }
                     ToControl::Peer(PeerMessage::Edge { record, is_connected }) => {
                         connection.note_edge(&context.hub, &record, is_connected);
@@ -74,6 +86,8 @@
     /// The entry daemons that it has reported so far, until its first ping. It sends its initial
     /// report before that.
     first_report: Option<BTreeSet<EdgeIncarnation>>,
+    /// Consecutive digests that did not match what the peer has reported.
+    mismatches: u32,
 }
 
 impl PeerConnection {
@@ -89,6 +103,22 @@
         hub.note_peer_edge(self.peer, self.number, record, is_connected);
     }
 
+    /// Returns whether to ask the peer for a full report, since a message of it was lost.
+    fn needs_report(&mut self, hub: &Hub, digest: ConnectionDigest) -> bool {
+        if hub.matches_report(self.peer, self.number, digest) {
+            self.mismatches = 0;
+            return false;
+        }
+        self.mismatches += 1;
+        if self.mismatches < MAX_MISMATCHES {
+            return false;
+        }
+        self.mismatches = 0;
+        info!(target: LOG, peer:% = self.peer, connection = self.number;
+            "a report about entry daemons was lost; requesting all");
+        true
+    }
+
     fn finish_first_report(&mut self, hub: &Hub) {
         if let Some(report) = self.first_report.take() {
             hub.finish_peer_report(self.peer, self.number, &report);
@@ -117,7 +147,7 @@
         }
         PeerMessage::HeartbeatsReceived(ids) => context.hub.note_peer_heartbeats(&ids),
         // Handled by the connection, to which reports belong.
-        PeerMessage::Edge { .. } => {}
+        PeerMessage::Edge { .. } | PeerMessage::Edges(_) => {}
         PeerMessage::Ask { number, question } => {
             let context = Arc::clone(context);
             let replies = replies.clone();
--- a/crates/coursestand-daemon/src/fleet/peer_links.rs
+++ b/crates/coursestand-daemon/src/fleet/peer_links.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use coursestand_consensus::{Membership, Message, ReplicaId};
-use coursestand_discovery::InstanceUpdate;
+use coursestand_discovery::{ConnectionDigest, EdgeRecord, InstanceUpdate};
 use coursestand_kernel::Tasks;
 use coursestand_transport::frame::encode;
 use coursestand_transport::stream::{self, StreamError};
@@ -18,7 +18,9 @@
 use tokio::time::Instant;
 
 use crate::control::peers::{PeerSender, envelopes};
-use crate::fleet::wire::{Answer, PeerMessage, PeerReply, Question, StartTimes, ToControl};
+use crate::fleet::wire::{
+    Answer, PeerMessage, PeerReply, Question, StartTimes, ToControl, TrailingDigest,
+};
 
 const LOG: &str = "mesh";
 /// Queue length of a connection; messages beyond it are dropped.
@@ -33,8 +35,17 @@
 /// Delay before a lost connection is reopened.
 const RECONNECT_DELAY: Duration = Duration::from_millis(150);
 
-/// Returns the messages that a new connection starts with.
-pub type InitialMessages = Arc<dyn Fn() -> Vec<PeerMessage> + Send + Sync>;
+/// State of this process that the others need.
+pub trait PeerState: Send + Sync {
+    /// Returns the messages that a new connection starts with.
+    fn initial_messages(&self) -> Vec<PeerMessage>;
+
+    /// Returns the digest of the entry daemons that this process is connected with.
+    fn edge_digest(&self) -> ConnectionDigest;
+
+    /// Returns all entry daemons that this process is connected with.
+    fn edge_report(&self) -> Vec<EdgeRecord>;
+}
 
 /// Why a question has no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Snafu)]
@@ -61,7 +72,7 @@
 /// Connections to the other control processes.
 pub struct PeerLinks {
     local_address: SocketAddr,
-    initial_messages: InitialMessages,
+    state: Arc<dyn PeerState>,
     links: Mutex<BTreeMap<SocketAddr, Arc<PeerLink>>>,
     next_number: AtomicU64,
     runtime: tokio::runtime::Handle,
@@ -69,16 +80,16 @@
 }
 
 impl PeerLinks {
-    /// Creates a set without connections. Each connection starts with the messages of
-    /// `initial_messages`, and runs as one of `tasks`.
+    /// Creates a set without connections. Each connection tells the other process the `state` of
+    /// this one, and runs as one of `tasks`.
     pub fn new(
         local_address: SocketAddr,
-        initial_messages: InitialMessages,
+        state: Arc<dyn PeerState>,
         tasks: Arc<Tasks>,
     ) -> PeerLinks {
         PeerLinks {
             local_address,
-            initial_messages,
+            state,
             links: Mutex::default(),
             next_number: AtomicU64::new(1),
             runtime: tokio::runtime::Handle::current(),
@@ -114,7 +125,7 @@
                 Arc::clone(&link),
                 queue,
                 self.local_address,
-                Arc::clone(&self.initial_messages),
+                Arc::clone(&self.state),
             );
             // Called from the driver's thread as well, which has no runtime.
             let _entered = self.runtime.enter();
@@ -264,7 +275,7 @@
 
     fn deliver_reply(&self, reply: PeerReply) {
         let number = match &reply {
-            PeerReply::Pong => return,
+            PeerReply::Pong | PeerReply::ReportEdges => return,
             PeerReply::Received(number) | PeerReply::Answer { number, .. } => *number,
         };
         if let Some(pending) = self.pending().remove(&number) {
@@ -278,7 +289,7 @@
     link: Arc<PeerLink>,
     mut queue: mpsc::Receiver<Bytes>,
     local_address: SocketAddr,
-    initial_messages: InitialMessages,
+    state: Arc<dyn PeerState>,
 ) {
     let mut was_connected = false;
     loop {
@@ -286,7 +297,7 @@
             &link,
             &mut queue,
             local_address,
-            &initial_messages,
+            state.as_ref(),
             &mut was_connected,
         )
         .await;
@@ -308,7 +319,7 @@
     link: &PeerLink,
     queue: &mut mpsc::Receiver<Bytes>,
     local_address: SocketAddr,
-    initial_messages: &InitialMessages,
+    state: &dyn PeerState,
     was_connected: &mut bool,
 ) -> Result<(), StreamError> {
     let (mut receiver, mut sender) = stream::connect::<PeerReply, ToControl>(link.address).await?;
@@ -317,7 +328,7 @@
     link.discard_queue(queue);
     // Set before the initial messages are collected, so that no later update is lost.
     link.is_connected.store(true, Ordering::SeqCst);
-    for message in initial_messages() {
+    for message in state.initial_messages() {
         sender.send(&ToControl::Peer(message)).await?;
     }
     let mut ping = tokio::time::interval(PING_INTERVAL);
@@ -337,10 +348,17 @@
                     *was_connected = true;
                     debug!(target: LOG, peer:% = link.address; "control process connected");
                 }
-                link.deliver_reply(reply?);
+                match reply? {
+                PeerReply::ReportEdges => {
+                    let report = PeerMessage::Edges(state.edge_report());
+                    sender.send(&ToControl::Peer(report)).await?;
+                }
+                reply => link.deliver_reply(reply),
+            }
             }
             _ = ping.tick() => {
-                sender.send(&ToControl::Ping).await?;
+                let digest = TrailingDigest(Some(state.edge_digest()));
+                sender.send(&ToControl::Ping(digest)).await?;
             }
             () = tokio::time::sleep_until(last_received_at + PEER_TIMEOUT) => {
                 let limit_ms = PEER_TIMEOUT.as_millis();
--- a/crates/coursestand-daemon/src/fleet/wire.rs
+++ b/crates/coursestand-daemon/src/fleet/wire.rs
@@ -5,7 +5,9 @@
 
 use coursestand_catalog::CatalogDelta;
 use coursestand_coordination::{Command, CommandAnswer, OrderFence};
-use coursestand_discovery::{EdgeRecord, InstanceUpdate, LinkUse, RelayEndpoint, RelayPeer};
+use coursestand_discovery::{
+    ConnectionDigest, EdgeRecord, InstanceUpdate, LinkUse, RelayEndpoint, RelayPeer,
+};
 use coursestand_model::{BackendId, Millis};
 use coursestand_routing::rate_limit::{TokenRequest, TokenVerdict};
 use coursestand_routing::{RateLimitUpdate, SharedCrashRecord, SharedFinding, TrialVerdict};
@@ -37,8 +39,9 @@
     Peer(PeerMessage),
     /// The entry daemon's record changed.
     Edge(EdgeRecord),
-    /// Keep-alive of another control process.
-    Ping,
+    /// Keep-alive of another control process, with the digest of the entry daemons that it is
+    /// connected with.
+    Ping(TrailingDigest),
     /// The entry daemon probed another one at the control process's request and found it ready.
     ProbeSucceeded {
         /// Name of the probed daemon.
@@ -136,6 +139,20 @@
     }
 }
 
+/// Digest of the entry daemons that the sender is connected with. Like [`TrailingFlag`], it is the
+/// last field of its message: a message from an older process reads as no digest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct TrailingDigest(pub Option<ConnectionDigest>);
+
+impl<'de> Deserialize<'de> for TrailingDigest {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        // Nothing follows in the message, so the only possible error is missing bytes.
+        Ok(TrailingDigest(
+            Option::deserialize(deserializer).unwrap_or_default(),
+        ))
+    }
+}
+
 /// Start times of the incarnations in a list of instance updates, in the list's order.
 ///
 /// This is the last field of its message. A process that does not support the field ignores
@@ -198,6 +215,9 @@
         /// The question.
         question: Box<Question>,
     },
+    /// All entry daemons that the sender is connected with. Sent only to a process that asks for
+    /// it by [`PeerReply::ReportEdges`].
+    Edges(Vec<EdgeRecord>),
 }
 
 /// Requests from one control process to another, mostly to the leader.
@@ -250,6 +270,9 @@
         /// The answer.
         answer: Answer,
     },
+    /// Requests a report of all connected entry daemons, since the last digest did not match. Sent
+    /// only to a process that sends digests.
+    ReportEdges,
 }
 
 /// A part of a compressed `ToEdge::Catalog` frame. The parts of one frame are sent in order.
--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -191,7 +191,7 @@
         self.start(host, settings).await;
     }
 
-    async fn start(&mut self, host: u8, settings: FleetSettings) {
+    pub async fn start(&mut self, host: u8, settings: FleetSettings) {
         // The sockets of the node's previous run may still be closing.
         let started = std::time::Instant::now();
         let node = loop {
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -7,6 +7,10 @@
 mod fatal_requests;
 mod large_bodies;
 mod large_change;
+mod lost_reports;
+#[path = "../soak/relay.rs"]
+#[allow(dead_code)]
+mod relay;
 mod reset_connections;
 mod restarted_backend;
 mod restarted_control;
--- a/crates/coursestand-daemon/tests/peer_links.rs
+++ b/crates/coursestand-daemon/tests/peer_links.rs
@@ -7,8 +7,9 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use coursestand_daemon::fleet::peer_links::{AskError, PeerLinks};
+use coursestand_daemon::fleet::peer_links::{AskError, PeerLinks, PeerState};
 use coursestand_daemon::fleet::wire::{PeerMessage, Question, TrailingFlag};
+use coursestand_discovery::{ConnectionDigest, EdgeRecord};
 use coursestand_kernel::Tasks;
 use googletest::prelude::*;
 use tokio::io::AsyncReadExt;
@@ -19,13 +20,26 @@
 const MAX_QUEUE_BYTES: usize = 8 * MIB;
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// A process without entry daemons and back ends.
+struct NoState;
+
+impl PeerState for NoState {
+    fn initial_messages(&self) -> Vec<PeerMessage> {
+        Vec::new()
+    }
+
+    fn edge_digest(&self) -> ConnectionDigest {
+        ConnectionDigest::default()
+    }
+
+    fn edge_report(&self) -> Vec<EdgeRecord> {
+        Vec::new()
+    }
+}
+
 fn links() -> PeerLinks {
     let local_address = SocketAddr::from(([127, 0, 0, 1], 1));
-    PeerLinks::new(
-        local_address,
-        Arc::new(Vec::new),
-        Arc::new(Tasks::default()),
-    )
+    PeerLinks::new(local_address, Arc::new(NoState), Arc::new(Tasks::default()))
 }
 
 fn large_message(bytes: usize) -> PeerMessage {
--- a/crates/coursestand-discovery/src/directory.rs
+++ b/crates/coursestand-discovery/src/directory.rs
@@ -7,8 +7,10 @@
 use coursestand_model::{Millis, RegionId, ZoneId};
 use serde::{Deserialize, Serialize};
 
+pub use digest::ConnectionDigest;
 pub use evidence::{Evidence, NamedDaemon};
 
+mod digest;
 mod evidence;
 
 /// Whether an entry daemon accepts requests.
@@ -228,36 +230,62 @@
     }
 
     /// Reduces the connections that `observer` reported to those with the incarnations in
-    /// `connected`: a list of all that it is connected with. An incarnation that no other control
-    /// process is connected with becomes a suspect. It counts as reachable at first, since it may
-    /// be about to reconnect, unless it was a suspect already. Returns whether anything changed.
+    /// `connected`: a list of all that it is connected with. `observer` may have restarted, so an
+    /// incarnation that no other control process is connected with becomes a suspect. It counts as
+    /// reachable at first, since it may be about to reconnect, unless it was a suspect already.
+    /// Returns whether anything changed.
     pub fn replace_connections(
         &mut self,
         now: Millis,
         observer: Observer,
         connected: &BTreeSet<EdgeIncarnation>,
     ) -> bool {
-        let outdated: Vec<EdgeIncarnation> = self
-            .edges
+        let (is_changed, unobserved) = self.retain_connections(observer, connected);
+        for record in unobserved {
+            let key = (record.name.clone(), record.incarnation);
+            if !self.suspects.contains_key(&key) {
+                self.suspect(now, &record);
+                self.note_reachable(now, &record.name, record.incarnation);
+            }
+        }
+        is_changed
+    }
+
+    /// Makes the connections that `observer` reported those with `connected`: all that it is
+    /// connected with, as it reports without having restarted. Returns whether anything changed.
+    pub fn set_connections(&mut self, observer: Observer, connected: &[EdgeRecord]) -> bool {
+        let keys = connected
             .iter()
-            .filter(|(key, entry)| entry.observers.contains(&observer) && !connected.contains(key))
-            .map(|(key, _)| key.clone())
+            .map(|record| (record.name.clone(), record.incarnation))
             .collect();
-        for key in &outdated {
-            let Some(entry) = self.edges.get_mut(key) else {
-                continue;
-            };
-            entry.observers.remove(&observer);
-            if entry.observers.is_empty() {
-                let record = entry.record.clone();
-                self.edges.remove(key);
-                if !self.suspects.contains_key(key) {
-                    self.suspect(now, &record);
-                    self.note_reachable(now, &record.name, record.incarnation);
-                }
-            }
+        let (mut is_changed, _) = self.retain_connections(observer, &keys);
+        for record in connected {
+            is_changed |= self.connect(observer, record);
         }
-        !outdated.is_empty()
+        is_changed
+    }
+
+    /// Removes the connections that `observer` reported except those with `kept`. Returns whether
+    /// there were any, and the incarnations that no control process is connected with any more.
+    fn retain_connections(
+        &mut self,
+        observer: Observer,
+        kept: &BTreeSet<EdgeIncarnation>,
+    ) -> (bool, Vec<EdgeRecord>) {
+        let mut is_changed = false;
+        let mut unobserved = Vec::new();
+        self.edges.retain(|key, entry| {
+            if kept.contains(key) || !entry.observers.remove(&observer) {
+                return true;
+            }
+            is_changed = true;
+            let is_observed = !entry.observers.is_empty();
+            if !is_observed {
+                unobserved.push(entry.record.clone());
+            }
+            is_observed
+        });
+        (is_changed, unobserved)
     }
 
     /// Removes all connections that `observer` reported, because it is silent.
--- a/crates/coursestand-discovery/src/lib.rs
+++ b/crates/coursestand-discovery/src/lib.rs
@@ -11,8 +11,8 @@
 pub mod table;
 
 pub use directory::{
-    Directory, EdgeIncarnation, EdgePhase, EdgeRecord, Evidence, LinkUse, LookupClient,
-    NamedDaemon, RelayEndpoint, RelayPeer,
+    ConnectionDigest, Directory, EdgeIncarnation, EdgePhase, EdgeRecord, Evidence, LinkUse,
+    LookupClient, NamedDaemon, RelayEndpoint, RelayPeer,
 };
 pub use instance::{Incarnation, Instance, InstancePhase, InstanceUpdate};
 pub use table::InstanceTable;
--- a/crates/coursestand-discovery/tests/directory.rs
+++ b/crates/coursestand-discovery/tests/directory.rs
@@ -290,3 +290,49 @@
     expect_that!(resolve(&directory, "a-1"), elements_are![eq(&address(1))]);
     expect_that!(directory.suspects(0).len(), eq(1));
 }
+
+/// Guards against daemons that stay listed, or stay unlisted, because a message between two control
+/// processes was lost: their digests of the same connections have to differ then, and only then.
+#[gtest]
+fn digests_differ_until_a_full_report_has_replaced_what_was_lost() {
+    let (first, second) = (
+        edge(1, 1, "a-1", EdgePhase::Ready),
+        edge(2, 1, "a-1", EdgePhase::Ready),
+    );
+    let mut reporter = Directory::default();
+    let mut receiver = Directory::default();
+    for record in [&first, &second] {
+        reporter.connect(address(FIRST), record);
+    }
+    for record in [&second, &first] {
+        receiver.connect(address(FIRST), record);
+        receiver.connect(address(SECOND), record);
+    }
+    let matches = |reporter: &Directory, receiver: &Directory| {
+        reporter.digest_of(address(FIRST)) == receiver.digest_of(address(FIRST))
+    };
+    expect_that!(matches(&reporter, &receiver), eq(true));
+    reporter.disconnect(address(FIRST), &first.name, first.incarnation);
+    reporter.connect(address(FIRST), &edge(2, 1, "a-1", EdgePhase::Draining));
+    reporter.connect(address(FIRST), &edge(3, 1, "a-1", EdgePhase::Ready));
+    expect_that!(matches(&reporter, &receiver), eq(false));
+    let report: Vec<EdgeRecord> = reporter.connected_with(address(FIRST)).cloned().collect();
+    expect_that!(receiver.set_connections(address(FIRST), &report), eq(true));
+    expect_that!(matches(&reporter, &receiver), eq(true));
+    expect_that!(receiver.set_connections(address(FIRST), &report), eq(false));
+    // The other control process is still connected with the first daemon.
+    expect_that!(
+        resolve(&receiver, "a-1"),
+        unordered_elements_are![eq(&address(1)), eq(&address(3))]
+    );
+}
+
+/// The reporter has not restarted, so a daemon that it does not report has no time to reconnect.
+#[gtest]
+fn a_daemon_that_a_requested_report_lacks_is_removed_at_once() {
+    let mut directory = Directory::default();
+    directory.connect(address(FIRST), &edge(1, 1, "a-1", EdgePhase::Ready));
+    directory.set_connections(address(FIRST), &[]);
+    expect_that!(resolve(&directory, "a-1"), is_empty());
+    expect_that!(directory.suspects(0), is_empty());
+}
