Expire a silent control process's reports on time, and probe what a restarted one lacks

What callers would see: a daemon ends, and a control process that was connected with it stops just before it notices, two seconds later. The others name the daemon until they count that process as silent, or for 2.5 s after it restarted without the daemon: up to the six seconds after which an answer is wrong, or beyond.

Cause: silence of three seconds was looked for once a second, so that reports expired after three to four. After a restart a daemon that nobody else is connected with had 2.5 s to reconnect, as long as a successful probe counts, and was first probed at the next round, up to a second later.

Fix: the connection that carried the reports ends them, three seconds after its last message, unless a newer connection of the same process has replaced them. A restarted process's missing daemon is probed at once and has 1.5 s.

Evidence, silent_control, before: reports of five processes that fall silent within a second held 3.64 and 3.84 s for two of them (3.5 allowed: the four seconds that are left less half a second for messages); the missing daemon was named for 2.51 s (2.0 allowed). After: both pass.

--- a/crates/coursestand-daemon/src/fleet/hub/edges.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/edges.rs
@@ -5,7 +5,6 @@
 use std::sync::{Arc, PoisonError};
 
 use bytes::Bytes;
-use coursestand_discovery::directory::OBSERVER_TIMEOUT_MS;
 use coursestand_discovery::{EdgeRecord, LinkUse, LookupClient, RelayEndpoint, RelayPeer};
 use coursestand_model::Millis;
 use coursestand_transport::frame::encode;
@@ -176,25 +175,4 @@
             "an entry daemon reported whether it reaches back ends");
         self.publish_edges();
     }
-
-    pub(super) fn drop_silent_peers(&self, now: Millis) {
-        let mut state = self.state();
-        let silent: Vec<SocketAddr> = state
-            .peers
-            .iter()
-            .filter(|(_, last_received_at)| {
-                now.saturating_sub(**last_received_at) > OBSERVER_TIMEOUT_MS
-            })
-            .map(|(peer, _)| *peer)
-            .collect();
-        if silent.is_empty() {
-            return;
-        }
-        for peer in silent {
-            state.peers.remove(&peer);
-            state.directory.remove_observer(peer);
-        }
-        drop(state);
-        self.publish_edges();
-    }
 }
--- a/crates/coursestand-daemon/src/fleet/hub/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -57,9 +57,7 @@
     heartbeats_received: HashSet<BackendId>,
     /// Open connections of each entry daemon, by its name and incarnation.
     edge_links: HashMap<(String, u64), HashSet<u64>>,
-    /// Time of the last contact with each of the other control processes.
-    peers: BTreeMap<SocketAddr, Millis>,
-    /// Number of the latest connection of each of the other control processes.
+    /// Number of the latest connection of each of the other control processes whose reports hold.
     peer_connections: HashMap<SocketAddr, u64>,
     /// Entry daemons named without a connection, as last logged.
     named_without_connection: BTreeMap<EdgeIncarnation, NamedDaemon>,
@@ -344,7 +342,7 @@
             .collect()
     }
 
-    /// Periodic work: sends the digest of heartbeats, and removes silent peers and back ends.
+    /// Periodic work: sends the digest of heartbeats, and removes silent back ends.
     pub fn tick(&self) {
         let now = self.clock.now();
         let heartbeats_received: Vec<BackendId> = {
@@ -356,7 +354,6 @@
         {
             links.broadcast(PeerMessage::HeartbeatsReceived(heartbeats_received));
         }
-        self.drop_silent_peers(now);
         self.expire_instances(now);
         self.probe_suspects(now);
         self.log_named_without_connection();
--- a/crates/coursestand-daemon/src/fleet/hub/peer_reports.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/peer_reports.rs
@@ -46,12 +46,6 @@
 }
 
 impl Hub {
-    /// Records that a message from another control process was received.
-    pub fn note_peer_contact(&self, peer: SocketAddr) {
-        let now = self.clock.now();
-        self.state().peers.insert(peer, now);
-    }
-
     /// Records that another control process opened a connection, and returns its number. The peer
     /// first reports all entry daemons that it is connected with.
     pub fn begin_peer_connection(&self, peer: SocketAddr) -> u64 {
@@ -60,6 +54,22 @@
         number
     }
 
+    /// Drops what another control process reported on connection `number`, because it has been
+    /// silent. A later connection has replaced the reports.
+    pub fn end_peer_connection(&self, peer: SocketAddr, number: u64) {
+        {
+            let mut state = self.state();
+            if state.peer_connections.get(&peer) != Some(&number) {
+                return;
+            }
+            state.peer_connections.remove(&peer);
+            state.directory.remove_observer(peer);
+        }
+        info!(target: LOG, peer:% = peer, connection = number;
+            "the reports of a silent control process expired");
+        self.publish_edges();
+    }
+
     /// Records that another control process reported on connection `number` that it connected with
     /// an entry daemon or lost the connection. Reports on an earlier connection are outdated.
     pub fn note_peer_edge(
@@ -108,6 +118,7 @@
             info!(target: LOG, peer:% = peer, reported = connected.len();
                 "a control process no longer reports some entry daemons");
             self.publish_edges();
+            self.probe_suspects(now);
         }
     }
 
--- a/crates/coursestand-daemon/src/fleet/peer_connection.rs
+++ b/crates/coursestand-daemon/src/fleet/peer_connection.rs
@@ -21,7 +21,7 @@
 use crate::fleet::wire::{PeerMessage, PeerReply, ToControl, TrailingDigest};
 
 const LOG: &str = "mesh";
-/// A peer that sends nothing for this long is disconnected.
+/// A peer that sends nothing for this long is disconnected, and what it reported expires.
 const PEER_TIMEOUT: Duration = Duration::from_millis(3_000);
 /// Queue length of replies to a peer.
 const REPLY_QUEUE_MESSAGES: usize = 1_024;
@@ -29,14 +29,14 @@
 /// changes that are still queued, so a single mismatch does not mean that a message was lost.
 const MAX_MISMATCHES: u32 = 2;
 
-/// Serves a connection of another control process until it fails.
+/// Serves a connection of another control process until it fails, and until what the process
+/// reported on it has expired.
 pub(super) async fn serve_peer(
     peer: SocketAddr,
-    mut receiver: Receiver<ToControl>,
-    mut sender: Sender<PeerReply>,
+    receiver: Receiver<ToControl>,
+    sender: Sender<PeerReply>,
     context: &Arc<ConnectionContext>,
 ) -> Result<(), StreamError> {
-    let (replies, mut queue) = mpsc::channel::<PeerReply>(REPLY_QUEUE_MESSAGES);
     if let Some(links) = context.formation.links() {
         links.ensure_link(peer);
     }
@@ -45,37 +45,13 @@
         number: context.hub.begin_peer_connection(peer),
         first_report: Some(BTreeSet::new()),
         mismatches: 0,
+        last_received_at: Instant::now(),
     };
-    let mut last_received_at = Instant::now();
-    loop {
-        tokio::select! {
-            message = receiver.next() => {
-                last_received_at = Instant::now();
-                context.hub.note_peer_contact(peer);
-                match message? {
-                    ToControl::Ping(TrailingDigest(digest)) => {
-                        connection.finish_first_report(&context.hub);
-                        sender.send(&PeerReply::Pong).await?;
-                        if digest.is_some_and(|digest| connection.needs_report(&context.hub, digest)) {
-                            sender.send(&PeerReply::ReportEdges).await?;
-                        }
-                    }
-                    ToControl::Peer(PeerMessage::Edges(connected)) => {
-                        context.hub.set_peer_report(peer, connection.number, &connected);
-                    }
-                    ToControl::Peer(PeerMessage::Edge { record, is_connected }) => {
-                        connection.note_edge(&context.hub, &record, is_connected);
-                    }
-                    ToControl::Peer(message) => handle_peer_message(message, context, &replies),
-                    _ => return Err(StreamError::Ended),
-                }
-            }
-            Some(reply) = queue.recv() => sender.send(&reply).await?,
-            () = tokio::time::sleep_until(last_received_at + PEER_TIMEOUT) => {
-                return Err(StreamError::ReceiveTimeout { limit_ms: PEER_TIMEOUT.as_millis() });
-            }
-        }
-    }
+    let result = connection.run(receiver, sender, context).await;
+    // The process may reconnect until then: its next connection replaces the reports.
+    tokio::time::sleep_until(connection.last_received_at + PEER_TIMEOUT).await;
+    context.hub.end_peer_connection(peer, connection.number);
+    result
 }
 
 /// What another control process reports about entry daemons on one connection.
@@ -88,9 +64,49 @@
     first_report: Option<BTreeSet<EdgeIncarnation>>,
     /// Consecutive digests that did not match what the peer has reported.
     mismatches: u32,
+    last_received_at: Instant,
 }
 
 impl PeerConnection {
+    /// Serves the connection until it fails.
+    async fn run(
+        &mut self,
+        mut receiver: Receiver<ToControl>,
+        mut sender: Sender<PeerReply>,
+        context: &Arc<ConnectionContext>,
+    ) -> Result<(), StreamError> {
+        let (replies, mut queue) = mpsc::channel::<PeerReply>(REPLY_QUEUE_MESSAGES);
+        loop {
+            tokio::select! {
+                message = receiver.next() => {
+                    let message = message?;
+                    self.last_received_at = Instant::now();
+                    match message {
+                        ToControl::Ping(TrailingDigest(digest)) => {
+                            self.finish_first_report(&context.hub);
+                            sender.send(&PeerReply::Pong).await?;
+                            if digest.is_some_and(|digest| self.needs_report(&context.hub, digest)) {
+                                sender.send(&PeerReply::ReportEdges).await?;
+                            }
+                        }
+                        ToControl::Peer(PeerMessage::Edge { record, is_connected }) => {
+                            self.note_edge(&context.hub, &record, is_connected);
+                        }
+                        ToControl::Peer(PeerMessage::Edges(connected)) => {
+                            context.hub.set_peer_report(self.peer, self.number, &connected);
+                        }
+                        ToControl::Peer(message) => handle_peer_message(message, context, &replies),
+                        _ => return Err(StreamError::Ended),
+                    }
+                }
+                Some(reply) = queue.recv() => sender.send(&reply).await?,
+                () = tokio::time::sleep_until(self.last_received_at + PEER_TIMEOUT) => {
+                    return Err(StreamError::ReceiveTimeout { limit_ms: PEER_TIMEOUT.as_millis() });
+                }
+            }
+        }
+    }
+
     fn note_edge(&mut self, hub: &Hub, record: &EdgeRecord, is_connected: bool) {
         if let Some(report) = &mut self.first_report {
             let incarnation = (record.name.clone(), record.incarnation);
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -14,6 +14,7 @@
 mod reset_connections;
 mod restarted_backend;
 mod restarted_control;
+mod silent_control;
 mod silent_edge;
 mod stale_catalog;
 mod state_dump;
--- a/crates/coursestand-discovery/src/directory.rs
+++ b/crates/coursestand-discovery/src/directory.rs
@@ -151,6 +151,9 @@
 
 /// Look-ups return a suspect for this long after another entry daemon found it ready.
 const PROBE_VALIDITY_MS: Millis = 2_500;
+/// Look-ups return a daemon for this long after a control process that was connected with it
+/// restarted. Until then the daemon has reconnected, or a probe has reached it.
+const RECONNECT_GRACE_MS: Millis = 1_500;
 /// A suspect without a successful probe is removed after this time.
 const SUSPECT_TIMEOUT_MS: Millis = 20_000;
 
@@ -214,8 +217,12 @@
     /// Records that another entry daemon found the suspect ready.
     pub fn note_reachable(&mut self, now: Millis, name: &str, incarnation: u64) {
         let key = (name.to_owned(), incarnation);
-        if let Some(suspect) = self.suspects.get_mut(&key) {
-            suspect.reachable_until = now + PROBE_VALIDITY_MS;
+        self.set_reachable_until(now + PROBE_VALIDITY_MS, &key);
+    }
+
+    fn set_reachable_until(&mut self, until: Millis, incarnation: &EdgeIncarnation) {
+        if let Some(suspect) = self.suspects.get_mut(incarnation) {
+            suspect.reachable_until = until;
         }
     }
 
@@ -245,7 +252,7 @@
             let key = (record.name.clone(), record.incarnation);
             if !self.suspects.contains_key(&key) {
                 self.suspect(now, &record);
-                self.note_reachable(now, &record.name, record.incarnation);
+                self.set_reachable_until(now + RECONNECT_GRACE_MS, &key);
             }
         }
         is_changed
@@ -475,6 +482,3 @@
         .collect();
     known.iter().sum::<f64>() / known.len().max(1) as f64
 }
-
-/// Time after which the connections that a silent control process reported are removed.
-pub const OBSERVER_TIMEOUT_MS: Millis = 3_000;
