--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -282,7 +282,7 @@
         let relay_server = self.start_relay(&state, &exchange).await;
         let record = EdgeRecord {
             name: self.settings.name.clone(),
-            incarnation: rand::random(),
+            incarnation: registry.incarnation(),
             address: role.listen,
             admin_address: self.settings.admin_listen,
             zone: self.settings.zone.clone(),
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -346,3 +346,36 @@
         )
         .await;
 }
+
+/// Guards against a daemon that stays in look-ups because another process answers at its address:
+/// any answer counted as its own.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_at_whose_address_another_process_answers_leaves_the_look_ups() {
+    let mut deployment = form_group(&SEEDS).await;
+    expect_that!(deployment.patch(&SEEDS, &first_items()).await, eq(200));
+    deployment.start_edge(EDGE).await;
+    let silent = SilentEdge::start(SEEDS.map(|host| deployment.internal(host))).await;
+    let incarnation = silent.record().incarnation;
+    let address = silent.record().address.to_string();
+    let is_named = |addresses: &[String]| addresses.contains(&address);
+    deployment
+        .wait_for_lookup(1, "a connected daemon is in look-ups", is_named)
+        .await;
+    silent.tell_incarnation(incarnation);
+    silent.fall_silent();
+    deployment
+        .wait_for_lookup(1, "a silent daemon is not in look-ups", |addresses| {
+            !is_named(addresses)
+        })
+        .await;
+    deployment
+        .wait_for_lookup(1, "the same run is reached by another daemon", is_named)
+        .await;
+    silent.tell_incarnation(incarnation + 1);
+    deployment
+        .wait_for_lookup(1, "another process answers", |addresses| {
+            !is_named(addresses)
+        })
+        .await;
+}
--- a/crates/coursestand-daemon/tests/fleet/silent_edge.rs
+++ b/crates/coursestand-daemon/tests/fleet/silent_edge.rs
@@ -2,8 +2,8 @@
 //! while its admin interface keeps answering.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use coursestand_daemon::fleet::wire::{ToControl, ToEdge, TrailingFlag};
@@ -19,6 +19,8 @@
 struct State {
     is_silent: AtomicBool,
     is_unready: AtomicBool,
+    /// The incarnation that the admin interface tells, if it tells one.
+    told_incarnation: Mutex<Option<u64>>,
 }
 
 /// The stand-in; it runs as long as the test.
@@ -58,6 +60,11 @@
         self.state.is_silent.store(true, Ordering::Relaxed);
     }
 
+    /// Makes the admin interface tell an incarnation.
+    pub fn tell_incarnation(&self, incarnation: u64) {
+        *self.state.told_incarnation.lock().expect("no panic") = Some(incarnation);
+    }
+
     pub fn set_ready(&self, is_ready: bool) {
         self.state.is_unready.store(!is_ready, Ordering::Relaxed);
     }
@@ -102,7 +109,12 @@
         } else {
             "200 OK"
         };
-        let answer = format!("HTTP/1.1 {status}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n");
+        let told = *state.told_incarnation.lock().expect("no panic");
+        let body = told.map_or_else(String::new, |told| format!("{{\"incarnation\":{told}}}"));
+        let answer = format!(
+            "HTTP/1.1 {status}\r\ncontent-length: {}\r\nconnection: close\r\n\r\n{body}",
+            body.len()
+        );
         let _ = stream.write_all(answer.as_bytes()).await;
     }
 }
--- a/crates/coursestand-kernel/src/admin.rs
+++ b/crates/coursestand-kernel/src/admin.rs
@@ -77,6 +77,10 @@
     } else {
         StatusCode::SERVICE_UNAVAILABLE
     };
-    let body = Json(json!({ "ready": is_ready, "services": services }));
+    let body = Json(json!({
+        "ready": is_ready,
+        "incarnation": kernel.registry().incarnation(),
+        "services": services,
+    }));
     body.with_status(status).into_response()
 }
--- a/crates/coursestand-kernel/src/registry.rs
+++ b/crates/coursestand-kernel/src/registry.rs
@@ -23,14 +23,30 @@
     },
 }
 
-/// Typed handles by name, and the metrics registry of the process.
-#[derive(Default)]
+/// Typed handles by name, and the identity and the metrics registry of the process.
 pub struct Registry {
+    /// Random number that identifies this run of the process.
+    incarnation: u64,
     handles: RwLock<BTreeMap<&'static str, Arc<dyn Any + Send + Sync>>>,
     metrics: prometheus::Registry,
 }
 
+impl Default for Registry {
+    fn default() -> Self {
+        Registry {
+            incarnation: rand::random(),
+            handles: RwLock::default(),
+            metrics: prometheus::Registry::default(),
+        }
+    }
+}
+
 impl Registry {
+    /// Returns the random number that identifies this run of the process.
+    pub fn incarnation(&self) -> u64 {
+        self.incarnation
+    }
+
     /// Registers `handle` under `name` and replaces an earlier handle of that name.
     pub fn publish<T: Any + Send + Sync>(&self, name: &'static str, handle: Arc<T>) {
         self.handles
