Keep a daemon whose earlier run's connection is served late

What callers would see: one control process leaves a live daemon out of what it reports, until the daemon connects anew; look-ups leave it out once no other process is connected with it.

Cause: a connection of another run of the daemon replaces the current run in the directory. That is right for the next run, but the connections of two runs may be served in any order: a delayed or retransmitted first message, or a process that continues after a suspension. When the late connection ended, nothing put the current run back.

Fix: the hub keeps the record with a daemon's open connections. When the last connection of one run ends, another run of the daemon that has one takes its place and is reported again.

Evidence: a_daemon_stays_in_look_ups_when_a_late_connection_of_its_earlier_run_ends failed before and passes; its twin with the usual order passed before and still does.

--- a/crates/coursestand-daemon/src/fleet/hub/edges.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/edges.rs
@@ -1,6 +1,6 @@
 //! Entry daemons in the hub: connections, failure detection and look-ups.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::sync::{Arc, PoisonError};
 
@@ -12,12 +12,34 @@
 use rand::seq::IndexedRandom;
 use tokio::sync::watch;
 
-use super::{EdgeNames, Hub, LOG};
+use super::{EdgeLink, EdgeNames, Hub, LOG};
 use crate::fleet::wire::{PeerMessage, ToEdge};
 
 /// Maximum number of entry daemons in the answer to a look-up.
 const MAX_LOOKUP_ADDRESSES: usize = 64;
 
+/// A change of the entry daemons that this process is connected with.
+struct EdgeChange {
+    record: EdgeRecord,
+    is_connected: bool,
+}
+
+impl EdgeChange {
+    fn connected(record: &EdgeRecord) -> EdgeChange {
+        EdgeChange {
+            record: record.clone(),
+            is_connected: true,
+        }
+    }
+
+    fn disconnected(record: &EdgeRecord) -> EdgeChange {
+        EdgeChange {
+            record: record.clone(),
+            is_connected: false,
+        }
+    }
+}
+
 impl Hub {
     /// Watches the names of the connected entry daemons.
     pub fn edges(&self) -> watch::Receiver<EdgeNames> {
@@ -27,44 +49,74 @@
     /// Records that the connection `number` with an entry daemon is active or closed. The
     /// daemon may have two connections: it opens a new one before it closes one that is silent.
     pub fn note_edge(&self, number: u64, record: &EdgeRecord, is_connected: bool) {
-        if self.change_edge_link(number, record, is_connected) {
-            self.announce_edge(number, record, is_connected);
-        }
+        let changes = match is_connected {
+            true => self.add_edge_link(number, record),
+            false => self.remove_edge_link(number, record),
+        };
+        self.announce(number, &changes);
     }
 
     /// Records that the connection `number` with an entry daemon timed out. If it was the
     /// daemon's only one, other daemons probe whether it is still serving.
     pub fn mark_edge_silent(&self, number: u64, record: &EdgeRecord) {
-        if self.change_edge_link(number, record, false) {
-            self.announce_edge(number, record, false);
+        let changes = self.remove_edge_link(number, record);
+        self.announce(number, &changes);
+        if !changes.is_empty() {
             self.suspect_edge(record);
         }
     }
 
-    /// Updates the state of a connection and of its daemon under one lock, because a reconnect
-    /// and the close of the old connection may coincide. Returns whether the directory changed.
-    fn change_edge_link(&self, number: u64, record: &EdgeRecord, is_connected: bool) -> bool {
-        let incarnation_key = (record.name.clone(), record.incarnation);
+    /// Adds a connection and updates its daemon under one lock, because a reconnect and the close
+    /// of the old connection may coincide. Returns the changes of the directory.
+    fn add_edge_link(&self, number: u64, record: &EdgeRecord) -> Vec<EdgeChange> {
+        let key = (record.name.clone(), record.incarnation);
         let mut state = self.state();
-        if is_connected {
+        let link = state.edge_links.entry(key).or_insert_with(|| EdgeLink {
+            record: record.clone(),
+            connections: HashSet::new(),
+        });
+        link.record = record.clone();
+        link.connections.insert(number);
+        let is_changed = state.directory.connect(self.local_address, record);
+        let change = is_changed.then(|| EdgeChange::connected(record));
+        change.into_iter().collect()
+    }
+
+    /// Removes a connection and, if it was the last one, its daemon. Another run of the daemon that
+    /// has a connection takes its place: the connections of two runs may be served in any order.
+    /// Returns the changes of the directory.
+    fn remove_edge_link(&self, number: u64, record: &EdgeRecord) -> Vec<EdgeChange> {
+        let key = (record.name.clone(), record.incarnation);
+        let mut state = self.state();
+        let Some(link) = state.edge_links.get_mut(&key) else {
+            return Vec::new();
+        };
+        link.connections.remove(&number);
+        if !link.connections.is_empty() {
+            return Vec::new();
+        }
+        state.edge_links.remove(&key);
+        let is_changed =
             state
-                .edge_links
-                .entry(incarnation_key)
-                .or_default()
-                .insert(number);
-            return state.directory.connect(self.local_address, record);
+                .directory
+                .disconnect(self.local_address, &record.name, record.incarnation);
+        if !is_changed {
+            return Vec::new();
         }
-        let Some(links) = state.edge_links.get_mut(&incarnation_key) else {
-            return false;
-        };
-        links.remove(&number);
-        if !links.is_empty() {
-            return false;
+        let mut changes = vec![EdgeChange::disconnected(record)];
+        let mut links = state.edge_links.values();
+        let other = links.find(|link| link.record.name == record.name);
+        if let Some(other) = other.map(|link| link.record.clone()) {
+            state.directory.connect(self.local_address, &other);
+            changes.push(EdgeChange::connected(&other));
+        }
+        changes
+    }
+
+    fn announce(&self, number: u64, changes: &[EdgeChange]) {
+        for change in changes {
+            self.announce_edge(number, &change.record, change.is_connected);
         }
-        state.edge_links.remove(&incarnation_key);
-        state
-            .directory
-            .disconnect(self.local_address, &record.name, record.incarnation)
     }
 
     fn announce_edge(&self, number: u64, record: &EdgeRecord, is_connected: bool) {
@@ -126,7 +178,10 @@
     pub(super) fn probe_suspects(&self, now: Millis) {
         let (suspects, connected) = {
             let mut state = self.state();
-            let connected: Vec<u64> = state.edge_links.values().flatten().copied().collect();
+            let links = state.edge_links.values();
+            let connected: Vec<u64> = links
+                .flat_map(|link| link.connections.iter().copied())
+                .collect();
             (state.directory.suspects(now), connected)
         };
         for suspect in suspects {
--- a/crates/coursestand-daemon/src/fleet/hub/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use coursestand_discovery::{
-    Directory, EdgeIncarnation, Evidence, Instance, InstancePhase, InstanceTable, InstanceUpdate,
-    NamedDaemon,
+    Directory, EdgeIncarnation, EdgeRecord, Evidence, Instance, InstancePhase, InstanceTable,
+    InstanceUpdate, NamedDaemon,
 };
 use coursestand_kernel::MonotonicClock;
 use coursestand_model::{BackendId, Millis, ServiceId, ZoneId};
@@ -55,14 +55,21 @@
     directory: Directory,
     /// Back ends whose heartbeats were received since the last digest.
     heartbeats_received: HashSet<BackendId>,
-    /// Open connections of each entry daemon, by its name and incarnation.
-    edge_links: HashMap<(String, u64), HashSet<u64>>,
+    /// Open connections of each entry daemon.
+    edge_links: HashMap<EdgeIncarnation, EdgeLink>,
     /// Number of the latest connection of each of the other control processes whose reports hold.
     peer_connections: HashMap<SocketAddr, u64>,
     /// Entry daemons named without a connection, as last logged.
     named_without_connection: BTreeMap<EdgeIncarnation, NamedDaemon>,
 }
 
+/// The open connections of one run of an entry daemon.
+struct EdgeLink {
+    record: EdgeRecord,
+    /// Numbers of the connections.
+    connections: HashSet<u64>,
+}
+
 /// Optional messages that an entry daemon accepts.
 #[derive(Clone, Copy, Debug)]
 pub struct EdgeSubscriptions {
