Keep suspended daemons of the soak suspended when a shell in the background ends

Traced: the daemon's own log goes on at 0.94 s, and no control process noticed silence, so it wasn't suspended. The soak had been started in the background by a shell that ended about then. A process group whose last parent in the session ends is orphaned, and the kernel continues the stopped processes in it. Shown apart from the soak: a stopped sleep in such a group is in state T before the shell's end and S after it.

Fix: each daemon gets a process group of its own, which is not orphaned while the soak runs.

--- a/crates/coursestand-daemon/tests/fleet/reset_connections.rs
+++ b/crates/coursestand-daemon/tests/fleet/reset_connections.rs
@@ -2,7 +2,7 @@
 //! control process was greeting it: only later ends of a connection removed the daemon.
 
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use coursestand_daemon::fleet::wire::{ToControl, TrailingFlag};
 use coursestand_discovery::{EdgePhase, EdgeRecord};
@@ -15,7 +15,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::deployment::{Deployment, first_items};
+use crate::deployment::{Deployment, TEST_TIMEOUT, first_items};
 use crate::{EDGE, SEEDS, form_group};
 
 /// Time after the end of a daemon until no look-up names it.
@@ -23,6 +23,7 @@
 /// Maximum time between a daemon's first message and the reset: a control process answers it
 /// within that time.
 const MAX_DELAY_US: u64 = 400;
+const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Which optional messages a daemon accepts: they decide what a control process sends first.
 #[derive(Clone, Copy)]
@@ -97,6 +98,18 @@
         expect_that!(ended.count(), eq(0), "at {host}");
         expect_that!(addresses, contains(eq(&front)), "at {host}");
     }
+    wait_until_alone(&deployment).await;
+}
+
+/// Waits until the sound daemon shares the allowance for retries with no other one. A daemon that
+/// has ended may have used its part, so it counts for a while.
+async fn wait_until_alone(deployment: &Deployment) {
+    let started = Instant::now();
+    let is_alone = |metrics: &str| metrics.contains("\ncoursestand_edge_retry_daemons 1\n");
+    while !is_alone(&deployment.metrics(EDGE).await) {
+        assert_that!(started.elapsed(), lt(TEST_TIMEOUT));
+        tokio::time::sleep(POLL_INTERVAL).await;
+    }
 }
 
 /// The control process's first message follows the entry in the directory, so that each reset
--- a/crates/coursestand-daemon/tests/soak/processes.rs
+++ b/crates/coursestand-daemon/tests/soak/processes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{Mutex, MutexGuard, Once, PoisonError, mpsc};
@@ -13,10 +14,15 @@
 /// Maximum time from a process's start until its signal handlers are installed.
 const STARTUP_TIME: Duration = Duration::from_secs(2);
 
-/// Returns the path of the daemon: that of this build, or the version that
-/// `COURSESTAND_PROGRAM` names.
-fn program() -> PathBuf {
-    let override_path = std::env::var_os("COURSESTAND_PROGRAM");
+/// Returns the path of a host's daemon: that of this build, or the version that
+/// `COURSESTAND_PROGRAM` names; `COURSESTAND_PROGRAM_OF_ODD_HOSTS` names another one for every
+/// second host, so that two versions run side by side.
+fn program(host: u8) -> PathBuf {
+    let of_odd_hosts = match host % 2 {
+        1 => std::env::var_os("COURSESTAND_PROGRAM_OF_ODD_HOSTS"),
+        _ => None,
+    };
+    let override_path = of_odd_hosts.or_else(|| std::env::var_os("COURSESTAND_PROGRAM"));
     override_path.map_or_else(|| env!("CARGO_BIN_EXE_coursestandd").into(), PathBuf::from)
 }
 
@@ -116,12 +122,15 @@
         let log = self.folder.join(format!("{host}-{}.log", self.starts));
         let log = File::create(log).expect("a log");
         let mut running = running();
-        let child = Command::new(program())
+        let child = Command::new(program(host))
             .arg("--fleet")
             .arg(&file)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("a handle"))
             .stderr(log)
+            // When the process group of a shell in the background becomes orphaned, the kernel
+            // continues the suspended processes in it.
+            .process_group(0)
             .spawn()
             .expect("started");
         running.insert(child.id());
