--- a/crates/coursestand-daemon/tests/soak/look_ups/mod.rs
+++ b/crates/coursestand-daemon/tests/soak/look_ups/mod.rs
@@ -35,6 +35,8 @@
 const DEFAULT_SEEDS: [u64; 2] = [1, 2];
 /// Plays of the day in the short run.
 const DEFAULT_DAYS: [u64; 2] = [1, 2];
+/// Plays of the suspension in the short run.
+const DEFAULT_SUSPENSIONS: [u64; 1] = [1];
 /// Time within which look-ups at each control process name all live daemons and no other one,
 /// after the last fault.
 const MAX_TIME_TO_AGREE: Duration = Duration::from_secs(10);
@@ -308,3 +310,15 @@
         is_empty()
     );
 }
+
+/// Guards against look-ups that name daemons on the word of a control process which continues after
+/// a suspension and reads what had been sent before the daemons ended.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn daemons_that_end_during_a_suspension_leave_the_look_ups_after_it() {
+    let rounds = |random: &mut StdRng, system: &System| vec![Round::late_reports(random, system)];
+    expect_that!(
+        violations(seeds_or(&DEFAULT_SUSPENSIONS), rounds).await,
+        is_empty()
+    );
+}
--- a/crates/coursestand-daemon/tests/soak/look_ups/rounds.rs
+++ b/crates/coursestand-daemon/tests/soak/look_ups/rounds.rs
@@ -27,6 +27,10 @@
 const DAY_KILL_AFTER_MS: u64 = 600;
 const DAY_DOWNTIME_MS: u64 = 14_000;
 
+/// Time within which daemons end after a control process was suspended, and duration of that.
+const LATE_END_MS: u64 = 2_000;
+const LATE_CONTINUE_MS: u64 = 10_000;
+
 #[derive(Clone, Copy, Debug)]
 enum Action {
     EndEdge(u8, End),
@@ -86,6 +90,28 @@
         schedule.into_round()
     }
 
+    /// Daemons end while one control process is suspended: some that it is connected with, and one
+    /// whose connection waits in its backlog. It continues long after.
+    pub fn late_reports(random: &mut StdRng, system: &System) -> Round {
+        let mut schedule = Schedule::default();
+        let control = *CONTROLS.choose(random).expect("a process");
+        schedule.at(0, Action::SuspendControl(control));
+        schedule.at(LATE_CONTINUE_MS, Action::ContinueControl(control));
+        let mut ending = system.edges.sample(random, DAY_DAEMONS + 1);
+        let reconnecting = *ending.next().expect("a daemon");
+        for host in ending {
+            let end = *[End::Silent, End::Killed].choose(random).expect("an end");
+            let time_ms = random.random_range(0..LATE_END_MS);
+            schedule.at(time_ms, Action::EndEdge(*host, end));
+        }
+        schedule.at(0, Action::EndEdge(reconnecting, End::Killed));
+        schedule.at(LATE_END_MS, Action::StartEdge(reconnecting));
+        let ended_ms = LATE_END_MS + random.random_range(300..1_000);
+        let end = *[End::Silent, End::Killed].choose(random).expect("an end");
+        schedule.at(ended_ms, Action::EndEdge(reconnecting, end));
+        schedule.into_round()
+    }
+
     /// Returns a random round.
     pub fn random(random: &mut StdRng, system: &System) -> Round {
         let mut schedule = Schedule::default();
