Play daemons that give up connections to a suspended control process

The play of it: one control process is suspended for 2.5 to 9 s, continues, and all daemons but two end three seconds later.

--- a/crates/coursestand-daemon/tests/soak/look_ups/mod.rs
+++ b/crates/coursestand-daemon/tests/soak/look_ups/mod.rs
@@ -35,8 +35,11 @@
 const DEFAULT_SEEDS: [u64; 2] = [1, 2];
 /// Plays of the day in the short run.
 const DEFAULT_DAYS: [u64; 2] = [1, 2];
-/// Plays of the suspension in the short run.
-const DEFAULT_SUSPENSIONS: [u64; 1] = [1];
+/// Plays of late reports in the short run.
+const DEFAULT_LATE_REPORTS: [u64; 1] = [1];
+/// Plays of abandoned connections in the short run. Both failed with a version that did not remove
+/// connections which fail while they are greeted.
+const DEFAULT_ABANDONED: [u64; 2] = [16, 20];
 /// Time within which look-ups at each control process name all live daemons and no other one,
 /// after the last fault.
 const MAX_TIME_TO_AGREE: Duration = Duration::from_secs(10);
@@ -318,7 +321,20 @@
 async fn daemons_that_end_during_a_suspension_leave_the_look_ups_after_it() {
     let rounds = |random: &mut StdRng, system: &System| vec![Round::late_reports(random, system)];
     expect_that!(
-        violations(seeds_or(&DEFAULT_SUSPENSIONS), rounds).await,
+        violations(seeds_or(&DEFAULT_LATE_REPORTS), rounds).await,
+        is_empty()
+    );
+}
+
+/// Guards against look-ups that name daemons for good because a control process, after a suspension,
+/// greeted connections that the daemons had given up: the reset arrived during the greeting.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn daemons_that_gave_up_connections_to_a_suspended_process_leave_the_look_ups() {
+    let rounds =
+        |random: &mut StdRng, system: &System| vec![Round::abandoned_connections(random, system)];
+    expect_that!(
+        violations(seeds_or(&DEFAULT_ABANDONED), rounds).await,
         is_empty()
     );
 }
--- a/crates/coursestand-daemon/tests/soak/look_ups/rounds.rs
+++ b/crates/coursestand-daemon/tests/soak/look_ups/rounds.rs
@@ -19,7 +19,7 @@
 const MIN_DOWNTIME_MS: u64 = 9_000;
 const MAX_DOWNTIME_MS: u64 = 14_000;
 /// Time after the last event for which answers are observed.
-const CALM: Duration = Duration::from_millis(6_500);
+const CALM: Duration = Duration::from_millis(7_500);
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Number, moments and durations of the day's faults.
@@ -31,6 +31,13 @@
 const LATE_END_MS: u64 = 2_000;
 const LATE_CONTINUE_MS: u64 = 10_000;
 
+/// Duration of a suspension in which daemons abandon connections, and time for the control process
+/// to serve them before daemons end.
+const ABANDONING_MS: std::ops::Range<u64> = 2_500..9_000;
+const SERVED_MS: u64 = 3_000;
+/// Daemons that run on, so that answers are judged.
+const LEFT_DAEMONS: usize = 2;
+
 #[derive(Clone, Copy, Debug)]
 enum Action {
     EndEdge(u8, End),
@@ -112,6 +119,24 @@
         schedule.into_round()
     }
 
+    /// Daemons end some time after one control process was suspended. Meanwhile they opened and
+    /// abandoned connections with it, which it serves when it continues.
+    pub fn abandoned_connections(random: &mut StdRng, system: &System) -> Round {
+        let mut schedule = Schedule::default();
+        let control = *CONTROLS.choose(random).expect("a process");
+        let continued_ms = random.random_range(ABANDONING_MS);
+        schedule.at(0, Action::SuspendControl(control));
+        schedule.at(continued_ms, Action::ContinueControl(control));
+        for host in system
+            .edges
+            .sample(random, system.edges.len() - LEFT_DAEMONS)
+        {
+            let end = *[End::Silent, End::Killed].choose(random).expect("an end");
+            schedule.at(continued_ms + SERVED_MS, Action::EndEdge(*host, end));
+        }
+        schedule.into_round()
+    }
+
     /// Returns a random round.
     pub fn random(random: &mut StdRng, system: &System) -> Round {
         let mut schedule = Schedule::default();
