--- a/crates/coursestand-daemon/tests/soak/look_ups/mod.rs
+++ b/crates/coursestand-daemon/tests/soak/look_ups/mod.rs
@@ -182,18 +182,15 @@
     };
     let mut random = StdRng::seed_from_u64(seed);
     let rounds = rounds(&mut random, &system);
+    // Also keeps the logs of a run that panics.
+    system.deployment.folder.disable_cleanup(true);
+    println!("seed {seed}: logs in {}", logs.display());
     let outcome = run(&mut system, &rounds).await;
     let record = system.record.describe();
     std::fs::write(logs.join("record.txt"), record).expect("written");
-    if std::env::var_os("COURSESTAND_KEEP_LOGS").is_some() {
-        system.deployment.folder.disable_cleanup(true);
-        println!("seed {seed}: logs in {}", logs.display());
-    }
-    outcome.map_err(|reason| {
-        let folder = &mut system.deployment.folder;
-        folder.disable_cleanup(true);
-        format!("{reason}; logs in {}", folder.path().display())
-    })
+    let keeps_logs = std::env::var_os("COURSESTAND_KEEP_LOGS").is_some() || outcome.is_err();
+    system.deployment.folder.disable_cleanup(keeps_logs);
+    outcome.map_err(|reason| format!("{reason}; logs in {}", logs.display()))
 }
 
 async fn run(system: &mut System, rounds: &[Round]) -> std::result::Result<usize, String> {
