Stop a relay of the soak when it is dropped

Traced from kept logs: all five control processes could not listen on one port of theirs, which the system had called free on 127.0.0.1. A relay's listener lived as long as the test process, so ports of earlier seeds stayed taken on the network that the next seeds use.

--- a/crates/coursestand-daemon/tests/soak/relay.rs
+++ b/crates/coursestand-daemon/tests/soak/relay.rs
@@ -7,6 +7,7 @@
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
+use tokio::task::JoinHandle;
 
 /// A fault that the relay injects into its connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -23,10 +24,17 @@
     Reset,
 }
 
-/// Forwards connections to one address.
+/// Forwards connections to one address until it is dropped.
 pub struct Relay {
     address: SocketAddr,
     fault: watch::Sender<LinkFault>,
+    accepting: JoinHandle<()>,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.accepting.abort();
+    }
 }
 
 impl Relay {
@@ -40,12 +48,16 @@
         let address = listener.local_addr().expect("an address");
         let fault = watch::Sender::new(LinkFault::None);
         let receiver = fault.subscribe();
-        tokio::spawn(async move {
+        let accepting = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
                 tokio::spawn(forward(stream, target, receiver.clone()));
             }
         });
-        Relay { address, fault }
+        Relay {
+            address,
+            fault,
+            accepting,
+        }
     }
 
     pub fn address(&self) -> SocketAddr {
