Let the tests of silent daemons wait where no probe can hide the silence

Traced by reading: the daemon leaves the look-ups until the next probe reaches it, up to a second later, and the test looks every 50 ms. A probe that follows at once is never seen as an absence.

--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -323,6 +323,8 @@
             addresses.contains(&address)
         })
         .await;
+    // Else a probe may reach it before a look-up shows that it was left out.
+    silent.set_ready(false);
     silent.fall_silent();
     // It leaves the look-ups, and returns once the other daemon has reached it.
     deployment
@@ -330,6 +332,7 @@
             !addresses.contains(&address)
         })
         .await;
+    silent.set_ready(true);
     deployment
         .wait_for_lookup(
             1,
@@ -363,12 +366,15 @@
         .wait_for_lookup(1, "a connected daemon is in look-ups", is_named)
         .await;
     silent.tell_incarnation(incarnation);
+    // Else a probe may reach it before a look-up shows that it was left out.
+    silent.set_ready(false);
     silent.fall_silent();
     deployment
         .wait_for_lookup(1, "a silent daemon is not in look-ups", |addresses| {
             !is_named(addresses)
         })
         .await;
+    silent.set_ready(true);
     deployment
         .wait_for_lookup(1, "the same run is reached by another daemon", is_named)
         .await;
