--- a/review/stand-ins-2/late_heartbeat.rs
+++ b/review/stand-ins-2/late_heartbeat.rs
@@ -11,8 +11,8 @@
 
 use harness::*;
 
-const DRAIN: Duration = Duration::from_millis(2_000);
-const CONTACT: Duration = Duration::from_millis(3_000);
+const DRAIN: Duration = Duration::from_millis(2_500);
+const CONTACT: Duration = Duration::from_millis(4_000);
 /// How late the heartbeat is.
 const LATE: Duration = Duration::from_millis(3_500);
 
