Review: a start that is interrupted after a cut-off record is fatal too

A finding beside the cases: control processes that are killed while they start, between the new log file and the removal of the old one, end at each later start.

--- a/review/stand-ins-2/torn_write.rs
+++ b/review/stand-ins-2/torn_write.rs
@@ -29,6 +29,28 @@
     site.operate("GET", "/config/get", "", limit_s).filter(|answer| answer.status == 200)
 }
 
+/// Starts the control processes, and kills each as soon as it has written its log anew and before
+/// it has removed the earlier file.
+fn lose_power_again(site: &mut Site, record: &Record) {
+    let mut caught = 0;
+    for number in 0..3 {
+        let folder = site.data_folder(number);
+        let before = newest_segment(&folder);
+        site.control[number].start();
+        let end = Instant::now() + Duration::from_secs(3);
+        while Instant::now() < end && newest_segment(&folder) == before {}
+        site.control[number].kill();
+        site.control[number].reap();
+        let both = before.as_ref().is_some_and(|path| path.exists()) && newest_segment(&folder) != before;
+        caught += u32::from(both);
+        record.note(format!("core-{number} starts and is killed while it starts; both files of its log are there: {both}"));
+    }
+    if caught < 2 {
+        record.note("fewer than two were caught in between: try again");
+        std::process::exit(NOT_RUN);
+    }
+}
+
 fn main() {
     let folder = std::env::args().nth(1).expect("the folder of the case");
     let Some(mut site) = Site::new(Path::new(&folder)) else { std::process::exit(NOT_RUN) };
@@ -138,6 +160,9 @@
         for number in 0..3 {
             site.write_control_settings(number, false);
         }
+        if std::env::var("AGAIN").is_ok_and(|value| value == "1") {
+            lose_power_again(&mut site, &record);
+        }
         for process in site.control.iter_mut().chain(site.edges.iter_mut()) {
             process.start();
         }
