--- a/review/stand-ins-2/late_refusal.rs
+++ b/review/stand-ins-2/late_refusal.rs
@@ -1,5 +1,5 @@
-//! A back end refuses a request twice, and the extra answer of its first refusal arrives late, at
-//! the place where the answer to the third sending of the same request should come.
+//! One of two back ends refuses a request twice, and the extra answer of its first refusal arrives
+//! late, at the place where the answer to the third sending of the same request should come.
 mod harness;
 
 use std::collections::HashMap;
@@ -35,7 +35,11 @@
     // Per connection: the refusal whose extra answer is still to come.
     let extra: Arc<Mutex<HashMap<u64, String>>> = Arc::default();
     let (arrived, ran, noted) = (Arc::clone(&arrivals), Arc::clone(&runs), record.clone());
-    let is_up = serve(address, move |request, stream| {
+    let sound = format!("{}.32:8080", site.net).parse().unwrap();
+    let is_up = serve(sound, |request, stream| {
+        sleep_ms(20);
+        stream.write_all(ok_answer(&request.id(), "1,0,4", "done").as_bytes()).is_ok()
+    }) && serve(address, move |request, stream| {
         let id = request.id();
         let count = {
             let mut arrived = arrived.lock().unwrap();
@@ -54,7 +58,7 @@
         }
         if is_special && count <= 2 {
             noted.note(format!("back end answers {id}: 429, Coursestand-Not-Executed"));
-            if trouble {
+            if trouble && count == 1 {
                 extra.lock().unwrap().insert(request.connection, refusal(&id));
             }
             return stream.write_all(refusal(&id).as_bytes()).is_ok();
@@ -77,25 +81,41 @@
     }
     let controls = (0..3).map(|number| site.control_address(number)).collect();
     let stop = Arc::new(AtomicBool::new(false));
-    send_heartbeats(controls, "i-a1", "ledger", address, 4, Arc::clone(&stop));
+    let controls: Vec<_> = controls;
+    send_heartbeats(controls.clone(), "i-a1", "ledger", address, 4, Arc::clone(&stop));
+    send_heartbeats(controls, "i-b2", "ledger", sound, 4, Arc::clone(&stop));
     if !site.wait_ready(0, 10.0) {
         record.note("the entry daemon is not ready");
         site.finish(NOT_RUN);
     }
     let front = site.front(0);
+    sleep_ms(2_000);
+    // An object whose requests go to the first back end.
+    let goes_to_first = |key: &u32| {
+        let id = format!("key-{key}");
+        let _ = post(front, &id, &key.to_string());
+        arrivals.lock().unwrap().contains_key(&id)
+    };
+    let Some(key) = (1_000..1_020).find(goes_to_first) else {
+        record.note("no request reached the first back end");
+        site.finish(NOT_RUN)
+    };
+    let key = key.to_string();
     let mut broken = 0;
     let mut tried = 0;
     for round in 0..4 {
         // Usual requests: each earns a tenth of a retry.
         let mut served = 0;
-        for number in 0..40 {
+        let before = arrivals.lock().unwrap().len();
+        for number in 0..100 {
             let answer = post(front, &format!("usual-{round}-{number}"), &number.to_string());
             served += u32::from(answer.is_ok_and(|answer| answer.status == 200));
         }
-        record.note(format!("round {round}: {served} of 40 usual requests served"));
+        let at_first = arrivals.lock().unwrap().len() - before;
+        record.note(format!("round {round}: {served} of 100 usual requests served, {at_first} at the first back end"));
         let id = format!("special-{round}");
         record.note(format!("client sends {id} (unsafe, MaxAttempts {attempts})"));
-        let answer = post(front, &id, "7");
+        let answer = post(front, &id, &key);
         let status = answer.as_ref().map(|answer| answer.status);
         record.note(format!("client gets for {id}: {status:?}"));
         sleep_ms(300);
