--- a/review/stand-ins-2/clock_back.rs
+++ b/review/stand-ins-2/clock_back.rs
@@ -49,6 +49,17 @@
     });
     let stop = Arc::new(AtomicBool::new(false));
     send_heartbeats(controls.clone(), "i-other", "ledger", other, 4, Arc::clone(&stop));
+    // One of nine back ends crashes: less than the share of `srv_crash`, 0.15.
+    for host in 33..40 {
+        let address = format!("{}.{host}:8080", site.net).parse().unwrap();
+        let is_up = serve(address, |request, stream| {
+            stream.write_all(ok_answer(&request.id(), "1,0,4", "done").as_bytes()).is_ok()
+        });
+        if !is_up {
+            site.finish(NOT_RUN);
+        }
+        send_heartbeats(controls.clone(), &format!("i-other-{host}"), "ledger", address, 4, Arc::clone(&stop));
+    }
     if !taken.is_some_and(|answer| answer.status == 200) || !is_up || !site.wait_ready(0, 10.0) {
         record.note("the deployment is not ready");
         site.finish(NOT_RUN);
--- a/review/stand-ins-2/late_heartbeat.rs
+++ b/review/stand-ins-2/late_heartbeat.rs
@@ -50,6 +50,17 @@
     });
     let stop = Arc::new(AtomicBool::new(false));
     send_heartbeats(controls.clone(), "i-stays", "ledger", stays, 4, Arc::clone(&stop));
+    // One of nine back ends leaves: less than the share of `scale_in` in the site's days, 0.13.
+    for host in 33..40 {
+        let address = format!("{}.{host}:8080", site.net).parse().unwrap();
+        let is_up = serve(address, |request, stream| {
+            stream.write_all(ok_answer(&request.id(), "1,0,4", "done").as_bytes()).is_ok()
+        });
+        if !is_up {
+            site.finish(NOT_RUN);
+        }
+        send_heartbeats(controls.clone(), &format!("i-stays-{host}"), "ledger", address, 4, Arc::clone(&stop));
+    }
     let left = Arc::new(AtomicBool::new(false));
     send_heartbeats(controls.clone(), "i-leaves", "ledger", leaves, 4, Arc::clone(&left));
     if !is_up || !site.wait_ready(0, 10.0) {
@@ -111,7 +122,7 @@
     let status = controls.iter().find_map(|to| send(*to, "/instances/i-leaves/heartbeat", &heartbeat(leaves, sequence)));
     record.note(format!("the delayed heartbeat arrives, {:.1} s late: {status:?}", sent_at.elapsed().as_secs_f64()));
     site.wait_ready(0, 8.0);
-    let (served, sent) = traffic("after", Duration::from_secs(8));
+    let (served, sent) = traffic("after", Duration::from_secs(10));
     stop.store(true, Ordering::Relaxed);
     record.note(format!("after: {served} of {sent} requests served"));
     let arrivals = arrivals.lock().unwrap().clone();
--- a/review/stand-ins-2/torn_write.rs
+++ b/review/stand-ins-2/torn_write.rs
@@ -47,6 +47,7 @@
     }
     if caught < 2 {
         record.note("fewer than two were caught in between: try again");
+        let _ = fs::remove_dir_all(&site.folder);
         std::process::exit(NOT_RUN);
     }
 }
