Tell which voters a control process is connected with while it knows no leader

When an operator gets no answer, the logs of the control processes that run did not say whether the others had ended or whether all ran and none led. A process that has known no leader for five seconds now logs how many voters there are, how many it is connected with, how many are needed, and which are missing. Nothing but the log changes.

--- a/crates/coursestand-daemon/src/fleet/formation.rs
+++ b/crates/coursestand-daemon/src/fleet/formation.rs
@@ -46,6 +46,8 @@
 const LOST_AFTER_MS: Millis = 3_000;
 /// A replica without a leader for longer than this requests to rejoin, in case it was removed.
 const LEADERLESS_LIMIT_MS: Millis = 2_000;
+/// Time without a leader after which that is logged, and logged again.
+const LEADERLESS_LOG_INTERVAL_MS: Millis = 5_000;
 /// Maximum lag of a learner, in log entries, when it is promoted to voter.
 const MAX_LEARNER_LAG_ENTRIES: u64 = 16;
 
@@ -214,13 +216,20 @@
     /// Runs until it is dropped.
     pub async fn run(self: Arc<Self>) {
         let mut leaderless_since = self.clock.now();
+        let mut logged_at = leaderless_since;
         loop {
             self.maintain_links();
             let status = self.control.shared.status();
             if status.leader.is_some() {
                 leaderless_since = self.clock.now();
+                logged_at = leaderless_since;
+            }
+            let now = self.clock.now();
+            let leaderless_ms = now.saturating_sub(leaderless_since);
+            if now.saturating_sub(logged_at) >= LEADERLESS_LOG_INTERVAL_MS {
+                logged_at = now;
+                self.log_missing_leader(&status, leaderless_ms);
             }
-            let leaderless_ms = self.clock.now().saturating_sub(leaderless_since);
             let is_leaving = self.is_leaving.load(Ordering::Relaxed);
             match status.role {
                 "leader" => self.change_group_if_due(&status).await,
@@ -234,6 +243,32 @@
         }
     }
 
+    /// Logs which voters this process is connected with: a group with too few of them can't elect
+    /// a leader.
+    fn log_missing_leader(&self, status: &ReplicaStatus, leaderless_ms: Millis) {
+        let own_replica = status.identity.as_ref().map(|identity| identity.replica);
+        let voters = status.members.iter().filter(|member| member.voter);
+        let (reachable, unreachable): (Vec<_>, Vec<_>) = voters.partition(|member| {
+            let address = member.address.parse();
+            Some(member.replica) == own_replica
+                || address.is_ok_and(|address| self.is_connected(address))
+        });
+        let voters = reachable.len() + unreachable.len();
+        let unreachable: Vec<&str> = unreachable
+            .iter()
+            .map(|member| member.address.as_str())
+            .collect();
+        warn!(target: LOG, leaderless_ms = leaderless_ms, role = status.role, term = status.term,
+            last = status.last, voters = voters, reachable = reachable.len(),
+            needed = voters / 2 + 1, unreachable:? = unreachable;
+            "this replica knows no leader");
+    }
+
+    fn is_connected(&self, address: SocketAddr) -> bool {
+        self.links()
+            .is_some_and(|links| links.is_connected(address))
+    }
+
     fn member_addresses(&self) -> BTreeSet<SocketAddr> {
         self.group().members
     }
--- a/crates/coursestand-daemon/src/fleet/peer_links.rs
+++ b/crates/coursestand-daemon/src/fleet/peer_links.rs
@@ -110,6 +110,13 @@
         links.keys().copied().collect()
     }
 
+    /// Returns whether a connection to `address` is established.
+    pub fn is_connected(&self, address: SocketAddr) -> bool {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let link = links.get(&address);
+        link.is_some_and(|link| link.is_connected.load(Ordering::Relaxed))
+    }
+
     fn link(&self, address: SocketAddr) -> Arc<PeerLink> {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         let link = links.entry(address).or_insert_with(|| {
