Put the file operations of the log behind a trait, and log the end that a start leaves out

A test can now put a disk below the log that loses power. The operations and their order are those of before. What a start leaves out at the end of the newest segment, until now in silence, is logged with file, offset and length, so that an engineer can tell an interrupted write from a damaged disk.

--- a/crates/coursestand-consensus/src/storage.rs
+++ b/crates/coursestand-consensus/src/storage.rs
@@ -110,6 +110,11 @@
 }
 
 impl Restored {
+    /// Returns the index of the last entry, or the one that the snapshot covers.
+    pub fn last_index(&self) -> LogIndex {
+        self.snapshot.index + self.entries.len() as LogIndex
+    }
+
     /// Applies a batch.
     pub fn apply(&mut self, batch: &Batch) {
         if let Some(hard_state) = batch.hard_state {
--- a/crates/coursestand-consensus/src/wal/frames.rs
+++ b/crates/coursestand-consensus/src/wal/frames.rs
@@ -1,20 +1,20 @@
 //! Frames of the files of a log: a 12-byte header (length, CRC-32C of the payload, CRC-32C of
 //! these two fields; four bytes each, little endian) and a payload.
 
-use std::fs::File;
-use std::io::{BufReader, Read, Write};
+use std::io::{BufReader, Read};
 use std::path::{Path, PathBuf};
 
 use serde::Serialize;
 use snafu::ResultExt;
 
+use super::disk::{Disk, DiskWriter};
 use crate::storage::{EncodeSnafu, FileSnafu, StorageError};
 
 const HEADER_BYTES: usize = 12;
 
 /// Writes one frame to `file` and returns its length. Does not sync.
 pub(super) fn write_frame<T: Serialize>(
-    file: &mut File,
+    file: &mut impl DiskWriter,
     path: &Path,
     record: &T,
 ) -> Result<u64, StorageError> {
@@ -24,9 +24,7 @@
     header[4..8].copy_from_slice(&crc32c::crc32c(&payload).to_le_bytes());
     let checksum = crc32c::crc32c(&header[..8]);
     header[8..].copy_from_slice(&checksum.to_le_bytes());
-    let written = file
-        .write_all(&header)
-        .and_then(|()| file.write_all(&payload));
+    let written = file.append(&header).and_then(|()| file.append(&payload));
     written.context(FileSnafu {
         path,
         operation: "write",
@@ -49,34 +47,48 @@
 }
 
 /// Reads the frames of a file, one at a time.
-pub(super) struct FrameReader {
+pub(super) struct FrameReader<R> {
     path: PathBuf,
-    file: BufReader<File>,
+    file: BufReader<R>,
     length: u64,
     offset: u64,
 }
 
-impl FrameReader {
-    pub(super) fn open(path: &Path) -> Result<FrameReader, StorageError> {
-        let context = |operation| FileSnafu { path, operation };
-        let file = File::open(path).context(context("open"))?;
-        let length = file.metadata().context(context("read"))?.len();
+impl<R: Read> FrameReader<R> {
+    pub(super) fn open<D: Disk<Reader = R>>(
+        disk: &D,
+        name: &str,
+    ) -> Result<FrameReader<R>, StorageError> {
+        let path = disk.folder().join(name);
+        let (file, length) = disk.open(name).context(FileSnafu {
+            path: &path,
+            operation: "open",
+        })?;
         Ok(FrameReader {
-            path: path.to_owned(),
+            path,
             file: BufReader::new(file),
             length,
             offset: 0,
         })
     }
 
+    pub(super) fn path(&self) -> &Path {
+        &self.path
+    }
+
     /// Returns the offset of the next frame.
     pub(super) fn offset(&self) -> u64 {
         self.offset
     }
 
+    /// Returns the number of bytes from the next frame to the end of the file.
+    pub(super) fn remaining(&self) -> u64 {
+        self.length - self.offset
+    }
+
     /// Reads the next frame. Must not be called again unless the result is a complete one.
     pub(super) fn next(&mut self) -> Result<FrameRead, StorageError> {
-        let remaining = self.length - self.offset;
+        let remaining = self.remaining();
         if remaining == 0 {
             return Ok(FrameRead::End);
         }
--- a/crates/coursestand-consensus/src/wal/mod.rs
+++ b/crates/coursestand-consensus/src/wal/mod.rs
@@ -7,6 +7,7 @@
 //! On restart, a truncated frame at the end of the newest segment is discarded: it was
 //! never acknowledged. Corruption anywhere else is an error.
 
+pub mod disk;
 mod frames;
 mod replay;
 
@@ -16,7 +17,9 @@
 use serde::{Deserialize, Serialize};
 use snafu::{ResultExt, ensure};
 
+use self::disk::{Disk, DiskWriter, FileSystem};
 use self::frames::write_frame;
+pub use self::replay::DiscardedTail;
 use self::replay::{Replay, read_snapshot};
 use crate::ids::LogIndex;
 use crate::storage::{Batch, FileSnafu, InUseSnafu, Restored, Storage, StorageError};
@@ -31,7 +34,6 @@
 
 const SEGMENT_SUFFIX: &str = ".wal";
 const SNAPSHOT_SUFFIX: &str = ".snapshot";
-const TEMPORARY_EXTENSION: &str = "tmp";
 const TEMPORARY_SUFFIX: &str = ".tmp";
 const LOCK_FILE: &str = "lock";
 
@@ -52,17 +54,38 @@
     entries: &'a [Entry],
 }
 
-/// A write-ahead log in a dedicated folder, which it locks.
-pub struct WriteAheadLog {
-    folder: PathBuf,
-    segment: Segment,
+/// Sizes of the records and segments of a log.
+#[derive(Clone, Copy, Debug)]
+pub struct LogSizes {
+    /// Size in bytes above which a new segment is started.
+    pub segment_bytes: u64,
+    /// Bytes of entries in one record of a segment that contains the full state.
+    pub record_bytes: usize,
+}
+
+impl Default for LogSizes {
+    fn default() -> LogSizes {
+        LogSizes {
+            segment_bytes: SEGMENT_BYTES,
+            record_bytes: RECORD_BYTES,
+        }
+    }
+}
+
+/// A write-ahead log in a dedicated folder.
+pub struct WriteAheadLog<D: Disk = FileSystem> {
+    disk: D,
+    sizes: LogSizes,
+    segment: Segment<D::Writer>,
     sequence: u64,
     hard_state: HardState,
-    _lock: File,
+    discarded: Option<DiscardedTail>,
+    /// Locks the folder.
+    _lock: Option<File>,
 }
 
 impl WriteAheadLog {
-    /// Opens the log in `folder`, which is created if missing, and returns the
+    /// Opens the log in `folder`, which is created if missing and locked, and returns the
     /// restored state.
     pub fn open(folder: &Path) -> Result<(WriteAheadLog, Restored), StorageError> {
         std::fs::create_dir_all(folder).context(FileSnafu {
@@ -70,71 +93,86 @@
             operation: "create the folder",
         })?;
         let lock = lock(folder)?;
-        remove_temporary_files(folder)?;
-        let mut replay = Replay::new(newest_snapshot(folder)?);
-        let segments = numbered_files(folder, SEGMENT_SUFFIX)?;
-        for (position, (_, path)) in segments.iter().enumerate() {
+        let disk = FileSystem::new(folder);
+        let (mut log, restored) = WriteAheadLog::open_on(disk, LogSizes::default())?;
+        log._lock = Some(lock);
+        Ok((log, restored))
+    }
+}
+
+impl<D: Disk> WriteAheadLog<D> {
+    /// Opens the log on `disk`, of which it must be the only user, and returns the restored
+    /// state.
+    pub fn open_on(disk: D, sizes: LogSizes) -> Result<(WriteAheadLog<D>, Restored), StorageError> {
+        remove_temporary_files(&disk)?;
+        let mut replay = Replay::new(newest_snapshot(&disk)?);
+        let segments = numbered_files(&disk, SEGMENT_SUFFIX)?;
+        for (position, (_, name)) in segments.iter().enumerate() {
             let is_newest = position + 1 == segments.len();
-            replay.read_segment(path, is_newest)?;
+            replay.read_segment(&disk, name, is_newest)?;
         }
-        let restored = replay.restored;
+        let Replay {
+            restored,
+            discarded,
+            ..
+        } = replay;
         // The new segment contains the full state, so the older ones, which may end in a
         // truncated frame or in data that a failed sync has lost, can be removed.
         let sequence = segments.last().map_or(0, |(sequence, _)| *sequence) + 1;
         let segment = create_full_segment(
-            folder,
+            &disk,
             sequence,
-            restored.hard_state,
-            restored.snapshot.index,
-            &restored.entries,
+            FullState {
+                hard_state: restored.hard_state,
+                base: restored.snapshot.index,
+                entries: &restored.entries,
+            },
+            sizes,
         )?;
         let log = WriteAheadLog {
-            folder: folder.to_owned(),
+            disk,
+            sizes,
             segment,
             sequence,
             hard_state: restored.hard_state,
-            _lock: lock,
+            discarded,
+            _lock: None,
         };
         log.remove_obsolete(restored.snapshot.index)?;
         Ok((log, restored))
     }
 
+    /// Returns the end of the log that was left out when the log was opened, if any.
+    pub fn discarded_tail(&self) -> Option<&DiscardedTail> {
+        self.discarded.as_ref()
+    }
+
     fn write_snapshot(&self, snapshot: &Snapshot) -> Result<(), StorageError> {
-        let path = self
-            .folder
-            .join(format!("{:020}{SNAPSHOT_SUFFIX}", snapshot.index));
-        let temporary = path.with_extension(TEMPORARY_EXTENSION);
-        let context = |operation| FileSnafu {
-            path: temporary.clone(),
-            operation,
-        };
-        let mut file = File::create(&temporary).context(context("create"))?;
-        write_frame(&mut file, &temporary, snapshot)?;
-        file.sync_all().context(context("sync"))?;
-        std::fs::rename(&temporary, &path).context(context("rename"))?;
-        sync_folder(&self.folder)
+        let stem = numbered_name(snapshot.index);
+        let temporary = format!("{stem}{TEMPORARY_SUFFIX}");
+        let mut file = Segment::create(&self.disk, &temporary)?;
+        file.append(snapshot)?;
+        file.sync()?;
+        rename(&self.disk, &temporary, &format!("{stem}{SNAPSHOT_SUFFIX}"))
     }
 
     /// Removes segments older than the current one and snapshots older than `index`:
     /// the current segment and the snapshot at `index` contain the full state.
     fn remove_obsolete(&self, index: LogIndex) -> Result<(), StorageError> {
-        let segments = numbered_files(&self.folder, SEGMENT_SUFFIX)?;
-        let snapshots = numbered_files(&self.folder, SNAPSHOT_SUFFIX)?;
+        let segments = numbered_files(&self.disk, SEGMENT_SUFFIX)?;
+        let snapshots = numbered_files(&self.disk, SNAPSHOT_SUFFIX)?;
         let old_segments = segments
             .into_iter()
             .filter(|(sequence, _)| *sequence < self.sequence);
         let old_snapshots = snapshots.into_iter().filter(|(at, _)| *at < index);
-        for (_, path) in old_segments.chain(old_snapshots) {
-            std::fs::remove_file(&path).context(FileSnafu {
-                path,
-                operation: "remove",
-            })?;
+        for (_, name) in old_segments.chain(old_snapshots) {
+            remove(&self.disk, &name)?;
         }
-        sync_folder(&self.folder)
+        sync_names(&self.disk)
     }
 }
 
-impl Storage for WriteAheadLog {
+impl<D: Disk> Storage for WriteAheadLog<D> {
     fn save(&mut self, batch: &Batch) -> Result<(), StorageError> {
         if let Some(hard_state) = batch.hard_state {
             self.hard_state = hard_state;
@@ -142,9 +180,10 @@
         if let Some(snapshot) = &batch.snapshot {
             return self.compact(snapshot, self.hard_state, &batch.entries);
         }
-        if self.segment.length > SEGMENT_BYTES {
+        if self.segment.length > self.sizes.segment_bytes {
             self.sequence += 1;
-            self.segment = create_segment(&self.folder, self.sequence)?;
+            self.segment = Segment::create(&self.disk, &segment_name(self.sequence))?;
+            sync_names(&self.disk)?;
         }
         self.segment.append(&RecordRef {
             hard_state: batch.hard_state,
@@ -163,13 +202,12 @@
         self.hard_state = hard_state;
         self.write_snapshot(snapshot)?;
         self.sequence += 1;
-        self.segment = create_full_segment(
-            &self.folder,
-            self.sequence,
+        let state = FullState {
             hard_state,
-            snapshot.index,
-            tail,
-        )?;
+            base: snapshot.index,
+            entries: tail,
+        };
+        self.segment = create_full_segment(&self.disk, self.sequence, state, self.sizes)?;
         self.remove_obsolete(snapshot.index)
     }
 }
@@ -189,92 +227,99 @@
     Ok(file)
 }
 
-fn sync_folder(folder: &Path) -> Result<(), StorageError> {
-    let context = |operation| FileSnafu {
-        path: folder,
-        operation,
-    };
-    let handle = File::open(folder).context(context("open"))?;
-    handle.sync_all().context(context("sync"))
+fn sync_names(disk: &impl Disk) -> Result<(), StorageError> {
+    disk.sync_names().context(FileSnafu {
+        path: disk.folder(),
+        operation: "sync",
+    })
+}
+
+fn remove(disk: &impl Disk, name: &str) -> Result<(), StorageError> {
+    disk.remove(name).context(FileSnafu {
+        path: disk.folder().join(name),
+        operation: "remove",
+    })
+}
+
+/// Renames a file and syncs the names.
+fn rename(disk: &impl Disk, from: &str, to: &str) -> Result<(), StorageError> {
+    disk.rename(from, to).context(FileSnafu {
+        path: disk.folder().join(from),
+        operation: "rename",
+    })?;
+    sync_names(disk)
 }
 
-/// A segment file that records are appended to.
-struct Segment {
-    file: File,
+/// A file that records are appended to.
+struct Segment<W> {
+    file: W,
     path: PathBuf,
     length: u64,
 }
 
-impl Segment {
+impl<W: DiskWriter> Segment<W> {
     /// Creates the file, which must not exist.
-    fn create(path: &Path) -> Result<Segment, StorageError> {
-        let file = OpenOptions::new()
-            .create_new(true)
-            .append(true)
-            .open(path)
-            .context(FileSnafu {
-                path,
-                operation: "create",
-            })?;
+    fn create<D: Disk<Writer = W>>(disk: &D, name: &str) -> Result<Segment<W>, StorageError> {
+        let path = disk.folder().join(name);
+        let file = disk.create(name).context(FileSnafu {
+            path: &path,
+            operation: "create",
+        })?;
         Ok(Segment {
             file,
-            path: path.to_owned(),
+            path,
             length: 0,
         })
     }
 
     /// Appends a record without a sync.
-    fn append(&mut self, record: &RecordRef<'_>) -> Result<(), StorageError> {
+    fn append<T: Serialize>(&mut self, record: &T) -> Result<(), StorageError> {
         self.length += write_frame(&mut self.file, &self.path, record)?;
         Ok(())
     }
 
     fn sync(&self) -> Result<(), StorageError> {
-        self.file.sync_data().context(FileSnafu {
+        self.file.sync().context(FileSnafu {
             path: &self.path,
             operation: "sync",
         })
     }
-
-    fn rename(self, path: PathBuf) -> Result<Segment, StorageError> {
-        std::fs::rename(&self.path, &path).context(FileSnafu {
-            path: &self.path,
-            operation: "rename",
-        })?;
-        Ok(Segment { path, ..self })
-    }
 }
 
-fn segment_path(folder: &Path, sequence: u64) -> PathBuf {
-    folder.join(format!("{sequence:020}{SEGMENT_SUFFIX}"))
+fn numbered_name(number: u64) -> String {
+    format!("{number:020}")
 }
 
-fn create_segment(folder: &Path, sequence: u64) -> Result<Segment, StorageError> {
-    let segment = Segment::create(&segment_path(folder, sequence))?;
-    sync_folder(folder)?;
-    Ok(segment)
+fn segment_name(sequence: u64) -> String {
+    numbered_name(sequence) + SEGMENT_SUFFIX
 }
 
-/// Creates a segment that contains the hard state and all entries after `base`, the index of
-/// the snapshot. The segment consists of several records to limit the memory for encoding
-/// them; its final name makes it visible at once.
-fn create_full_segment(
-    folder: &Path,
-    sequence: u64,
+/// The contents of a log: the hard state and all entries after `base`, the index of the
+/// snapshot.
+struct FullState<'a> {
     hard_state: HardState,
     base: LogIndex,
-    entries: &[Entry],
-) -> Result<Segment, StorageError> {
-    let path = segment_path(folder, sequence);
-    let mut segment = Segment::create(&path.with_extension(TEMPORARY_EXTENSION))?;
+    entries: &'a [Entry],
+}
+
+/// Creates a segment that contains the full state. The segment consists of several records to
+/// limit the memory for encoding them; its final name makes it visible at once.
+fn create_full_segment<D: Disk>(
+    disk: &D,
+    sequence: u64,
+    state: FullState<'_>,
+    sizes: LogSizes,
+) -> Result<Segment<D::Writer>, StorageError> {
+    let temporary = numbered_name(sequence) + TEMPORARY_SUFFIX;
+    let mut segment = Segment::create(disk, &temporary)?;
     segment.append(&RecordRef {
-        hard_state: Some(hard_state),
-        restart_after: Some(base),
+        hard_state: Some(state.hard_state),
+        restart_after: Some(state.base),
         entries: &[],
     })?;
-    let mut rest = entries;
+    let mut rest = state.entries;
     while !rest.is_empty() {
-        let (record, later) = rest.split_at(prefix_within(rest, RECORD_BYTES).len());
+        let (record, later) = rest.split_at(prefix_within(rest, sizes.record_bytes).len());
         segment.append(&RecordRef {
             hard_state: None,
             restart_after: None,
@@ -283,48 +328,41 @@
         rest = later;
     }
     segment.sync()?;
-    let segment = segment.rename(path)?;
-    sync_folder(folder)?;
+    let name = segment_name(sequence);
+    rename(disk, &temporary, &name)?;
+    segment.path = disk.folder().join(name);
     Ok(segment)
 }
 
 /// Returns the files whose names are a number and `suffix`, sorted by number.
-fn numbered_files(folder: &Path, suffix: &str) -> Result<Vec<(u64, PathBuf)>, StorageError> {
-    let context = |operation| FileSnafu {
-        path: folder,
-        operation,
-    };
-    let mut files = Vec::new();
-    for entry in std::fs::read_dir(folder).context(context("read the folder"))? {
-        let entry = entry.context(context("read the folder"))?;
-        let name = entry.file_name();
-        let number = name
-            .to_str()
-            .and_then(|name| name.strip_suffix(suffix))
-            .and_then(|number| number.parse().ok());
-        if let Some(number) = number {
-            files.push((number, entry.path()));
-        }
-    }
+fn numbered_files(disk: &impl Disk, suffix: &str) -> Result<Vec<(u64, String)>, StorageError> {
+    let names = disk.names().context(FileSnafu {
+        path: disk.folder(),
+        operation: "read the folder",
+    })?;
+    let mut files: Vec<(u64, String)> = names
+        .into_iter()
+        .filter_map(|name| {
+            let number = name.strip_suffix(suffix)?.parse().ok()?;
+            Some((number, name))
+        })
+        .collect();
     files.sort();
     Ok(files)
 }
 
 /// Removes temporary files left by a process that ended before it renamed them.
-fn remove_temporary_files(folder: &Path) -> Result<(), StorageError> {
-    for (_, path) in numbered_files(folder, TEMPORARY_SUFFIX)? {
-        std::fs::remove_file(&path).context(FileSnafu {
-            path,
-            operation: "remove",
-        })?;
+fn remove_temporary_files(disk: &impl Disk) -> Result<(), StorageError> {
+    for (_, name) in numbered_files(disk, TEMPORARY_SUFFIX)? {
+        remove(disk, &name)?;
     }
     Ok(())
 }
 
 /// Returns the newest snapshot, or the empty one if none was taken.
-fn newest_snapshot(folder: &Path) -> Result<Snapshot, StorageError> {
-    match numbered_files(folder, SNAPSHOT_SUFFIX)?.pop() {
-        Some((_, path)) => read_snapshot(&path),
+fn newest_snapshot(disk: &impl Disk) -> Result<Snapshot, StorageError> {
+    match numbered_files(disk, SNAPSHOT_SUFFIX)?.pop() {
+        Some((_, name)) => read_snapshot(disk, &name),
         None => Ok(Snapshot::default()),
     }
 }
--- a/crates/coursestand-consensus/src/wal/replay.rs
+++ b/crates/coursestand-consensus/src/wal/replay.rs
@@ -1,32 +1,45 @@
 //! Rebuilds the stored state from the files of a log.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use snafu::ensure;
 
 use super::Record;
+use super::disk::Disk;
 use super::frames::{FrameRead, FrameReader};
 use crate::ids::LogIndex;
 use crate::storage::{CorruptSnafu, GapSnafu, Restored, StorageError};
 use crate::types::{Entry, Snapshot};
 
 /// Reads a snapshot file.
-pub(super) fn read_snapshot(path: &Path) -> Result<Snapshot, StorageError> {
+pub(super) fn read_snapshot(disk: &impl Disk, name: &str) -> Result<Snapshot, StorageError> {
     let corrupt = |what| CorruptSnafu {
-        path,
+        path: disk.folder().join(name),
         offset: 0u64,
         what,
     };
     // A snapshot is renamed only after its sync, so it can't be truncated.
-    let FrameRead::Complete(payload) = FrameReader::open(path)?.next()? else {
+    let FrameRead::Complete(payload) = FrameReader::open(disk, name)?.next()? else {
         return corrupt("snapshot checksum mismatch").fail();
     };
     postcard::from_bytes(&payload).or_else(|_| corrupt("snapshot can't be decoded").fail())
 }
 
+/// The end of a log that was left out when the log was opened.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DiscardedTail {
+    /// The segment.
+    pub path: PathBuf,
+    /// Byte offset at which the part that was left out begins.
+    pub offset: u64,
+    /// Its length in bytes.
+    pub bytes: u64,
+}
+
 /// The state that the records read so far lead to.
 pub(super) struct Replay {
     pub(super) restored: Restored,
+    pub(super) discarded: Option<DiscardedTail>,
     /// Whether the logged entry at the snapshot's index differs in term from the one in
     /// the snapshot; the snapshot then replaces the entries that follow it.
     has_conflict: bool,
@@ -39,6 +52,7 @@
                 snapshot,
                 ..Restored::default()
             },
+            discarded: None,
             has_conflict: false,
         }
     }
@@ -47,10 +61,12 @@
     /// frame, which is discarded.
     pub(super) fn read_segment(
         &mut self,
-        path: &Path,
+        disk: &impl Disk,
+        name: &str,
         is_newest: bool,
     ) -> Result<(), StorageError> {
-        let mut frames = FrameReader::open(path)?;
+        let mut frames = FrameReader::open(disk, name)?;
+        let path = &frames.path().to_owned();
         loop {
             let offset = frames.offset();
             let corrupt = |what| CorruptSnafu { path, offset, what };
@@ -63,7 +79,14 @@
                     self.apply_record(path, record)?;
                 }
                 FrameRead::End => return Ok(()),
-                FrameRead::Truncated if is_newest => return Ok(()),
+                FrameRead::Truncated if is_newest => {
+                    self.discarded = Some(DiscardedTail {
+                        path: path.clone(),
+                        offset,
+                        bytes: frames.remaining(),
+                    });
+                    return Ok(());
+                }
                 FrameRead::Truncated => return corrupt("segment ends early").fail(),
                 FrameRead::Corrupt(what) => return corrupt(what).fail(),
             }
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -47,6 +47,11 @@
     folder: &Path,
 ) -> Result<(Box<dyn Storage + Send>, Restored), StorageError> {
     let (log, restored) = WriteAheadLog::open(folder)?;
+    if let Some(tail) = log.discarded_tail() {
+        warn!(target: LOG, file = tail.path.display().to_string(), offset = tail.offset,
+            bytes = tail.bytes, last = restored.last_index();
+            "the last record of the log is incomplete and was left out: its write was interrupted");
+    }
     Ok((Box::new(log), restored))
 }
 
@@ -173,12 +178,14 @@
             self.restore(&restored.snapshot);
         }
         let entries = restored.entries.len();
+        let last = restored.last_index();
         let orders = OrderHistory::after_snapshot(restored.snapshot.index);
         let config = Config::new(identity.replica, rand::random());
         let replica = Replica::new(config, restored, now);
         info!(
             target: LOG,
             entries = entries,
+            last = last,
             log_bytes = replica.log().bytes(),
             snapshot_bytes = replica.log().snapshot().data.len();
             "replica {} begins in term {}", identity.replica, replica.term()
