Discard the last record of a log if its write was interrupted, whichever part is missing

Cause: a record's header and payload were two writes, and after a loss of power each write since the last sync is there, missing or torn, in any order. A header that does not match its checksum counted as an interrupted write only if the rest of the file was zero, and as corruption if the payload was there.

A record is now a single write. A frame that does not match its checksums is corruption if a complete frame follows, since that was written only after the sync of the damaged one; without one it is the last record, was never acknowledged, and is left out.

That corruption of earlier records is reported with file and offset is tested as before.

--- a/crates/coursestand-consensus/src/wal/frames.rs
+++ b/crates/coursestand-consensus/src/wal/frames.rs
@@ -12,24 +12,74 @@
 
 const HEADER_BYTES: usize = 12;
 
-/// Writes one frame to `file` and returns its length. Does not sync.
+/// Writes one frame to `file`, in a single write, and returns its length. Does not sync.
 pub(super) fn write_frame<T: Serialize>(
     file: &mut impl DiskWriter,
     path: &Path,
     record: &T,
 ) -> Result<u64, StorageError> {
-    let payload = postcard::to_stdvec(record).context(EncodeSnafu)?;
-    let mut header = [0; HEADER_BYTES];
-    header[..4].copy_from_slice(&(payload.len() as u32).to_le_bytes());
-    header[4..8].copy_from_slice(&crc32c::crc32c(&payload).to_le_bytes());
-    let checksum = crc32c::crc32c(&header[..8]);
-    header[8..].copy_from_slice(&checksum.to_le_bytes());
-    let written = file.append(&header).and_then(|()| file.append(&payload));
-    written.context(FileSnafu {
+    let mut frame = postcard::to_extend(record, vec![0; HEADER_BYTES]).context(EncodeSnafu)?;
+    let (header, payload) = frame.split_at_mut(HEADER_BYTES);
+    header.copy_from_slice(&Header::of(payload).encode());
+    file.append(&frame).context(FileSnafu {
         path,
         operation: "write",
     })?;
-    Ok((HEADER_BYTES + payload.len()) as u64)
+    Ok(frame.len() as u64)
+}
+
+/// Header of a frame.
+struct Header {
+    length: u32,
+    payload_checksum: u32,
+}
+
+impl Header {
+    fn of(payload: &[u8]) -> Header {
+        Header {
+            length: payload.len() as u32,
+            payload_checksum: crc32c::crc32c(payload),
+        }
+    }
+
+    fn encode(&self) -> [u8; HEADER_BYTES] {
+        let mut header = [0; HEADER_BYTES];
+        header[..4].copy_from_slice(&self.length.to_le_bytes());
+        header[4..8].copy_from_slice(&self.payload_checksum.to_le_bytes());
+        let checksum = crc32c::crc32c(&header[..8]);
+        header[8..].copy_from_slice(&checksum.to_le_bytes());
+        header
+    }
+
+    /// Returns the header at the beginning of `bytes`, if there is one with a matching checksum.
+    fn decode(bytes: &[u8]) -> Option<Header> {
+        let header = bytes.first_chunk::<HEADER_BYTES>()?;
+        let (fields, checksum) = header.split_at(8);
+        if crc32c::crc32c(fields).to_le_bytes() != checksum {
+            return None;
+        }
+        let (length, payload_checksum) = fields.split_at(4);
+        Some(Header {
+            length: u32::from_le_bytes(length.try_into().ok()?),
+            payload_checksum: u32::from_le_bytes(payload_checksum.try_into().ok()?),
+        })
+    }
+
+    fn matches(&self, payload: &[u8]) -> bool {
+        crc32c::crc32c(payload) == self.payload_checksum
+    }
+}
+
+/// Returns whether a complete frame begins anywhere in `bytes`.
+fn contains_frame(bytes: &[u8]) -> bool {
+    (0..bytes.len()).any(|start| {
+        let rest = &bytes[start..];
+        let Some(header) = Header::decode(rest) else {
+            return false;
+        };
+        let payload = rest[HEADER_BYTES..].get(..header.length as usize);
+        payload.is_some_and(|payload| header.matches(payload))
+    })
 }
 
 /// Result of reading a frame.
@@ -38,11 +88,10 @@
     Complete(Vec<u8>),
     /// The file ends here.
     End,
-    /// The frame is the last one of the file, and its write was interrupted: it is
-    /// incomplete, all zeros, or its payload does not match the checksum.
-    Truncated,
-    /// The header does not match its checksum, or the payload of a frame that is not the
-    /// last one of the file does not match.
+    /// The frame is incomplete or does not match its checksums, and is the last one of the file.
+    Incomplete,
+    /// The frame does not match its checksums although another one follows, which was written
+    /// only after this one had been synced.
     Corrupt(&'static str),
 }
 
@@ -93,37 +142,31 @@
             return Ok(FrameRead::End);
         }
         if remaining < HEADER_BYTES as u64 {
-            return Ok(FrameRead::Truncated);
+            return Ok(FrameRead::Incomplete);
         }
         let header = self.read(HEADER_BYTES)?;
-        let number = |position: usize| {
-            let mut field = [0; 4];
-            field.copy_from_slice(&header[position..position + 4]);
-            u32::from_le_bytes(field)
-        };
-        let (length, payload_checksum, header_checksum) = (number(0), number(4), number(8));
-        if crc32c::crc32c(&header[..8]) != header_checksum {
-            // After a crash the file may have its new size but not its data: zeros.
-            let is_zero = header.iter().all(|byte| *byte == 0) && self.is_rest_zero()?;
-            return Ok(if is_zero {
-                FrameRead::Truncated
-            } else {
-                FrameRead::Corrupt("header checksum mismatch")
-            });
-        }
         let after_header = remaining - HEADER_BYTES as u64;
-        if after_header < u64::from(length) {
-            return Ok(FrameRead::Truncated);
+        let Some(header) = Header::decode(&header) else {
+            // The frame's length is unknown, and the parts of a write that was interrupted may
+            // be on the disk in any order.
+            let rest = self.read(after_header as usize)?;
+            return Ok(match contains_frame(&rest) {
+                true => FrameRead::Corrupt("header checksum mismatch"),
+                false => FrameRead::Incomplete,
+            });
+        };
+        let length = u64::from(header.length);
+        if after_header < length {
+            return Ok(FrameRead::Incomplete);
         }
-        let payload = self.read(length as usize)?;
-        if crc32c::crc32c(&payload) != payload_checksum {
-            return Ok(if after_header == u64::from(length) {
-                FrameRead::Truncated
-            } else {
-                FrameRead::Corrupt("record checksum mismatch")
+        let payload = self.read(header.length as usize)?;
+        if !header.matches(&payload) {
+            return Ok(match after_header == length {
+                true => FrameRead::Incomplete,
+                false => FrameRead::Corrupt("record checksum mismatch"),
             });
         }
-        self.offset += (HEADER_BYTES + payload.len()) as u64;
+        self.offset += HEADER_BYTES as u64 + length;
         Ok(FrameRead::Complete(payload))
     }
 
@@ -135,20 +178,4 @@
         })?;
         Ok(bytes)
     }
-
-    fn is_rest_zero(&mut self) -> Result<bool, StorageError> {
-        let mut buffer = [0; 4_096];
-        loop {
-            let count = self.file.read(&mut buffer).context(FileSnafu {
-                path: &self.path,
-                operation: "read",
-            })?;
-            if count == 0 {
-                return Ok(true);
-            }
-            if buffer[..count].iter().any(|byte| *byte != 0) {
-                return Ok(false);
-            }
-        }
-    }
 }
--- a/crates/coursestand-consensus/src/wal/mod.rs
+++ b/crates/coursestand-consensus/src/wal/mod.rs
@@ -4,8 +4,9 @@
 //! atomic. Frames are synced before `save` returns. Records are read and written one at a
 //! time, so that opening a log needs little more memory than its entries.
 //!
-//! On restart, a truncated frame at the end of the newest segment is discarded: it was
-//! never acknowledged. Corruption anywhere else is an error.
+//! On restart, an incomplete frame at the end of the newest segment is discarded and reported:
+//! its write was interrupted, so that it was never acknowledged. Corruption anywhere else is an
+//! error.
 
 pub mod disk;
 mod frames;
@@ -116,8 +117,8 @@
             discarded,
             ..
         } = replay;
-        // The new segment contains the full state, so the older ones, which may end in a
-        // truncated frame or in data that a failed sync has lost, can be removed.
+        // The new segment contains the full state, so the older ones, which may end in an
+        // incomplete frame or in data that a failed sync has lost, can be removed.
         let sequence = segments.last().map_or(0, |(sequence, _)| *sequence) + 1;
         let segment = create_full_segment(
             &disk,
