Read a log from its newest full segment on, whatever is left of the older ones

Control processes ended at each start, "corrupt at byte 617: segment ends early", after a loss of power and a kill while they started: the state had been written into a new segment, and the older one, which ended in the record that was cut off, was still there and no longer the newest. A loss of power while several old segments are being removed had the same effect: the removal of the first may last and that of the second not, "entry 7 follows entry 4: entries are missing".

Cause: all segments were read and had to be whole, although a segment that begins with the full state makes all older ones obsolete. Now the newest such segment is the first that is read. It gets its name after its sync, and older ones are removed after that, so one is always there: a log without one is an error, where it was an empty log before if the damage looked like an interrupted write.

truncation_of_an_older_segment_is_an_error made its second segment by copying the first one, which begins with the full state, so that the damaged one was obsolete. It now has real segments, cuts each older one in turn, and asks for the same error.

--- a/crates/coursestand-consensus/src/wal/mod.rs
+++ b/crates/coursestand-consensus/src/wal/mod.rs
@@ -5,8 +5,8 @@
 //! time, so that opening a log needs little more memory than its entries.
 //!
 //! On restart, an incomplete frame at the end of the newest segment is discarded and reported:
-//! its write was interrupted, so that it was never acknowledged. Corruption anywhere else is an
-//! error.
+//! its write was interrupted, so that it was never acknowledged. Segments older than the newest
+//! one that contains the full state are not read. Corruption anywhere else is an error.
 
 pub mod disk;
 mod frames;
@@ -21,9 +21,9 @@
 use self::disk::{Disk, DiskWriter, FileSystem};
 use self::frames::write_frame;
 pub use self::replay::DiscardedTail;
-use self::replay::{Replay, read_snapshot};
+use self::replay::{Replay, begins_with_full_state, read_snapshot};
 use crate::ids::LogIndex;
-use crate::storage::{Batch, FileSnafu, InUseSnafu, Restored, Storage, StorageError};
+use crate::storage::{Batch, CorruptSnafu, FileSnafu, InUseSnafu, Restored, Storage, StorageError};
 use crate::types::{Entry, HardState, Snapshot, prefix_within};
 
 /// Segment size in bytes above which a new segment is started.
@@ -108,8 +108,9 @@
         remove_temporary_files(&disk)?;
         let mut replay = Replay::new(newest_snapshot(&disk)?);
         let segments = numbered_files(&disk, SEGMENT_SUFFIX)?;
-        for (position, (_, name)) in segments.iter().enumerate() {
-            let is_newest = position + 1 == segments.len();
+        let current = current_segments(&disk, &segments)?;
+        for (position, (_, name)) in current.iter().enumerate() {
+            let is_newest = position + 1 == current.len();
             replay.read_segment(&disk, name, is_newest)?;
         }
         let Replay {
@@ -335,6 +336,30 @@
     Ok(segment)
 }
 
+/// Returns the newest segment that contains the full state and those after it. Earlier ones are
+/// obsolete: the process ended before it had removed them all, or a loss of power undid the
+/// removal of some, so that they may be incomplete.
+fn current_segments<'a>(
+    disk: &impl Disk,
+    segments: &'a [(u64, String)],
+) -> Result<&'a [(u64, String)], StorageError> {
+    for (position, (_, name)) in segments.iter().enumerate().rev() {
+        if begins_with_full_state(disk, name)? {
+            return Ok(&segments[position..]);
+        }
+    }
+    let Some((_, oldest)) = segments.first() else {
+        return Ok(segments);
+    };
+    // A log begins with such a segment, which gets its name only after its sync.
+    CorruptSnafu {
+        path: disk.folder().join(oldest),
+        offset: 0u64,
+        what: "no segment begins with the full state",
+    }
+    .fail()
+}
+
 /// Returns the files whose names are a number and `suffix`, sorted by number.
 fn numbered_files(disk: &impl Disk, suffix: &str) -> Result<Vec<(u64, String)>, StorageError> {
     let names = disk.names().context(FileSnafu {
--- a/crates/coursestand-consensus/src/wal/replay.rs
+++ b/crates/coursestand-consensus/src/wal/replay.rs
@@ -25,6 +25,15 @@
     postcard::from_bytes(&payload).or_else(|_| corrupt("snapshot can't be decoded").fail())
 }
 
+/// Returns whether a segment contains the full state, so that no older one is needed.
+pub(super) fn begins_with_full_state(disk: &impl Disk, name: &str) -> Result<bool, StorageError> {
+    let FrameRead::Complete(payload) = FrameReader::open(disk, name)?.next()? else {
+        return Ok(false);
+    };
+    let record = postcard::from_bytes::<Record>(&payload);
+    Ok(record.is_ok_and(|record| record.restart_after.is_some()))
+}
+
 /// The end of a log that was left out when the log was opened.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DiscardedTail {
--- a/crates/coursestand-consensus/tests/wal.rs
+++ b/crates/coursestand-consensus/tests/wal.rs
@@ -5,7 +5,8 @@
 use std::io::{Seek, SeekFrom, Write};
 use std::path::{Path, PathBuf};
 
-use coursestand_consensus::wal::WriteAheadLog;
+use coursestand_consensus::wal::disk::FileSystem;
+use coursestand_consensus::wal::{LogSizes, WriteAheadLog};
 use coursestand_consensus::{
     Batch, Entry, HardState, MemoryStorage, Payload, Restored, Snapshot, Storage, StorageError,
 };
@@ -13,6 +14,12 @@
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
+/// Several segments for some tens of entries.
+const SMALL_SIZES: LogSizes = LogSizes {
+    segment_bytes: 200,
+    record_bytes: 100,
+};
+
 fn entry(term: u64, index: u64) -> Entry {
     Entry {
         term,
@@ -36,14 +43,18 @@
     WriteAheadLog::open(folder).expect("the log opens").1
 }
 
-fn newest_segment(folder: &Path) -> PathBuf {
+fn segments(folder: &Path) -> Vec<PathBuf> {
     let mut segments: Vec<PathBuf> = std::fs::read_dir(folder)
         .expect("the folder is there")
         .map(|entry| entry.expect("an entry").path())
         .filter(|path| path.extension().is_some_and(|suffix| suffix == "wal"))
         .collect();
     segments.sort();
-    segments.pop().expect("a segment is there")
+    segments
+}
+
+fn newest_segment(folder: &Path) -> PathBuf {
+    segments(folder).pop().expect("a segment is there")
 }
 
 /// A step of the differential test.
@@ -227,19 +238,68 @@
     expect_that!(log.discarded_tail(), none());
 }
 
+/// Saves batches until there are several segments, none of which is obsolete. Returns the segments.
+fn log_with_segments(folder: &Path) -> Vec<PathBuf> {
+    let disk = FileSystem::new(folder);
+    let (mut log, _) = WriteAheadLog::open_on(disk, SMALL_SIZES).expect("the log opens");
+    for index in 1..=20 {
+        log.save(&entries(1, index, index)).expect("saved");
+    }
+    segments(folder)
+}
+
 #[gtest]
 fn truncation_of_an_older_segment_is_an_error() {
     let folder = tempfile::tempdir().expect("a folder");
-    let (segment, _) = log_with_two_frames(folder.path());
-    let length = std::fs::metadata(&segment).expect("metadata").len();
-    std::fs::copy(&segment, folder.path().join("00000000000000000009.wal")).expect("copied");
-    let file = OpenOptions::new()
-        .write(true)
-        .open(&segment)
-        .expect("opens");
-    file.set_len(length - 3).expect("cut");
-    let error = WriteAheadLog::open(folder.path()).err().expect("refused");
-    expect_that!(error.to_string(), contains_substring("ends early"));
+    let segments = log_with_segments(folder.path());
+    assert_that!(segments.len(), gt(3));
+    for older in &segments[..segments.len() - 1] {
+        let bytes = std::fs::read(older).expect("read");
+        std::fs::write(older, &bytes[..bytes.len() - 3]).expect("cut");
+        let error = WriteAheadLog::open(folder.path()).err().expect("refused");
+        expect_that!(error.to_string(), contains_substring("ends early"));
+        std::fs::write(older, bytes).expect("restored");
+    }
+    expect_that!(reopen(folder.path()).entries.len(), eq(20));
+}
+
+/// Guards against a replica that ends at each start because a loss of power left only some of
+/// the segments that were being removed.
+#[gtest]
+fn obsolete_segments_are_not_read() {
+    for removed in 0..3 {
+        let folder = tempfile::tempdir().expect("a folder");
+        let before = log_with_segments(folder.path());
+        let contents = before.iter().map(|path| std::fs::read(path).expect("read"));
+        let contents: Vec<Vec<u8>> = contents.collect();
+        reopen(folder.path());
+        for (number, (path, bytes)) in before.iter().zip(contents).enumerate() {
+            if number >= removed {
+                std::fs::write(path, &bytes[..bytes.len() - 3]).expect("written");
+            }
+        }
+        expect_that!(reopen(folder.path()).entries.len(), eq(20));
+    }
+}
+
+/// Guards against a replica that begins with an empty log, and votes again in a term in which it
+/// has voted, because the first record of its log is damaged.
+#[gtest]
+fn a_log_without_the_full_state_is_an_error() {
+    let folder = tempfile::tempdir().expect("a folder");
+    WriteAheadLog::open(folder.path()).expect("the log opens");
+    let segment = newest_segment(folder.path());
+    for position in 0..length(&segment) {
+        let bytes = std::fs::read(&segment).expect("read");
+        overwrite(&segment, position, &[!bytes[position as usize]]);
+        let error = WriteAheadLog::open(folder.path()).err().expect("refused");
+        let StorageError::Corrupt { path, offset, .. } = error else {
+            panic!("another error: {error}");
+        };
+        expect_that!(path, eq(&segment));
+        expect_that!(offset, eq(0));
+        std::fs::write(&segment, bytes).expect("restored");
+    }
 }
 
 #[gtest]
