Report damage to the last record of the full state

The records of the full state are synced before their segment gets its name, but if the last of them was damaged later, it was taken for an interrupted write and its entries were left out.

An empty record now follows them: damage before it is corruption, since a complete frame follows.

damage_to_the_full_state_is_reported failed before. a_log_without_the_full_state_is_an_error damages each byte but those of the empty record.

--- a/crates/coursestand-consensus/src/wal/mod.rs
+++ b/crates/coursestand-consensus/src/wal/mod.rs
@@ -329,6 +329,12 @@
         })?;
         rest = later;
     }
+    // An empty record, which shows that the ones before it were synced.
+    segment.append(&RecordRef {
+        hard_state: None,
+        restart_after: None,
+        entries: &[],
+    })?;
     segment.sync()?;
     let name = segment_name(sequence);
     rename(disk, &temporary, &name)?;
