Sync the names of the folders that a log creates

A data folder that does not exist is created at the first start. Its name in the folder above was never synced, so a loss of power could remove it, with identity and log, after changes had been acknowledged.

--- a/crates/coursestand-consensus/src/wal/mod.rs
+++ b/crates/coursestand-consensus/src/wal/mod.rs
@@ -89,10 +89,7 @@
     /// Opens the log in `folder`, which is created if missing and locked, and returns the
     /// restored state.
     pub fn open(folder: &Path) -> Result<(WriteAheadLog, Restored), StorageError> {
-        std::fs::create_dir_all(folder).context(FileSnafu {
-            path: folder,
-            operation: "create the folder",
-        })?;
+        create_folder(folder)?;
         let lock = lock(folder)?;
         let disk = FileSystem::new(folder);
         let (mut log, restored) = WriteAheadLog::open_on(disk, LogSizes::default())?;
@@ -214,6 +211,27 @@
     }
 }
 
+/// Creates a folder and those above it that are missing, and syncs their names: otherwise a loss
+/// of power could remove the folder with all that was synced in it.
+fn create_folder(folder: &Path) -> Result<(), StorageError> {
+    let context = |operation| FileSnafu {
+        path: folder,
+        operation,
+    };
+    let missing = folder.ancestors().take_while(|path| !path.exists()).count();
+    std::fs::create_dir_all(folder).context(context("create the folder"))?;
+    for parent in folder.ancestors().skip(1).take(missing) {
+        // A relative path ends with an empty one, which stands for the working directory.
+        let parent = match parent.as_os_str().is_empty() {
+            true => Path::new("."),
+            false => parent,
+        };
+        let synced = File::open(parent).and_then(|parent| parent.sync_all());
+        synced.context(context("sync the name of the folder"))?;
+    }
+    Ok(())
+}
+
 fn lock(folder: &Path) -> Result<File, StorageError> {
     let path = folder.join(LOCK_FILE);
     let file = OpenOptions::new()
--- a/crates/coursestand-consensus/tests/wal.rs
+++ b/crates/coursestand-consensus/tests/wal.rs
@@ -351,6 +351,14 @@
     expect_that!(error.to_string(), contains_substring("snapshot"));
 }
 
+#[gtest]
+fn missing_folders_are_created() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let nested = folder.path().join("data").join("log");
+    log_with_two_frames(&nested);
+    expect_that!(reopen(&nested).entries.len(), eq(9));
+}
+
 #[gtest]
 fn a_folder_locked_by_another_log_is_an_error() {
     let folder = tempfile::tempdir().expect("a folder");
