Treat an answer with a status outside 200 to 599 as lost

Callers got 600 and 999 as the status of an answer, and 101 as an upgrade of their connection that nobody had asked for. 000, 099 and statuses that are not three digits were already lost answers, since the HTTP library refuses to parse them.

HTTP defines 100 to 599; a 1xx is interim, and 101 is final only after a request to upgrade, which the daemon removes. So there is no answer to return in the other cases: the caller gets 502, which promises nothing and carries no signature. The attempt counts as lost, so a request that may not be repeated is not, and the connection to the back end is closed.

broken_answers plays each answer 8 times: at a safe and an unsafe route, on a new and on a reused connection, directly and over a relay. Before, 101, 600 and 999 were forwarded in 8 of 8 plays each; now 502 in all. Its other tests pass before and after, as guards: heads cut at eleven places, bodies cut at fourteen, closes and resets without a length, HTTP/1.0 and interim answers.

--- a/crates/coursestand-proxy/src/verdict.rs
+++ b/crates/coursestand-proxy/src/verdict.rs
@@ -1,6 +1,8 @@
 //! Validates the answer of a back end: whether it belongs to the request, and whether the
 //! request may have run.
 
+use std::ops::RangeInclusive;
+
 use http::header::CONTENT_ENCODING;
 use http::{HeaderMap, StatusCode};
 
@@ -30,6 +32,9 @@
     StatusCode::SERVICE_UNAVAILABLE,
 ];
 
+/// Statuses that HTTP defines for final answers.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Validates the head of an answer to the request with id `request_id`.
 pub fn judge(
     names: &HeaderNames,
@@ -37,6 +42,9 @@
     status: StatusCode,
     headers: &HeaderMap,
 ) -> Verdict {
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Verdict::Foreign("a status that HTTP does not define for an answer");
+    }
     let echoed = text_of(headers, &names.request_id);
     if echoed.is_some() && echoed != request_id {
         return Verdict::Foreign("the id of another request");
