Frame an answer by the body that was read, not by the back end's length

Callers got a 200 with an empty or short body that looked whole, and the rest of its bytes on a kept connection, where the next answer is read.

An answer with a transfer coding and a length is read by its transfer coding, but its length was passed on with the body as it was read. The HTTP library trusts a length that is set. An answer without a body that states a long one was taken for a body to be streamed, for the same reason: the decision was made from the header.

Such an answer has two framings and is now a lost one, as RFC 9112 section 6.3 advises. The length of every other answer is removed with the headers that concern one connection, since the library states that of the body that it sends; only an answer to HEAD keeps it. Whether a body is buffered or streamed follows from the length that the library has parsed.

--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -5,10 +5,10 @@
 
 use bytes::Bytes;
 use coursestand_routing::{BackendReport, ConnectionAge, PathUse, RateLimitSignal};
-use http::header::{CONTENT_LENGTH, HeaderValue};
-use http::{HeaderMap, Request, Response};
+use http::header::HeaderValue;
+use http::{Request, Response};
 use http_body_util::{Either, Full};
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::TrySendError;
 use tokio::time::error::Elapsed;
 use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
@@ -17,7 +17,7 @@
 use crate::answer_times::READING_GRACE;
 use crate::collect::{Collected, MAX_BUFFERED_BYTES, collect};
 use crate::connect_times::connect_failure;
-use crate::headers::{strip_connection_headers, text_of};
+use crate::headers::strip_answer_headers;
 use crate::phases::{AttemptEnding, AttemptFailure, Attempts, SilentConnection, Target};
 use crate::pool::{Connection, RequestBody};
 use crate::response_metadata::ResponseMetadata;
@@ -72,7 +72,7 @@
                 status = head.status.as_u16(); "not the answer to this request: {what}");
             return Err(failure(AttemptFailure::Lost));
         }
-        let collected = match self.collect_answer(prepared, &head.headers, body).await {
+        let collected = match self.collect_answer(prepared, body).await {
             Ok(Ok(collected)) => collected,
             Ok(Err(_)) => {
                 return Err(FailedAttempt {
@@ -83,7 +83,7 @@
             Err(_) => return Err(failure(AttemptFailure::TimedOut)),
         };
         let mut headers = head.headers;
-        strip_connection_headers(&mut headers);
+        strip_answer_headers(&prepared.parts.method, &mut headers);
         let body = match collected {
             Collected::Complete(bytes) => {
                 connection.answer_completed();
@@ -128,12 +128,9 @@
     pub(super) async fn collect_answer(
         &self,
         prepared: &PreparedRequest,
-        headers: &HeaderMap,
         body: Incoming,
     ) -> Result<hyper::Result<Collected>, Elapsed> {
-        let length: Option<usize> =
-            text_of(headers, &CONTENT_LENGTH).and_then(|text| text.parse().ok());
-        if length.is_some_and(|length| length > MAX_BUFFERED_BYTES) {
+        if body.size_hint().lower() > MAX_BUFFERED_BYTES as u64 {
             return Ok(Ok(Collected::Partial(Bytes::new(), body)));
         }
         self.within_deadline(prepared, collect(body, MAX_BUFFERED_BYTES))
--- a/crates/coursestand-proxy/src/exchange/relay.rs
+++ b/crates/coursestand-proxy/src/exchange/relay.rs
@@ -15,7 +15,7 @@
 use crate::answer::{AnswerBody, Reason, local_response};
 use crate::collect::Collected;
 use crate::discard::discard;
-use crate::headers::{closes_connection, keep_alive_of, strip_connection_headers};
+use crate::headers::{closes_connection, keep_alive_of, strip_answer_headers};
 use crate::phases::{AttemptFailure, Attempts};
 use crate::pool::{Connection, Pool, RequestBody};
 use crate::relay::{PeerChoice, RelayOutcome, RelayPeers, RelayedRequest, mark_outcome};
@@ -275,14 +275,14 @@
             return RelayResult::Lost;
         }
         relay.peers.note_able(&peer.name, service);
-        let collected = match self.collect_answer(prepared, &head.headers, body).await {
+        let collected = match self.collect_answer(prepared, body).await {
             Ok(Ok(collected)) => collected,
             Ok(Err(_)) => return RelayResult::Lost,
             Err(_) => return RelayResult::TimedOut,
         };
         let keeps_open = !closes_connection(&head.headers);
         let keep_alive = keep_alive_of(&head.headers);
-        strip_connection_headers(&mut head.headers);
+        strip_answer_headers(&prepared.parts.method, &mut head.headers);
         let body = match collected {
             Collected::Complete(bytes) => {
                 connection.answer_completed();
--- a/crates/coursestand-proxy/src/headers.rs
+++ b/crates/coursestand-proxy/src/headers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use http::Method;
 use http::header::{self, HeaderMap, HeaderName};
 
 /// Hop-by-hop headers, besides those that `Connection` names.
@@ -39,6 +40,16 @@
     }
 }
 
+/// Removes the headers of an answer that concern only the connection on which it was received:
+/// the hop-by-hop headers and the length, which is stated again for the body that was read. The
+/// length in an answer to HEAD describes a body that is not sent, and stays.
+pub fn strip_answer_headers(method: &Method, headers: &mut HeaderMap) {
+    strip_connection_headers(headers);
+    if method != Method::HEAD {
+        headers.remove(header::CONTENT_LENGTH);
+    }
+}
+
 /// Returns the value of a header as text.
 pub fn text_of<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/coursestand-proxy/src/verdict.rs
+++ b/crates/coursestand-proxy/src/verdict.rs
@@ -3,7 +3,7 @@
 
 use std::ops::RangeInclusive;
 
-use http::header::CONTENT_ENCODING;
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, StatusCode};
 
 use crate::header_names::HeaderNames;
@@ -45,6 +45,9 @@
     if !FINAL_STATUSES.contains(&status.as_u16()) {
         return Verdict::Foreign("a status that HTTP does not define for an answer");
     }
+    if headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING) {
+        return Verdict::Foreign("both a length and a transfer coding");
+    }
     let echoed = text_of(headers, &names.request_id);
     if echoed.is_some() && echoed != request_id {
         return Verdict::Foreign("the id of another request");
--- a/crates/coursestand-proxy/tests/broken_answers.rs
+++ b/crates/coursestand-proxy/tests/broken_answers.rs
@@ -188,6 +188,99 @@
     cases
 }
 
+/// Answers whose headers contradict each other or the body.
+fn contradicting_lengths() -> Vec<Case> {
+    let chunks = "2\r\nok\r\n0\r\n\r\n";
+    let long = "x".repeat(LONG_BODY_BYTES);
+    let long_chunks = format!("{:x}\r\n{long}\r\n0\r\n\r\n", LONG_BODY_BYTES);
+    let both = |length: &str| format!("content-length: {length}\r\ntransfer-encoding: chunked\r\n");
+    let lost = [
+        (
+            "different lengths",
+            "content-length: 2\r\ncontent-length: 3\r\n".to_owned(),
+            "ok",
+        ),
+        (
+            "different lengths in one line",
+            "content-length: 2, 3\r\n".to_owned(),
+            "ok",
+        ),
+        ("no number", "content-length: two\r\n".to_owned(), "ok"),
+        ("negative length", "content-length: -2\r\n".to_owned(), "ok"),
+        ("signed length", "content-length: +2\r\n".to_owned(), "ok"),
+        (
+            "huge length",
+            "content-length: 99999999999999999999999\r\n".to_owned(),
+            "ok",
+        ),
+        ("chunked, length too long", both("100"), chunks),
+        ("chunked, length too short", both("1"), chunks),
+        ("chunked, length of zero", both("0"), chunks),
+        ("chunked, long length", both("5000000"), chunks),
+        (
+            "long chunks, length too short",
+            both("2000000"),
+            long_chunks.as_str(),
+        ),
+        (
+            "unknown coding",
+            "transfer-encoding: gzip\r\ncontent-length: 9\r\n".to_owned(),
+            "ok",
+        ),
+    ];
+    let mut cases: Vec<Case> = lost
+        .into_iter()
+        .map(|(name, headers, body)| {
+            let bytes = signed("200 OK", &headers, body);
+            case(name, bytes, End::KeepOpen, Expected::NothingWhole)
+        })
+        .collect();
+    for length in [
+        "content-length: 2\r\ncontent-length: 2\r\n",
+        "content-length: 2, 2\r\n",
+    ] {
+        let bytes = signed("200 OK", length, "ok");
+        let whole = Expected::Whole(200, 2);
+        cases.push(case("equal lengths", bytes, End::KeepOpen, whole));
+    }
+    let longer = signed("200 OK", "content-length: 2\r\n", "okay");
+    cases.push(case(
+        "body too long",
+        longer,
+        End::KeepOpen,
+        Expected::Whole(200, 2),
+    ));
+    cases
+}
+
+/// Answers that have no body, with and without bytes where one would be.
+fn answers_without_body() -> Vec<Case> {
+    let mut cases = Vec::new();
+    let headers = [
+        "",
+        "content-length: 0\r\n",
+        "content-length: 4\r\n",
+        "content-length: 5000000\r\n",
+        "transfer-encoding: chunked\r\n",
+    ];
+    for body in ["", "okay", "HTTP/1.1 200 OK\r\nx-signature: t\r\n\r\n"] {
+        for headers in headers {
+            for (method, status) in [("HEAD", 200), ("", 204), ("", 304)] {
+                for end in [End::KeepOpen, End::Close] {
+                    let bytes = signed(&format!("{status} Fine"), headers, body);
+                    let whole = Expected::Whole(status, 0);
+                    let without_method = case("without a body", bytes, end, whole);
+                    cases.push(Case {
+                        method,
+                        ..without_method
+                    });
+                }
+            }
+        }
+    }
+    cases
+}
+
 /// Answers of HTTP/1.0.
 fn old_answers() -> Vec<Case> {
     let old = |headers: &str, body: &str| format!("HTTP/1.0 200 OK\r\n{SIGNED}{headers}\r\n{body}");
@@ -636,6 +729,22 @@
     play_all(cut_bodies()).await;
 }
 
+/// Guards against a forwarded length that is not that of the forwarded body: the caller takes the
+// wrong bytes for the body, or those of the next answer.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn an_answer_with_contradicting_lengths_never_looks_whole() {
+    play_all(contradicting_lengths()).await;
+}
+
+/// Guards against bytes after an answer without a body that are taken for a body or an answer, and
+// against a daemon that waits for the body.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn an_answer_without_a_body_is_forwarded_without_one() {
+    play_all(answers_without_body()).await;
+}
+
 /// Guards against answers of HTTP/1.0 that are framed by the rules of HTTP/1.1.
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
