Refuse requests late in a planned stop that might not end before it

Callers lost requests in a planned stop in calm, among them requests that may not be repeated: a daemon took and passed on what arrived late in the stop, with the rest of the stop as its deadline, and put 504 in place of the answer that a back end was still working on.

With a stop of 6 s new connections are accepted for 3.3 s, 5.4 s is the end, and a request on a connection whose head or body is still being sent is taken later still, so that one whose time limit is above 2.1 s can be cut.

A request that is complete from 2.7 s on (or half-way through a shorter stop) now gets 503 unless its time limit ends before the stop does. It has not been passed on, so that the caller, or the daemon that relayed it, may send it elsewhere at once. It is checked when the head has been read and again when the body has. Earlier requests are taken as before, since most answers take far less than their limit.

late_in_a_stop, back ends that work for 1.5 s, 1 s or less left: before, 504 with the request at the back end in 8 of 8 (new connection, safe and unsafe; heads and bodies that are complete late, with a length and in chunks; over a relay, safe and unsafe), now 503 and none arrives. Requests that fit, early requests with any limit, an upload in progress, and a second request in the same packet passed before and after.

--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -13,7 +13,7 @@
 use coursestand_model::fleet::FleetSettings;
 use coursestand_proxy::caller_limits::CallerLimits;
 use coursestand_proxy::edge_state::{EdgeBounds, RoutingState};
-use coursestand_proxy::exchange::Relay;
+use coursestand_proxy::exchange::{PlannedStop, Relay};
 use coursestand_proxy::metrics::ProxyMetrics;
 use coursestand_proxy::pool::Pool;
 use coursestand_proxy::router::Router;
@@ -44,6 +44,9 @@
 const MAX_TTL_FACTOR: u32 = 3;
 /// Time for control processes to learn that the daemon is draining.
 const ANNOUNCE_TIME: Duration = Duration::from_millis(300);
+/// Time from the begin of a planned stop in which requests are taken even if their time limit
+/// ends after it: most answers take far less.
+const EARLY_TIME: Duration = Duration::from_millis(2_700);
 /// Part of a planned stop that is reserved for the process to exit.
 const EXIT_RESERVE: Duration = Duration::from_millis(300);
 /// Time for the last answers to reach their callers before the process exits.
@@ -327,9 +330,13 @@
             return;
         };
         let stop = self.settings.bounds.stop.duration();
-        let deadline = Instant::now() + stop.saturating_sub(EXIT_RESERVE + ANSWER_RESERVE);
+        let now = Instant::now();
+        let planned_stop = PlannedStop {
+            late_from: now + EARLY_TIME.min(stop / 2),
+            ends_at: now + stop.saturating_sub(EXIT_RESERVE + ANSWER_RESERVE),
+        };
         running.follower.set_phase(EdgePhase::Draining);
-        running.exchange.set_stop_time(deadline);
+        running.exchange.begin_stop(planned_stop);
         running.server.announce_stop();
         if let Some(relay_server) = &running.relay_server {
             relay_server.announce_stop();
--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -266,7 +266,7 @@
     /// Returns whether a planned stop has begun. A stopping daemon lets back ends finish: their
     /// silence does not show whether they are at work.
     fn is_stopping(&self) -> bool {
-        self.stops_at.get().is_some()
+        self.stop.get().is_some()
     }
 
     /// Handles a connection that counts as silent. Fails the attempt if the request may be sent
@@ -301,8 +301,10 @@
     ) -> Result<T, Elapsed> {
         tokio::pin!(part);
         let outcome = timeout_at(prepared.deadline.usual + ANSWER_GRACE, part.as_mut()).await;
-        match (outcome, self.stops_at.get()) {
-            (Err(_), Some(end)) => timeout_at(prepared.deadline.latest.min(*end), part).await,
+        match (outcome, self.stop.get()) {
+            (Err(_), Some(stop)) => {
+                timeout_at(prepared.deadline.latest.min(stop.ends_at), part).await
+            }
             (outcome, _) => outcome,
         }
     }
--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -69,8 +69,8 @@
     crash_detector: Arc<CrashDetector>,
     limits: SharedLimits,
     unread_headers: UnreadHeaders,
-    /// When the process ends, if a planned stop has begun.
-    stops_at: OnceLock<Instant>,
+    /// The planned stop, if it has begun.
+    stop: OnceLock<PlannedStop>,
     /// Relays requests to other daemons, if the deployment has any.
     relay: OnceLock<Relay>,
     /// Whether the back ends that may be partitioned are being probed.
@@ -94,6 +94,16 @@
     latest: Instant,
 }
 
+/// A planned stop of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlannedStop {
+    /// Requests that are complete from then on are refused unless their time limit ends before
+    /// the stop does.
+    pub late_from: Instant,
+    /// When requests in flight are abandoned.
+    pub ends_at: Instant,
+}
+
 /// A request that has been read and matched to a route.
 struct PreparedRequest {
     parts: Parts,
@@ -245,17 +255,29 @@
             answer_times: AnswerTimes::default(),
             crash_detector: Arc::default(),
             limits: SharedLimits::default(),
-            stops_at: OnceLock::new(),
+            stop: OnceLock::new(),
             relay: OnceLock::new(),
             are_paths_probed: Arc::default(),
         }
     }
 
-    /// Announces that a planned stop has begun and the process ends at `end`. A request that
-    /// arrives after this call is abandoned before `end`, so that none is cut off.
-    pub fn set_stop_time(&self, end: Instant) {
+    /// Announces that a planned stop has begun. A request that arrives after this call is
+    /// abandoned before the end of the stop, so that none is cut off.
+    pub fn begin_stop(&self, stop: PlannedStop) {
         // Only the first planned stop takes effect.
-        let _ = self.stops_at.set(end);
+        let _ = self.stop.set(stop);
+    }
+
+    /// Refuses a request that is complete late in a planned stop, unless its whole time limit is
+    /// left: it could still be at work in a back end when it has to be abandoned.
+    fn refuse_late(&self, deadline: Deadline) -> Result<(), Reason> {
+        let now = Instant::now();
+        match self.stop.get() {
+            Some(stop) if stop.late_from <= now && stop.ends_at <= deadline.latest => {
+                Err(Reason::Stopping)
+            }
+            _ => Ok(()),
+        }
     }
 
     /// Returns the deadline of a request that may take `limit` from when its caller sent it,
@@ -275,11 +297,11 @@
             });
         }
         let latest = arrival.read_at + limit;
-        match self.stops_at.get() {
-            Some(end) if *end <= arrival.read_at => Err(Reason::Stopping),
-            Some(end) => Ok(Deadline {
-                usual: latest.min(*end),
-                latest: latest.min(*end),
+        match self.stop.get() {
+            Some(stop) if stop.ends_at <= arrival.read_at => Err(Reason::Stopping),
+            Some(stop) => Ok(Deadline {
+                usual: latest.min(stop.ends_at),
+                latest: latest.min(stop.ends_at),
             }),
             None => Ok(Deadline {
                 usual: latest - arrival.waited,
@@ -375,6 +397,7 @@
         };
         let max_bytes = self.limits.get().body_bytes;
         let body = PreparedBody::read(&parts.headers, body, max_bytes, deadline.usual).await?;
+        self.refuse_late(deadline)?;
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(&self.names.deadline);
         parts.headers.remove(&self.names.target_instance);
@@ -419,6 +442,7 @@
         // it is served.
         let permit = self.reserve_link(parts, body, &matched)?;
         let deadline = self.deadline_of(arrival, matched.limit)?;
+        self.refuse_late(deadline)?;
         Ok((matched, deadline, permit))
     }
 
--- a/crates/coursestand-proxy/tests/broken_answers.rs
+++ b/crates/coursestand-proxy/tests/broken_answers.rs
@@ -12,12 +12,10 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use common::relays::start_relaying_to;
 use common::{Edge, RouteSettings, TEST_TIMEOUT, instance_update};
-use coursestand_discovery::{InstancePhase, RelayEndpoint, RelayPeer};
-use coursestand_model::{RegionId, ZoneId};
+use coursestand_discovery::InstancePhase;
 use coursestand_proxy::ProxyServer;
-use coursestand_proxy::exchange::Relay;
-use coursestand_routing::{ConnectionAge, PathProbeOutcome, PathScope};
 use googletest::prelude::*;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -539,33 +537,6 @@
     _behind: Option<(Edge, ProxyServer)>,
 }
 
-async fn enable_relay(edge: &Edge, name: &str) -> (ProxyServer, RelayEndpoint) {
-    let token = rand::random();
-    let peers = Arc::clone(edge.state.relay_peers());
-    let relay = Relay::new(peers, name.to_owned(), RegionId::from("r"), token);
-    edge.exchange.set_relay(relay);
-    let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    let server = ProxyServer::start_for_daemons(address, Arc::clone(&edge.exchange))
-        .await
-        .expect("a server");
-    let address = server.address();
-    (server, RelayEndpoint { address, token })
-}
-
-/// Records that a daemon has found that it is partitioned from all back ends.
-fn partition(edge: &Edge) {
-    let mut routing = edge.state.routing();
-    let now = edge.state.now();
-    for backend in &Vec::from_iter(routing.backends.iter().cloned()) {
-        let hash = backend.incarnation_hash;
-        let paths = &mut routing.paths;
-        paths.note_failed(now, now, &backend.instance, hash, ConnectionAge::New, |_| 1);
-    }
-    routing.paths.take_due_probes(now);
-    let unreached = PathProbeOutcome::Unreached;
-    routing.paths.note_probe(now, &PathScope::All, unreached);
-}
-
 impl Daemons {
     async fn direct(backend: &BrokenBackend) -> Daemons {
         let entry = Edge::start(settings(), Vec::new()).await;
@@ -579,25 +550,7 @@
     async fn relayed(backend: &BrokenBackend) -> Daemons {
         let behind = Edge::start(settings(), Vec::new()).await;
         add_backend(&behind, backend);
-        let entry = Edge::start(settings(), Vec::new()).await;
-        // Nothing listens there.
-        let closed = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = closed.local_addr().expect("an address");
-        drop(closed);
-        let lost = instance_update(0, address, InstancePhase::Ready);
-        entry.state.adopt_instances(vec![lost]);
-        enable_relay(&entry, "edge-1").await;
-        let (server, endpoint) = enable_relay(&behind, "edge-2").await;
-        let peer = RelayPeer {
-            name: "edge-2".to_owned(),
-            endpoint,
-            zone: ZoneId::from("z"),
-            region: RegionId::from("r"),
-            link_use: None,
-        };
-        let control = SocketAddr::from(([127, 0, 0, 1], 1));
-        entry.state.relay_peers().set(control, vec![peer]);
-        partition(&entry);
+        let (entry, server) = start_relaying_to(&behind, settings()).await;
         Daemons {
             entry,
             _behind: Some((behind, server)),
--- a/crates/coursestand-proxy/tests/common/mod.rs
+++ b/crates/coursestand-proxy/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod hooked_phases;
 pub mod narrow_link;
+pub mod relays;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 use coursestand_model::{BackendId, RegionId, ServiceId, ZoneId};
 use coursestand_proxy::caller_limits::CallerLimits;
 use coursestand_proxy::edge_state::EdgeBounds;
+use coursestand_proxy::exchange::PlannedStop;
 use coursestand_proxy::metrics::ProxyMetrics;
 use coursestand_proxy::phases::RequestPhases;
 use coursestand_proxy::pool::Pool;
@@ -29,6 +31,7 @@
 use coursestand_routing::picker::{Balance, PickerConfig};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 
 pub const MAX_BODY: u64 = items::MAX_BODY_BYTES;
 /// Statuses that guarantee that a request was not run.
@@ -185,6 +188,12 @@
         }
     }
 
+    /// Begins a planned stop in which requests are taken until its end.
+    pub fn set_stop_time(&self, ends_at: Instant) {
+        let late_from = ends_at;
+        self.exchange.begin_stop(PlannedStop { late_from, ends_at });
+    }
+
     pub fn runs_of(&self, id: &str) -> usize {
         self.backends
             .iter()
--- a/crates/coursestand-proxy/tests/serving.rs
+++ b/crates/coursestand-proxy/tests/serving.rs
@@ -66,7 +66,7 @@
     while edge.arrival_count() == 0 {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
-    edge.exchange.set_stop_time(Instant::now() + TEST_TIMEOUT);
+    edge.set_stop_time(Instant::now() + TEST_TIMEOUT);
     edge.server.announce_stop();
     // Callers that still use an earlier look-up are served.
     let late = idle.request("/once/a", "r2", "").await;
@@ -94,8 +94,7 @@
         let edge = Edge::start(settings, vec![(vec![], Behaviour::NeverAnswer)]).await;
         edge.server.announce_stop();
         if has_stop_time {
-            edge.exchange
-                .set_stop_time(Instant::now() + Duration::from_millis(300));
+            edge.set_stop_time(Instant::now() + Duration::from_millis(300));
         }
         let mut caller = Caller::connect(edge.server.address()).await;
         caller.send("/once/a", "r1", "", b"a body").await;
@@ -153,7 +152,7 @@
             tokio::time::sleep(Duration::from_millis(5)).await;
         }
         if is_stopping {
-            edge.exchange.set_stop_time(Instant::now() + TEST_TIMEOUT);
+            edge.set_stop_time(Instant::now() + TEST_TIMEOUT);
             edge.server.announce_stop();
         }
         expect_that!(caller.receive().await.status, eq(200));
@@ -186,7 +185,7 @@
         path.close_once();
         path.seen.notified().await;
         if is_stopping {
-            edge.exchange.set_stop_time(Instant::now() + TEST_TIMEOUT);
+            edge.set_stop_time(Instant::now() + TEST_TIMEOUT);
             edge.server.announce_stop();
         }
         expect_that!(caller.receive().await.status, eq(200));
--- a/crates/coursestand-proxy/tests/stop_behind_a_queue.rs
+++ b/crates/coursestand-proxy/tests/stop_behind_a_queue.rs
@@ -34,7 +34,7 @@
 }
 
 fn begin_stop(edge: &Edge) {
-    edge.exchange.set_stop_time(Instant::now() + TEST_TIMEOUT);
+    edge.set_stop_time(Instant::now() + TEST_TIMEOUT);
     edge.server.announce_stop();
 }
 
