--- a/crates/coursestand-proxy/src/verdict.rs
+++ b/crates/coursestand-proxy/src/verdict.rs
@@ -1,7 +1,9 @@
 //! Validates the answer of a back end: whether it belongs to the request, and whether the
 //! request may have run.
 
-use http::header::CONTENT_ENCODING;
+use std::ops::RangeInclusive;
+
+use http::header::{CONTENT_ENCODING, CONTENT_LENGTH, TRANSFER_ENCODING};
 use http::{HeaderMap, StatusCode};
 
 use crate::header_names::HeaderNames;
@@ -30,6 +32,9 @@
     StatusCode::SERVICE_UNAVAILABLE,
 ];
 
+/// Statuses that HTTP defines for final answers.
+const FINAL_STATUSES: RangeInclusive<u16> = 200..=599;
+
 /// Validates the head of an answer to the request with id `request_id`.
 pub fn judge(
     names: &HeaderNames,
@@ -37,6 +42,12 @@
     status: StatusCode,
     headers: &HeaderMap,
 ) -> Verdict {
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Verdict::Foreign("a status that HTTP does not define for an answer");
+    }
+    if headers.contains_key(CONTENT_LENGTH) && headers.contains_key(TRANSFER_ENCODING) {
+        return Verdict::Foreign("both a length and a transfer coding");
+    }
     let echoed = text_of(headers, &names.request_id);
     if echoed.is_some() && echoed != request_id {
         return Verdict::Foreign("the id of another request");
