--- a/crates/coursestand-daemon/tests/soak/main.rs
+++ b/crates/coursestand-daemon/tests/soak/main.rs
@@ -27,6 +27,7 @@
 mod look_ups;
 mod operators;
 mod process_history;
+#[allow(dead_code)]
 mod processes;
 mod rate_limit;
 mod relay;
--- a/crates/coursestand-daemon/tests/soak/processes.rs
+++ b/crates/coursestand-daemon/tests/soak/processes.rs
@@ -55,6 +55,31 @@
     }
 }
 
+/// Resource limits of a process, which it can read and not exceed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ResourceLimits {
+    /// Private writable memory in KiB, stacks of threads included.
+    pub data_kib: u64,
+    /// Number of open descriptors.
+    pub descriptors: usize,
+}
+
+/// Lowers the resource limits of the shell, which then becomes the program.
+const LIMIT_SCRIPT: &str = r#"ulimit -d "$1" && ulimit -n "$2" && shift 2 && exec "$@""#;
+
+/// Returns the command that runs a program under these limits. They apply when its `main`
+/// begins.
+fn limited_command(program: &Path, limits: ResourceLimits) -> Command {
+    let mut command = Command::new("sh");
+    command.args(["-c", LIMIT_SCRIPT, "sh"]);
+    command.arg(limits.data_kib.to_string());
+    command.arg(limits.descriptors.to_string());
+    command.arg(program);
+    // Symbols for a backtrace would take the memory of a process that ends for lack of it.
+    command.env_remove("RUST_BACKTRACE");
+    command
+}
+
 /// Ids of the running processes of all deployments of this test process.
 static RUNNING: Mutex<BTreeSet<u32>> = Mutex::new(BTreeSet::new());
 static SIGNAL_WATCHER: Once = Once::new();
@@ -94,6 +119,8 @@
     folder: PathBuf,
     children: BTreeMap<u8, Child>,
     started_at: BTreeMap<u8, Instant>,
+    /// Number of the latest start of each host, which is in the name of its log.
+    log_numbers: BTreeMap<u8, u32>,
     starts: u32,
 }
 
@@ -110,19 +137,29 @@
             folder: folder.to_owned(),
             children: BTreeMap::new(),
             started_at: BTreeMap::new(),
+            log_numbers: BTreeMap::new(),
             starts: 0,
         }
     }
 
     /// Starts a daemon with these settings. Its log is written to a file.
     pub fn start(&mut self, host: u8, settings: &FleetSettings) {
+        self.spawn(host, settings, Command::new(program(host)));
+    }
+
+    /// As `start`, under resource limits.
+    pub fn start_limited(&mut self, host: u8, settings: &FleetSettings, limits: ResourceLimits) {
+        self.spawn(host, settings, limited_command(&program(host), limits));
+    }
+
+    fn spawn(&mut self, host: u8, settings: &FleetSettings, mut command: Command) {
         self.starts += 1;
         let file = self.folder.join(format!("{host}.json"));
         std::fs::write(&file, settings_json(settings)).expect("written");
         let log = self.folder.join(format!("{host}-{}.log", self.starts));
         let log = File::create(log).expect("a log");
         let mut running = running();
-        let child = Command::new(program(host))
+        let child = command
             .arg("--fleet")
             .arg(&file)
             .stdin(Stdio::null())
@@ -137,6 +174,7 @@
         drop(running);
         self.children.insert(host, child);
         self.started_at.insert(host, Instant::now());
+        self.log_numbers.insert(host, self.starts);
     }
 
     /// Returns the process id of a host's daemon.
@@ -150,15 +188,40 @@
     /// Returns the peak resident memory in bytes of a host's daemon since its start, or `None`
     /// if it does not run.
     pub fn peak_memory(&self, host: u8) -> Option<u64> {
+        self.memory(host, "VmHWM")
+    }
+
+    /// Returns a figure in bytes of a host's daemon from `/proc/PID/status`, or `None` if the
+    /// process does not run.
+    pub fn memory(&self, host: u8, field: &str) -> Option<u64> {
         let id = self.children.get(&host)?.id();
         let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
         let line = status
             .lines()
-            .find_map(|line| line.strip_prefix("VmHWM:"))?;
+            .find_map(|line| line.strip_prefix(field)?.strip_prefix(':'))?;
         let kib: u64 = line.split_whitespace().next()?.parse().ok()?;
         Some(kib * 1024)
     }
 
+    /// Returns the number of open descriptors of a host's daemon, or `None` if the process does
+    /// not run.
+    pub fn open_descriptors(&self, host: u8) -> Option<usize> {
+        let id = self.children.get(&host)?.id();
+        let descriptors = std::fs::read_dir(format!("/proc/{id}/fd")).ok()?;
+        Some(descriptors.count())
+    }
+
+    /// Returns the last lines of the log of a host's latest start.
+    pub fn log_end(&self, host: u8, lines: usize) -> String {
+        let path = self
+            .folder
+            .join(format!("{host}-{}.log", self.log_numbers[&host]));
+        let log = std::fs::read_to_string(path).unwrap_or_default();
+        let mut last: Vec<&str> = log.lines().rev().take(lines).collect();
+        last.reverse();
+        last.join("\n")
+    }
+
     /// Whether the process of this host has run long enough to handle signals: before its
     /// handlers are installed, a signal terminates it.
     pub fn handles_signals(&self, host: u8) -> bool {
