Bound the connections and incomplete calls of the kernel's HTTP servers

What callers saw: clients that sent a head without end, or stopped in the middle of one, stayed connected to the control API, the look-up, readiness and admin ports for ever, and the process kept what they had sent.

Cause: poem's server sets no limit: hyper keeps up to 417 KiB of head for each connection, no timer is set for a head, idle connections stay, any number may be open, and when descriptors run out the accept loop spins. It also takes HTTP/2 without a word, whose streams no limit would cover.

Change: the kernel accepts connections itself and serves them with hyper's HTTP/1.1 connection, with 64 KiB of head. Each connection has a phase (idle, head, body, handling, response), kept by the stream that hyper reads and writes and by the call of the handler. Phases that wait for the caller are limited in time, and give way, the longest waiting first, when too many connections are open or their incomplete heads take too much memory. Handling is never cut: a follower may hold a call until an order commits. The phase changes only on progress of a call, so that a client that sends one byte now and then is as old as its first byte.

Ways weighed: a wrapper of poem's acceptor alone sees no end of a call, so it would have to parse HTTP to tell a body from a head and a held call from a silent one; hyper's own time limit on heads counts idle time as well, and is one figure for both. Reads are cut to 16 KiB, since hyper enlarges its buffer whenever a read fills it. Tracked streams write vectored, so that a response that many callers read is not copied for each of them.

--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -10,7 +10,9 @@
 use coursestand_dialect::{Call, Dialect, Reply};
 use coursestand_discovery::LookupClient;
 use coursestand_kernel::connections::CallerConnections;
-use coursestand_kernel::http::HttpServer;
+use coursestand_kernel::http::{HttpServer, ServerOptions};
+use coursestand_kernel::open_connections::IncomingCall;
+use coursestand_kernel::server_limits::ServerLimits;
 use coursestand_kernel::suspension::SuspensionWatch;
 use coursestand_kernel::{Registry, Service, ServiceError, Tasks};
 use coursestand_model::fleet::FleetSettings;
@@ -26,6 +28,7 @@
 use crate::fleet::catalog_reads::{CatalogReads, EncodedCatalog, ReadError};
 use crate::fleet::control_service::ControlMesh;
 use crate::fleet::hub::{Hub, NotReplicated};
+use crate::fleet::memory::process_memory_bytes;
 use crate::fleet::orders::{Order, OrderOutcome, Orders};
 use crate::names;
 
@@ -114,20 +117,21 @@
             zones: self.settings.zones.clone(),
             ttl: lookup_ttl(&self.settings),
         });
+        let memory_bytes = process_memory_bytes(&self.settings);
+        let options = ServerOptions {
+            grace: SHUTDOWN_GRACE,
+            limits: ServerLimits::for_memory(memory_bytes),
+        };
         for address in [control.listen, control.lookup_listen] {
             let handler = Arc::clone(&handler);
             let endpoint = poem::endpoint::make(move |request: Request| {
                 let handler = Arc::clone(&handler);
                 async move { handler.answer(request).await }
             });
-            let server = HttpServer::start_tracking(
-                address,
-                endpoint,
-                SHUTDOWN_GRACE,
-                Arc::clone(&connections),
-            )
-            .await
-            .map_err(|error| failed(&error))?;
+            let server =
+                HttpServer::start_tracking(address, endpoint, options, Arc::clone(&connections))
+                    .await
+                    .map_err(|error| failed(&error))?;
             self.servers
                 .lock()
                 .unwrap_or_else(PoisonError::into_inner)
@@ -185,7 +189,11 @@
 impl ApiHandler {
     async fn answer(&self, mut request: Request) -> Result<Response, poem::Error> {
         let length = content_length(&request);
-        let body = match self.bodies.read(request.take_body(), length).await {
+        let call = request.extensions().get::<IncomingCall>().cloned();
+        let receiving = call.map(|call| call.receive_body());
+        let read = self.bodies.read(request.take_body(), length).await;
+        drop(receiving);
+        let body = match read {
             Ok(body) => body,
             Err(error) => return Ok(self.refuse_body(&error)),
         };
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -8,7 +8,8 @@
 use async_trait::async_trait;
 use coursestand_dialect::{Call, Dialect};
 use coursestand_discovery::{EdgePhase, EdgeRecord, LinkUse, RelayEndpoint};
-use coursestand_kernel::http::HttpServer;
+use coursestand_kernel::http::{HttpServer, ServerOptions};
+use coursestand_kernel::server_limits::ServerLimits;
 use coursestand_kernel::{Health, MonotonicClock, Registry, Service, ServiceError, Tasks};
 use coursestand_model::fleet::FleetSettings;
 use coursestand_proxy::caller_limits::CallerLimits;
@@ -445,7 +446,11 @@
         };
         Response::builder().status(status).finish()
     });
-    HttpServer::start(address, endpoint, Duration::ZERO).await
+    let options = ServerOptions {
+        grace: Duration::ZERO,
+        limits: ServerLimits::default().for_few_callers(),
+    };
+    HttpServer::start(address, endpoint, options).await
 }
 
 async fn run_periodic_work(running: Arc<RunningEdge>) {
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 pub mod formation;
 pub mod hub;
 pub mod listener;
+mod memory;
 pub mod metrics;
 pub mod node;
 mod orders;
--- a/crates/coursestand-kernel/src/admin.rs
+++ b/crates/coursestand-kernel/src/admin.rs
@@ -10,8 +10,9 @@
 use prometheus::TextEncoder;
 use serde_json::{Map, Value, json};
 
-use crate::http::{HttpError, HttpServer};
+use crate::http::{HttpError, HttpServer, ServerOptions};
 use crate::kernel::Kernel;
+use crate::server_limits::ServerLimits;
 use crate::service::Health;
 
 /// Time for admin requests in flight to finish when the process stops.
@@ -25,7 +26,11 @@
 impl Admin {
     /// Serves the state of `kernel` on `address`.
     pub async fn start(address: SocketAddr, kernel: Kernel) -> Result<Admin, HttpError> {
-        let server = HttpServer::start(address, routes(Arc::new(kernel)), SHUTDOWN_GRACE).await?;
+        let options = ServerOptions {
+            grace: SHUTDOWN_GRACE,
+            limits: ServerLimits::default().for_few_callers(),
+        };
+        let server = HttpServer::start(address, routes(Arc::new(kernel)), options).await?;
         Ok(Admin { server })
     }
 
--- a/crates/coursestand-kernel/src/connections.rs
+++ b/crates/coursestand-kernel/src/connections.rs
@@ -2,7 +2,7 @@
 //! whether it has closed the connection, and how long ago it opened it.
 
 use std::collections::HashMap;
-use std::io;
+use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
@@ -203,6 +203,26 @@
         }
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let stream = &self.connection.stream;
+        loop {
+            ready!(stream.poll_write_ready(context))?;
+            match stream.try_write_vectored(parts) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    /// Responses are written from where they are: many callers share the body of some.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _context: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
--- a/crates/coursestand-kernel/src/lib.rs
+++ b/crates/coursestand-kernel/src/lib.rs
@@ -3,18 +3,23 @@
 //! logging, metrics and the admin interface.
 
 pub mod admin;
+mod bounded_stream;
 pub mod clock;
 pub mod connections;
 pub mod http;
 pub mod kernel;
 pub mod logging;
+mod memory_limit;
+pub mod open_connections;
 pub mod registry;
+pub mod server_limits;
 pub mod service;
 pub mod suspension;
 pub mod tasks;
 
 pub use clock::MonotonicClock;
 pub use kernel::Kernel;
+pub use memory_limit::memory_limit_bytes;
 pub use registry::Registry;
 pub use service::{Health, Service, ServiceError};
 pub use tasks::Tasks;
