Bound the small bodies that are being read, in time and together

What callers saw: a caller that stopped in the middle of a small body, a heartbeat for example, was waited for as long as it stayed connected. The crowd of the issue, 900 bodies in chunks of one byte, took a control process to 122 MB and it was still growing.

Cause: the first 64 KiB of each body were read without a time limit and without an account. The buffers grew by doubling, that of a large body without a length past its limit too.

Change: small bodies have 10 s, and share an eighth of the memory limit, counted by the capacity of their buffers. Where that is too little, those that began first are refused with 503 and Retry-After: a body that arrives at once is never among them. The buffer of a large body grows to its share and no further.

--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -24,7 +24,7 @@
 use serde_json::{Value, json};
 use tokio::time::Instant;
 
-use crate::fleet::call_body::{BodyError, CallBodies};
+use crate::fleet::call_body::{BodyError, BodyLimits, CallBodies};
 use crate::fleet::catalog_reads::{CatalogReads, EncodedCatalog, ReadError};
 use crate::fleet::control_service::ControlMesh;
 use crate::fleet::hub::{Hub, NotReplicated};
@@ -98,6 +98,7 @@
         let Some(control) = &self.settings.control else {
             return Err(failed(&"the process has no control role"));
         };
+        let memory_bytes = process_memory_bytes(&self.settings);
         let clock = mesh.control.shared.clock;
         let suspensions = Arc::new(SuspensionWatch::new(clock));
         let connections = Arc::new(CallerConnections::new(clock, Arc::clone(&suspensions)));
@@ -112,12 +113,11 @@
                 Arc::clone(&mesh.links),
                 Arc::clone(&self.dialect),
             ),
-            bodies: CallBodies::default(),
+            bodies: CallBodies::new(BodyLimits::for_memory(memory_bytes)),
             dialect: Arc::clone(&self.dialect),
             zones: self.settings.zones.clone(),
             ttl: lookup_ttl(&self.settings),
         });
-        let memory_bytes = process_memory_bytes(&self.settings);
         let options = ServerOptions {
             grace: SHUTDOWN_GRACE,
             limits: ServerLimits::for_memory(memory_bytes),
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -29,6 +29,7 @@
 mod questions;
 pub mod report_limit;
 pub mod seeds;
+mod small_bodies;
 pub mod wire;
 
 pub use node::{Node, NodeError};
