Bound what connections to the internal port hold before their first message

What callers saw: anyone who connects to a control process's internal port could make it reserve 64 MiB with four bytes, and any number of silent connections were kept for ten seconds each.

Cause: the codec reserves what a frame announces, up to the limit on our own messages, before the first message has told who the peer is; and nothing counted the connections without one.

That silent connections are closed after ten seconds was so already.

Change: the first message has 16 KiB at most, hellos are far below; the limit on our own messages holds from the second on. Connections without a first message take a quarter of the descriptors and a sixteenth of the memory limit together. Beyond that the oldest is closed, but each has half a second, so that thousands of daemons that connect at once after a restart displace none; accepting waits meanwhile.

--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -22,7 +22,9 @@
 use crate::fleet::formation::{Formation, FormationRules};
 use crate::fleet::hub::Hub;
 use crate::fleet::listener::{ConnectionContext, accept};
+use crate::fleet::memory::process_memory_bytes;
 use crate::fleet::metrics::{ControlCounts, ControlMetrics};
+use crate::fleet::newcomers::{Newcomers, max_newcomers};
 use crate::fleet::peer_links::{PeerLinkSender, PeerLinks, PeerState};
 use crate::names;
 
@@ -156,10 +158,13 @@
         let formation = self.formation(&control, &hub);
         hub.set_links(Arc::clone(&links));
         formation.set_links(Arc::clone(&links));
+        let memory_bytes = process_memory_bytes(&self.settings);
+        let newcomers = Arc::new(Newcomers::new(max_newcomers(memory_bytes)));
         let context = Arc::new(ConnectionContext {
             control: Arc::clone(&control),
             hub: Arc::clone(&hub),
             formation: Arc::clone(&formation),
+            newcomers,
         });
         let accepting = accept(listener, context, Arc::clone(&self.tasks));
         self.tasks.start(accepting);
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use coursestand_kernel::Tasks;
+use coursestand_transport::frame::MAX_FRAME_BYTES;
 use coursestand_transport::stream::{self, StreamError};
 use log::{debug, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -12,6 +13,7 @@
 use crate::fleet::edge_connection::{EDGE_TIMEOUT, serve_edge};
 use crate::fleet::formation::Formation;
 use crate::fleet::hub::{EdgeSubscriptions, Hub};
+use crate::fleet::newcomers::{FIRST_MESSAGE_BYTES, Newcomer, Newcomers};
 use crate::fleet::peer_connection::serve_peer;
 use crate::fleet::wire::{ToControl, TrailingFlag};
 
@@ -25,32 +27,48 @@
     pub hub: Arc<Hub>,
     /// Adds replicas to the group.
     pub formation: Arc<Formation>,
+    /// Connections that have not sent their first message yet.
+    pub newcomers: Arc<Newcomers>,
 }
 
 /// Accepts connections until it is dropped; each is served by one of `tasks`.
 pub async fn accept(listener: TcpListener, context: Arc<ConnectionContext>, tasks: Arc<Tasks>) {
     loop {
+        context.newcomers.wait_for_room().await;
         match listener.accept().await {
             Ok((connection, _)) => {
+                let newcomer = context.newcomers.register();
                 let context = Arc::clone(&context);
                 tasks.start(async move {
-                    if let Err(error) = serve(connection, &context).await {
+                    if let Err(error) = serve(connection, newcomer, &context).await {
                         debug!(target: LOG, "connection closed: {error}");
                     }
                 });
             }
             Err(error) => {
                 warn!(target: LOG, "cannot accept a connection: {error}");
+                context.newcomers.close_oldest();
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
     }
 }
 
-async fn serve(connection: TcpStream, context: &Arc<ConnectionContext>) -> Result<(), StreamError> {
+async fn serve(
+    connection: TcpStream,
+    newcomer: Newcomer,
+    context: &Arc<ConnectionContext>,
+) -> Result<(), StreamError> {
     // The first message determines the type of the messages that are sent on the connection.
     let (mut receiver, sender) = stream::split::<ToControl, ()>(connection)?;
-    match receiver.next_within(EDGE_TIMEOUT).await? {
+    receiver.set_max_message_bytes(FIRST_MESSAGE_BYTES);
+    let first_message = tokio::select! {
+        message = receiver.next_within(EDGE_TIMEOUT) => message?,
+        () = newcomer.displaced() => return Err(StreamError::Ended),
+    };
+    receiver.set_max_message_bytes(MAX_FRAME_BYTES);
+    drop(newcomer);
+    match first_message {
         ToControl::PeerHello(peer) => {
             serve_peer(peer, receiver, sender.with_message_type(), context).await
         }
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 pub mod listener;
 mod memory;
 pub mod metrics;
+pub mod newcomers;
 pub mod node;
 mod orders;
 mod peer_connection;
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -18,6 +18,7 @@
 mod silent_edge;
 mod stale_catalog;
 mod state_dump;
+mod unknown_peers;
 
 use coursestand_discovery::InstancePhase;
 use coursestand_lab::scripted::{Behaviour, ScriptedBackend};
--- /dev/null
+++ b/crates/coursestand-daemon/tests/newcomers.rs
@@ -0,0 +1,57 @@
+//! Connections to the internal port that have not sent their first message yet.
+#![allow(missing_docs)]
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use coursestand_daemon::fleet::newcomers::{Newcomer, Newcomers};
+use googletest::prelude::*;
+use tokio::task::JoinSet;
+
+const TIMEOUT: Duration = Duration::from_secs(30);
+const MAX_OPEN: usize = 8;
+const CROWD: usize = 40;
+
+async fn accept(newcomers: &Arc<Newcomers>) -> Newcomer {
+    let waiting = tokio::time::timeout(TIMEOUT, newcomers.wait_for_room());
+    waiting.await.expect("room in time");
+    newcomers.register()
+}
+
+/// Guards against silent connections that take all descriptors of a control process: the oldest
+/// give way.
+#[gtest]
+#[tokio::test]
+async fn silent_connections_give_way() {
+    let newcomers = Arc::new(Newcomers::new(MAX_OPEN));
+    let mut silent = JoinSet::new();
+    for _ in 0..CROWD {
+        let newcomer = accept(&newcomers).await;
+        silent.spawn(async move { newcomer.displaced().await });
+    }
+    for _ in 0..CROWD - MAX_OPEN {
+        let closing = tokio::time::timeout(TIMEOUT, silent.join_next());
+        expect_that!(closing.await.expect("closed").is_some(), eq(true));
+    }
+}
+
+/// Guards against daemons that displace each other when all connect at once: each has time for its
+/// first message.
+#[gtest]
+#[tokio::test]
+async fn connections_that_say_who_they_are_displace_none() {
+    let newcomers = Arc::new(Newcomers::new(MAX_OPEN));
+    let mut daemons = JoinSet::new();
+    for _ in 0..CROWD {
+        let newcomer = accept(&newcomers).await;
+        daemons.spawn(async move {
+            tokio::select! {
+                () = newcomer.displaced() => false,
+                () = tokio::time::sleep(Duration::from_millis(50)) => true,
+            }
+        });
+    }
+    for is_identified in daemons.join_all().await {
+        expect_that!(is_identified, eq(true));
+    }
+}
--- a/crates/coursestand-transport/src/stream.rs
+++ b/crates/coursestand-transport/src/stream.rs
@@ -162,6 +162,13 @@
 }
 
 impl<T> Receiver<T> {
+    /// Replaces the limit of [`MAX_FRAME_BYTES`] on the length of the messages that follow. A
+    /// message that announces more ends the connection before memory is reserved for it.
+    pub fn set_max_message_bytes(&mut self, max_bytes: usize) {
+        let max_bytes = max_bytes.min(MAX_FRAME_BYTES);
+        self.frames.decoder_mut().set_max_frame_length(max_bytes);
+    }
+
     /// Returns the encoded length in bytes of the latest message, without TCP/IP and
     /// length headers.
     pub fn last_message_length(&self) -> usize {
