Search for expired connections once a second

A server woke up four times a second to look for connections that had waited too long for their callers. The shortest limit is five seconds, so once a second is enough; wake-ups cost processor time on small machines. Room for new connections is still made within a tenth of a second.

--- a/crates/coursestand-kernel/src/http.rs
+++ b/crates/coursestand-kernel/src/http.rs
@@ -26,7 +26,9 @@
 use crate::server_limits::ServerLimits;
 
 /// Time between two searches for connections that have waited for their callers too long.
-const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// While too many connections are open, time between two attempts to close some.
+const MAKE_ROOM_INTERVAL: Duration = Duration::from_millis(100);
 /// Time after which a server accepts again when the system refused a connection.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
@@ -193,13 +195,11 @@
         let is_over_limit = connections.is_over_limit();
         tokio::select! {
             _ = &mut stop => break,
-            _ = sweep.tick() => {
-                connections.close_expired();
-                if is_over_limit {
-                    connections.close_oldest();
-                }
-            }
+            _ = sweep.tick() => connections.close_expired(),
             () = connections.freed(), if is_over_limit => {}
+            () = tokio::time::sleep(MAKE_ROOM_INTERVAL), if is_over_limit => {
+                connections.close_oldest();
+            }
             Some(_) = tasks.join_next() => {}
             accepted = acceptor.accept(), if !is_over_limit => match accepted {
                 Ok((stream, local, remote, scheme)) => {
