Leave half of a control process's descriptors to its daemons and files

What callers could cause: crowds at the control API, the look-up, the admin interface and the internal port could take a quarter of the descriptors each, all of them together at a limit of 256, and known daemons that connect again would find none.

Change: a sixth each for the two servers with many callers, an eighth for connections that have not said who they are, and at most a quarter of a server's share for the admin interface and readiness. The new test adds the shares up; with the former ones (1/4 + 1/4 + 1/4 and the admin's) the sum is over the half.

--- a/crates/coursestand-daemon/src/fleet/newcomers.rs
+++ b/crates/coursestand-daemon/src/fleet/newcomers.rs
@@ -18,7 +18,7 @@
 /// Divisor of the memory limit that gives the memory of these connections.
 const MEMORY_DIVISOR: u64 = 16;
 /// Divisor of the descriptor limit that gives the number of these connections.
-const DESCRIPTOR_DIVISOR: u64 = 4;
+const DESCRIPTOR_DIVISOR: u64 = 8;
 /// At least this many are allowed.
 const MIN_NEWCOMERS: u64 = 16;
 /// Time that each connection has for its first message, however many others there are. Daemons
--- a/crates/coursestand-daemon/tests/newcomers.rs
+++ b/crates/coursestand-daemon/tests/newcomers.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coursestand_daemon::fleet::newcomers::{Newcomer, Newcomers};
+use coursestand_daemon::fleet::newcomers::{Newcomer, Newcomers, max_newcomers};
+use coursestand_kernel::server_limits::{ServerLimits, descriptor_limit};
 use googletest::prelude::*;
 use tokio::task::JoinSet;
 
@@ -55,3 +56,15 @@
         expect_that!(is_identified, eq(true));
     }
 }
+
+/// Guards against crowds at all ports of a control process at once that leave no descriptors for
+/// the daemons that are connected with it, and for its files.
+#[gtest]
+fn crowds_leave_half_of_the_descriptors() {
+    let memory_bytes = u64::MAX;
+    let server = ServerLimits::for_memory(memory_bytes);
+    let control_and_lookup = 2 * server.max_connections;
+    let admin = server.for_few_callers().max_connections;
+    let crowds = control_and_lookup + admin + max_newcomers(memory_bytes);
+    expect_that!(crowds as u64, le(descriptor_limit() / 2));
+}
--- a/crates/coursestand-kernel/src/server_limits.rs
+++ b/crates/coursestand-kernel/src/server_limits.rs
@@ -17,9 +17,10 @@
 /// Time without progress after which a response is given up.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Divisor of the descriptor limit that gives the connections of one server. A control process
-/// has two servers with many callers, and needs the other half for its peers and files.
-const DESCRIPTOR_DIVISOR: u64 = 4;
+/// Divisor of the descriptor limit that gives the connections of one server. The servers of a
+/// control process and its unknown peers take half of the descriptors together, and leave the
+/// other half to its known peers and its files.
+const DESCRIPTOR_DIVISOR: u64 = 6;
 /// Descriptors of a process without a limit.
 const UNLIMITED_DESCRIPTORS: u64 = 65_536;
 /// Divisor of the memory limit that gives the bytes of heads that arrive at one server. A process
@@ -32,7 +33,9 @@
 /// A server accepts at least this many connections.
 const MIN_CONNECTIONS: u64 = 16;
 /// Maximum number of connections to a server for few callers.
-const FEW_CONNECTIONS: usize = 64;
+const FEW_CONNECTIONS: usize = 32;
+/// Divisor of the connections of a server that gives those of a server for few callers.
+const FEW_CONNECTIONS_DIVISOR: usize = 4;
 
 /// Limits on the connections of an HTTP server.
 #[derive(Debug, Clone, Copy)]
@@ -80,7 +83,7 @@
     /// Returns these limits for a server that few callers use, such as readiness checks.
     pub fn for_few_callers(self) -> ServerLimits {
         ServerLimits {
-            max_connections: self.max_connections.min(FEW_CONNECTIONS),
+            max_connections: FEW_CONNECTIONS.min(self.max_connections / FEW_CONNECTIONS_DIVISOR),
             ..self
         }
     }
