--- a/crates/coursestand-kernel/tests/crowds.rs
+++ b/crates/coursestand-kernel/tests/crowds.rs
@@ -2,6 +2,7 @@
 #![allow(missing_docs)]
 
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
 use coursestand_kernel::http::{HttpServer, ServerOptions};
@@ -19,6 +20,9 @@
 const MIB: usize = 1024 * 1024;
 const REQUEST: &[u8] = b"GET / HTTP/1.1\r\nhost: h\r\n\r\n";
 
+/// Calls of `/medium`.
+static MEDIUM_CALLS: AtomicUsize = AtomicUsize::new(0);
+
 /// Answers at `/slow` after [`HANDLING_TIME`], at `/large` with a body that fills the buffers of a
 /// connection, and at `/body` once the body of the call has arrived.
 async fn answer(mut request: Request) -> poem::Result<Response> {
@@ -27,6 +31,10 @@
             tokio::time::sleep(HANDLING_TIME).await;
             Vec::new()
         }
+        "/medium" => {
+            MEDIUM_CALLS.fetch_add(1, Ordering::Relaxed);
+            vec![b'x'; MIB]
+        }
         "/large" => vec![b'x'; 64 * MIB],
         "/body" => {
             let call = request.extensions().get::<IncomingCall>().cloned();
@@ -215,6 +223,30 @@
     expect_that!(received.len(), lt(64 * MIB));
 }
 
+/// Guards against calls that are sent in a row without reading the responses, which are kept until
+/// the caller reads them: no call is handled before the response to the previous one is written.
+#[gtest]
+#[tokio::test]
+async fn calls_in_a_row_wait_for_the_responses_to_be_read() {
+    const CALLS: usize = 200;
+    let server = start(None).await;
+    let calls = b"GET /medium HTTP/1.1\r\nhost: h\r\n\r\n".repeat(CALLS);
+    let mut stream = connect(server.address(), &calls).await;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    // The buffers of the connection take a few MiB.
+    expect_that!(MEDIUM_CALLS.load(Ordering::Relaxed), le(CALLS / 4));
+    expect_that!(is_answered(&server).await, eq(true));
+    let mut received = 0;
+    let mut buffer = vec![0; MIB];
+    while received < CALLS * MIB {
+        let reading = tokio::time::timeout(TIMEOUT, stream.read(&mut buffer));
+        let length = reading.await.expect("in time").expect("a response");
+        expect_that!(length, gt(0));
+        received += length;
+    }
+    expect_that!(MEDIUM_CALLS.load(Ordering::Relaxed), eq(CALLS));
+}
+
 /// Guards against a body that stops in the hands of a handler: its connection makes room.
 #[gtest]
 #[tokio::test]
