Call connections without a first message unidentified peers

`newcomer` is in use already, for a back end at an address that another one held. The tests of a server's limits on connections are named after them.

--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -24,8 +24,8 @@
 use crate::fleet::listener::{ConnectionContext, accept};
 use crate::fleet::memory::process_memory_bytes;
 use crate::fleet::metrics::{ControlCounts, ControlMetrics};
-use crate::fleet::newcomers::{Newcomers, max_newcomers};
 use crate::fleet::peer_links::{PeerLinkSender, PeerLinks, PeerState};
+use crate::fleet::unidentified_peers::{UnidentifiedPeers, max_unidentified_peers};
 use crate::names;
 
 /// Time between two rounds of the hub's periodic work.
@@ -159,12 +159,12 @@
         hub.set_links(Arc::clone(&links));
         formation.set_links(Arc::clone(&links));
         let memory_bytes = process_memory_bytes(&self.settings);
-        let newcomers = Arc::new(Newcomers::new(max_newcomers(memory_bytes)));
+        let unidentified = Arc::new(UnidentifiedPeers::new(max_unidentified_peers(memory_bytes)));
         let context = Arc::new(ConnectionContext {
             control: Arc::clone(&control),
             hub: Arc::clone(&hub),
             formation: Arc::clone(&formation),
-            newcomers,
+            unidentified,
         });
         let accepting = accept(listener, context, Arc::clone(&self.tasks));
         self.tasks.start(accepting);
--- a/crates/coursestand-daemon/src/fleet/listener.rs
+++ b/crates/coursestand-daemon/src/fleet/listener.rs
@@ -13,8 +13,8 @@
 use crate::fleet::edge_connection::{EDGE_TIMEOUT, serve_edge};
 use crate::fleet::formation::Formation;
 use crate::fleet::hub::{EdgeSubscriptions, Hub};
-use crate::fleet::newcomers::{FIRST_MESSAGE_BYTES, Newcomer, Newcomers};
 use crate::fleet::peer_connection::serve_peer;
+use crate::fleet::unidentified_peers::{FIRST_MESSAGE_BYTES, UnidentifiedPeer, UnidentifiedPeers};
 use crate::fleet::wire::{ToControl, TrailingFlag};
 
 const LOG: &str = "mesh";
@@ -28,26 +28,26 @@
     /// Adds replicas to the group.
     pub formation: Arc<Formation>,
     /// Connections that have not sent their first message yet.
-    pub newcomers: Arc<Newcomers>,
+    pub unidentified: Arc<UnidentifiedPeers>,
 }
 
 /// Accepts connections until it is dropped; each is served by one of `tasks`.
 pub async fn accept(listener: TcpListener, context: Arc<ConnectionContext>, tasks: Arc<Tasks>) {
     loop {
-        context.newcomers.wait_for_room().await;
+        context.unidentified.wait_for_room().await;
         match listener.accept().await {
             Ok((connection, _)) => {
-                let newcomer = context.newcomers.register();
+                let peer = context.unidentified.register();
                 let context = Arc::clone(&context);
                 tasks.start(async move {
-                    if let Err(error) = serve(connection, newcomer, &context).await {
+                    if let Err(error) = serve(connection, peer, &context).await {
                         debug!(target: LOG, "connection closed: {error}");
                     }
                 });
             }
             Err(error) => {
                 warn!(target: LOG, "cannot accept a connection: {error}");
-                context.newcomers.close_oldest();
+                context.unidentified.close_oldest();
                 tokio::time::sleep(Duration::from_millis(50)).await;
             }
         }
@@ -56,7 +56,7 @@
 
 async fn serve(
     connection: TcpStream,
-    newcomer: Newcomer,
+    unidentified: UnidentifiedPeer,
     context: &Arc<ConnectionContext>,
 ) -> Result<(), StreamError> {
     // The first message determines the type of the messages that are sent on the connection.
@@ -64,10 +64,10 @@
     receiver.set_max_message_bytes(FIRST_MESSAGE_BYTES);
     let first_message = tokio::select! {
         message = receiver.next_within(EDGE_TIMEOUT) => message?,
-        () = newcomer.displaced() => return Err(StreamError::Ended),
+        () = unidentified.displaced() => return Err(StreamError::Ended),
     };
     receiver.set_max_message_bytes(MAX_FRAME_BYTES);
-    drop(newcomer);
+    drop(unidentified);
     match first_message {
         ToControl::PeerHello(peer) => {
             serve_peer(peer, receiver, sender.with_message_type(), context).await
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -21,7 +21,6 @@
 pub mod listener;
 mod memory;
 pub mod metrics;
-pub mod newcomers;
 pub mod node;
 mod orders;
 mod peer_connection;
@@ -31,6 +30,7 @@
 pub mod report_limit;
 pub mod seeds;
 mod small_bodies;
+pub mod unidentified_peers;
 pub mod wire;
 
 pub use node::{Node, NodeError};
--- a/crates/coursestand-daemon/src/fleet/newcomers.rs
+++ b/crates/coursestand-daemon/src/fleet/unidentified_peers.rs
@@ -14,13 +14,13 @@
 /// Maximum length of the first message in bytes.
 pub const FIRST_MESSAGE_BYTES: usize = 16 * 1024;
 /// Memory of a connection in bytes until its first message: that message, and a read buffer.
-const NEWCOMER_BYTES: u64 = 32 * 1024;
+const PEER_BYTES: u64 = 32 * 1024;
 /// Divisor of the memory limit that gives the memory of these connections.
 const MEMORY_DIVISOR: u64 = 16;
 /// Divisor of the descriptor limit that gives the number of these connections.
 const DESCRIPTOR_DIVISOR: u64 = 8;
 /// At least this many are allowed.
-const MIN_NEWCOMERS: u64 = 16;
+const MIN_UNIDENTIFIED_PEERS: u64 = 16;
 /// Time that each connection has for its first message, however many others there are. Daemons
 /// send it at once; after a restart of a control process, thousands connect at the same time.
 const MIN_WAIT: Duration = Duration::from_millis(500);
@@ -29,14 +29,14 @@
 
 /// Returns how many connections of a process that may use `memory_bytes` may be without a first
 /// message.
-pub fn max_newcomers(memory_bytes: u64) -> usize {
-    let by_memory = memory_bytes / MEMORY_DIVISOR / NEWCOMER_BYTES;
+pub fn max_unidentified_peers(memory_bytes: u64) -> usize {
+    let by_memory = memory_bytes / MEMORY_DIVISOR / PEER_BYTES;
     let by_descriptors = descriptor_limit() / DESCRIPTOR_DIVISOR;
-    by_memory.min(by_descriptors).max(MIN_NEWCOMERS) as usize
+    by_memory.min(by_descriptors).max(MIN_UNIDENTIFIED_PEERS) as usize
 }
 
 /// The connections that have not sent their first message yet.
-pub struct Newcomers {
+pub struct UnidentifiedPeers {
     max_open: usize,
     open: Mutex<Table>,
     freed: Notify,
@@ -50,16 +50,16 @@
 }
 
 /// A connection that has not sent its first message yet. Dropping it frees its place.
-pub struct Newcomer {
-    newcomers: Arc<Newcomers>,
+pub struct UnidentifiedPeer {
+    peers: Arc<UnidentifiedPeers>,
     number: u64,
     displaced: Arc<Notify>,
 }
 
-impl Newcomers {
+impl UnidentifiedPeers {
     /// Allows `max_open` connections.
-    pub fn new(max_open: usize) -> Newcomers {
-        Newcomers {
+    pub fn new(max_open: usize) -> UnidentifiedPeers {
+        UnidentifiedPeers {
             max_open,
             open: Mutex::default(),
             freed: Notify::new(),
@@ -94,31 +94,31 @@
     }
 
     /// Enters a connection that has been accepted.
-    pub fn register(self: &Arc<Self>) -> Newcomer {
+    pub fn register(self: &Arc<Self>) -> UnidentifiedPeer {
         let displaced = Arc::new(Notify::new());
         let mut table = self.table();
         table.next += 1;
         let number = table.next;
         let entry = (Instant::now(), Arc::clone(&displaced));
         table.open.insert(number, entry);
-        Newcomer {
-            newcomers: Arc::clone(self),
+        UnidentifiedPeer {
+            peers: Arc::clone(self),
             number,
             displaced,
         }
     }
 }
 
-impl Newcomer {
+impl UnidentifiedPeer {
     /// Returns once the connection has to give way to others.
     pub async fn displaced(&self) {
         self.displaced.notified().await;
     }
 }
 
-impl Drop for Newcomer {
+impl Drop for UnidentifiedPeer {
     fn drop(&mut self) {
-        self.newcomers.table().open.remove(&self.number);
-        self.newcomers.freed.notify_one();
+        self.peers.table().open.remove(&self.number);
+        self.peers.freed.notify_one();
     }
 }
--- a/crates/coursestand-daemon/tests/newcomers.rs
+++ b/crates/coursestand-daemon/tests/unidentified_peers.rs
@@ -4,7 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coursestand_daemon::fleet::newcomers::{Newcomer, Newcomers, max_newcomers};
+use coursestand_daemon::fleet::unidentified_peers::{
+    UnidentifiedPeer, UnidentifiedPeers, max_unidentified_peers,
+};
 use coursestand_kernel::server_limits::{ServerLimits, descriptor_limit};
 use googletest::prelude::*;
 use tokio::task::JoinSet;
@@ -13,10 +15,10 @@
 const MAX_OPEN: usize = 8;
 const CROWD: usize = 40;
 
-async fn accept(newcomers: &Arc<Newcomers>) -> Newcomer {
-    let waiting = tokio::time::timeout(TIMEOUT, newcomers.wait_for_room());
+async fn accept(unidentified_peers: &Arc<UnidentifiedPeers>) -> UnidentifiedPeer {
+    let waiting = tokio::time::timeout(TIMEOUT, unidentified_peers.wait_for_room());
     waiting.await.expect("room in time");
-    newcomers.register()
+    unidentified_peers.register()
 }
 
 /// Guards against silent connections that take all descriptors of a control process: the oldest
@@ -24,11 +26,11 @@
 #[gtest]
 #[tokio::test]
 async fn silent_connections_give_way() {
-    let newcomers = Arc::new(Newcomers::new(MAX_OPEN));
+    let unidentified_peers = Arc::new(UnidentifiedPeers::new(MAX_OPEN));
     let mut silent = JoinSet::new();
     for _ in 0..CROWD {
-        let newcomer = accept(&newcomers).await;
-        silent.spawn(async move { newcomer.displaced().await });
+        let peer = accept(&unidentified_peers).await;
+        silent.spawn(async move { peer.displaced().await });
     }
     for _ in 0..CROWD - MAX_OPEN {
         let closing = tokio::time::timeout(TIMEOUT, silent.join_next());
@@ -41,13 +43,13 @@
 #[gtest]
 #[tokio::test]
 async fn connections_that_say_who_they_are_displace_none() {
-    let newcomers = Arc::new(Newcomers::new(MAX_OPEN));
+    let unidentified_peers = Arc::new(UnidentifiedPeers::new(MAX_OPEN));
     let mut daemons = JoinSet::new();
     for _ in 0..CROWD {
-        let newcomer = accept(&newcomers).await;
+        let peer = accept(&unidentified_peers).await;
         daemons.spawn(async move {
             tokio::select! {
-                () = newcomer.displaced() => false,
+                () = peer.displaced() => false,
                 () = tokio::time::sleep(Duration::from_millis(50)) => true,
             }
         });
@@ -65,6 +67,6 @@
     let server = ServerLimits::for_memory(memory_bytes);
     let control_and_lookup = 2 * server.max_connections;
     let admin = server.for_few_callers().max_connections;
-    let crowds = control_and_lookup + admin + max_newcomers(memory_bytes);
+    let crowds = control_and_lookup + admin + max_unidentified_peers(memory_bytes);
     expect_that!(crowds as u64, le(descriptor_limit() / 2));
 }
