--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -22,8 +22,10 @@
 use crate::fleet::formation::{Formation, FormationRules};
 use crate::fleet::hub::Hub;
 use crate::fleet::listener::{ConnectionContext, accept};
+use crate::fleet::memory::process_memory_bytes;
 use crate::fleet::metrics::{ControlCounts, ControlMetrics};
 use crate::fleet::peer_links::{PeerLinkSender, PeerLinks, PeerState};
+use crate::fleet::unidentified_peers::{UnidentifiedPeers, max_unidentified_peers};
 use crate::names;
 
 /// Time between two rounds of the hub's periodic work.
@@ -156,10 +158,13 @@
         let formation = self.formation(&control, &hub);
         hub.set_links(Arc::clone(&links));
         formation.set_links(Arc::clone(&links));
+        let memory_bytes = process_memory_bytes(&self.settings);
+        let unidentified = Arc::new(UnidentifiedPeers::new(max_unidentified_peers(memory_bytes)));
         let context = Arc::new(ConnectionContext {
             control: Arc::clone(&control),
             hub: Arc::clone(&hub),
             formation: Arc::clone(&formation),
+            unidentified,
         });
         let accepting = accept(listener, context, Arc::clone(&self.tasks));
         self.tasks.start(accepting);
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 pub mod formation;
 pub mod hub;
 pub mod listener;
+mod memory;
 pub mod metrics;
 pub mod node;
 mod orders;
@@ -28,6 +29,8 @@
 mod questions;
 pub mod report_limit;
 pub mod seeds;
+mod small_bodies;
+pub mod unidentified_peers;
 pub mod wire;
 
 pub use node::{Node, NodeError};
