Show in the soak that control processes end after losses of power that tear writes

Callers saw control processes that ended at each start, and a configuration that could not be read back, after a loss of power. No soak tore a write: all of them kill processes and leave their files whole, and so never met it.

The new shape has five control processes, three entry daemons, back ends, callers and three operators that change one, six or 300 routes over open connections. Power is lost at all machines, at all while one or two disks are lost, at one control process or at some, and again while they start, also as soon as a start has replaced its segment; some are told to stop just before. Between kill and start the test leaves of the write in progress nothing, zeros, or any part. That is the last record only if all control processes are dead, it began after all that was on the disks at the last acknowledgement, is less than 50 ms old and has no vote; else it is one more record, of which no process can have synced anything. Disks are lost again only after all have caught up.

A run fails if a process ends by itself (with its status, last lines and files), if no control process answers a read within 15 s, if a read lacks an acknowledged version or has one that was not sent, or if requests are not served afterwards.

--- a/crates/coursestand-daemon/tests/soak/main.rs
+++ b/crates/coursestand-daemon/tests/soak/main.rs
@@ -26,6 +26,7 @@
 mod heartbeats;
 mod look_ups;
 mod operators;
+mod power_losses;
 mod process_history;
 mod processes;
 mod rate_limit;
--- a/crates/coursestand-daemon/tests/soak/operators.rs
+++ b/crates/coursestand-daemon/tests/soak/operators.rs
@@ -121,7 +121,7 @@
 }
 
 /// Returns the keys and versions in the answer to a read.
-fn versions_in(text: &str) -> Result<BTreeMap<String, u64>, String> {
+pub fn versions_in(text: &str) -> Result<BTreeMap<String, u64>, String> {
     let value: Value =
         serde_json::from_str(text).map_err(|error| format!("a read is not JSON: {error}"))?;
     let items = value["items"].as_array().ok_or("a read has no items")?;
--- a/crates/coursestand-daemon/tests/soak/processes.rs
+++ b/crates/coursestand-daemon/tests/soak/processes.rs
@@ -2,9 +2,9 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fs::File;
-use std::os::unix::process::CommandExt;
+use std::os::unix::process::{CommandExt, ExitStatusExt};
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Mutex, MutexGuard, Once, PoisonError, mpsc};
 use std::time::{Duration, Instant};
 
@@ -13,6 +13,8 @@
 
 /// Maximum time from a process's start until its signal handlers are installed.
 const STARTUP_TIME: Duration = Duration::from_secs(2);
+/// Number of the signal that kills.
+const SIGKILL: i32 = 9;
 
 /// Returns the path of a host's daemon: that of this build, or the version that
 /// `COURSESTAND_PROGRAM` names; `COURSESTAND_PROGRAM_OF_ODD_HOSTS` names another one for every
@@ -89,10 +91,19 @@
     std::process::exit(1);
 }
 
+/// A process that exited before it was killed.
+#[derive(Clone, Debug)]
+pub struct Exit {
+    pub host: u8,
+    pub status: ExitStatus,
+    pub log: PathBuf,
+}
+
 /// Processes by host, which are killed on drop.
 pub struct Processes {
     folder: PathBuf,
     children: BTreeMap<u8, Child>,
+    logs: BTreeMap<u8, PathBuf>,
     started_at: BTreeMap<u8, Instant>,
     starts: u32,
 }
@@ -109,6 +120,7 @@
         Processes {
             folder: folder.to_owned(),
             children: BTreeMap::new(),
+            logs: BTreeMap::new(),
             started_at: BTreeMap::new(),
             starts: 0,
         }
@@ -120,6 +132,7 @@
         let file = self.folder.join(format!("{host}.json"));
         std::fs::write(&file, settings_json(settings)).expect("written");
         let log = self.folder.join(format!("{host}-{}.log", self.starts));
+        self.logs.insert(host, log.clone());
         let log = File::create(log).expect("a log");
         let mut running = running();
         let child = Command::new(program(host))
@@ -187,6 +200,45 @@
         }
     }
 
+    /// Kills processes at the same time. Returns those that had exited before.
+    pub fn kill_at_once(&mut self, hosts: &[u8]) -> Vec<Exit> {
+        for host in hosts {
+            if let Some(child) = self.children.get_mut(host) {
+                // Fails if the process has already exited.
+                let _ = child.kill();
+            }
+        }
+        let mut exits = Vec::new();
+        for host in hosts {
+            let Some(mut child) = self.children.remove(host) else {
+                continue;
+            };
+            let status = child.wait().expect("a status");
+            running().remove(&child.id());
+            if status.signal() != Some(SIGKILL) {
+                exits.push(self.exit(*host, status));
+            }
+        }
+        exits
+    }
+
+    fn exit(&self, host: u8, status: ExitStatus) -> Exit {
+        let log = self.logs[&host].clone();
+        Exit { host, status, log }
+    }
+
+    /// Returns the processes that have exited without being killed or waited for.
+    pub fn exits(&mut self) -> Vec<Exit> {
+        let children = self.children.iter_mut();
+        let exited: Vec<(u8, ExitStatus)> = children
+            .filter_map(|(host, child)| Some((*host, child.try_wait().ok().flatten()?)))
+            .collect();
+        let exits = exited.into_iter();
+        exits
+            .map(|(host, status)| self.exit(host, status))
+            .collect()
+    }
+
     /// Whether a process that received a termination signal has exited.
     pub fn has_exited(&mut self, host: u8) -> bool {
         let child = self
