--- a/crates/coursestand-kernel/src/lib.rs
+++ b/crates/coursestand-kernel/src/lib.rs
@@ -9,7 +9,7 @@
 pub mod http;
 pub mod kernel;
 pub mod logging;
-mod memory_limit;
+pub mod memory_limit;
 pub mod open_connections;
 pub mod registry;
 pub mod server_limits;
