--- a/crates/coursestand-kernel/src/lib.rs
+++ b/crates/coursestand-kernel/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod http;
 pub mod kernel;
 pub mod logging;
+pub mod memory_limit;
 pub mod registry;
 pub mod service;
 pub mod suspension;
@@ -15,6 +16,7 @@
 
 pub use clock::MonotonicClock;
 pub use kernel::Kernel;
+pub use memory_limit::memory_limit_bytes;
 pub use registry::Registry;
 pub use service::{Health, Service, ServiceError};
 pub use tasks::Tasks;
