Bound what is read for one connection by the limits in force

Clients that sent a head far over the limit and stopped kept up to 256 KiB each in the daemon: hyper's buffer had that size whatever `max_header_bytes` said, and connections to back ends had hyper's default of 417 KiB for reading and for writing.

The read buffer of a caller's connection is now the limit in force and 16 KiB for the request line, within 8 and 256 KiB; connections opened under a smaller limit are closed, after their requests, once the limit has grown. Connections to back ends and to other daemons have 64 KiB.

--- a/crates/coursestand-proxy/src/caller_connections.rs
+++ b/crates/coursestand-proxy/src/caller_connections.rs
@@ -43,10 +43,15 @@
 #[derive(Default)]
 struct ConnectionTable {
     next: u64,
-    open: HashMap<u64, Arc<IdleTimer>>,
+    open: HashMap<u64, OpenConnection>,
     stall: Option<AcceptStall>,
 }
 
+struct OpenConnection {
+    idle_timer: Arc<IdleTimer>,
+    read_buffer_bytes: usize,
+}
+
 /// No connection could be accepted since `since`; last observed at `noticed_at`.
 #[derive(Clone, Copy)]
 struct AcceptStall {
@@ -109,14 +114,18 @@
         }
     }
 
-    /// Registers an accepted connection.
-    pub(crate) fn register(self: &Arc<Self>) -> ConnectionGuard {
+    /// Registers an accepted connection with a read buffer of this size.
+    pub(crate) fn register(self: &Arc<Self>, read_buffer_bytes: usize) -> ConnectionGuard {
         let mut table = self.table();
         table.stall = None;
         table.next += 1;
         let number = table.next;
         let idle_timer = Arc::new(IdleTimer::default());
-        table.open.insert(number, Arc::clone(&idle_timer));
+        let connection = OpenConnection {
+            idle_timer: Arc::clone(&idle_timer),
+            read_buffer_bytes,
+        };
+        table.open.insert(number, connection);
         ConnectionGuard {
             connections: Arc::clone(self),
             number,
@@ -124,6 +133,16 @@
         }
     }
 
+    /// Closes the connections with read buffers below `bytes`, once their requests have ended: a
+    /// head inside the limits in force might not fit.
+    pub(crate) fn close_with_smaller_buffers(&self, bytes: usize) {
+        for connection in self.table().open.values() {
+            if connection.read_buffer_bytes < bytes {
+                connection.idle_timer.request_close();
+            }
+        }
+    }
+
     /// Handles a failure of the system to accept a connection.
     pub(crate) fn note_accept_failure(&self) {
         self.note_stall();
@@ -153,6 +172,7 @@
         let mut idle: Vec<(Instant, &Arc<IdleTimer>)> = table
             .open
             .values()
+            .map(|connection| &connection.idle_timer)
             .filter_map(|idle_timer| Some((idle_timer.idle_since()?, idle_timer)))
             .filter(|(since, _)| since.elapsed() >= MIN_IDLE_TIME)
             .collect();
--- a/crates/coursestand-proxy/src/caller_limits.rs
+++ b/crates/coursestand-proxy/src/caller_limits.rs
@@ -1,10 +1,10 @@
 //! Limits on requests and idle connections of callers, as set by the catalog in force.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use coursestand_catalog::Limits;
 use http::HeaderMap;
+use tokio::sync::watch;
 
 /// Limits until a catalog sets others.
 const DEFAULT_LIMITS: CallerLimits = CallerLimits {
@@ -15,6 +15,13 @@
 /// Minimum idle timeout, also if the catalog sets a shorter one: with a timeout of zero, no
 /// caller could send a second request on a connection.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Room in the read buffer for what a head has besides its headers: the request line, and spaces
+/// that the limit doesn't count.
+const REQUEST_LINE_BYTES: u64 = 16 * 1024;
+/// Smallest read buffer that the HTTP library accepts.
+const MIN_READ_BUFFER_BYTES: u64 = 8 * 1024;
+/// Largest read buffer of a connection, whatever the catalog allows.
+const MAX_READ_BUFFER_BYTES: u64 = 256 * 1024;
 /// Bytes of a header line besides its name and value.
 const LINE_OVERHEAD_BYTES: usize = 4;
 
@@ -39,6 +46,12 @@
         }
     }
 
+    /// Returns the size in bytes of a connection's read buffer: a head inside the limits fits.
+    pub(crate) fn read_buffer_bytes(&self) -> usize {
+        let bytes = self.header_bytes.saturating_add(REQUEST_LINE_BYTES);
+        bytes.clamp(MIN_READ_BUFFER_BYTES, MAX_READ_BUFFER_BYTES) as usize
+    }
+
     /// Returns whether these headers are longer than allowed.
     pub fn exceeds_header_limit(&self, headers: &HeaderMap) -> bool {
         let lines = headers.iter();
@@ -51,26 +64,28 @@
 
 /// The limits, shared by all connections; a change applies to open ones as well.
 #[derive(Debug)]
-pub struct SharedLimits(Mutex<CallerLimits>);
+pub struct SharedLimits(watch::Sender<CallerLimits>);
 
 impl Default for SharedLimits {
     fn default() -> SharedLimits {
-        SharedLimits(Mutex::new(DEFAULT_LIMITS))
+        SharedLimits(watch::Sender::new(DEFAULT_LIMITS))
     }
 }
 
 impl SharedLimits {
-    fn limits(&self) -> MutexGuard<'_, CallerLimits> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Returns the limits in force.
     pub fn get(&self) -> CallerLimits {
-        *self.limits()
+        *self.0.borrow()
     }
 
     /// Sets the limits in force.
     pub fn set(&self, limits: CallerLimits) {
-        *self.limits() = limits;
+        self.0
+            .send_if_modified(|current| std::mem::replace(current, limits) != limits);
+    }
+
+    /// Returns a receiver of the limits that are set from now on.
+    pub(crate) fn subscribe(&self) -> watch::Receiver<CallerLimits> {
+        self.0.subscribe()
     }
 }
--- a/crates/coursestand-proxy/src/pool.rs
+++ b/crates/coursestand-proxy/src/pool.rs
@@ -45,6 +45,9 @@
 /// that a silent connection stays open if it is idle, or if it carries a request that may not
 /// be repeated. If the silence shows only as a missing answer, `AnswerTimes` bounds it.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Largest read buffer of a connection, and most that waits to be written on it. Bounds the head of
+/// an answer too.
+const MAX_BUFFER_BYTES: usize = 64 * 1024;
 /// Time within which a connection must be ready again after an exchange; otherwise it is
 /// closed.
 const READY_TIMEOUT: Duration = Duration::from_millis(500);
@@ -207,7 +210,9 @@
         let read_limit = ReadLimit::for_head();
         let open_request = OpenRequest::none();
         let stream = LimitedStream::new(stream, Arc::clone(&read_limit), Arc::clone(&open_request));
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let (sender, driver) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| connect_error(io::ErrorKind::Other, error.to_string()))?;
         let driver = tokio::spawn(async move {
--- a/crates/coursestand-proxy/src/server.rs
+++ b/crates/coursestand-proxy/src/server.rs
@@ -22,9 +22,6 @@
 use crate::connect::configure;
 use crate::exchange::Exchange;
 
-/// Maximum number of bytes that are read before the headers are complete. A lower limit of the
-/// catalog is checked once the headers have been read.
-const MAX_HEADER_BYTES: usize = 256 * 1024;
 /// A caller that acknowledges no bytes for this long counts as disconnected.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Divisor of the maximum number of caller connections that gives that of other daemons.
@@ -173,18 +170,26 @@
 
 impl Acceptor {
     async fn accept(self, mut mode: watch::Receiver<Mode>) {
+        let mut limits = self.exchange.limits().subscribe();
         loop {
             let accepted = tokio::select! {
+                Ok(()) = limits.changed() => {
+                    let bytes = limits.borrow_and_update().read_buffer_bytes();
+                    self.caller_connections.close_with_smaller_buffers(bytes);
+                    continue;
+                }
                 accepted = self.accept_connection() => accepted,
                 _ = mode.wait_for(|mode| *mode == Mode::Closing) => return,
             };
             match accepted {
                 Ok(stream) => {
                     let exchange = Arc::clone(&self.exchange);
-                    let guard = self.caller_connections.register();
+                    let read_buffer_bytes = limits.borrow().read_buffer_bytes();
+                    let guard = self.caller_connections.register(read_buffer_bytes);
                     let connection = serve(
                         stream,
                         guard,
+                        read_buffer_bytes,
                         exchange,
                         self.peers,
                         mode.clone(),
@@ -212,6 +217,7 @@
 async fn serve(
     stream: TcpStream,
     guard: ConnectionGuard,
+    read_buffer_bytes: usize,
     exchange: Arc<Exchange>,
     peers: Peers,
     mut mode: watch::Receiver<Mode>,
@@ -247,7 +253,7 @@
     let connection = http1::Builder::new()
         // The time in which headers are received counts as idle time, see `IdleTimer`.
         .header_read_timeout(None)
-        .max_buf_size(MAX_HEADER_BYTES)
+        .max_buf_size(read_buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
