End connections whose heads stop

Clients kept connections open for as long as they liked with the beginning of a head, with empty lines or with one more line each half second; the catalog's `header_timeout_ms` was read and not used. After the idle timeout, and in a planned stop, the daemon waited for the rest of such a head without end, since hyper's graceful shutdown does not close a connection that has read part of one.

A connection's idle timer now knows when bytes are read between requests: they begin a head, which the arrival of the request ends. When the header timeout (3 s at the least 0.5 s; 10 s until a catalog sets it) is over, the connection is read for 100 ms more, so that what lies in the socket after a suspension counts, and dropped. A closing connection with nothing in progress gets the same time. Request bodies that are being read or discarded, answers that are being written and answers that wait for their callers to read count as in progress, so none is cut.

--- a/crates/coursestand-proxy/src/caller_limits.rs
+++ b/crates/coursestand-proxy/src/caller_limits.rs
@@ -10,11 +10,14 @@
 const DEFAULT_LIMITS: CallerLimits = CallerLimits {
     header_bytes: 64 * 1024,
     body_bytes: u64::MAX,
+    header: Duration::from_secs(10),
     idle: Duration::from_secs(20),
 };
 /// Minimum idle timeout, also if the catalog sets a shorter one: with a timeout of zero, no
 /// caller could send a second request on a connection.
 const MIN_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+/// Minimum time for a head, also if the catalog sets a shorter one: it may cross a link that is full.
+const MIN_HEADER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Room in the read buffer for what a head has besides its headers: the request line, and spaces
 /// that the limit doesn't count.
 const REQUEST_LINE_BYTES: u64 = 16 * 1024;
@@ -32,6 +35,8 @@
     pub header_bytes: u64,
     /// Bytes of a request's body.
     pub body_bytes: u64,
+    /// How long a head may take from its first byte.
+    pub header: Duration,
     /// How long a connection may be idle.
     pub idle: Duration,
 }
@@ -42,6 +47,7 @@
         CallerLimits {
             header_bytes: limits.max_header_bytes,
             body_bytes: limits.max_body_bytes,
+            header: Duration::from_millis(limits.header_timeout_ms).max(MIN_HEADER_TIMEOUT),
             idle: Duration::from_millis(limits.idle_timeout_ms).max(MIN_IDLE_TIMEOUT),
         }
     }
--- /dev/null
+++ b/crates/coursestand-proxy/src/caller_stream.rs
@@ -0,0 +1,72 @@
+//! A caller's connection that tells its idle timer what was read and written.
+
+use std::io;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+use crate::idle_timer::IdleTimer;
+
+/// A caller's connection.
+pub(crate) struct CallerStream {
+    stream: TcpStream,
+    idle_timer: Arc<IdleTimer>,
+}
+
+impl CallerStream {
+    pub(crate) fn new(stream: TcpStream, idle_timer: Arc<IdleTimer>) -> CallerStream {
+        CallerStream { stream, idle_timer }
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        if buffer.filled().len() > before {
+            self.idle_timer.note_read();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.idle_timer.note_write(written.is_pending());
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, buffers);
+        self.idle_timer.note_write(written.is_pending());
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/coursestand-proxy/src/collect.rs
+++ b/crates/coursestand-proxy/src/collect.rs
@@ -2,26 +2,26 @@
 
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
+use hyper::body::Body;
 
 /// Bodies of up to this many bytes are buffered: a request so that it can be sent again, an
 /// answer so that an incomplete one never looks complete.
 pub(crate) const MAX_BUFFERED_BYTES: usize = 1024 * 1024;
 
 /// Result of reading a body.
-pub(crate) enum Collected {
+pub(crate) enum Collected<B> {
     /// The complete body.
     Complete(Bytes),
     /// The part that has been read is longer than may be buffered; the remaining stream
     /// follows.
-    Partial(Bytes, Incoming),
+    Partial(Bytes, B),
 }
 
 /// Reads a body up to its end, or until it is longer than `max_bytes` bytes.
-pub(crate) async fn collect(
-    mut body: Incoming,
-    max_bytes: usize,
-) -> Result<Collected, hyper::Error> {
+pub(crate) async fn collect<B>(mut body: B, max_bytes: usize) -> Result<Collected<B>, hyper::Error>
+where
+    B: Body<Data = Bytes, Error = hyper::Error> + Unpin,
+{
     let mut first: Option<Bytes> = None;
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -130,7 +130,7 @@
         prepared: &PreparedRequest,
         headers: &HeaderMap,
         body: Incoming,
-    ) -> Result<hyper::Result<Collected>, Elapsed> {
+    ) -> Result<hyper::Result<Collected<Incoming>>, Elapsed> {
         let length: Option<usize> =
             text_of(headers, &CONTENT_LENGTH).and_then(|text| text.parse().ok());
         if length.is_some_and(|length| length > MAX_BUFFERED_BYTES) {
--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -7,7 +7,7 @@
 use http::header::{CONTENT_LENGTH, HOST, HeaderValue};
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::answer::{AnswerBody, Reason, forwarded_response, local_response};
@@ -16,6 +16,7 @@
 use crate::connect_times::ConnectTimes;
 use crate::crash_detector::CrashDetector;
 use crate::discard::discard;
+use crate::guarded_body::CallerBody;
 use crate::header_names::HeaderNames;
 use crate::headers::{millis_of, size_of, strip_connection_headers, text_of};
 use crate::link_gate::{LinkGate, LinkPermit};
@@ -319,7 +320,7 @@
     }
 
     /// Answers one request. Dropping the future aborts the attempt in flight.
-    pub async fn serve(&self, mut request: Request<Incoming>) -> Response<AnswerBody> {
+    pub async fn serve(&self, mut request: Request<CallerBody>) -> Response<AnswerBody> {
         RelayedRequest::remove(request.headers_mut());
         let (response, _) = self.answer(request, None).await;
         response
@@ -329,7 +330,7 @@
     /// answer why this daemon generated it, if it did.
     async fn answer(
         &self,
-        request: Request<Incoming>,
+        request: Request<CallerBody>,
         relayed: Option<RelayedRequest>,
     ) -> (Response<AnswerBody>, Result<(), Reason>) {
         let arrival = Arrival {
@@ -360,7 +361,7 @@
 
     async fn prepare(
         &self,
-        request: Request<Incoming>,
+        request: Request<CallerBody>,
         arrival: Arrival,
         relayed: Option<RelayedRequest>,
     ) -> Result<PreparedRequest, Reason> {
@@ -401,7 +402,7 @@
     fn admit(
         &self,
         parts: &Parts,
-        body: &Incoming,
+        body: &CallerBody,
         head: &RequestHead,
         arrival: Arrival,
     ) -> Result<(Matched, Deadline, LinkPermit), Reason> {
@@ -426,7 +427,7 @@
     fn reserve_link(
         &self,
         parts: &Parts,
-        body: &Incoming,
+        body: &CallerBody,
         matched: &Matched,
     ) -> Result<LinkPermit, Reason> {
         let target = parts
--- a/crates/coursestand-proxy/src/exchange/relay.rs
+++ b/crates/coursestand-proxy/src/exchange/relay.rs
@@ -15,6 +15,7 @@
 use crate::answer::{AnswerBody, Reason, local_response};
 use crate::collect::Collected;
 use crate::discard::discard;
+use crate::guarded_body::CallerBody;
 use crate::headers::{closes_connection, keep_alive_of, strip_connection_headers};
 use crate::phases::{AttemptFailure, Attempts};
 use crate::pool::{Connection, Pool, RequestBody};
@@ -88,7 +89,7 @@
     }
 
     /// Answers one request that another daemon relayed.
-    pub async fn serve_relayed(&self, mut request: Request<Incoming>) -> Response<AnswerBody> {
+    pub async fn serve_relayed(&self, mut request: Request<CallerBody>) -> Response<AnswerBody> {
         let token = self.relay.get().map(|relay| relay.token);
         let relayed = token.and_then(|token| RelayedRequest::take(token, request.headers_mut()));
         let Some(relayed) = relayed else {
--- /dev/null
+++ b/crates/coursestand-proxy/src/guarded_body.rs
@@ -0,0 +1,46 @@
+//! Bodies that keep a connection from counting as idle.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+
+use crate::answer::AnswerBody;
+use crate::idle_timer::BusyGuard;
+
+/// A body that is part of a request in progress until it is dropped.
+pub struct GuardedBody<B> {
+    body: B,
+    _busy: BusyGuard,
+}
+
+/// The body of a caller's request.
+pub type CallerBody = GuardedBody<Incoming>;
+/// The body of an answer that is written to a caller.
+pub(crate) type WrittenBody = GuardedBody<AnswerBody>;
+
+impl<B> GuardedBody<B> {
+    pub(crate) fn new(body: B, busy: BusyGuard) -> GuardedBody<B> {
+        GuardedBody { body, _busy: busy }
+    }
+}
+
+impl<B: Body + Unpin> Body for GuardedBody<B> {
+    type Data = B::Data;
+    type Error = B::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/crates/coursestand-proxy/src/prepared_body.rs
+++ b/crates/coursestand-proxy/src/prepared_body.rs
@@ -4,12 +4,13 @@
 use http::HeaderMap;
 use http::header::CONTENT_LENGTH;
 use http_body_util::{Either, Full};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use tokio::time::{Instant, timeout_at};
 
 use crate::answer::Reason;
 use crate::collect::{Collected, MAX_BUFFERED_BYTES, collect};
 use crate::discard::discard;
+use crate::guarded_body::CallerBody;
 use crate::headers::text_of;
 use crate::pool::RequestBody;
 use crate::streamed_request_body::StreamedRequestBody;
@@ -27,7 +28,7 @@
     /// buffered.
     pub(crate) async fn read(
         headers: &HeaderMap,
-        body: Incoming,
+        body: CallerBody,
         max_bytes: u64,
         deadline: Instant,
     ) -> Result<PreparedBody, Reason> {
--- a/crates/coursestand-proxy/src/server.rs
+++ b/crates/coursestand-proxy/src/server.rs
@@ -1,6 +1,7 @@
 //! Accepts connections of callers, and stops without aborting a request.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,8 +20,11 @@
 use crate::caller_connections::{
     CallerConnections, ConnectionGuard, max_connections_by_descriptors,
 };
+use crate::caller_stream::CallerStream;
 use crate::connect::configure;
 use crate::exchange::Exchange;
+use crate::guarded_body::{CallerBody, GuardedBody, WrittenBody};
+use crate::idle_timer::{Expired, Expiry};
 
 /// A caller that acknowledges no bytes for this long counts as disconnected.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(10);
@@ -228,12 +232,16 @@
     }
     let response_mode = mode.clone();
     let idle_timer = Arc::clone(&guard.idle_timer);
+    let stream = CallerStream::new(stream, Arc::clone(&idle_timer));
     let service_state = (Arc::clone(&exchange), Arc::clone(&idle_timer));
     let service = service_fn(move |request: Request<Incoming>| {
         let (exchange, idle_timer) = service_state.clone();
         let mode = response_mode.clone();
         async move {
-            let _busy = idle_timer.pause();
+            let busy = idle_timer.begin_request();
+            let body_busy = busy.another();
+            let request: Request<CallerBody> =
+                request.map(|body| GuardedBody::new(body, body_busy));
             // Yields so that the connection is read once more before anything is forwarded: if
             // the caller closed the connection while the daemon was suspended, the close
             // follows the request in the socket buffer, and no back end then works on a
@@ -247,21 +255,34 @@
             if is_led_away || *mode.borrow() != Mode::Serving {
                 close_after(&mut response);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| WrittenBody::new(body, busy)))
         }
     });
     let connection = http1::Builder::new()
-        // The time in which headers are received counts as idle time, see `IdleTimer`.
+        // See `Expiry`.
         .header_read_timeout(None)
         .max_buf_size(read_buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let mut expiry = Expiry::new(&idle_timer, exchange.limits());
+    // What has arrived is read before the connection is judged.
     tokio::select! {
+        biased;
         // A caller that closes its connection is no error of this daemon.
         _ = connection.as_mut() => return,
         _ = mode.wait_for(|mode| *mode == Mode::Closing) => {}
-        () = idle_timer.expired(&exchange) => {}
+        expired = poll_fn(|context| expiry.poll(context)) => {
+            if expired == Expired::StoppedHead {
+                return;
+            }
+        }
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    expiry.begin_closing();
+    // The HTTP library waits without end for the rest of a head that has begun.
+    tokio::select! {
+        biased;
+        _ = connection => {}
+        _ = poll_fn(|context| expiry.poll(context)) => {}
+    }
 }
--- a/crates/coursestand-proxy/src/streamed_request_body.rs
+++ b/crates/coursestand-proxy/src/streamed_request_body.rs
@@ -4,9 +4,11 @@
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
-use hyper::body::{Body, Frame, Incoming, SizeHint};
+use hyper::body::{Body, Frame, SizeHint};
 use snafu::Snafu;
 
+use crate::guarded_body::CallerBody;
+
 /// Error that aborts a request body.
 #[derive(Debug, Snafu)]
 pub enum RequestBodyError {
@@ -24,14 +26,14 @@
 /// The part of a body that has been read, followed by the remaining stream.
 pub struct StreamedRequestBody {
     first: Option<Bytes>,
-    rest: Incoming,
+    rest: CallerBody,
     /// Bytes that may still be received.
     bytes_left: u64,
 }
 
 impl StreamedRequestBody {
     /// Creates a body of at most `max_bytes` bytes, of which `first` has been read.
-    pub fn new(first: Bytes, rest: Incoming, max_bytes: u64) -> StreamedRequestBody {
+    pub fn new(first: Bytes, rest: CallerBody, max_bytes: u64) -> StreamedRequestBody {
         StreamedRequestBody {
             first: (!first.is_empty()).then_some(first),
             rest,
