Account for what is kept for all callers together

Crowds of callers that send bodies or heads without end, or never read, made a daemon keep hundreds of megabytes: each connection was bounded, all of them together were not.

One account of bytes for the process now has a capacity of a quarter of its memory (a new setting `memory_mb`, the soft limits, the machine's memory: the smallest). Heads and bodies beyond small ones, the buffers of streamed bodies, and answers until their callers have read them are charged to it; the charge belongs to the bytes and ends with their last copy. When there is no room, the requests that have been arriving for the longest time are given up: 503 `overloaded` with `Retry-After`, or the end of the connection for a head. A request that was passed on is never given up. An answer for which there is no room is streamed. Small requests are not charged.

--- a/crates/coursestand-cli/src/commands/explain.rs
+++ b/crates/coursestand-cli/src/commands/explain.rs
@@ -336,6 +336,10 @@
              and has not run"
                 .to_owned()
         }
+        "overloaded" => {
+            "the daemon had no memory for it; it was refused before it was sent and has not run"
+                .to_owned()
+        }
         "headers-too-long" => "its headers are longer than the limits allow".to_owned(),
         "no-backend" => "its service had no usable back end".to_owned(),
         "no-route" => "no route of the catalog matches it".to_owned(),
--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -9,7 +9,9 @@
 use coursestand_dialect::{Call, Dialect};
 use coursestand_discovery::{EdgePhase, EdgeRecord, LinkUse, RelayEndpoint};
 use coursestand_kernel::http::HttpServer;
-use coursestand_kernel::{Health, MonotonicClock, Registry, Service, ServiceError, Tasks};
+use coursestand_kernel::{
+    Health, MonotonicClock, Registry, Service, ServiceError, Tasks, memory_limit_bytes,
+};
 use coursestand_model::fleet::FleetSettings;
 use coursestand_proxy::caller_limits::CallerLimits;
 use coursestand_proxy::edge_state::{EdgeBounds, RoutingState};
@@ -266,12 +268,14 @@
         let state = Arc::new(self.state());
         let pool = Arc::new(Pool::default());
         let metrics = ProxyMetrics::new(registry.metrics()).map_err(|error| failed(&error))?;
-        let exchange = Arc::new(Exchange::new(
+        let memory_bytes = memory_limit_bytes(self.settings.memory_bytes());
+        let exchange = Exchange::new(
             Arc::new(Router::new(Arc::clone(&state))),
             self.dialect.header_names(),
             Arc::clone(&pool),
             metrics,
-        ));
+        );
+        let exchange = Arc::new(exchange.with_memory(memory_bytes));
         if let Some(link_mbps) = self.settings.link_mbps {
             exchange.gate().set_speed(link_mbps);
         }
--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -141,6 +141,7 @@
                 .map(|seed| self.address(*seed, CONTROL))
                 .collect(),
             link_mbps: None,
+            memory_mb: None,
             bootstrap,
             admin_listen: self.address(host, ADMIN),
             log_level: "info".to_owned(),
--- a/crates/coursestand-daemon/tests/following/late_requests.rs
+++ b/crates/coursestand-daemon/tests/following/late_requests.rs
@@ -82,6 +82,7 @@
             ready_listen: free_address(),
         }),
         link_mbps: None,
+        memory_mb: None,
         bounds: FleetBounds {
             lost_disks: 2,
             heartbeat: Span(1_500),
--- a/crates/coursestand-model/src/fleet.rs
+++ b/crates/coursestand-model/src/fleet.rs
@@ -13,6 +13,8 @@
 use crate::settings::LOG_LEVELS;
 use crate::span::Span;
 
+const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+
 /// Settings of a process that serves control.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
@@ -127,6 +129,10 @@
     /// look-ups balance the link utilization of entry daemons.
     #[serde(default)]
     pub link_mbps: Option<f64>,
+    /// Memory that the process may use, in megabytes. If it isn't set, or if the system allows
+    /// less, what the system allows counts.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
     /// Bounds of the deployment.
     pub bounds: FleetBounds,
     /// Load balancing by entry daemons.
@@ -139,6 +145,12 @@
 }
 
 impl FleetSettings {
+    /// Returns the memory that the process may use by these settings, in bytes.
+    pub fn memory_bytes(&self) -> Option<u64> {
+        let megabytes = self.memory_mb?;
+        Some(megabytes.saturating_mul(BYTES_PER_MEGABYTE))
+    }
+
     /// Returns the address under which other processes connect with this one.
     pub fn internal_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.internal_ports.0)
@@ -195,6 +207,9 @@
             let found = format!("{:?}", self.link_mbps);
             return Err(InvalidValue::new("link_mbps", found, "a speed over 0"));
         }
+        if self.memory_mb == Some(0) {
+            return Err(InvalidValue::new("memory_mb", 0, "a size over 0"));
+        }
         let balance = &self.balance;
         if let Some(soft_load) = balance.soft_load {
             let allowed =
--- a/crates/coursestand-model/tests/fleet_settings.rs
+++ b/crates/coursestand-model/tests/fleet_settings.rs
@@ -7,7 +7,15 @@
 use serde_json::{Value, json};
 
 fn read(balance: Value) -> std::result::Result<FleetSettings, LoadError> {
+    read_with_memory(balance, Value::Null)
+}
+
+fn read_with_memory(
+    balance: Value,
+    memory_mb: Value,
+) -> std::result::Result<FleetSettings, LoadError> {
     let settings = json!({
+        "memory_mb": memory_mb,
         "name": "edge-1",
         "zone": "z",
         "region": "r",
@@ -55,3 +63,14 @@
         expect_that!(result.is_err(), eq(true));
     }
 }
+
+/// Guards against a process that may use no memory, and against a size in another unit.
+#[gtest]
+fn the_memory_is_set_in_megabytes_and_must_be_positive() {
+    let memory = |memory_mb| read_with_memory(json!({}), memory_mb);
+    expect_that!(memory(json!(0)).is_err(), eq(true));
+    let bytes = memory(json!(260)).map(|settings| settings.memory_bytes());
+    expect_that!(bytes.ok(), some(some(eq(260_000_000))));
+    let unset = memory(Value::Null).map(|settings| settings.memory_bytes());
+    expect_that!(unset.ok(), some(none()));
+}
--- a/crates/coursestand-proxy/src/answer.rs
+++ b/crates/coursestand-proxy/src/answer.rs
@@ -22,6 +22,9 @@
 /// A retry at another daemon or on another connection is likely to succeed at once.
 const OTHER_DAEMON_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// A crowd that fills the memory is refused and gone within about this time.
+const OVERLOADED_RETRY_DELAY: Duration = Duration::from_millis(500);
+
 /// Range of random factors on the retry delay, so that callers that are refused together retry
 /// at different times.
 const RETRY_SPREAD: Range<f64> = 0.8..1.4;
@@ -82,6 +85,8 @@
         /// Time after which that has probably changed, in milliseconds.
         drained_in_ms: Millis,
     },
+    /// The daemon has no memory for the request.
+    Overloaded,
     /// Back ends refused the request, and no further attempt was allowed.
     Shed,
     /// No back end could be reached, and no further attempt was allowed.
@@ -99,8 +104,13 @@
     pub const NAMES_OF_NO_BACK_END: [&'static str; 3] =
         ["no-backend", "unreachable", "partitioned"];
     /// Names of the reasons that concern only the daemon itself.
-    pub const NAMES_OF_OWN_TROUBLE: [&'static str; 4] =
-        ["no-catalog", "old-catalog", "stopping", "link-full"];
+    pub const NAMES_OF_OWN_TROUBLE: [&'static str; 5] = [
+        "no-catalog",
+        "old-catalog",
+        "stopping",
+        "link-full",
+        "overloaded",
+    ];
 
     /// Returns the name in logs and metrics.
     pub fn name(self) -> &'static str {
@@ -120,6 +130,7 @@
             Reason::RateLimited { .. } => "rate-limited",
             Reason::Busy { .. } => "busy",
             Reason::LinkFull { .. } => "link-full",
+            Reason::Overloaded => "overloaded",
             Reason::Shed => "shed",
             Reason::Unreachable => "unreachable",
             Reason::Partitioned => "partitioned",
@@ -147,6 +158,7 @@
             | Reason::RateLimited { .. }
             | Reason::Busy { .. }
             | Reason::LinkFull { .. }
+            | Reason::Overloaded
             | Reason::Shed
             | Reason::Unreachable
             | Reason::Partitioned => StatusCode::SERVICE_UNAVAILABLE,
@@ -160,6 +172,7 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             Reason::NoCatalog => Some(STARTING_RETRY_DELAY),
+            Reason::Overloaded => Some(OVERLOADED_RETRY_DELAY),
             Reason::NoBackend => Some(NO_BACKEND_RETRY_DELAY),
             Reason::Suspected { again_in_ms } | Reason::Quarantined { again_in_ms } => {
                 Some(Duration::from_millis(again_in_ms))
@@ -206,6 +219,9 @@
             response.headers_mut().insert(RETRY_AFTER, value);
         }
     }
+    if reason == Reason::Overloaded {
+        close_after(&mut response);
+    }
     response
 }
 
--- a/crates/coursestand-proxy/src/caller_limits.rs
+++ b/crates/coursestand-proxy/src/caller_limits.rs
@@ -58,6 +58,12 @@
         bytes.clamp(MIN_READ_BUFFER_BYTES, MAX_READ_BUFFER_BYTES) as usize
     }
 
+    /// Returns what a connection's read buffer takes at most, in bytes: it grows beyond its size
+    /// before it is full.
+    pub(crate) fn read_buffer_cost(&self) -> usize {
+        self.read_buffer_bytes() * 3 / 2
+    }
+
     /// Returns whether these headers are longer than allowed.
     pub fn exceeds_header_limit(&self, headers: &HeaderMap) -> bool {
         let lines = headers.iter();
--- a/crates/coursestand-proxy/src/caller_stream.rs
+++ b/crates/coursestand-proxy/src/caller_stream.rs
@@ -1,4 +1,5 @@
-//! A caller's connection that tells its idle timer what was read and written.
+//! A caller's connection that tells its idle timer what was read and written, and that reads a
+//! head only as long as there is memory for it.
 
 use std::io;
 use std::pin::Pin;
@@ -9,16 +10,26 @@
 use tokio::net::TcpStream;
 
 use crate::idle_timer::IdleTimer;
+use crate::memory_budget::MemoryBudget;
 
 /// A caller's connection.
 pub(crate) struct CallerStream {
     stream: TcpStream,
     idle_timer: Arc<IdleTimer>,
+    memory: Arc<MemoryBudget>,
 }
 
 impl CallerStream {
-    pub(crate) fn new(stream: TcpStream, idle_timer: Arc<IdleTimer>) -> CallerStream {
-        CallerStream { stream, idle_timer }
+    pub(crate) fn new(
+        stream: TcpStream,
+        idle_timer: Arc<IdleTimer>,
+        memory: Arc<MemoryBudget>,
+    ) -> CallerStream {
+        CallerStream {
+            stream,
+            idle_timer,
+            memory,
+        }
     }
 }
 
@@ -28,10 +39,18 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self
+            .idle_timer
+            .reserve(buffer.remaining(), &self.memory)
+            .is_err()
+        {
+            return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+        }
         let before = buffer.filled().len();
         ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        if buffer.filled().len() > before {
-            self.idle_timer.note_read();
+        let bytes = buffer.filled().len() - before;
+        if bytes > 0 {
+            self.idle_timer.note_read(bytes);
         }
         Poll::Ready(Ok(()))
     }
--- a/crates/coursestand-proxy/src/discard.rs
+++ b/crates/coursestand-proxy/src/discard.rs
@@ -19,7 +19,8 @@
 const MAX_READ_TIME: Duration = Duration::from_secs(1);
 
 /// Reads the body of a refused request in a background task and discards it.
-pub(crate) fn discard(body: CallerBody) {
+pub(crate) fn discard(mut body: CallerBody) {
+    drop(body.take_memory());
     if !body.is_end_stream() {
         tokio::spawn(timeout(MAX_READ_TIME, drain(body)));
     }
--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -18,6 +18,7 @@
 use crate::collect::{Collected, MAX_BUFFERED_BYTES, collect};
 use crate::connect_times::connect_failure;
 use crate::headers::{strip_connection_headers, text_of};
+use crate::memory_budget::{MemoryKind, MemoryPermit, NoRoom, STREAM_BYTES};
 use crate::phases::{AttemptEnding, AttemptFailure, Attempts, SilentConnection, Target};
 use crate::pool::{Connection, RequestBody};
 use crate::response_metadata::ResponseMetadata;
@@ -30,6 +31,27 @@
 /// Time for an answer to arrive that the back end sent at the deadline.
 pub(super) const ANSWER_GRACE: Duration = Duration::from_millis(80);
 
+/// What has been read of an answer's body.
+pub(super) enum CollectedAnswer {
+    /// The complete body.
+    Complete(Bytes),
+    /// Its first parts; the remaining stream follows.
+    Partial {
+        first: [Bytes; 2],
+        rest: Incoming,
+        memory: MemoryPermit,
+    },
+}
+
+/// Why the body of an answer was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LostBody {
+    /// The connection broke.
+    Broken,
+    /// There was no memory for it.
+    NoRoom,
+}
+
 /// Result of sending a request on a connection.
 type SendOutcome = Result<Response<Incoming>, TrySendError<Request<RequestBody>>>;
 
@@ -74,7 +96,8 @@
         }
         let collected = match self.collect_answer(prepared, &head.headers, body).await {
             Ok(Ok(collected)) => collected,
-            Ok(Err(_)) => {
+            Ok(Err(LostBody::NoRoom)) => return Err(failure(AttemptFailure::Lost)),
+            Ok(Err(LostBody::Broken)) => {
                 return Err(FailedAttempt {
                     is_broken: true,
                     ..failure(AttemptFailure::Lost)
@@ -85,7 +108,7 @@
         let mut headers = head.headers;
         strip_connection_headers(&mut headers);
         let body = match collected {
-            Collected::Complete(bytes) => {
+            CollectedAnswer::Complete(bytes) => {
                 connection.answer_completed();
                 if !metadata.closes {
                     let pool = Arc::clone(&self.pool);
@@ -97,9 +120,13 @@
                 }
                 Either::Left(Full::new(bytes))
             }
-            Collected::Partial(first, rest) => {
+            CollectedAnswer::Partial {
+                first,
+                rest,
+                memory,
+            } => {
                 let ends_at = prepared.deadline.latest + ANSWER_GRACE;
-                Either::Right(StreamedBody::new(first, rest, connection, ends_at))
+                Either::Right(StreamedBody::new(first, rest, connection, ends_at, memory))
             }
         };
         let received = BackendResponse {
@@ -129,15 +156,37 @@
         &self,
         prepared: &PreparedRequest,
         headers: &HeaderMap,
-        body: Incoming,
-    ) -> Result<hyper::Result<Collected<Incoming>>, Elapsed> {
+        mut body: Incoming,
+    ) -> Result<Result<CollectedAnswer, LostBody>, Elapsed> {
         let length: Option<usize> =
             text_of(headers, &CONTENT_LENGTH).and_then(|text| text.parse().ok());
         if length.is_some_and(|length| length > MAX_BUFFERED_BYTES) {
-            return Ok(Ok(Collected::Partial(Bytes::new(), body)));
+            return Ok(self.stream_answer([Bytes::new(), Bytes::new()], body));
+        }
+        let permit = self.memory.hold(MemoryKind::Answer);
+        // Leaves room for the answer to be streamed.
+        let collecting = collect(&mut body, MAX_BUFFERED_BYTES, permit, STREAM_BYTES);
+        Ok(match self.within_deadline(prepared, collecting).await? {
+            Ok(Collected::Complete(bytes)) => Ok(CollectedAnswer::Complete(bytes)),
+            Ok(Collected::Partial(first)) => self.stream_answer([first, Bytes::new()], body),
+            Ok(Collected::NoRoom(first)) => self.stream_answer(first, body),
+            Err(_) => Err(LostBody::Broken),
+        })
+    }
+
+    fn stream_answer(
+        &self,
+        first: [Bytes; 2],
+        rest: Incoming,
+    ) -> Result<CollectedAnswer, LostBody> {
+        match self.memory.stream() {
+            Ok(memory) => Ok(CollectedAnswer::Partial {
+                first,
+                rest,
+                memory,
+            }),
+            Err(NoRoom) => Err(LostBody::NoRoom),
         }
-        self.within_deadline(prepared, collect(body, MAX_BUFFERED_BYTES))
-            .await
     }
 
     /// Applies and counts the signals of a back end in the head of an answer.
--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -21,6 +21,7 @@
 use crate::headers::{millis_of, size_of, strip_connection_headers, text_of};
 use crate::link_gate::{LinkGate, LinkPermit};
 use crate::link_watch::LinkWatch;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::ProxyMetrics;
 use crate::phases::{
     AttemptEnding, AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target,
@@ -31,6 +32,7 @@
 use crate::request_log::{OUTCOME_SERVED, RequestLog};
 use crate::retry::{RetryDenial, RetryVerdict};
 use crate::unread_headers::UnreadHeaders;
+use coursestand_kernel::memory_limit_bytes;
 use coursestand_model::Millis;
 use coursestand_routing::BackendReport;
 use coursestand_routing::fatal_requests::COMMON_CAUSE_MS;
@@ -69,6 +71,7 @@
     answer_times: AnswerTimes,
     crash_detector: Arc<CrashDetector>,
     limits: SharedLimits,
+    memory: Arc<MemoryBudget>,
     unread_headers: UnreadHeaders,
     /// When the process ends, if a planned stop has begun.
     stops_at: OnceLock<Instant>,
@@ -239,6 +242,7 @@
             phases,
             names,
             pool,
+            memory: MemoryBudget::new(memory_limit_bytes(None), metrics.clone()),
             metrics,
             gate: Arc::new(LinkGate::default()),
             link: Arc::default(),
@@ -252,6 +256,19 @@
         }
     }
 
+    /// Lets the process use at most `memory_bytes`, also if the system allows more.
+    pub fn with_memory(self, memory_bytes: u64) -> Exchange {
+        Exchange {
+            memory: MemoryBudget::new(memory_bytes, self.metrics.clone()),
+            ..self
+        }
+    }
+
+    /// Returns the account of what is kept for connections.
+    pub fn memory(&self) -> &Arc<MemoryBudget> {
+        &self.memory
+    }
+
     /// Announces that a planned stop has begun and the process ends at `end`. A request that
     /// arrives after this call is abandoned before `end`, so that none is cut off.
     pub fn set_stop_time(&self, end: Instant) {
@@ -374,8 +391,10 @@
                 return Err(reason);
             }
         };
-        let max_bytes = self.limits.get().body_bytes;
-        let body = PreparedBody::read(&parts.headers, body, max_bytes, deadline.usual).await?;
+        let limits = self.limits.get();
+        let reading =
+            PreparedBody::read(&parts.headers, body, &limits, deadline.usual, &self.memory);
+        let body = reading.await?;
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(&self.names.deadline);
         parts.headers.remove(&self.names.target_instance);
--- a/crates/coursestand-proxy/src/exchange/relay.rs
+++ b/crates/coursestand-proxy/src/exchange/relay.rs
@@ -10,10 +10,9 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use super::attempt::ANSWER_GRACE;
+use super::attempt::{ANSWER_GRACE, CollectedAnswer};
 use super::{BackendResponse, Exchange, LOG, PreparedRequest};
 use crate::answer::{AnswerBody, Reason, local_response};
-use crate::collect::Collected;
 use crate::discard::discard;
 use crate::guarded_body::CallerBody;
 use crate::headers::{closes_connection, keep_alive_of, strip_connection_headers};
@@ -285,7 +284,7 @@
         let keep_alive = keep_alive_of(&head.headers);
         strip_connection_headers(&mut head.headers);
         let body = match collected {
-            Collected::Complete(bytes) => {
+            CollectedAnswer::Complete(bytes) => {
                 connection.answer_completed();
                 if keeps_open {
                     let pool = Arc::clone(&relay.pool);
@@ -293,9 +292,13 @@
                 }
                 Either::Left(Full::new(bytes))
             }
-            Collected::Partial(first, rest) => {
+            CollectedAnswer::Partial {
+                first,
+                rest,
+                memory,
+            } => {
                 let ends_at = prepared.deadline.latest + ANSWER_GRACE;
-                Either::Right(StreamedBody::new(first, rest, connection, ends_at))
+                Either::Right(StreamedBody::new(first, rest, connection, ends_at, memory))
             }
         };
         let response = Box::new(BackendResponse {
--- a/crates/coursestand-proxy/src/guarded_body.rs
+++ b/crates/coursestand-proxy/src/guarded_body.rs
@@ -7,11 +7,14 @@
 
 use crate::answer::AnswerBody;
 use crate::idle_timer::BusyGuard;
+use crate::memory_budget::MemoryPermit;
 
 /// A body that is part of a request in progress until it is dropped.
 pub struct GuardedBody<B> {
     body: B,
     _busy: BusyGuard,
+    /// What is kept of the head.
+    memory: Option<MemoryPermit>,
 }
 
 /// The body of a caller's request.
@@ -21,7 +24,21 @@
 
 impl<B> GuardedBody<B> {
     pub(crate) fn new(body: B, busy: BusyGuard) -> GuardedBody<B> {
-        GuardedBody { body, _busy: busy }
+        GuardedBody {
+            body,
+            _busy: busy,
+            memory: None,
+        }
+    }
+
+    /// Adds the permit for what is kept of the head.
+    pub(crate) fn with_memory(self, memory: Option<MemoryPermit>) -> GuardedBody<B> {
+        GuardedBody { memory, ..self }
+    }
+
+    /// Takes the permit for what is kept of the head, if it is more than usual.
+    pub(crate) fn take_memory(&mut self) -> Option<MemoryPermit> {
+        self.memory.take()
     }
 }
 
--- a/crates/coursestand-proxy/src/idle_timer.rs
+++ b/crates/coursestand-proxy/src/idle_timer.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::caller_limits::{CallerLimits, SharedLimits};
+use crate::memory_budget::{FREE_BYTES, MemoryBudget, MemoryKind, MemoryPermit, NoRoom};
 
 /// Time for which a connection is read on after the time for its head is over. After a suspension
 /// of the process, the rest of the head may lie in the socket.
@@ -28,12 +29,20 @@
     /// Parts of requests in progress: reading the body, finding the answer, writing it.
     parts: u32,
     since: Instant,
-    /// When the first bytes of a head were read, if it is incomplete.
-    head_began_at: Option<Instant>,
+    /// The head that has begun, if any.
+    head: Option<PartialHead>,
     /// Whether the connection is to be closed to make room for another one.
     is_close_requested: bool,
 }
 
+/// A head that is incomplete.
+struct PartialHead {
+    began_at: Instant,
+    bytes: usize,
+    /// For the buffer that holds it, if that is larger than usual.
+    memory: Option<MemoryPermit>,
+}
+
 /// Part of a request in progress. Dropping the last one restarts the idle timer.
 pub(crate) struct BusyGuard(Arc<IdleTimer>);
 
@@ -43,7 +52,7 @@
             state: Mutex::new(State {
                 parts: 0,
                 since: Instant::now(),
-                head_began_at: None,
+                head: None,
                 is_close_requested: false,
             }),
             is_write_blocked: AtomicBool::new(false),
@@ -74,20 +83,51 @@
     }
 
     /// Begins a request, whose head is complete. Stops the idle timer until the returned guard
-    /// and those for other parts of the request are dropped.
-    pub(crate) fn begin_request(self: &Arc<Self>) -> BusyGuard {
+    /// and those for other parts of the request are dropped. Returns the permit for the head too,
+    /// if it needs one.
+    pub(crate) fn begin_request(self: &Arc<Self>) -> (BusyGuard, Option<MemoryPermit>) {
         let mut state = self.state();
         state.parts += 1;
-        state.head_began_at = None;
-        BusyGuard(Arc::clone(self))
+        let head = state.head.take();
+        let memory = head.and_then(|head| head.memory);
+        (BusyGuard(Arc::clone(self)), memory)
+    }
+
+    /// Reserves memory to read on, into a buffer that has room for `spare` bytes more.
+    pub(crate) fn reserve(&self, spare: usize, budget: &Arc<MemoryBudget>) -> Result<(), NoRoom> {
+        let mut state = self.state();
+        let Some(head) = &mut state.head else {
+            return Ok(());
+        };
+        let capacity = head.bytes + spare;
+        if capacity <= FREE_BYTES {
+            return Ok(());
+        }
+        let memory = &mut head.memory;
+        memory
+            .get_or_insert_with(|| budget.receive(MemoryKind::Head, head.began_at))
+            .resize(capacity)
     }
 
-    /// Records that bytes were read. Between requests they are those of a head.
-    pub(crate) fn note_read(&self) {
+    /// Records that `bytes` were read. Between requests they are those of a head.
+    pub(crate) fn note_read(&self, bytes: usize) {
         let mut state = self.state();
-        if state.parts == 0 && state.head_began_at.is_none() {
-            state.head_began_at = Some(Instant::now());
+        if state.parts > 0 {
+            return;
         }
+        let head = state.head.get_or_insert_with(|| PartialHead {
+            began_at: Instant::now(),
+            bytes: 0,
+            memory: None,
+        });
+        head.bytes += bytes;
+    }
+
+    /// Polls for the eviction of a head for lack of memory.
+    fn poll_evicted(&self, context: &mut Context<'_>) -> Poll<()> {
+        let state = self.state();
+        let memory = state.head.as_ref().and_then(|head| head.memory.as_ref());
+        memory.map_or(Poll::Pending, |memory| memory.poll_evicted(context))
     }
 
     /// Records whether the caller has yet to read before more can be written.
@@ -114,7 +154,7 @@
 pub(crate) enum Expired {
     /// It has been idle for too long, or is to be closed.
     Idle,
-    /// It has nothing but a head that did not end in time.
+    /// It has nothing but a head that did not end in time, or that there is no memory for.
     StoppedHead,
 }
 
@@ -153,8 +193,8 @@
             return None;
         }
         let head_time = limits.header;
-        match (state.head_began_at, self.closing_since) {
-            (Some(began_at), _) => Some((began_at + head_time, Expired::StoppedHead)),
+        match (&state.head, self.closing_since) {
+            (Some(head), _) => Some((head.began_at + head_time, Expired::StoppedHead)),
             (None, None) => Some((state.since + limits.idle, Expired::Idle)),
             // Bytes that were read along with an earlier request may be the beginning of a head.
             (None, Some(closing_since)) => Some((
@@ -171,6 +211,9 @@
     /// Polls for the end of the connection's time. To be polled after the connection itself.
     pub(crate) fn poll(&mut self, context: &mut Context<'_>) -> Poll<Expired> {
         self.timer.close_requested.register(context.waker());
+        if self.timer.poll_evicted(context).is_ready() {
+            return Poll::Ready(Expired::StoppedHead);
+        }
         loop {
             if self.is_close_requested() {
                 return Poll::Ready(Expired::Idle);
--- a/crates/coursestand-proxy/src/lib.rs
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -22,6 +22,7 @@
 mod idle_timer;
 pub mod link_gate;
 pub mod link_watch;
+pub mod memory_budget;
 pub mod metrics;
 mod open_request;
 mod path_probing;
--- a/crates/coursestand-proxy/src/metrics.rs
+++ b/crates/coursestand-proxy/src/metrics.rs
@@ -1,8 +1,11 @@
 //! Counters and latencies of the request path.
 
 use coursestand_model::ServiceId;
-use prometheus::{Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry};
+use prometheus::{
+    Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+};
 
+use crate::memory_budget::MemoryKind;
 use crate::retry::RetryVerdict;
 use crate::unread_headers::OTHER;
 
@@ -33,6 +36,11 @@
     pub relays: IntCounterVec,
     /// Requests that other daemons relayed to this one, by outcome.
     pub relayed: IntCounterVec,
+    /// Bytes that are kept for connections, by what they are kept for.
+    pub memory_bytes: IntGaugeVec,
+    /// Requests, bodies and answers for which there was no memory, by whether they were `evicted`
+    /// while they were received, or `refused`.
+    pub memory_refusals: IntCounterVec,
     /// Requests in flight.
     pub in_flight: IntGauge,
     /// Seconds that requests were queued before they were read, as far as it is known.
@@ -113,6 +121,20 @@
                 ),
                 &["outcome"],
             )?,
+            memory_bytes: IntGaugeVec::new(
+                Opts::new(
+                    "coursestand_kept_bytes",
+                    "Bytes that are kept for connections, by what they are kept for",
+                ),
+                &["kind"],
+            )?,
+            memory_refusals: IntCounterVec::new(
+                Opts::new(
+                    "coursestand_memory_refusals_total",
+                    "Requests, bodies and answers for which there was no memory",
+                ),
+                &["outcome"],
+            )?,
             in_flight: IntGauge::new("coursestand_requests_in_flight", "Requests in flight")?,
             waited: Histogram::with_opts(HistogramOpts::new(
                 "coursestand_request_waited_seconds",
@@ -133,6 +155,13 @@
         metrics.backend_signals.with_label_values(&["rate-limit"]);
         metrics.relays.with_label_values(&["forwarded"]);
         metrics.relayed.with_label_values(&["forwarded"]);
+        for kind in MemoryKind::ALL {
+            metrics.memory_bytes.with_label_values(&[kind.name()]);
+        }
+        metrics.memory_refusals.with_label_values(&["evicted"]);
+        metrics.memory_refusals.with_label_values(&["refused"]);
+        registry.register(Box::new(metrics.memory_bytes.clone()))?;
+        registry.register(Box::new(metrics.memory_refusals.clone()))?;
         registry.register(Box::new(metrics.relays.clone()))?;
         registry.register(Box::new(metrics.relayed.clone()))?;
         registry.register(Box::new(metrics.requests.clone()))?;
--- a/crates/coursestand-proxy/src/server.rs
+++ b/crates/coursestand-proxy/src/server.rs
@@ -73,12 +73,13 @@
 
 impl ProxyServer {
     /// Listens on `address` and answers with `exchange`. Caller connections may take half of
-    /// the descriptors of the process.
+    /// the descriptors and a quarter of the memory of the process.
     pub async fn start(
         address: SocketAddr,
         exchange: Arc<Exchange>,
     ) -> Result<ProxyServer, ListenError> {
-        ProxyServer::start_bounded(address, exchange, max_connections_by_descriptors()).await
+        let max_connections = max_connections(&exchange);
+        ProxyServer::start_bounded(address, exchange, max_connections).await
     }
 
     /// Listens on `address` for requests that other daemons relay, and answers with `exchange`.
@@ -86,7 +87,7 @@
         address: SocketAddr,
         exchange: Arc<Exchange>,
     ) -> Result<ProxyServer, ListenError> {
-        let max_connections = max_connections_by_descriptors() / RELAY_CONNECTIONS_DIVISOR;
+        let max_connections = max_connections(&exchange) / RELAY_CONNECTIONS_DIVISOR;
         ProxyServer::listen(address, exchange, max_connections, Peers::Daemons).await
     }
 
@@ -162,6 +163,12 @@
     }
 }
 
+/// Returns the maximum number of caller connections, by the descriptors and the memory of the
+/// process.
+fn max_connections(exchange: &Exchange) -> usize {
+    max_connections_by_descriptors().min(exchange.memory().max_connections())
+}
+
 /// Accepts connections.
 struct Acceptor {
     listener: TcpListener,
@@ -232,16 +239,20 @@
     }
     let response_mode = mode.clone();
     let idle_timer = Arc::clone(&guard.idle_timer);
-    let stream = CallerStream::new(stream, Arc::clone(&idle_timer));
+    let stream = CallerStream::new(
+        stream,
+        Arc::clone(&idle_timer),
+        Arc::clone(exchange.memory()),
+    );
     let service_state = (Arc::clone(&exchange), Arc::clone(&idle_timer));
     let service = service_fn(move |request: Request<Incoming>| {
         let (exchange, idle_timer) = service_state.clone();
         let mode = response_mode.clone();
         async move {
-            let busy = idle_timer.begin_request();
+            let (busy, memory) = idle_timer.begin_request();
             let body_busy = busy.another();
             let request: Request<CallerBody> =
-                request.map(|body| GuardedBody::new(body, body_busy));
+                request.map(|body| GuardedBody::new(body, body_busy).with_memory(memory));
             // Yields so that the connection is read once more before anything is forwarded: if
             // the caller closed the connection while the daemon was suspended, the close
             // follows the request in the socket buffer, and no back end then works on a
--- a/crates/coursestand-proxy/src/streamed_body.rs
+++ b/crates/coursestand-proxy/src/streamed_body.rs
@@ -1,5 +1,6 @@
 //! Streams a back end's answer that is too long to be buffered.
 
+use std::collections::VecDeque;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 
@@ -8,6 +9,7 @@
 use snafu::Snafu;
 use tokio::time::{Instant, Sleep, sleep_until};
 
+use crate::memory_budget::MemoryPermit;
 use crate::pool::Connection;
 
 /// Error that aborts an answer.
@@ -27,28 +29,31 @@
 /// Body of a long answer. An incomplete answer aborts the caller's connection, so that it
 /// never looks complete.
 pub struct StreamedBody {
-    first: Option<Bytes>,
+    first: VecDeque<Bytes>,
     rest: Incoming,
     /// Ends an answer without end.
     time_limit: Pin<Box<Sleep>>,
     /// Closed together with the body: its state after a long answer is not checked.
     connection: Connection,
+    _memory: MemoryPermit,
 }
 
 impl StreamedBody {
     /// Creates a body of which `first` has been read on `connection`, and which has to end by
-    /// `ends_at`.
+    /// `ends_at`. Its buffers are charged to `memory`.
     pub(crate) fn new(
-        first: Bytes,
+        first: impl IntoIterator<Item = Bytes>,
         rest: Incoming,
         connection: Connection,
         ends_at: Instant,
+        memory: MemoryPermit,
     ) -> StreamedBody {
         StreamedBody {
-            first: Some(first),
+            first: first.into_iter().filter(|part| !part.is_empty()).collect(),
             rest,
             time_limit: Box::pin(sleep_until(ends_at)),
             connection,
+            _memory: memory,
         }
     }
 }
@@ -61,9 +66,7 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
-        if let Some(first) = self.first.take()
-            && !first.is_empty()
-        {
+        if let Some(first) = self.first.pop_front() {
             return Poll::Ready(Some(Ok(Frame::data(first))));
         }
         if self.time_limit.as_mut().poll(context).is_ready() {
@@ -77,7 +80,7 @@
     }
 
     fn size_hint(&self) -> SizeHint {
-        let first_length = self.first.as_ref().map_or(0, Bytes::len) as u64;
+        let first_length = self.first.iter().map(Bytes::len).sum::<usize>() as u64;
         let mut hint = self.rest.size_hint();
         if let Some(exact) = hint.exact() {
             hint.set_exact(exact + first_length);
--- a/crates/coursestand-proxy/src/streamed_request_body.rs
+++ b/crates/coursestand-proxy/src/streamed_request_body.rs
@@ -8,6 +8,7 @@
 use snafu::Snafu;
 
 use crate::guarded_body::CallerBody;
+use crate::memory_budget::MemoryPermit;
 
 /// Error that aborts a request body.
 #[derive(Debug, Snafu)]
@@ -29,15 +30,23 @@
     rest: CallerBody,
     /// Bytes that may still be received.
     bytes_left: u64,
+    _memory: MemoryPermit,
 }
 
 impl StreamedRequestBody {
-    /// Creates a body of at most `max_bytes` bytes, of which `first` has been read.
-    pub fn new(first: Bytes, rest: CallerBody, max_bytes: u64) -> StreamedRequestBody {
+    /// Creates a body of at most `max_bytes` bytes, of which `first` has been read. Its buffers are
+    /// charged to `memory`.
+    pub(crate) fn new(
+        first: Bytes,
+        rest: CallerBody,
+        max_bytes: u64,
+        memory: MemoryPermit,
+    ) -> StreamedRequestBody {
         StreamedRequestBody {
             first: (!first.is_empty()).then_some(first),
             rest,
             bytes_left: max_bytes,
+            _memory: memory,
         }
     }
 
