Let heads that stop make room for new connections

At the bound on connections, those that have been idle longest are closed. A crowd whose heads had stopped was asked to go too, but kept its places until the header timeout, so that new callers waited that long. A connection that is to make room now has 100 ms for a head that has begun.

Before, with four places and eight such callers, a ninth got no answer within 10 s (header timeout of an hour); now it is answered.

--- a/crates/coursestand-proxy/src/caller_connections.rs
+++ b/crates/coursestand-proxy/src/caller_connections.rs
@@ -179,7 +179,7 @@
         idle.sort_by_key(|(since, _)| *since);
         let count = (self.max_connections / EVICTION_DIVISOR).max(1);
         for (_, idle_timer) in idle.into_iter().take(count) {
-            idle_timer.request_close();
+            idle_timer.evict();
         }
     }
 }
--- a/crates/coursestand-proxy/src/idle_timer.rs
+++ b/crates/coursestand-proxy/src/idle_timer.rs
@@ -16,6 +16,9 @@
 /// of the process, the rest of the head may lie in the socket.
 const READING_GRACE: Duration = Duration::from_millis(100);
 
+/// Time for a head on a connection that is to make room for another one.
+const EVICTED_HEAD_TIME: Duration = Duration::from_millis(100);
+
 /// Idle timer of one connection. A request stops it from the end of its headers until its answer
 /// has been passed to the connection and its body has been read.
 pub(crate) struct IdleTimer {
@@ -31,8 +34,10 @@
     since: Instant,
     /// The head that has begun, if any.
     head: Option<PartialHead>,
-    /// Whether the connection is to be closed to make room for another one.
+    /// Whether the connection is to be closed after its request.
     is_close_requested: bool,
+    /// Whether it is to be closed to make room for another one.
+    is_evicted: bool,
 }
 
 /// A head that is incomplete.
@@ -54,6 +59,7 @@
                 since: Instant::now(),
                 head: None,
                 is_close_requested: false,
+                is_evicted: false,
             }),
             is_write_blocked: AtomicBool::new(false),
             close_requested: AtomicWaker::new(),
@@ -142,11 +148,18 @@
         (state.parts == 0 && !state.is_close_requested).then_some(state.since)
     }
 
-    /// Asks for the connection to be closed to make room for another one.
+    /// Asks for the connection to be closed after its request.
     pub(crate) fn request_close(&self) {
         self.state().is_close_requested = true;
         self.close_requested.wake();
     }
+
+    /// Asks for the connection to be closed to make room for another one. A head that has begun
+    /// gets little time.
+    pub(crate) fn evict(&self) {
+        self.state().is_evicted = true;
+        self.request_close();
+    }
 }
 
 /// Why the time of a connection is over.
@@ -192,7 +205,10 @@
         if state.parts > 0 || self.timer.is_write_blocked.load(Ordering::Relaxed) {
             return None;
         }
-        let head_time = limits.header;
+        let head_time = match state.is_evicted {
+            true => limits.header.min(EVICTED_HEAD_TIME),
+            false => limits.header,
+        };
         match (&state.head, self.closing_since) {
             (Some(head), _) => Some((head.began_at + head_time, Expired::StoppedHead)),
             (None, None) => Some((state.since + limits.idle, Expired::Idle)),
--- a/crates/coursestand-proxy/tests/stopped_heads.rs
+++ b/crates/coursestand-proxy/tests/stopped_heads.rs
@@ -3,11 +3,13 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use common::{Answer, Caller, Edge, RouteSettings};
 use coursestand_lab::scripted::Behaviour;
+use coursestand_proxy::ProxyServer;
 use coursestand_proxy::caller_limits::CallerLimits;
 use googletest::prelude::*;
 use tokio::io::AsyncWriteExt;
@@ -113,6 +115,27 @@
     expect_that!(timeout(WAIT, edge.server.close()).await, ok(anything()));
 }
 
+/// Guards against a crowd of heads that stop, which takes all connections until the header timeout.
+#[gtest]
+#[tokio::test]
+async fn heads_that_stop_make_room_for_new_connections() {
+    let edge = edge_with(LONG, LONG, GOOD).await;
+    let address = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = ProxyServer::start_bounded(address, Arc::clone(&edge.exchange), 4).await;
+    let edge = Edge {
+        server: Arc::new(server.expect("a server")),
+        ..edge
+    };
+    let mut stopped = Vec::new();
+    for _ in 0..8 {
+        let mut stream = connect(&edge).await;
+        stream.write_all(b"GET /safe/a").await.expect("sent");
+        stopped.push(stream);
+    }
+    let answer = timeout(WAIT, edge.request("/safe/a", "r1")).await;
+    expect_that!(answer.map(|answer| answer.status).ok(), some(eq(200)));
+}
+
 /// Guards against a header timeout that cuts callers off who are slow, but in time; and against
 /// one that counts the time between two requests.
 #[gtest]
