Leave room for requests besides answers that nobody reads

Answers are charged until their callers have read them and are never given up, so callers that don't read could fill the account and have every larger request refused.

Before, `answers_leave_room_for_requests_and_streams` had no bound to find: an account took answers up to its whole capacity.

--- a/crates/coursestand-proxy/src/memory_budget.rs
+++ b/crates/coursestand-proxy/src/memory_budget.rs
@@ -28,6 +28,9 @@
 /// Part of the process's memory that the charged bytes may take, and part that the caller
 /// connections may take.
 const MEMORY_DIVISOR: u64 = 4;
+/// Part of the capacity that answers may take, so that callers that don't read theirs leave room for
+/// requests and streams.
+const ANSWERS_DIVISOR: usize = 2;
 /// Smallest capacity in bytes.
 const MIN_CAPACITY: u64 = 4 * 1024 * 1024;
 /// Shortest time between two log lines on evictions.
@@ -92,6 +95,8 @@
     held: usize,
     /// The part of `held` that requests in reception hold.
     evictable: usize,
+    /// The part of `held` that answers hold.
+    answers: usize,
     next: u64,
     receptions: BTreeMap<ReceptionKey, Reception>,
     logged_at: Option<Instant>,
@@ -169,6 +174,17 @@
         Ok(permit)
     }
 
+    /// Returns how many bytes of this kind fit without an eviction.
+    fn room(&self, account: &Account, kind: MemoryKind) -> usize {
+        let room = self.capacity - account.held;
+        match kind {
+            MemoryKind::Answer => {
+                room.min((self.capacity / ANSWERS_DIVISOR).saturating_sub(account.answers))
+            }
+            _ => room,
+        }
+    }
+
     /// Evicts the oldest requests in reception, but not that with `key`, until `bytes` fit.
     fn make_room(
         &self,
@@ -266,7 +282,7 @@
         let more = bytes.saturating_sub(self.bytes);
         match &self.reception {
             Some(receiving) => budget.make_room(&mut account, more, receiving.key)?,
-            None if budget.capacity - account.held < more => return Err(NoRoom),
+            None if budget.room(&account, self.kind) < more => return Err(NoRoom),
             None => {}
         }
         self.charge(&mut account, bytes);
@@ -275,6 +291,9 @@
 
     fn charge(&mut self, account: &mut Account, bytes: usize) {
         account.held = account.held - self.bytes + bytes;
+        if self.kind == MemoryKind::Answer {
+            account.answers = account.answers - self.bytes + bytes;
+        }
         self.budget.gauge(self.kind, bytes, self.bytes);
         self.bytes = bytes;
         let Some(receiving) = &mut self.reception else {
@@ -349,6 +368,9 @@
         }
         self.end_reception(&mut account);
         account.held -= self.bytes;
+        if self.kind == MemoryKind::Answer {
+            account.answers -= self.bytes;
+        }
         budget.gauge(self.kind, 0, self.bytes);
     }
 }
--- a/crates/coursestand-proxy/tests/memory_budget.rs
+++ b/crates/coursestand-proxy/tests/memory_budget.rs
@@ -94,6 +94,20 @@
     expect_that!(received.is_evicted(), eq(false));
 }
 
+/// Guards against callers that don't read their answers and leave no room for requests.
+#[gtest]
+fn answers_leave_room_for_requests_and_streams() {
+    let budget = budget();
+    let mut answers = budget.hold(MemoryKind::Answer);
+    answers.resize(4 * MEBIBYTE).expect("room");
+    let mut more = budget.hold(MemoryKind::Answer);
+    expect_that!(more.resize(1), err(anything()));
+    expect_that!(budget.stream().is_ok(), eq(true));
+    let _received = receive(&budget, Duration::ZERO, 3 * MEBIBYTE);
+    drop(answers);
+    expect_that!(more.resize(4 * MEBIBYTE), ok(anything()));
+}
+
 /// Guards against metrics that drift from what is held.
 #[gtest]
 fn the_metrics_show_what_is_held_and_evicted() {
