--- a/crates/coursestand-daemon/src/fleet/edge_service.rs
+++ b/crates/coursestand-daemon/src/fleet/edge_service.rs
@@ -35,6 +35,7 @@
 use crate::fleet::control_api::lookup_ttl;
 use crate::fleet::edge_follower::{EdgeFollower, HAND_OVER_MS};
 use crate::fleet::follower_metrics::FollowerMetrics;
+use crate::fleet::memory::process_memory_bytes;
 use crate::fleet::metrics::EdgeMetrics;
 use crate::names;
 
@@ -270,12 +271,14 @@
         let state = Arc::new(self.state());
         let pool = Arc::new(Pool::default());
         let metrics = ProxyMetrics::new(registry.metrics()).map_err(|error| failed(&error))?;
-        let exchange = Arc::new(Exchange::new(
+        let memory_bytes = process_memory_bytes(&self.settings);
+        let exchange = Exchange::new(
             Arc::new(Router::new(Arc::clone(&state))),
             self.dialect.header_names(),
             Arc::clone(&pool),
             metrics,
-        ));
+        );
+        let exchange = Arc::new(exchange.with_memory(memory_bytes));
         if let Some(link_mbps) = self.settings.link_mbps {
             exchange.gate().set_speed(link_mbps);
         }
--- a/crates/coursestand-proxy/src/exchange/mod.rs
+++ b/crates/coursestand-proxy/src/exchange/mod.rs
@@ -7,7 +7,7 @@
 use http::header::{CONTENT_LENGTH, HOST, HeaderValue};
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
-use hyper::body::{Body, Incoming};
+use hyper::body::Body;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::answer::{AnswerBody, Reason, forwarded_response, local_response};
@@ -16,10 +16,12 @@
 use crate::connect_times::ConnectTimes;
 use crate::crash_detector::CrashDetector;
 use crate::discard::discard;
+use crate::guarded_body::CallerBody;
 use crate::header_names::HeaderNames;
 use crate::headers::{millis_of, size_of, strip_connection_headers, text_of};
 use crate::link_gate::{LinkGate, LinkPermit};
 use crate::link_watch::LinkWatch;
+use crate::memory_budget::MemoryBudget;
 use crate::metrics::ProxyMetrics;
 use crate::phases::{
     AttemptEnding, AttemptFailure, Attempts, Matched, RequestHead, RequestPhases, Target,
@@ -30,6 +32,7 @@
 use crate::request_log::{OUTCOME_SERVED, RequestLog};
 use crate::retry::{RetryDenial, RetryVerdict};
 use crate::unread_headers::UnreadHeaders;
+use coursestand_kernel::memory_limit_bytes;
 use coursestand_model::Millis;
 use coursestand_routing::BackendReport;
 use coursestand_routing::fatal_requests::COMMON_CAUSE_MS;
@@ -68,6 +71,7 @@
     answer_times: AnswerTimes,
     crash_detector: Arc<CrashDetector>,
     limits: SharedLimits,
+    memory: Arc<MemoryBudget>,
     unread_headers: UnreadHeaders,
     /// The planned stop, if it has begun.
     stop: OnceLock<PlannedStop>,
@@ -248,6 +252,7 @@
             phases,
             names,
             pool,
+            memory: MemoryBudget::new(memory_limit_bytes(None), metrics.clone()),
             metrics,
             gate: Arc::new(LinkGate::default()),
             link: Arc::default(),
@@ -261,6 +266,19 @@
         }
     }
 
+    /// Lets the process use at most `memory_bytes`, also if the system allows more.
+    pub fn with_memory(self, memory_bytes: u64) -> Exchange {
+        Exchange {
+            memory: MemoryBudget::new(memory_bytes, self.metrics.clone()),
+            ..self
+        }
+    }
+
+    /// Returns the account of what is kept for connections.
+    pub fn memory(&self) -> &Arc<MemoryBudget> {
+        &self.memory
+    }
+
     /// Announces that a planned stop has begun. A request that arrives after this call is
     /// abandoned before the end of the stop, so that none is cut off.
     pub fn begin_stop(&self, stop: PlannedStop) {
@@ -341,7 +359,7 @@
     }
 
     /// Answers one request. Dropping the future aborts the attempt in flight.
-    pub async fn serve(&self, mut request: Request<Incoming>) -> Response<AnswerBody> {
+    pub async fn serve(&self, mut request: Request<CallerBody>) -> Response<AnswerBody> {
         RelayedRequest::remove(request.headers_mut());
         let (response, _) = self.answer(request, None).await;
         response
@@ -351,7 +369,7 @@
     /// answer why this daemon generated it, if it did.
     async fn answer(
         &self,
-        request: Request<Incoming>,
+        request: Request<CallerBody>,
         relayed: Option<RelayedRequest>,
     ) -> (Response<AnswerBody>, Result<(), Reason>) {
         let arrival = Arrival {
@@ -382,7 +400,7 @@
 
     async fn prepare(
         &self,
-        request: Request<Incoming>,
+        request: Request<CallerBody>,
         arrival: Arrival,
         relayed: Option<RelayedRequest>,
     ) -> Result<PreparedRequest, Reason> {
@@ -395,8 +413,10 @@
                 return Err(reason);
             }
         };
-        let max_bytes = self.limits.get().body_bytes;
-        let body = PreparedBody::read(&parts.headers, body, max_bytes, deadline.usual).await?;
+        let limits = self.limits.get();
+        let reading =
+            PreparedBody::read(&parts.headers, body, &limits, deadline.usual, &self.memory);
+        let body = reading.await?;
         self.refuse_late(deadline)?;
         strip_connection_headers(&mut parts.headers);
         parts.headers.remove(&self.names.deadline);
@@ -424,7 +444,7 @@
     fn admit(
         &self,
         parts: &Parts,
-        body: &Incoming,
+        body: &CallerBody,
         head: &RequestHead,
         arrival: Arrival,
     ) -> Result<(Matched, Deadline, LinkPermit), Reason> {
@@ -450,7 +470,7 @@
     fn reserve_link(
         &self,
         parts: &Parts,
-        body: &Incoming,
+        body: &CallerBody,
         matched: &Matched,
     ) -> Result<LinkPermit, Reason> {
         let target = parts
--- a/crates/coursestand-proxy/src/exchange/relay.rs
+++ b/crates/coursestand-proxy/src/exchange/relay.rs
@@ -10,11 +10,11 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use super::attempt::ANSWER_GRACE;
+use super::attempt::{ANSWER_GRACE, CollectedAnswer};
 use super::{BackendResponse, Exchange, LOG, PreparedRequest};
 use crate::answer::{AnswerBody, Reason, local_response};
-use crate::collect::Collected;
 use crate::discard::discard;
+use crate::guarded_body::CallerBody;
 use crate::headers::{closes_connection, keep_alive_of, strip_answer_headers};
 use crate::phases::{AttemptFailure, Attempts};
 use crate::pool::{Connection, Pool, RequestBody};
@@ -88,7 +88,7 @@
     }
 
     /// Answers one request that another daemon relayed.
-    pub async fn serve_relayed(&self, mut request: Request<Incoming>) -> Response<AnswerBody> {
+    pub async fn serve_relayed(&self, mut request: Request<CallerBody>) -> Response<AnswerBody> {
         let token = self.relay.get().map(|relay| relay.token);
         let relayed = token.and_then(|token| RelayedRequest::take(token, request.headers_mut()));
         let Some(relayed) = relayed else {
@@ -284,7 +284,7 @@
         let keep_alive = keep_alive_of(&head.headers);
         strip_answer_headers(&prepared.parts.method, &mut head.headers);
         let body = match collected {
-            Collected::Complete(bytes) => {
+            CollectedAnswer::Complete(bytes) => {
                 connection.answer_completed();
                 if keeps_open {
                     let pool = Arc::clone(&relay.pool);
@@ -292,9 +292,13 @@
                 }
                 Either::Left(Full::new(bytes))
             }
-            Collected::Partial(first, rest) => {
+            CollectedAnswer::Partial {
+                first,
+                rest,
+                memory,
+            } => {
                 let ends_at = prepared.deadline.latest + ANSWER_GRACE;
-                Either::Right(StreamedBody::new(first, rest, connection, ends_at))
+                Either::Right(StreamedBody::new(first, rest, connection, ends_at, memory))
             }
         };
         let response = Box::new(BackendResponse {
--- a/crates/coursestand-proxy/src/server.rs
+++ b/crates/coursestand-proxy/src/server.rs
@@ -1,6 +1,7 @@
 //! Accepts connections of callers, and stops without aborting a request.
 
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,12 +20,12 @@
 use crate::caller_connections::{
     CallerConnections, ConnectionGuard, max_connections_by_descriptors,
 };
+use crate::caller_stream::CallerStream;
 use crate::connect::configure;
 use crate::exchange::Exchange;
+use crate::guarded_body::{CallerBody, GuardedBody, WrittenBody};
+use crate::idle_timer::{Expired, Expiry};
 
-/// Maximum number of bytes that are read before the headers are complete. A lower limit of the
-/// catalog is checked once the headers have been read.
-const MAX_HEADER_BYTES: usize = 256 * 1024;
 /// A caller that acknowledges no bytes for this long counts as disconnected.
 const ACKNOWLEDGEMENT_TIMEOUT: Duration = Duration::from_secs(10);
 /// Divisor of the maximum number of caller connections that gives that of other daemons.
@@ -72,12 +73,13 @@
 
 impl ProxyServer {
     /// Listens on `address` and answers with `exchange`. Caller connections may take half of
-    /// the descriptors of the process.
+    /// the descriptors and a quarter of the memory of the process.
     pub async fn start(
         address: SocketAddr,
         exchange: Arc<Exchange>,
     ) -> Result<ProxyServer, ListenError> {
-        ProxyServer::start_bounded(address, exchange, max_connections_by_descriptors()).await
+        let max_connections = max_connections(&exchange);
+        ProxyServer::start_bounded(address, exchange, max_connections).await
     }
 
     /// Listens on `address` for requests that other daemons relay, and answers with `exchange`.
@@ -85,7 +87,7 @@
         address: SocketAddr,
         exchange: Arc<Exchange>,
     ) -> Result<ProxyServer, ListenError> {
-        let max_connections = max_connections_by_descriptors() / RELAY_CONNECTIONS_DIVISOR;
+        let max_connections = max_connections(&exchange) / RELAY_CONNECTIONS_DIVISOR;
         ProxyServer::listen(address, exchange, max_connections, Peers::Daemons).await
     }
 
@@ -161,6 +163,12 @@
     }
 }
 
+/// Returns the maximum number of caller connections, by the descriptors and the memory of the
+/// process.
+fn max_connections(exchange: &Exchange) -> usize {
+    max_connections_by_descriptors().min(exchange.memory().max_connections())
+}
+
 /// Accepts connections.
 struct Acceptor {
     listener: TcpListener,
@@ -173,18 +181,26 @@
 
 impl Acceptor {
     async fn accept(self, mut mode: watch::Receiver<Mode>) {
+        let mut limits = self.exchange.limits().subscribe();
         loop {
             let accepted = tokio::select! {
+                Ok(()) = limits.changed() => {
+                    let bytes = limits.borrow_and_update().read_buffer_bytes();
+                    self.caller_connections.close_with_smaller_buffers(bytes);
+                    continue;
+                }
                 accepted = self.accept_connection() => accepted,
                 _ = mode.wait_for(|mode| *mode == Mode::Closing) => return,
             };
             match accepted {
                 Ok(stream) => {
                     let exchange = Arc::clone(&self.exchange);
-                    let guard = self.caller_connections.register();
+                    let read_buffer_bytes = limits.borrow().read_buffer_bytes();
+                    let guard = self.caller_connections.register(read_buffer_bytes);
                     let connection = serve(
                         stream,
                         guard,
+                        read_buffer_bytes,
                         exchange,
                         self.peers,
                         mode.clone(),
@@ -212,6 +228,7 @@
 async fn serve(
     stream: TcpStream,
     guard: ConnectionGuard,
+    read_buffer_bytes: usize,
     exchange: Arc<Exchange>,
     peers: Peers,
     mut mode: watch::Receiver<Mode>,
@@ -222,12 +239,20 @@
     }
     let response_mode = mode.clone();
     let idle_timer = Arc::clone(&guard.idle_timer);
+    let stream = CallerStream::new(
+        stream,
+        Arc::clone(&idle_timer),
+        Arc::clone(exchange.memory()),
+    );
     let service_state = (Arc::clone(&exchange), Arc::clone(&idle_timer));
     let service = service_fn(move |request: Request<Incoming>| {
         let (exchange, idle_timer) = service_state.clone();
         let mode = response_mode.clone();
         async move {
-            let _busy = idle_timer.pause();
+            let (busy, memory) = idle_timer.begin_request();
+            let body_busy = busy.another();
+            let request: Request<CallerBody> =
+                request.map(|body| GuardedBody::new(body, body_busy).with_memory(memory));
             // Yields so that the connection is read once more before anything is forwarded: if
             // the caller closed the connection while the daemon was suspended, the close
             // follows the request in the socket buffer, and no back end then works on a
@@ -241,21 +266,34 @@
             if is_led_away || *mode.borrow() != Mode::Serving {
                 close_after(&mut response);
             }
-            Ok::<_, Infallible>(response)
+            Ok::<_, Infallible>(response.map(|body| WrittenBody::new(body, busy)))
         }
     });
     let connection = http1::Builder::new()
-        // The time in which headers are received counts as idle time, see `IdleTimer`.
+        // See `Expiry`.
         .header_read_timeout(None)
-        .max_buf_size(MAX_HEADER_BYTES)
+        .max_buf_size(read_buffer_bytes)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
+    let mut expiry = Expiry::new(&idle_timer, exchange.limits());
+    // What has arrived is read before the connection is judged.
     tokio::select! {
+        biased;
         // A caller that closes its connection is no error of this daemon.
         _ = connection.as_mut() => return,
         _ = mode.wait_for(|mode| *mode == Mode::Closing) => {}
-        () = idle_timer.expired(&exchange) => {}
+        expired = poll_fn(|context| expiry.poll(context)) => {
+            if expired == Expired::StoppedHead {
+                return;
+            }
+        }
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    expiry.begin_closing();
+    // The HTTP library waits without end for the rest of a head that has begun.
+    tokio::select! {
+        biased;
+        _ = connection => {}
+        _ = poll_fn(|context| expiry.poll(context)) => {}
+    }
 }
