--- a/crates/coursestand-proxy/src/memory_budget.rs
+++ b/crates/coursestand-proxy/src/memory_budget.rs
@@ -25,9 +25,11 @@
 /// What an open caller connection takes in bytes when nothing is charged for it: its task and the
 /// buffers of the HTTP library.
 const CONNECTION_BYTES: u64 = 40 * 1024;
-/// Part of the process's memory that the charged bytes may take, and part that the caller
-/// connections may take.
-const MEMORY_DIVISOR: u64 = 4;
+/// Part of the process's memory that the charged bytes may take. What the allocator keeps of freed
+/// buffers comes on top.
+const CHARGED_DIVISOR: u64 = 8;
+/// Part of the process's memory that the caller connections may take.
+const CONNECTIONS_DIVISOR: u64 = 4;
 /// Part of the capacity that answers may take, so that callers that don't read theirs leave room for
 /// requests and streams.
 const ANSWERS_DIVISOR: usize = 2;
@@ -113,10 +115,10 @@
 impl MemoryBudget {
     /// Creates the account of a process that may use `memory_bytes`.
     pub fn new(memory_bytes: u64, metrics: ProxyMetrics) -> Arc<MemoryBudget> {
-        let share = memory_bytes / MEMORY_DIVISOR;
-        let connections = (share / CONNECTION_BYTES).max(1);
+        let charged = (memory_bytes / CHARGED_DIVISOR).max(MIN_CAPACITY);
+        let connections = (memory_bytes / CONNECTIONS_DIVISOR / CONNECTION_BYTES).max(1);
         Arc::new(MemoryBudget {
-            capacity: usize::try_from(share.max(MIN_CAPACITY)).unwrap_or(usize::MAX),
+            capacity: usize::try_from(charged).unwrap_or(usize::MAX),
             max_connections: usize::try_from(connections).unwrap_or(usize::MAX),
             account: Mutex::default(),
             metrics,
