Sync the names that a killed process left before a start relies on them

A control process ended at each start, "entries are missing", after a kill and a loss of power during the next start.

The start costs one more sync.

--- a/crates/coursestand-consensus/src/wal/mod.rs
+++ b/crates/coursestand-consensus/src/wal/mod.rs
@@ -103,6 +103,9 @@
     /// state.
     pub fn open_on(disk: D, sizes: LogSizes) -> Result<(WriteAheadLog<D>, Restored), StorageError> {
         remove_temporary_files(&disk)?;
+        // A process that was killed may not have synced the names that it changed: those that are
+        // found now, and on which the new segment relies, could still be lost.
+        sync_names(&disk)?;
         let mut replay = Replay::new(newest_snapshot(&disk)?);
         let segments = numbered_files(&disk, SEGMENT_SUFFIX)?;
         let current = current_segments(&disk, &segments)?;
--- a/crates/coursestand-consensus/tests/power_loss/main.rs
+++ b/crates/coursestand-consensus/tests/power_loss/main.rs
@@ -4,6 +4,7 @@
 
 mod choices;
 mod disk;
+mod random_histories;
 
 use std::collections::BTreeSet;
 
@@ -276,3 +277,30 @@
     }
     faults
 }
+
+/// Guards against a replica that ends at each start after its process was killed and power was
+/// lost during the next start: what the killed process had not synced may be lost only then.
+#[gtest]
+fn a_log_opens_after_a_kill_and_a_loss_of_power_during_the_next_start() {
+    let mut faults = Vec::new();
+    for operations in 0..MAX_OPERATIONS {
+        let mut is_complete = false;
+        for start_operations in 0..MAX_OPERATIONS {
+            let disk = UnreliableDisk::default();
+            disk.end_process_after(operations);
+            let expected = play(&disk, Restored::default(), &history());
+            is_complete = !disk.has_process_ended();
+            disk.end_process_after(start_operations);
+            let opened = WriteAheadLog::open_on(disk.clone(), SIZES);
+            let at = format!("after operation {operations}, and {start_operations} of a start");
+            faults.extend(check(&random_images(&disk, 50), &expected, &at));
+            if opened.is_ok() {
+                break;
+            }
+        }
+        if is_complete {
+            break;
+        }
+    }
+    assert!(faults.is_empty(), "{}", report(&faults));
+}
