--- a/crates/coursestand-consensus/src/replica/snapshots.rs
+++ b/crates/coursestand-consensus/src/replica/snapshots.rs
@@ -99,6 +99,12 @@
         if index <= self.commit {
             return self.answer_append(from, self.commit, true, chunk.sent_at);
         }
+        if self.log.term_at(index) == Some(chunk.last.term) {
+            // The log is the same up to there. The entries after it may be committed, so they must
+            // not be replaced by the snapshot (Raft, figure 13, step 6).
+            self.commit = index;
+            return self.answer_append(from, index, true, chunk.sent_at);
+        }
         if self.partial_snapshot.last != chunk.last {
             self.partial_snapshot = PartialSnapshot {
                 last: chunk.last,
