Start a control process although its disk refuses to read or write

A control process ended at each start for as long as its disk refused writes, a full one for example, because a start writes the log anew. While it runs, it stays up in such a case, takes no part in the group and tries again every half second; at a start the same error ended the process. Found by reading, in the review of the log.

Both cases are the same now. What can't pass by itself still ends the start: corruption, a folder in use, a missing folder, missing permissions. An identity file that can't be read no longer counts as a missing one.

--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -64,6 +64,8 @@
     /// Synced copies of a command that are required before its proposer is answered.
     min_copies: usize,
     group: Option<Group>,
+    /// Whether the storage has failed, and is to be opened again.
+    has_failed: bool,
 }
 
 /// State of a replica that has joined a group.
@@ -129,7 +131,8 @@
         Driver::with_storage(shared, peers, folder, open_storage, min_copies)
     }
 
-    /// Like [`Self::open`], with custom storage.
+    /// Like [`Self::open`], with custom storage. If the disk refuses to read or write, the driver
+    /// retries while it runs, as it does if that happens later.
     pub fn with_storage(
         shared: Arc<ControlShared>,
         peers: Box<dyn PeerSender>,
@@ -144,8 +147,12 @@
             open_storage,
             min_copies,
             group: None,
+            has_failed: false,
         };
-        driver.restart()?;
+        match driver.restart() {
+            Err(failure) if failure.is_disk_failure() => driver.stop_for(&failure),
+            result => result?,
+        }
         Ok(driver)
     }
 
@@ -208,23 +215,27 @@
     /// in the group and restarts from its disk.
     pub fn run(mut self, events: &Receiver<Event>) {
         loop {
+            if self.has_failed && matches!(self.recover(events), Flow::Stop) {
+                break;
+            }
             match self.process_events(events) {
                 Ok(Flow::Continue) => {}
                 Ok(Flow::Stop) => break,
-                Err(failure) => {
-                    // The state of the disk is unknown: this replica must not acknowledge
-                    // or vote on the basis of its state in memory.
-                    error!(target: LOG, "this replica stops: {failure}");
-                    self.enter_failed_state(&failure);
-                    if matches!(self.recover(events), Flow::Stop) {
-                        break;
-                    }
-                }
+                // The state of the disk is unknown: this replica must not acknowledge or vote on
+                // the basis of its state in memory.
+                Err(failure) => self.stop_for(&failure),
             }
         }
         self.shared.set_lease(0, None);
     }
 
+    /// Stops taking part in the group until the storage has been opened again.
+    fn stop_for(&mut self, failure: &ControlError) {
+        error!(target: LOG, "this replica stops: {failure}");
+        self.enter_failed_state(failure);
+        self.has_failed = true;
+    }
+
     /// Retries the restart until storage works.
     fn recover(&mut self, events: &Receiver<Event>) -> Flow {
         loop {
@@ -237,7 +248,10 @@
                 }
             }
             match self.restart() {
-                Ok(()) => return Flow::Continue,
+                Ok(()) => {
+                    self.has_failed = false;
+                    return Flow::Continue;
+                }
                 Err(failure) => {
                     error!(target: LOG, "restart failed, this replica stays stopped: {failure}");
                     self.enter_failed_state(&failure);
--- a/crates/coursestand-daemon/src/control/error.rs
+++ b/crates/coursestand-daemon/src/control/error.rs
@@ -1,5 +1,6 @@
 //! The error type of the control role.
 
+use std::io::ErrorKind;
 use std::path::PathBuf;
 
 use coursestand_consensus::{ProposeError, StorageError};
@@ -70,3 +71,21 @@
     #[snafu(display("this replica has stopped"))]
     Stopped,
 }
+
+impl ControlError {
+    /// Returns whether the disk refused to read or write, which may pass. A missing folder and
+    /// missing permissions do not.
+    pub fn is_disk_failure(&self) -> bool {
+        let source = match self {
+            ControlError::Log {
+                source: StorageError::File { source, .. },
+            }
+            | ControlError::IdentityFile { source, .. } => source,
+            _ => return false,
+        };
+        !matches!(
+            source.kind(),
+            ErrorKind::NotFound | ErrorKind::PermissionDenied
+        )
+    }
+}
--- a/crates/coursestand-daemon/src/control/identity.rs
+++ b/crates/coursestand-daemon/src/control/identity.rs
@@ -2,7 +2,7 @@
 //! none, does not vote, and can only rejoin under another identity.
 
 use std::fs::File;
-use std::io::Write;
+use std::io::{ErrorKind, Write};
 use std::path::{Path, PathBuf};
 
 use serde::{Deserialize, Serialize};
@@ -29,10 +29,10 @@
 /// Reads the identity in `folder`, if there is one.
 pub fn read(folder: &Path) -> Result<Option<Identity>, ControlError> {
     let path = path_in(folder);
-    if !path.exists() {
-        return Ok(None);
-    }
-    let text = std::fs::read_to_string(&path).context(IdentityFileSnafu { path: &path })?;
+    let text = match std::fs::read_to_string(&path) {
+        Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
+        result => result.context(IdentityFileSnafu { path: &path })?,
+    };
     let identity = serde_json::from_str(&text).context(IdentityFormatSnafu { path })?;
     Ok(Some(identity))
 }
