--- a/crates/coursestand-proxy/tests/endless_bytes.rs
+++ b/crates/coursestand-proxy/tests/endless_bytes.rs
@@ -11,6 +11,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use common::relays::start_relaying_to;
 use common::{Caller, Edge, RouteSettings, instance_update};
 use coursestand_discovery::InstancePhase;
 use coursestand_lab::scripted::Behaviour;
@@ -153,11 +154,21 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_ends_in_time_and_its_connection_is_not_used_again() {
     for endless in Endless::ALL {
-        for path in ["/safe/a", "/once/a"] {
+        for (path, is_relayed) in [
+            ("/safe/a", false),
+            ("/once/a", false),
+            ("/safe/a", true),
+            ("/once/a", true),
+        ] {
             let (edge, counts) = edge_before(endless).await;
+            let relaying = match is_relayed {
+                true => Some(start_relaying_to(&edge, settings()).await),
+                false => None,
+            };
+            let entry = relaying.as_ref().map_or(&edge, |(entry, _)| entry);
             let started = Instant::now();
             let limit = Duration::from_millis(TIMEOUT_MS) + END_TOLERANCE;
-            let mut stream = TcpStream::connect(edge.server.address())
+            let mut stream = TcpStream::connect(entry.server.address())
                 .await
                 .expect("connected");
             let body = if path == "/safe/a" { "GET" } else { "POST" };
@@ -206,7 +217,7 @@
                 eq(bytes),
                 "{endless:?} {path}: the connection is closed"
             );
-            edge.request("/safe/b", "next").await;
+            entry.request("/safe/b", "next").await;
             let requests = counts.requests.load(Ordering::Relaxed);
             let connections = counts.connections.load(Ordering::Relaxed);
             expect_that!(requests, le(connections), "{endless:?} {path}");
