--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -2,6 +2,7 @@
 //! and lost disks; entry daemons receive its state.
 #![allow(missing_docs)]
 
+mod control_stop;
 mod deployment;
 mod evacuations;
 mod fatal_requests;
