Test probed connections that bring bytes without end

A probe sends no request; a connection that brings an answer, interim answers or bytes that are no answer is closed and not kept for requests.

--- a/crates/coursestand-proxy/tests/endless_bytes.rs
+++ b/crates/coursestand-proxy/tests/endless_bytes.rs
@@ -15,6 +15,7 @@
 use common::{Caller, Edge, RouteSettings, instance_update};
 use coursestand_discovery::InstancePhase;
 use coursestand_lab::scripted::Behaviour;
+use coursestand_proxy::pool::Pool;
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -254,3 +255,40 @@
         expect_that!(requests, le(REQUESTS / 4), "{endless:?}");
     }
 }
+
+/// Guards against a probe, which sends no request, of a back end that sends bytes all the same: a
+/// daemon that reads on, or that keeps the connection for requests.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_probed_connection_that_brings_bytes_is_closed() {
+    let unasked = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 103 Early Hints\r\n\r\n",
+        "220 no answer\r\n",
+        "x",
+    ];
+    for text in unasked {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let sent = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&sent);
+        let sending = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let piece = text.repeat(64 * 1024 / text.len());
+            while stream.write_all(piece.as_bytes()).await.is_ok() {
+                counted.fetch_add(piece.len(), Ordering::Relaxed);
+            }
+        });
+        let pool: Pool<&str> = Pool::default();
+        let limit = Duration::from_millis(TIMEOUT_MS);
+        if let Ok(connection) = pool.open_and_hold(address, limit).await {
+            pool.give_back("probed", connection, None).await;
+        }
+        expect_that!(pool.take(&"probed").is_none(), eq(true), "{text:?}");
+        // The back end sees that its connection is closed.
+        let ended = timeout(common::TEST_TIMEOUT, sending).await;
+        expect_that!(ended.is_ok(), eq(true), "{text:?}");
+        let sent = sent.load(Ordering::Relaxed);
+        expect_that!(sent, le(MAX_BYTES_READ), "{text:?}");
+    }
+}
