Test a cut body at a caller of HTTP/1.0

When the back end cuts its answer the daemon closes the caller's connection in the ordinary way, and the part looks whole. The connection has to be reset then, as it is not framed. Callers of HTTP/1.1 get chunks and see the cut.

--- a/crates/coursestand-proxy/tests/broken_answers.rs
+++ b/crates/coursestand-proxy/tests/broken_answers.rs
@@ -711,3 +711,36 @@
 async fn an_interim_answer_is_not_the_final_one() {
     play_all(interim_answers()).await;
 }
+
+/// Guards against a caller of HTTP/1.0, which gets a body without a length, that takes the orderly end
+/// of its connection for the end of a body that was cut.
+#[gtest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 3)]
+async fn a_caller_of_http_1_0_sees_that_a_body_was_cut() {
+    let long = "x".repeat(LONG_BODY_BYTES);
+    let chunk = format!("{LONG_BODY_BYTES:x}\r\n{long}\r\n");
+    let bytes = signed("200 OK", "transfer-encoding: chunked\r\n", &chunk);
+    for path in ["/safe/a", "/once/a"] {
+        for end in [End::Close, End::Reset] {
+            let cut = case("cut", bytes.clone(), end, Expected::NothingWhole);
+            let backend = start_broken(cut, 0).await;
+            let daemons = Daemons::direct(&backend).await;
+            let address = daemons.entry.server.address();
+            let mut stream = TcpStream::connect(address).await.expect("connected");
+            let request =
+                format!("GET {path} HTTP/1.0\r\nhost: h.example\r\nx-request-id: r\r\n\r\n");
+            stream.write_all(request.as_bytes()).await.expect("written");
+            let mut answer = Vec::new();
+            let read = timeout(TEST_TIMEOUT, stream.read_to_end(&mut answer)).await;
+            let is_failure =
+                answer.starts_with(b"HTTP/1.0 50") || answer.starts_with(b"HTTP/1.1 50");
+            let is_cut = matches!(read, Ok(Err(_)));
+            let length = answer.len();
+            expect_that!(
+                is_failure || is_cut,
+                eq(true),
+                "{path} {end:?}: {length} bytes, {read:?}"
+            );
+        }
+    }
+}
