--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 
 mod control_stop;
 mod deployment;
+mod edge_stop;
 mod evacuations;
 mod fatal_requests;
 mod large_bodies;
