--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -2,7 +2,9 @@
 //! and lost disks; entry daemons receive its state.
 #![allow(missing_docs)]
 
+mod control_stop;
 mod deployment;
+mod edge_stop;
 mod evacuations;
 mod fatal_requests;
 mod large_bodies;
--- a/crates/coursestand-proxy/tests/endless_bytes.rs
+++ b/crates/coursestand-proxy/tests/endless_bytes.rs
@@ -11,9 +11,11 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use common::relays::start_relaying_to;
 use common::{Caller, Edge, RouteSettings, instance_update};
 use coursestand_discovery::InstancePhase;
 use coursestand_lab::scripted::Behaviour;
+use coursestand_proxy::pool::Pool;
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
@@ -153,11 +155,21 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_ends_in_time_and_its_connection_is_not_used_again() {
     for endless in Endless::ALL {
-        for path in ["/safe/a", "/once/a"] {
+        for (path, is_relayed) in [
+            ("/safe/a", false),
+            ("/once/a", false),
+            ("/safe/a", true),
+            ("/once/a", true),
+        ] {
             let (edge, counts) = edge_before(endless).await;
+            let relaying = match is_relayed {
+                true => Some(start_relaying_to(&edge, settings()).await),
+                false => None,
+            };
+            let entry = relaying.as_ref().map_or(&edge, |(entry, _)| entry);
             let started = Instant::now();
             let limit = Duration::from_millis(TIMEOUT_MS) + END_TOLERANCE;
-            let mut stream = TcpStream::connect(edge.server.address())
+            let mut stream = TcpStream::connect(entry.server.address())
                 .await
                 .expect("connected");
             let body = if path == "/safe/a" { "GET" } else { "POST" };
@@ -206,7 +218,7 @@
                 eq(bytes),
                 "{endless:?} {path}: the connection is closed"
             );
-            edge.request("/safe/b", "next").await;
+            entry.request("/safe/b", "next").await;
             let requests = counts.requests.load(Ordering::Relaxed);
             let connections = counts.connections.load(Ordering::Relaxed);
             expect_that!(requests, le(connections), "{endless:?} {path}");
@@ -243,3 +255,40 @@
         expect_that!(requests, le(REQUESTS / 4), "{endless:?}");
     }
 }
+
+/// Guards against a probe, which sends no request, of a back end that sends bytes all the same: a
+/// daemon that reads on, or that keeps the connection for requests.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_probed_connection_that_brings_bytes_is_closed() {
+    let unasked = [
+        "HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        "HTTP/1.1 103 Early Hints\r\n\r\n",
+        "220 no answer\r\n",
+        "x",
+    ];
+    for text in unasked {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let sent = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&sent);
+        let sending = tokio::spawn(async move {
+            let (mut stream, _) = listener.accept().await.expect("a connection");
+            let piece = text.repeat(64 * 1024 / text.len());
+            while stream.write_all(piece.as_bytes()).await.is_ok() {
+                counted.fetch_add(piece.len(), Ordering::Relaxed);
+            }
+        });
+        let pool: Pool<&str> = Pool::default();
+        let limit = Duration::from_millis(TIMEOUT_MS);
+        if let Ok(connection) = pool.open_and_hold(address, limit).await {
+            pool.give_back("probed", connection, None).await;
+        }
+        expect_that!(pool.take(&"probed").is_none(), eq(true), "{text:?}");
+        // The back end sees that its connection is closed.
+        let ended = timeout(common::TEST_TIMEOUT, sending).await;
+        expect_that!(ended.is_ok(), eq(true), "{text:?}");
+        let sent = sent.load(Ordering::Relaxed);
+        expect_that!(sent, le(MAX_BYTES_READ), "{text:?}");
+    }
+}
