Count the buffers of a body that arrives as part of a connection's memory

A connection was counted with 40 KiB, what it takes at rest.

A connection now counts with 96 KiB, and the read buffer leaves 8 KiB for the request line instead of 16.

--- a/crates/coursestand-proxy/src/caller_limits.rs
+++ b/crates/coursestand-proxy/src/caller_limits.rs
@@ -20,7 +20,7 @@
 const MIN_HEADER_TIMEOUT: Duration = Duration::from_millis(500);
 /// Room in the read buffer for what a head has besides its headers: the request line, and spaces
 /// that the limit doesn't count.
-const REQUEST_LINE_BYTES: u64 = 16 * 1024;
+const REQUEST_LINE_BYTES: u64 = 8 * 1024;
 /// Smallest read buffer that the HTTP library accepts.
 const MIN_READ_BUFFER_BYTES: u64 = 8 * 1024;
 /// Largest read buffer of a connection, whatever the catalog allows.
--- a/crates/coursestand-proxy/src/memory_budget.rs
+++ b/crates/coursestand-proxy/src/memory_budget.rs
@@ -24,7 +24,7 @@
 pub const STREAM_BYTES: usize = 128 * 1024;
 /// What an open caller connection takes in bytes when nothing is charged for it: its task and the
 /// buffers of the HTTP library.
-const CONNECTION_BYTES: u64 = 40 * 1024;
+const CONNECTION_BYTES: u64 = 96 * 1024;
 /// Part of the process's memory that the charged bytes may take. What the allocator keeps of freed
 /// buffers comes on top.
 const CHARGED_DIVISOR: u64 = 8;
