End answers that their callers read too slowly

A caller that read a little now and then had its answer kept for as long as it liked: an answer that waits to be written counted as a request in progress, and the system gives a connection up only when nothing at all is taken for 10 s. Some tens of such callers could take the room for answers.

Once the daemon has the whole rest of an answer, its caller has the idle timeout, and 15 s at the least, to take it; then the connection is dropped. A streamed answer has to end with its request's time already.

--- a/crates/coursestand-proxy/src/idle_timer.rs
+++ b/crates/coursestand-proxy/src/idle_timer.rs
@@ -16,6 +16,9 @@
 /// of the process, the rest of the head may lie in the socket.
 const READING_GRACE: Duration = Duration::from_millis(100);
 
+/// Least time for a caller to read the rest of an answer, of which the daemon has the whole: 1 MiB
+/// at 0.6 Mbit/s.
+const MIN_READING_TIME: Duration = Duration::from_secs(15);
 /// Time for a head on a connection that is to make room for another one.
 const EVICTED_HEAD_TIME: Duration = Duration::from_millis(100);
 
@@ -167,8 +170,9 @@
 pub(crate) enum Expired {
     /// It has been idle for too long, or is to be closed.
     Idle,
-    /// It has nothing but a head that did not end in time, or that there is no memory for.
-    StoppedHead,
+    /// It has nothing but a head that did not end in time, or that there is no memory for; or its
+    /// caller did not read an answer in time.
+    Stopped,
 }
 
 /// Waits for the end of a connection's time.
@@ -201,22 +205,24 @@
     /// Returns when the connection's time is over, and why; none while a request is in progress.
     fn due(&self, limits: &CallerLimits) -> Option<(Instant, Expired)> {
         let state = self.timer.state();
-        // An answer that waits for its caller to read is part of a request.
-        if state.parts > 0 || self.timer.is_write_blocked.load(Ordering::Relaxed) {
+        if state.parts > 0 {
             return None;
         }
+        if self.timer.is_write_blocked.load(Ordering::Relaxed) {
+            let reading_time = limits.idle.max(MIN_READING_TIME);
+            return Some((state.since + reading_time, Expired::Stopped));
+        }
         let head_time = match state.is_evicted {
             true => limits.header.min(EVICTED_HEAD_TIME),
             false => limits.header,
         };
         match (&state.head, self.closing_since) {
-            (Some(head), _) => Some((head.began_at + head_time, Expired::StoppedHead)),
+            (Some(head), _) => Some((head.began_at + head_time, Expired::Stopped)),
             (None, None) => Some((state.since + limits.idle, Expired::Idle)),
             // Bytes that were read along with an earlier request may be the beginning of a head.
-            (None, Some(closing_since)) => Some((
-                closing_since.max(state.since) + head_time,
-                Expired::StoppedHead,
-            )),
+            (None, Some(closing_since)) => {
+                Some((closing_since.max(state.since) + head_time, Expired::Stopped))
+            }
         }
     }
 
@@ -228,7 +234,7 @@
     pub(crate) fn poll(&mut self, context: &mut Context<'_>) -> Poll<Expired> {
         self.timer.close_requested.register(context.waker());
         if self.timer.poll_evicted(context).is_ready() {
-            return Poll::Ready(Expired::StoppedHead);
+            return Poll::Ready(Expired::Stopped);
         }
         loop {
             if self.is_close_requested() {
@@ -248,9 +254,9 @@
             ready!(self.sleep.as_mut().poll(context));
             let now = Instant::now();
             match (due, check_at) {
-                (Some((at, Expired::StoppedHead)), Some(check_at)) if check_at <= now => {
+                (Some((at, Expired::Stopped)), Some(check_at)) if check_at <= now => {
                     if check_at != at {
-                        return Poll::Ready(Expired::StoppedHead);
+                        return Poll::Ready(Expired::Stopped);
                     }
                     self.overdue = Some((at, now + READING_GRACE));
                 }
--- a/crates/coursestand-proxy/src/server.rs
+++ b/crates/coursestand-proxy/src/server.rs
@@ -283,7 +283,7 @@
         _ = connection.as_mut() => return,
         _ = mode.wait_for(|mode| *mode == Mode::Closing) => {}
         expired = poll_fn(|context| expiry.poll(context)) => {
-            if expired == Expired::StoppedHead {
+            if expired == Expired::Stopped {
                 return;
             }
         }
