Give the daemons of answer_memory the memory of a machine

The test bounded what 300 unfinished answers take by half of a machine's 260 MB, but the daemons saw all of the memory of the computer that runs the tests, from which the account of kept bytes now derives its capacity: 378 to 414 MB in one run. Crowd and bound are unchanged; the process now runs with the data limit of such a machine, so that the test also fails if an allocation does.

--- a/crates/coursestand-proxy/tests/answer_memory.rs
+++ b/crates/coursestand-proxy/tests/answer_memory.rs
@@ -15,12 +15,15 @@
 use common::{Caller, Edge, RouteSettings, instance_update};
 use coursestand_discovery::InstancePhase;
 use googletest::prelude::*;
+use rustix::process::{Resource, Rlimit, getrlimit, setrlimit};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep};
 
 const CALLERS: usize = 300;
 const BACKENDS: usize = 100;
+/// Memory of a machine.
+const MACHINE_BYTES: u64 = 260_000_000;
 /// Half of the memory of a machine, which has 260 MB.
 const MAX_GROWTH_BYTES: usize = 130_000_000;
 const TIMEOUT_MS: u64 = 20_000;
@@ -180,9 +183,20 @@
     expect_that!(answer.status, eq(200));
 }
 
+/// Lets this process, and so the daemons in it, have the memory of a machine. The test must be the
+/// only one in its process.
+fn limit_memory() {
+    let limit = Rlimit {
+        current: Some(MACHINE_BYTES),
+        ..getrlimit(Resource::Data)
+    };
+    setrlimit(Resource::Data, limit).expect("lowered");
+}
+
 #[gtest]
 #[tokio::test(flavor = "multi_thread", worker_threads = 3)]
 async fn what_many_back_ends_send_at_once_fits_into_the_memory_of_a_machine() {
+    limit_memory();
     let before = resident_bytes();
     for flood in Flood::ALL {
         for is_relayed in [false, true] {
