Reset a caller's connection if its answer breaks off

Cause: when a body breaks off, the HTTP library drops the connection, which closes it in the ordinary way. The connection is now reset if its answer broke off, or waits to be written, when it is dropped. Callers of HTTP/1.1 see the same break as before by the missing end of the body.

--- a/crates/coursestand-proxy/src/caller_stream.rs
+++ b/crates/coursestand-proxy/src/caller_stream.rs
@@ -5,7 +5,9 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -33,6 +35,17 @@
     }
 }
 
+impl Drop for CallerStream {
+    /// Resets the connection if its answer is incomplete: the orderly end of a connection is the
+    /// end of a body without a length (RFC 9112, section 6.3), so that it would look complete.
+    fn drop(&mut self) {
+        if self.idle_timer.has_broken_answer() {
+            // Fails if the connection has failed already: then nothing is delivered any more.
+            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        }
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         mut self: Pin<&mut Self>,
--- a/crates/coursestand-proxy/src/guarded_body.rs
+++ b/crates/coursestand-proxy/src/guarded_body.rs
@@ -12,7 +12,9 @@
 /// A body that is part of a request in progress until it is dropped.
 pub struct GuardedBody<B> {
     body: B,
-    _busy: BusyGuard,
+    busy: BusyGuard,
+    /// Whether it is the body of an answer.
+    is_answer: bool,
     /// What is kept of the head.
     memory: Option<MemoryPermit>,
 }
@@ -23,14 +25,24 @@
 pub(crate) type WrittenBody = GuardedBody<AnswerBody>;
 
 impl<B> GuardedBody<B> {
-    pub(crate) fn new(body: B, busy: BusyGuard) -> GuardedBody<B> {
+    /// Guards the body of a request.
+    pub(crate) fn of_request(body: B, busy: BusyGuard) -> GuardedBody<B> {
         GuardedBody {
             body,
-            _busy: busy,
+            busy,
+            is_answer: false,
             memory: None,
         }
     }
 
+    /// Guards the body of an answer.
+    pub(crate) fn of_answer(body: B, busy: BusyGuard) -> GuardedBody<B> {
+        GuardedBody {
+            is_answer: true,
+            ..GuardedBody::of_request(body, busy)
+        }
+    }
+
     /// Adds the permit for what is kept of the head.
     pub(crate) fn with_memory(self, memory: Option<MemoryPermit>) -> GuardedBody<B> {
         GuardedBody { memory, ..self }
@@ -50,7 +62,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<B::Data>, B::Error>>> {
-        Pin::new(&mut self.body).poll_frame(context)
+        let frame = Pin::new(&mut self.body).poll_frame(context);
+        if self.is_answer && matches!(frame, Poll::Ready(Some(Err(_)))) {
+            self.busy.note_broken_answer();
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/coursestand-proxy/src/idle_timer.rs
+++ b/crates/coursestand-proxy/src/idle_timer.rs
@@ -28,6 +28,8 @@
     state: Mutex<State>,
     /// Whether an answer waits to be written.
     is_write_blocked: AtomicBool,
+    /// Whether an answer broke off.
+    is_answer_broken: AtomicBool,
     close_requested: AtomicWaker,
 }
 
@@ -65,6 +67,7 @@
                 is_evicted: false,
             }),
             is_write_blocked: AtomicBool::new(false),
+            is_answer_broken: AtomicBool::new(false),
             close_requested: AtomicWaker::new(),
         }
     }
@@ -76,6 +79,11 @@
         self.0.state().parts += 1;
         BusyGuard(Arc::clone(&self.0))
     }
+
+    /// Records that the answer broke off.
+    pub(crate) fn note_broken_answer(&self) {
+        self.0.is_answer_broken.store(true, Ordering::Relaxed);
+    }
 }
 
 impl Drop for BusyGuard {
@@ -144,6 +152,13 @@
         self.is_write_blocked.store(is_blocked, Ordering::Relaxed);
     }
 
+    /// Returns whether an answer that has begun is not written completely, and never will be if the
+    /// connection ends now.
+    pub(crate) fn has_broken_answer(&self) -> bool {
+        self.is_answer_broken.load(Ordering::Relaxed)
+            || self.is_write_blocked.load(Ordering::Relaxed)
+    }
+
     /// Returns since when the connection has been idle; none if it has a request in flight or
     /// is to be closed.
     pub(crate) fn idle_since(&self) -> Option<Instant> {
--- a/crates/coursestand-proxy/src/server.rs
+++ b/crates/coursestand-proxy/src/server.rs
@@ -252,7 +252,7 @@
             let (busy, memory) = idle_timer.begin_request();
             let body_busy = busy.another();
             let request: Request<CallerBody> =
-                request.map(|body| GuardedBody::new(body, body_busy).with_memory(memory));
+                request.map(|body| GuardedBody::of_request(body, body_busy).with_memory(memory));
             // Yields so that the connection is read once more before anything is forwarded: if
             // the caller closed the connection while the daemon was suspended, the close
             // follows the request in the socket buffer, and no back end then works on a
@@ -266,7 +266,7 @@
             if is_led_away || *mode.borrow() != Mode::Serving {
                 close_after(&mut response);
             }
-            Ok::<_, Infallible>(response.map(|body| WrittenBody::new(body, busy)))
+            Ok::<_, Infallible>(response.map(|body| WrittenBody::of_answer(body, busy)))
         }
     });
     let connection = http1::Builder::new()
