--- a/crates/coursestand-proxy/src/server.rs
+++ b/crates/coursestand-proxy/src/server.rs
@@ -23,7 +23,7 @@
 use crate::caller_stream::CallerStream;
 use crate::connect::configure;
 use crate::exchange::Exchange;
-use crate::guarded_body::{CallerBody, GuardedBody, WrittenBody};
+use crate::guarded_body::{CallerBody, WrittenBody};
 use crate::idle_timer::{Expired, Expiry};
 
 /// A caller that acknowledges no bytes for this long counts as disconnected.
@@ -251,8 +251,7 @@
         async move {
             let (busy, memory) = idle_timer.begin_request();
             let body_busy = busy.another();
-            let request: Request<CallerBody> =
-                request.map(|body| GuardedBody::of_request(body, body_busy).with_memory(memory));
+            let request = request.map(|body| CallerBody::new(body, body_busy, memory));
             // Yields so that the connection is read once more before anything is forwarded: if
             // the caller closed the connection while the daemon was suspended, the close
             // follows the request in the socket buffer, and no back end then works on a
@@ -266,7 +265,7 @@
             if is_led_away || *mode.borrow() != Mode::Serving {
                 close_after(&mut response);
             }
-            Ok::<_, Infallible>(response.map(|body| WrittenBody::of_answer(body, busy)))
+            Ok::<_, Infallible>(response.map(|body| WrittenBody::new(body, busy)))
         }
     });
     let connection = http1::Builder::new()
