Let bodies that stop and answers that nobody reads make room for new connections

Callers whose bodies stop took all connections of a daemon, and nobody else got one until the route's time limit: only idle connections and heads made room at the bound, and small bodies are not charged to the account that evicts. Callers that read nothing kept theirs for at least 15 s.

At the bound, requests whose bodies have been arriving for longest are given up as well (503, they have not been passed on), from half a second on; an answer that waits to be read then gets a second. Found by the review of the bounds.

bodies_that_stop_give_way_to_new_callers failed before (no answer in 3 s, 40 bodies at a bound of 16, a route of 20 s), and callers_that_read_nothing_give_way_to_new_callers (no answer in 5 s, 8 callers at a bound of 4).

--- a/crates/coursestand-proxy/src/caller_connections.rs
+++ b/crates/coursestand-proxy/src/caller_connections.rs
@@ -25,8 +25,8 @@
 /// Divisor of the limit that gives the number of connections closed at once: finding the
 /// longest idle ones means a scan of all connections.
 const EVICTION_DIVISOR: usize = 16;
-/// A connection that has been idle for less may have a request in transit.
-const MIN_IDLE_TIME: Duration = Duration::from_millis(100);
+/// Time between two looks for connections to close: until then more of them may be evictable.
+const EVICTION_INTERVAL: Duration = Duration::from_millis(100);
 /// A listener that has accepted no connection for this long counts as stalled.
 const STALL_THRESHOLD: Duration = Duration::from_millis(500);
 
@@ -109,8 +109,7 @@
         while self.table().open.len() > self.max_connections {
             self.note_stall();
             self.close_idle();
-            // More connections may have reached the minimum idle time by then.
-            let _ = timeout(MIN_IDLE_TIME, self.freed.notified()).await;
+            let _ = timeout(EVICTION_INTERVAL, self.freed.notified()).await;
         }
     }
 
@@ -166,15 +165,15 @@
         !stall.is_some_and(|stall| stall.is_recent(now) && now - stall.since >= STALL_THRESHOLD)
     }
 
-    /// Closes the connections that have been idle longest.
+    /// Closes the connections that have been idle, or have been receiving a body, longest.
     fn close_idle(&self) {
+        let now = Instant::now();
         let table = self.table();
         let mut idle: Vec<(Instant, &Arc<IdleTimer>)> = table
             .open
             .values()
             .map(|connection| &connection.idle_timer)
-            .filter_map(|idle_timer| Some((idle_timer.idle_since()?, idle_timer)))
-            .filter(|(since, _)| since.elapsed() >= MIN_IDLE_TIME)
+            .filter_map(|idle_timer| Some((idle_timer.evictable_since(now)?, idle_timer)))
             .collect();
         idle.sort_by_key(|(since, _)| *since);
         let count = (self.max_connections / EVICTION_DIVISOR).max(1);
--- a/crates/coursestand-proxy/src/guarded_body.rs
+++ b/crates/coursestand-proxy/src/guarded_body.rs
@@ -7,24 +7,25 @@
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
 use crate::answer::AnswerBody;
-use crate::idle_timer::BusyGuard;
+use crate::idle_timer::{BusyGuard, Reception};
 use crate::memory_budget::MemoryPermit;
 
 /// The body of a caller's request, which is in progress until this is dropped.
 pub struct CallerBody {
     body: Incoming,
-    _busy: BusyGuard,
+    busy: BusyGuard,
     /// What is kept of the head.
     memory: Option<MemoryPermit>,
 }
 
 impl CallerBody {
     pub(crate) fn new(body: Incoming, busy: BusyGuard, memory: Option<MemoryPermit>) -> CallerBody {
-        CallerBody {
-            body,
-            _busy: busy,
-            memory,
-        }
+        CallerBody { body, busy, memory }
+    }
+
+    /// Begins to receive the body.
+    pub(crate) fn begin_reception(&self) -> Reception {
+        self.busy.begin_reception()
     }
 
     /// Replaces the permit for what is kept of the head.
--- a/crates/coursestand-proxy/src/idle_timer.rs
+++ b/crates/coursestand-proxy/src/idle_timer.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use futures::task::AtomicWaker;
+use tokio::sync::Notify;
 use tokio::time::{Instant, Sleep, sleep_until};
 
 use crate::caller_limits::{CallerLimits, SharedLimits};
@@ -21,6 +22,12 @@
 const MIN_READING_TIME: Duration = Duration::from_secs(15);
 /// Time for a head on a connection that is to make room for another one.
 const EVICTED_HEAD_TIME: Duration = Duration::from_millis(100);
+/// Time for the caller of such a connection to read the rest of an answer.
+const EVICTED_READING_TIME: Duration = Duration::from_secs(1);
+/// A connection that has been idle for less may have a request in transit.
+const MIN_IDLE_TIME: Duration = Duration::from_millis(100);
+/// A body that has been arriving for less does not make room for another connection.
+const MIN_RECEPTION_TIME: Duration = Duration::from_millis(500);
 
 /// Idle timer of one connection. A request stops it from the end of its headers until its answer
 /// has been passed to the connection and its body has been read.
@@ -31,6 +38,7 @@
     /// Whether an answer broke off.
     is_answer_broken: AtomicBool,
     close_requested: AtomicWaker,
+    reception_evicted: Notify,
 }
 
 struct State {
@@ -39,6 +47,8 @@
     since: Instant,
     /// The head that has begun, if any.
     head: Option<PartialHead>,
+    /// Since when the body of a request has been arriving that has not been passed on.
+    receiving_since: Option<Instant>,
     /// Whether the connection is to be closed after its request.
     is_close_requested: bool,
     /// Whether it is to be closed to make room for another one.
@@ -63,12 +73,14 @@
                 parts: 0,
                 since: Instant::now(),
                 head: None,
+                receiving_since: None,
                 is_close_requested: false,
                 is_evicted: false,
             }),
             is_write_blocked: AtomicBool::new(false),
             is_answer_broken: AtomicBool::new(false),
             close_requested: AtomicWaker::new(),
+            reception_evicted: Notify::new(),
         }
     }
 }
@@ -80,12 +92,34 @@
         BusyGuard(Arc::clone(&self.0))
     }
 
+    /// Begins to receive the body of the request.
+    pub(crate) fn begin_reception(&self) -> Reception {
+        self.0.state().receiving_since = Some(Instant::now());
+        Reception(Arc::clone(&self.0))
+    }
+
     /// Records that the answer broke off.
     pub(crate) fn note_broken_answer(&self) {
         self.0.is_answer_broken.store(true, Ordering::Relaxed);
     }
 }
 
+/// A body that is being received, of a request that has not been passed on.
+pub(crate) struct Reception(Arc<IdleTimer>);
+
+impl Reception {
+    /// Returns once the request is to be given up, to make room for another connection.
+    pub(crate) async fn evicted(&self) {
+        self.0.reception_evicted.notified().await;
+    }
+}
+
+impl Drop for Reception {
+    fn drop(&mut self) {
+        self.0.state().receiving_since = None;
+    }
+}
+
 impl Drop for BusyGuard {
     fn drop(&mut self) {
         let mut state = self.0.state();
@@ -159,11 +193,19 @@
             || self.is_write_blocked.load(Ordering::Relaxed)
     }
 
-    /// Returns since when the connection has been idle; none if it has a request in flight or
-    /// is to be closed.
-    pub(crate) fn idle_since(&self) -> Option<Instant> {
+    /// Returns since when the connection has been idle, or has been receiving the body of a
+    /// request, if it may be evicted for that.
+    pub(crate) fn evictable_since(&self, now: Instant) -> Option<Instant> {
         let state = self.state();
-        (state.parts == 0 && !state.is_close_requested).then_some(state.since)
+        if state.is_close_requested {
+            return None;
+        }
+        let (since, min_time) = match state.receiving_since {
+            Some(since) => (since, MIN_RECEPTION_TIME),
+            None if state.parts == 0 => (state.since, MIN_IDLE_TIME),
+            None => return None,
+        };
+        (now - since >= min_time).then_some(since)
     }
 
     /// Asks for the connection to be closed after its request.
@@ -173,9 +215,14 @@
     }
 
     /// Asks for the connection to be closed to make room for another one. A head that has begun
-    /// gets little time.
+    /// gets little time, and a request whose body is being received is given up.
     pub(crate) fn evict(&self) {
-        self.state().is_evicted = true;
+        let mut state = self.state();
+        state.is_evicted = true;
+        if state.receiving_since.is_some() {
+            self.reception_evicted.notify_one();
+        }
+        drop(state);
         self.request_close();
     }
 }
@@ -224,7 +271,10 @@
             return None;
         }
         if self.timer.is_write_blocked.load(Ordering::Relaxed) {
-            let reading_time = limits.idle.max(MIN_READING_TIME);
+            let reading_time = match state.is_evicted {
+                true => EVICTED_READING_TIME,
+                false => limits.idle.max(MIN_READING_TIME),
+            };
             return Some((state.since + reading_time, Expired::Stopped));
         }
         let head_time = match state.is_evicted {
--- a/crates/coursestand-proxy/src/prepared_body.rs
+++ b/crates/coursestand-proxy/src/prepared_body.rs
@@ -54,8 +54,15 @@
             head.unwrap_or_else(|| memory.receive(MemoryKind::RequestBody, Instant::now()));
         let buffered_limit = limits.body_bytes.min(MAX_BUFFERED_BYTES as u64) as usize;
         let reader_bytes = limits.read_buffer_cost();
+        let reception = body.begin_reception();
         let collecting = collect(&mut body, buffered_limit, permit, reader_bytes);
-        match timeout_at(deadline, collecting).await {
+        let collected = tokio::select! {
+            biased;
+            collected = timeout_at(deadline, collecting) => collected,
+            () = reception.evicted() => Ok(Ok(Collected::NoRoom([Bytes::new(), Bytes::new()]))),
+        };
+        drop(reception);
+        match collected {
             Ok(Ok(Collected::Complete(bytes))) => Ok(PreparedBody::Buffered(bytes)),
             Ok(Ok(Collected::Partial(first))) if first.len() as u64 > limits.body_bytes => {
                 Err(Reason::BodyTooLong)
