--- a/crates/coursestand-proxy/tests/common/relays.rs
+++ b/crates/coursestand-proxy/tests/common/relays.rs
@@ -27,14 +27,15 @@
 }
 
 /// Records that a daemon has found that it is partitioned from all back ends.
-fn partition(edge: &Edge) {
+pub fn partition(edge: &Edge) {
     let mut routing = edge.state.routing();
     let now = edge.state.now();
-    for backend in &Vec::from_iter(routing.backends.iter().cloned()) {
+    let backends = Vec::from_iter(routing.backends.iter().cloned());
+    for backend in &backends {
         let hash = backend.incarnation_hash;
+        let (instance, age) = (&backend.instance, ConnectionAge::New);
         let paths = &mut routing.paths;
-        let age = ConnectionAge::New;
-        paths.note_failed(now, now, &backend.instance, hash, age, |_| 1);
+        paths.note_failed(now, now, instance, hash, age, |_| backends.len());
     }
     routing.paths.take_due_probes(now);
     let unreached = PathProbeOutcome::Unreached;
@@ -47,13 +48,10 @@
     listener.local_addr().expect("an address")
 }
 
-/// Starts a partitioned daemon that relays to `other`. Returns it and the server at which `other`
-/// accepts the requests.
-pub async fn start_relaying_to(other: &Edge, settings: RouteSettings) -> (Edge, ProxyServer) {
-    let entry = Edge::start(settings, Vec::new()).await;
-    let lost = instance_update(0, closed_address().await, InstancePhase::Ready);
-    entry.state.adopt_instances(vec![lost]);
-    enable_relay(&entry, "edge-1").await;
+/// Partitions a daemon from its back ends and lets it know another one. Returns the server at which
+/// that accepts relayed requests.
+pub async fn partition_from_back_ends(partitioned: &Edge, other: &Edge) -> ProxyServer {
+    enable_relay(partitioned, "edge-1").await;
     let (server, endpoint) = enable_relay(other, "edge-2").await;
     let peer = RelayPeer {
         name: "edge-2".to_owned(),
@@ -63,7 +61,17 @@
         link_use: None,
     };
     let control = SocketAddr::from(([127, 0, 0, 1], 1));
-    entry.state.relay_peers().set(control, vec![peer]);
-    partition(&entry);
+    partitioned.state.relay_peers().set(control, vec![peer]);
+    partition(partitioned);
+    server
+}
+
+/// Starts a partitioned daemon that relays to `other`. Returns it and the server at which `other`
+/// accepts the requests.
+pub async fn start_relaying_to(other: &Edge, settings: RouteSettings) -> (Edge, ProxyServer) {
+    let entry = Edge::start(settings, Vec::new()).await;
+    let lost = instance_update(0, closed_address().await, InstancePhase::Ready);
+    entry.state.adopt_instances(vec![lost]);
+    let server = partition_from_back_ends(&entry, other).await;
     (entry, server)
 }
--- a/crates/coursestand-proxy/tests/relay.rs
+++ b/crates/coursestand-proxy/tests/relay.rs
@@ -4,9 +4,9 @@
 mod common;
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::time::Duration;
 
+use common::relays::{partition, partition_from_back_ends};
 use common::{Caller, Edge, RouteSettings, catalog};
 use coursestand_catalog::Patch;
 use coursestand_discovery::{RelayEndpoint, RelayPeer};
@@ -14,8 +14,6 @@
 use coursestand_lab::scripted::Behaviour;
 use coursestand_model::{RegionId, ZoneId};
 use coursestand_proxy::ProxyServer;
-use coursestand_proxy::exchange::Relay;
-use coursestand_routing::{ConnectionAge, PathProbeOutcome, PathScope};
 use googletest::prelude::*;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -40,35 +38,6 @@
     relay_server: ProxyServer,
 }
 
-async fn enable_relay(edge: &Edge, name: &str) -> (ProxyServer, RelayEndpoint) {
-    let token = rand::random();
-    let peers = Arc::clone(edge.state.relay_peers());
-    let relay = Relay::new(peers, name.to_owned(), RegionId::from("r"), token);
-    edge.exchange.set_relay(relay);
-    let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    let server = ProxyServer::start_for_daemons(address, Arc::clone(&edge.exchange))
-        .await
-        .expect("a server");
-    let address = server.address();
-    (server, RelayEndpoint { address, token })
-}
-
-/// Records that a daemon has found that it is partitioned from all back ends.
-fn partition(edge: &Edge) {
-    let mut routing = edge.state.routing();
-    let now = edge.state.now();
-    let backends = Vec::from_iter(routing.backends.iter().cloned());
-    for backend in &backends {
-        let hash = backend.incarnation_hash;
-        let (instance, age) = (&backend.instance, ConnectionAge::New);
-        let paths = &mut routing.paths;
-        paths.note_failed(now, now, instance, hash, age, |_| BACKENDS);
-    }
-    routing.paths.take_due_probes(now);
-    let unreached = PathProbeOutcome::Unreached;
-    routing.paths.note_probe(now, &PathScope::All, unreached);
-}
-
 impl Pair {
     async fn start(behaviour: Behaviour) -> Pair {
         let scripts = vec![(vec![], behaviour); BACKENDS];
@@ -76,18 +45,7 @@
         // The aborted tasks close their listeners.
         partitioned.backends.clear();
         let other = Edge::start(RouteSettings::default(), scripts).await;
-        enable_relay(&partitioned, "edge-1").await;
-        let (relay_server, endpoint) = enable_relay(&other, "edge-2").await;
-        let peer = RelayPeer {
-            name: "edge-2".to_owned(),
-            endpoint,
-            zone: ZoneId::from("z"),
-            region: RegionId::from("r"),
-            link_use: None,
-        };
-        let control = SocketAddr::from(([127, 0, 0, 1], 1));
-        partitioned.state.relay_peers().set(control, vec![peer]);
-        partition(&partitioned);
+        let relay_server = partition_from_back_ends(&partitioned, &other).await;
         Pair {
             partitioned,
             other,
