Let callers who send requests without end make room after an answer

Their connections always have a request in progress, so none counted as idle.

If too few connections can be closed at the bound, those that have been open longest are now closed after the answer to their request, which loses nothing. An answer of which nothing was read for a second makes room too, also while the rest of it is still to be written.

--- a/crates/coursestand-proxy/src/caller_connections.rs
+++ b/crates/coursestand-proxy/src/caller_connections.rs
@@ -165,20 +165,33 @@
         !stall.is_some_and(|stall| stall.is_recent(now) && now - stall.since >= STALL_THRESHOLD)
     }
 
-    /// Closes the connections that have been idle, or have been receiving a body, longest.
+    /// Closes the connections that have been idle, or have waited for their callers, longest. If
+    /// there are too few of them, those that have been open longest are closed after the answer to
+    /// their request.
     fn close_idle(&self) {
         let now = Instant::now();
         let table = self.table();
-        let mut idle: Vec<(Instant, &Arc<IdleTimer>)> = table
+        let mut waiting: Vec<(Instant, &Arc<IdleTimer>)> = table
             .open
             .values()
             .map(|connection| &connection.idle_timer)
             .filter_map(|idle_timer| Some((idle_timer.evictable_since(now)?, idle_timer)))
             .collect();
-        idle.sort_by_key(|(since, _)| *since);
+        waiting.sort_by_key(|(since, _)| *since);
         let count = (self.max_connections / EVICTION_DIVISOR).max(1);
-        for (_, idle_timer) in idle.into_iter().take(count) {
+        for (_, idle_timer) in waiting.iter().take(count) {
             idle_timer.evict();
         }
+        let missing = count.saturating_sub(waiting.len());
+        let mut busy: Vec<(u64, &Arc<IdleTimer>)> = table
+            .open
+            .iter()
+            .map(|(number, connection)| (*number, &connection.idle_timer))
+            .filter(|(_, idle_timer)| idle_timer.is_kept_busy())
+            .collect();
+        busy.sort_by_key(|(number, _)| *number);
+        for (_, idle_timer) in busy.into_iter().take(missing) {
+            idle_timer.request_close();
+        }
     }
 }
--- a/crates/coursestand-proxy/src/idle_timer.rs
+++ b/crates/coursestand-proxy/src/idle_timer.rs
@@ -22,7 +22,7 @@
 const MIN_READING_TIME: Duration = Duration::from_secs(15);
 /// Time for a head on a connection that is to make room for another one.
 const EVICTED_HEAD_TIME: Duration = Duration::from_millis(100);
-/// Time for the caller of such a connection to read the rest of an answer.
+/// Time for the caller of such a connection to read any of an answer that waits to be written.
 const EVICTED_READING_TIME: Duration = Duration::from_secs(1);
 /// A connection that has been idle for less may have a request in transit.
 const MIN_IDLE_TIME: Duration = Duration::from_millis(100);
@@ -47,6 +47,8 @@
     since: Instant,
     /// The head that has begun, if any.
     head: Option<PartialHead>,
+    /// Since when an answer has been waiting for its caller to read any of it.
+    blocked_since: Option<Instant>,
     /// Since when the body of a request has been arriving that has not been passed on.
     receiving_since: Option<Instant>,
     /// Whether the connection is to be closed after its request.
@@ -73,6 +75,7 @@
                 parts: 0,
                 since: Instant::now(),
                 head: None,
+                blocked_since: None,
                 receiving_since: None,
                 is_close_requested: false,
                 is_evicted: false,
@@ -183,7 +186,9 @@
 
     /// Records whether the caller has yet to read before more can be written.
     pub(crate) fn note_write(&self, is_blocked: bool) {
-        self.is_write_blocked.store(is_blocked, Ordering::Relaxed);
+        if self.is_write_blocked.swap(is_blocked, Ordering::Relaxed) != is_blocked {
+            self.state().blocked_since = is_blocked.then(Instant::now);
+        }
     }
 
     /// Returns whether an answer that has begun is not written completely, and never will be if the
@@ -193,21 +198,28 @@
             || self.is_write_blocked.load(Ordering::Relaxed)
     }
 
-    /// Returns since when the connection has been idle, or has been receiving the body of a
-    /// request, if it may be evicted for that.
+    /// Returns since when the connection has been idle, has been receiving the body of a request,
+    /// or has an answer that its caller does not read, if it may be evicted for that.
     pub(crate) fn evictable_since(&self, now: Instant) -> Option<Instant> {
         let state = self.state();
         if state.is_close_requested {
             return None;
         }
-        let (since, min_time) = match state.receiving_since {
-            Some(since) => (since, MIN_RECEPTION_TIME),
-            None if state.parts == 0 => (state.since, MIN_IDLE_TIME),
-            None => return None,
+        let (since, min_time) = match (state.blocked_since, state.receiving_since) {
+            (Some(since), _) => (since, EVICTED_READING_TIME),
+            (None, Some(since)) => (since, MIN_RECEPTION_TIME),
+            (None, None) if state.parts == 0 => (state.since, MIN_IDLE_TIME),
+            (None, None) => return None,
         };
         (now - since >= min_time).then_some(since)
     }
 
+    /// Returns whether a request is in progress on a connection that is to stay open.
+    pub(crate) fn is_kept_busy(&self) -> bool {
+        let state = self.state();
+        state.parts > 0 && !state.is_close_requested
+    }
+
     /// Asks for the connection to be closed after its request.
     pub(crate) fn request_close(&self) {
         self.state().is_close_requested = true;
@@ -267,14 +279,16 @@
     /// Returns when the connection's time is over, and why; none while a request is in progress.
     fn due(&self, limits: &CallerLimits) -> Option<(Instant, Expired)> {
         let state = self.timer.state();
+        if state.is_evicted
+            && let Some(since) = state.blocked_since
+        {
+            return Some((since + EVICTED_READING_TIME, Expired::Stopped));
+        }
         if state.parts > 0 {
             return None;
         }
-        if self.timer.is_write_blocked.load(Ordering::Relaxed) {
-            let reading_time = match state.is_evicted {
-                true => EVICTED_READING_TIME,
-                false => limits.idle.max(MIN_READING_TIME),
-            };
+        if state.blocked_since.is_some() {
+            let reading_time = limits.idle.max(MIN_READING_TIME);
             return Some((state.since + reading_time, Expired::Stopped));
         }
         let head_time = match state.is_evicted {
