--- a/crates/coursestand-proxy/tests/memory_budget.rs
+++ b/crates/coursestand-proxy/tests/memory_budget.rs
@@ -15,9 +15,11 @@
     ProxyMetrics::new(&prometheus::Registry::new()).expect("metrics")
 }
 
-/// Returns an account with a capacity of 8 MiB.
+/// Memory of a process whose account has a capacity of 8 MiB.
+const MEMORY_BYTES: u64 = 64 * MEBIBYTE as u64;
+
 fn budget() -> Arc<MemoryBudget> {
-    MemoryBudget::new(32 * MEBIBYTE as u64, metrics())
+    MemoryBudget::new(MEMORY_BYTES, metrics())
 }
 
 /// Returns a request that began to be received `age` ago and holds `bytes`.
@@ -112,7 +114,7 @@
 #[gtest]
 fn the_metrics_show_what_is_held_and_evicted() {
     let metrics = metrics();
-    let budget = MemoryBudget::new(32 * MEBIBYTE as u64, metrics.clone());
+    let budget = MemoryBudget::new(MEMORY_BYTES, metrics.clone());
     let gauge = |kind: MemoryKind| metrics.memory_bytes.with_label_values(&[kind.name()]).get();
     let _evicted = receive(&budget, Duration::from_secs(1), 8 * MEBIBYTE);
     let stream = budget.stream().expect("room");
