--- a/crates/coursestand-proxy/src/idle_timer.rs
+++ b/crates/coursestand-proxy/src/idle_timer.rs
@@ -202,7 +202,8 @@
     /// or has an answer that its caller does not read, if it may be evicted for that.
     pub(crate) fn evictable_since(&self, now: Instant) -> Option<Instant> {
         let state = self.state();
-        if state.is_close_requested {
+        // One that is to be closed after its request may have to make room before that.
+        if state.is_evicted {
             return None;
         }
         let (since, min_time) = match (state.blocked_since, state.receiving_since) {
