Record departures of back ends before they are acknowledged

Cause: an order to leave was held in the memory of a majority of the control processes and nowhere else. After a kill of all of them the identity is unknown, and a late heartbeat is admitted like that of a new back end. Ruled out: an order that is written and not read at a start (nothing was written), a heartbeat that counts as a new incarnation (no start time is reported in the case).

Change: an order to leave (draining or a deregistration) goes through the replicated log before it is acknowledged, with the identity and the start time of the incarnation. Tables of back ends keep recorded incarnations at draining or later, whatever heartbeats say; a later incarnation is not concerned.

Why it works: what is acknowledged is on as many synced disks as a configuration, and each control process tells its table before entry daemons can have a catalog of the same log.

--- a/crates/coursestand-coordination/src/command.rs
+++ b/crates/coursestand-coordination/src/command.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::bundles::{SignedOrder, SubmitAnswer};
+use crate::departures::Departure;
 use crate::once::{ClaimAnswer, OnceCommand};
 use crate::shares::{ShareKey, ShareVector};
 use crate::signing::SignoffPolicy;
@@ -77,6 +78,8 @@
         /// Whether requests to its back ends are forbidden.
         is_active: bool,
     },
+    /// Records that a back end leaves. A process of an older version refuses it.
+    RecordDeparture(Departure),
 }
 
 /// One start of a back end, identified by its epoch.
--- a/crates/coursestand-coordination/src/lib.rs
+++ b/crates/coursestand-coordination/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod bundles;
 pub mod catch_up;
 pub mod command;
+pub mod departures;
 pub mod followers;
 pub mod freshness;
 pub mod once;
@@ -25,6 +26,7 @@
 
 pub use catch_up::CatchUp;
 pub use command::{Command, CommandAnswer};
+pub use departures::{Departure, Departures};
 pub use freshness::Freshness;
 pub use order_admission::OrderAdmission;
 pub use order_fence::{OrderFence, OrderHistory};
--- a/crates/coursestand-coordination/src/state.rs
+++ b/crates/coursestand-coordination/src/state.rs
@@ -11,6 +11,7 @@
 
 use crate::bundles::{AcceptedChange, BundleHistory, OrderAction, SubmitAnswer};
 use crate::command::{BackendEpoch, Command, CommandAnswer, StampedCommand};
+use crate::departures::{Departures, trailing_departures};
 use crate::once::{OnceCommand, OnceLedger};
 use crate::shares::{ShareKey, ShareVector};
 use crate::shift_ledger::ShiftLedger;
@@ -40,6 +41,9 @@
     /// Longest deadline of all bundles that have been in force: a request that was
     /// dispatched under an earlier bundle may still run.
     longest_deadline_ms: Millis,
+    /// The last field that is encoded, so that states of older processes can be read.
+    #[serde(deserialize_with = "trailing_departures")]
+    departures: Departures,
     /// The bundle in force, parsed from its text in `tables`.
     #[serde(skip)]
     bundle: Option<Bundle>,
@@ -55,6 +59,7 @@
             && self.releases == other.releases
             && self.once == other.once
             && self.catalog == other.catalog
+            && self.departures == other.departures
     }
 }
 
@@ -104,6 +109,10 @@
                 Arc::make_mut(&mut self.catalog).set_evacuation(zone, *is_active, index);
                 CommandAnswer::Done
             }
+            Command::RecordDeparture(departure) => {
+                self.departures.record(departure, self.clock, index);
+                CommandAnswer::Done
+            }
         }
     }
 
@@ -176,6 +185,11 @@
         Arc::clone(&self.catalog)
     }
 
+    /// Returns the back ends whose order to leave was acknowledged.
+    pub fn departures(&self) -> &Departures {
+        &self.departures
+    }
+
     /// Returns the longest time in milliseconds that a request may run after its dispatch.
     pub fn longest_deadline_ms(&self) -> Millis {
         self.longest_deadline_ms
--- a/crates/coursestand-daemon/src/control/shared.rs
+++ b/crates/coursestand-daemon/src/control/shared.rs
@@ -121,6 +121,7 @@
     log_extent: Mutex<Option<LogExtent>>,
     version: watch::Sender<ControlVersion>,
     catalog_version: watch::Sender<ControlVersion>,
+    departures_version: watch::Sender<ControlVersion>,
     /// The newest delta by the version that it starts from. Most followers request the same
     /// one, and reading it for each of them would block the driver.
     deltas: Mutex<HashMap<ControlVersion, Arc<Delta>>>,
@@ -142,6 +143,7 @@
             log_extent: Mutex::default(),
             version: watch::Sender::new(0),
             catalog_version: watch::Sender::new(0),
+            departures_version: watch::Sender::new(0),
             deltas: Mutex::default(),
             catalog_updates: CatalogUpdates::default(),
         }
@@ -285,14 +287,24 @@
         self.catalog_version.subscribe()
     }
 
+    /// Subscribes to versions of the departures of back ends.
+    pub fn departures_versions(&self) -> watch::Receiver<ControlVersion> {
+        self.departures_version.subscribe()
+    }
+
     /// Publishes the versions of the applied state to the subscribers.
     pub(crate) fn publish_versions(&self) {
-        let (tables, catalog) = {
+        let (tables, catalog, departures) = {
             let state = self.state();
-            (state.tables().version, state.catalog().version())
+            (
+                state.tables().version,
+                state.catalog().version(),
+                state.departures().version(),
+            )
         };
         publish(&self.version, tables);
         publish(&self.catalog_version, catalog);
+        publish(&self.departures_version, departures);
     }
 }
 
--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -27,9 +27,11 @@
 use crate::fleet::call_body::{BodyError, BodyLimits, CallBodies};
 use crate::fleet::catalog_reads::{CatalogReads, EncodedCatalog, ReadError};
 use crate::fleet::control_service::ControlMesh;
+use crate::fleet::departures::DepartureRecorder;
 use crate::fleet::hub::{Hub, NotReplicated};
 use crate::fleet::memory::process_memory_bytes;
 use crate::fleet::orders::{Order, OrderOutcome, Orders};
+use crate::fleet::proposals::Proposals;
 use crate::names;
 
 const LOG: &str = "control";
@@ -65,6 +67,7 @@
     mesh: Arc<ControlMesh>,
     hub: Arc<Hub>,
     orders: Orders,
+    departures: DepartureRecorder,
     connections: Arc<CallerConnections>,
     reads: CatalogReads,
     bodies: CallBodies,
@@ -103,9 +106,18 @@
         let suspensions = Arc::new(SuspensionWatch::new(clock));
         let connections = Arc::new(CallerConnections::new(clock, Arc::clone(&suspensions)));
         self.tasks.start(async move { suspensions.run().await });
+        let proposals = Proposals {
+            control: Arc::clone(&mesh.control),
+            links: Arc::clone(&mesh.links),
+        };
         let handler = Arc::new(ApiHandler {
             hub: Arc::clone(&mesh.hub),
-            orders: Orders::new(Arc::clone(&mesh.control), Arc::clone(&mesh.links)),
+            orders: Orders::new(proposals.clone()),
+            departures: DepartureRecorder::new(
+                Arc::clone(&mesh.hub),
+                proposals,
+                self.settings.bounds.lost_disks + 1,
+            ),
             connections: Arc::clone(&connections),
             mesh: Arc::clone(&mesh),
             reads: CatalogReads::new(
@@ -235,10 +247,14 @@
             Call::ReadCatalog => self.read().await,
             Call::Heartbeat(update) => {
                 self.mesh.metrics.heartbeats.inc();
-                self.heartbeat_answer(self.hub.heartbeat(update).await)
+                match self.hub.heartbeat(update) {
+                    None => self.heartbeat_answer(Ok(())),
+                    Some(order) => self.heartbeat_answer(self.departures.acknowledge(order).await),
+                }
             }
             Call::Deregister { id, born } => {
-                self.heartbeat_answer(self.hub.deregister(&id, born).await)
+                let order = self.hub.deregister(&id, born);
+                self.heartbeat_answer(self.departures.acknowledge(order).await)
             }
             Call::Lookup { region, zone } => self.lookup(&LookupClient {
                 region: &region,
@@ -252,9 +268,7 @@
     fn heartbeat_answer(&self, result: Result<(), NotReplicated>) -> Response {
         match result {
             Ok(()) => respond(StatusCode::OK, self.dialect.heartbeat_accepted(None)),
-            Err(NotReplicated) => {
-                unavailable("no majority of the control processes acknowledged it")
-            }
+            Err(NotReplicated) => unavailable("the control group has not recorded it"),
         }
     }
 
--- a/crates/coursestand-daemon/src/fleet/control_service.rs
+++ b/crates/coursestand-daemon/src/fleet/control_service.rs
@@ -18,6 +18,7 @@
 use crate::control::event::Event;
 use crate::control::handle::ControlHandle;
 use crate::control::shared::ControlShared;
+use crate::fleet::departures::follow_departures;
 use crate::fleet::dumps;
 use crate::fleet::formation::{Formation, FormationRules};
 use crate::fleet::hub::Hub;
@@ -64,6 +65,7 @@
             edges,
             edges_named_without_connection: self.hub.named_without_connection().len(),
             rate_limited_backends: self.hub.limited_backends(),
+            departures: shared.state().departures().len(),
         });
     }
 }
@@ -178,6 +180,7 @@
             metrics,
         });
         self.tasks.start(run_periodic_work(Arc::clone(&mesh)));
+        self.tasks.start(follow_departures(Arc::clone(&mesh)));
         registry.publish(names::HUB, Arc::clone(&mesh));
         *self.mesh.lock().unwrap_or_else(PoisonError::into_inner) = Some(mesh);
         *self.driver.lock().unwrap_or_else(PoisonError::into_inner) = Some(thread);
@@ -230,6 +233,7 @@
             "leading_term": mesh.control.shared.leading_term(),
             "catalog_version": catalog.version(),
             "evacuations": dumps::evacuations(&catalog),
+            "departures": mesh.control.shared.state().departures().len(),
             "soft_state": mesh.hub.dump(),
             "requests_that_end_back_ends": mesh.hub.crash_record_views(),
             "rate_limits": mesh.hub.token_bucket_views(),
--- a/crates/coursestand-daemon/src/fleet/hub/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -9,8 +9,8 @@
 
 use bytes::Bytes;
 use coursestand_discovery::{
-    Directory, EdgeIncarnation, EdgeRecord, Evidence, Instance, InstancePhase, InstanceTable,
-    InstanceUpdate, NamedDaemon,
+    Directory, EdgeIncarnation, EdgeRecord, Evidence, Incarnation, Instance, InstancePhase,
+    InstanceTable, InstanceUpdate, NamedDaemon,
 };
 use coursestand_kernel::MonotonicClock;
 use coursestand_model::{BackendId, Millis, ServiceId, ZoneId};
@@ -154,35 +154,25 @@
         });
     }
 
-    /// Handles a heartbeat. An order to leave succeeds once a majority of the control processes
-    /// has it: every entry daemon is connected with one of these.
-    pub async fn heartbeat(&self, update: InstanceUpdate) -> Result<(), NotReplicated> {
+    /// Handles a heartbeat. Returns the order to leave that it stands for, if any, which is to be
+    /// replicated before it is acknowledged.
+    pub fn heartbeat(&self, update: InstanceUpdate) -> Option<InstanceUpdate> {
         let now = self.clock.now();
         let id = update.instance.id.clone();
         let is_leaving = update.instance.phase != InstancePhase::Ready;
         self.state().heartbeats_received.insert(id.clone());
-        self.merge_and_broadcast(now, vec![update]);
+        self.merge_and_broadcast(now, vec![update.clone()]);
         if !is_leaving {
-            return Ok(());
-        }
-        let entry = self
-            .state()
-            .instances
-            .get(&id)
-            .map(|entry| entry.to_update(now));
-        match entry {
-            Some(update) => self.replicate_to_majority(update).await,
-            None => Err(NotReplicated),
+            return None;
         }
+        let state = self.state();
+        let known = state.instances.get(&id);
+        Some(known.map_or(update, |entry| entry.to_update(now)))
     }
 
     /// Deregisters an incarnation of a back end that stops; `born` is its start, if it reports
-    /// one.
-    pub async fn deregister(
-        &self,
-        id: &BackendId,
-        born: Option<Millis>,
-    ) -> Result<(), NotReplicated> {
+    /// one. Returns the order, which is to be replicated before it is acknowledged.
+    pub fn deregister(&self, id: &BackendId, born: Option<Millis>) -> InstanceUpdate {
         let now = self.clock.now();
         let entry = self
             .state()
@@ -193,7 +183,19 @@
         update.instance.born = born.or(update.instance.born);
         update.instance.phase = InstancePhase::Gone;
         self.merge_and_broadcast(now, vec![update.clone()]);
-        self.replicate_to_majority(update).await
+        update
+    }
+
+    /// Replaces the recorded departures of back ends.
+    pub fn set_departures(&self, departures: Vec<Incarnation>) {
+        let now = self.clock.now();
+        let changed: Vec<InstanceUpdate> = {
+            let mut state = self.state();
+            let ids = state.instances.set_departures(departures);
+            let entries = ids.iter().filter_map(|id| state.instances.get(id));
+            entries.map(|entry| entry.to_update(now)).collect()
+        };
+        self.publish_changes(&changed);
     }
 
     /// Merges updates from another control process.
@@ -276,8 +278,9 @@
         }
     }
 
-    /// Returns once a majority of the control processes has acknowledged the update.
-    async fn replicate_to_majority(&self, update: InstanceUpdate) -> Result<(), NotReplicated> {
+    /// Returns once a majority of the control processes has acknowledged the update: every entry
+    /// daemon is connected with one of these.
+    pub async fn replicate_to_majority(&self, update: InstanceUpdate) -> Result<(), NotReplicated> {
         let members = self.controls.borrow().members.clone();
         let Some(links) = self.links() else {
             return Err(NotReplicated);
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -20,6 +20,7 @@
     edges: IntGauge,
     edges_named_without_connection: IntGauge,
     rate_limited_backends: IntGauge,
+    departures: IntGauge,
     calls: IntGaugeVec,
     peer_queue_bytes: IntGauge,
     /// Heartbeats of back ends received by this process.
@@ -65,6 +66,8 @@
     pub edges_named_without_connection: usize,
     /// Back ends that reported a rate limit.
     pub rate_limited_backends: usize,
+    /// Recorded departures of back ends.
+    pub departures: usize,
 }
 
 fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, prometheus::Error> {
@@ -133,6 +136,10 @@
                 "coursestand_edges_named_without_connection",
                 "Entry daemons in look-ups that this process is not connected with",
             )?,
+            departures: gauge(
+                "coursestand_control_departures",
+                "Back ends whose order to leave is recorded in the replicated state",
+            )?,
             rate_limited_backends: gauge(
                 "coursestand_control_rate_limited_backends",
                 "Back ends that reported a rate limit",
@@ -190,6 +197,7 @@
         self.edges.set(counts.edges as i64);
         self.edges_named_without_connection
             .set(counts.edges_named_without_connection as i64);
+        self.departures.set(counts.departures as i64);
         self.rate_limited_backends
             .set(counts.rate_limited_backends as i64);
         for (phase, count) in [
--- a/crates/coursestand-daemon/src/fleet/orders.rs
+++ b/crates/coursestand-daemon/src/fleet/orders.rs
@@ -21,10 +21,8 @@
 use log::info;
 use tokio::time::Instant;
 
-use crate::control::handle::ControlHandle;
-use crate::fleet::peer_links::{AskError, PeerLinks};
-use crate::fleet::questions::propose;
-use crate::fleet::wire::{Answer, Question, TrailingIndex};
+use crate::fleet::proposals::Proposals;
+use crate::fleet::wire::Answer;
 
 const LOG: &str = "control";
 /// Timeout of an order, including the wait for a leader.
@@ -86,14 +84,13 @@
 
 /// Carries out orders on this replica, or through the leader.
 pub struct Orders {
-    control: Arc<ControlHandle>,
-    links: Arc<PeerLinks>,
+    proposals: Proposals,
 }
 
 impl Orders {
-    /// Returns a committer that reaches the leader through `links`.
-    pub fn new(control: Arc<ControlHandle>, links: Arc<PeerLinks>) -> Orders {
-        Orders { control, links }
+    /// Returns a committer that proposes orders through `proposals`.
+    pub fn new(proposals: Proposals) -> Orders {
+        Orders { proposals }
     }
 
     /// Carries out an order that was just read.
@@ -102,7 +99,7 @@
         let caller = order.view_caller();
         info!(target: LOG, order = order.describe(), caller:% = order.caller,
             has_caller = caller.is_connected, connection_age_ms = caller.connection_age_ms,
-            confirmed_at = order.confirmed.map(|fence| fence.0), leads = self.leads();
+            confirmed_at = order.confirmed.map(|fence| fence.0), leads = self.proposals.leads();
             "order received");
         let outcome = self.commit(order, started + ORDER_TIMEOUT).await;
         info!(target: LOG, order = order.describe(), caller:% = order.caller,
@@ -117,7 +114,10 @@
         loop {
             admission.note_fence(self.applied());
             let answer = match admission.next_step(order.view_caller()) {
-                OrderStep::Propose(fence) => self.propose_once(order, fence, deadline).await,
+                OrderStep::Propose(fence) => {
+                    let command = order.command.clone();
+                    self.proposals.propose(command, Some(fence), deadline).await
+                }
                 OrderStep::Drop => return OrderOutcome::CallerLeft,
                 OrderStep::Confirm(fence) => return OrderOutcome::Unconfirmed(fence),
             };
@@ -150,35 +150,10 @@
         }
     }
 
-    async fn propose_once(&self, order: &Order, fence: OrderFence, deadline: Instant) -> Answer {
-        if self.leads() {
-            let proposing = propose(&self.control, order.command.clone(), Some(fence));
-            return match tokio::time::timeout_at(deadline, proposing).await {
-                Ok(answer) => answer,
-                Err(_) => Answer::Unknown("not committed before the deadline".to_owned()),
-            };
-        }
-        let Some(leader) = self.control.shared.leader_address() else {
-            return Answer::NotLeader;
-        };
-        let question = Question::Propose(order.command.clone(), TrailingIndex::from(fence));
-        let remaining = deadline.saturating_duration_since(Instant::now());
-        match self.links.ask(leader, question, remaining).await {
-            Ok(answer) => answer,
-            // The leader has not seen the order, so it may be sent again.
-            Err(AskError::NotSent) => Answer::NotLeader,
-            Err(error) => Answer::Unknown(error.to_string()),
-        }
-    }
-
-    fn leads(&self) -> bool {
-        self.control.shared.leading_term().is_some()
-    }
-
     /// Returns the index up to which this replica has applied the log. A replica that is not a
     /// voter learns it from the leader.
     fn applied(&self) -> u64 {
-        let extent = self.control.shared.log_extent();
+        let extent = self.proposals.control.shared.log_extent();
         extent.map_or(0, |extent| extent.applied)
     }
 }
--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -354,6 +354,12 @@
         answer.map_or(0, |answer| answer.status().as_u16())
     }
 
+    pub async fn deregister(&self, host: u8, id: &str) -> u16 {
+        let url = format!("{}/v1/backends/{id}", self.control_url(host));
+        let answer = self.http.delete(url).send().await;
+        answer.map_or(0, |answer| answer.status().as_u16())
+    }
+
     pub async fn evacuate(&self, host: u8, zone: &str) -> u16 {
         let url = format!("{}/v1/closed-zones/{zone}", self.control_url(host));
         let answer = self.http.put(url).send().await;
--- a/crates/coursestand-daemon/tests/fleet/main.rs
+++ b/crates/coursestand-daemon/tests/fleet/main.rs
@@ -3,6 +3,7 @@
 #![allow(missing_docs)]
 
 mod control_stop;
+mod departures;
 mod deployment;
 mod edge_stop;
 mod evacuations;
--- a/crates/coursestand-discovery/src/table.rs
+++ b/crates/coursestand-discovery/src/table.rs
@@ -6,7 +6,7 @@
 use coursestand_model::{BackendId, Millis};
 
 use crate::claims::{AddressState, Claims};
-use crate::instance::{Instance, InstancePhase, InstanceUpdate};
+use crate::instance::{Incarnation, Instance, InstancePhase, InstanceUpdate};
 
 /// Time for which the record of an instance that is gone is kept, so that a late heartbeat
 /// does not restore it.
@@ -65,13 +65,17 @@
     /// reported again with the newcomer's next heartbeat, since the update that admits a
     /// claimant may be one that is not forwarded.
     admitted: HashMap<BackendId, Vec<BackendId>>,
+    /// Start times of the incarnations that have orders to leave on record, see
+    /// [`Self::set_departures`].
+    departures: HashMap<BackendId, Option<Millis>>,
 }
 
 impl InstanceTable {
     /// Merges an update from an instance, or from another process that merges such updates.
     /// Returns the instances that changed: this one, others that were admitted, and those
     /// whose address was taken over.
-    pub fn merge(&mut self, now: Millis, update: InstanceUpdate) -> Vec<BackendId> {
+    pub fn merge(&mut self, now: Millis, mut update: InstanceUpdate) -> Vec<BackendId> {
+        self.apply_departure(&mut update.instance);
         let id = update.instance.id.clone();
         let known = self.known.get(&id);
         let is_newcomer = known.is_none_or(|known| update.instance.starts_after(&known.instance));
@@ -100,7 +104,8 @@
     ///
     /// A later incarnation replaces all state of the previous one; updates of earlier
     /// incarnations are ignored.
-    pub fn adopt(&mut self, now: Millis, update: InstanceUpdate) -> Vec<BackendId> {
+    pub fn adopt(&mut self, now: Millis, mut update: InstanceUpdate) -> Vec<BackendId> {
+        self.apply_departure(&mut update.instance);
         let id = update.instance.id.clone();
         let address = update.instance.address;
         let cold_until = now.saturating_add(update.cold_ms);
@@ -147,6 +152,36 @@
         if changed { vec![id] } else { Vec::new() }
     }
 
+    /// Replaces the incarnations whose orders to leave are on record. From now on these, and
+    /// earlier ones, are at least draining, whatever their heartbeats say. Returns the instances
+    /// that changed.
+    pub fn set_departures(
+        &mut self,
+        departures: impl IntoIterator<Item = Incarnation>,
+    ) -> Vec<BackendId> {
+        self.departures = departures
+            .into_iter()
+            .map(|departed| (departed.id, departed.born))
+            .collect();
+        let mut changed = Vec::new();
+        for (id, known) in &mut self.known {
+            let is_ready = known.instance.phase == InstancePhase::Ready;
+            if is_ready && has_departed(&self.departures, &known.instance) {
+                known.instance.phase = InstancePhase::Draining;
+                changed.push(id.clone());
+            }
+        }
+        changed
+    }
+
+    /// Sets the phase of an instance whose order to leave is on record: its announcement may have
+    /// been delayed.
+    fn apply_departure(&self, instance: &mut Instance) {
+        if has_departed(&self.departures, instance) {
+            instance.phase = instance.phase.max(InstancePhase::Draining);
+        }
+    }
+
     /// Returns the start time and sequence number of an instance's latest heartbeat, by
     /// which heartbeats are ordered.
     fn latest_heartbeat(&self, id: &BackendId) -> Option<(Option<Millis>, u64)> {
@@ -254,6 +289,16 @@
     }
 }
 
+/// Returns whether the order to leave of this incarnation, or of a later one, is on record. An
+/// incarnation without a start time counts as the recorded one.
+fn has_departed(departures: &HashMap<BackendId, Option<Millis>>, instance: &Instance) -> bool {
+    let Some(departed) = departures.get(&instance.id) else {
+        return false;
+    };
+    let start_times = instance.born.zip(*departed);
+    start_times.is_none_or(|(born, departed)| born <= departed)
+}
+
 /// Returns whether a live instance has this address, and since when none has otherwise.
 fn address_state<'a>(
     known: impl Iterator<Item = &'a KnownInstance>,
