Record a late order to leave for the incarnation that sent it

A back end that restarted under its identity was kept out after a late order of its earlier incarnation: the order was recorded with the start time of the known incarnation, which is the later one.

--- a/crates/coursestand-daemon/src/fleet/hub/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -167,6 +167,8 @@
         }
         let state = self.state();
         let known = state.instances.get(&id);
+        // A late order of an earlier incarnation does not concern the known one.
+        let known = known.filter(|entry| !entry.instance.starts_after(&update.instance));
         Some(known.map_or(update, |entry| entry.to_update(now)))
     }
 
