Do not send a request again on a connection that has carried it

Cause: an answer is matched to its request by the id alone, and the third sending of a refused request went out on the connection of the first one. The late second answer of the first refusal has the same id, and was taken for the answer to the third sending. Ruled out: an id that is not compared, and an extra answer that an idle connection kept (hyper closes it).

Change: a connection remembers, until the end of their time limit, the requests that it has carried and that may be sent again. It is passed over for these and used for all others. It does so by id, so that a request that comes again over a relay, or from a caller that uses an id twice, is covered as well. Attempts whose answer never came were closed with their connection already.

Why it works: what arrives on a connection after a refusal can carry only ids that are not sent there again.

--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -69,7 +69,7 @@
         if failure.is_none_or(|failure| failure.ending() == AttemptEnding::Resolved) {
             started.mark_resolved();
         }
-        let (response, connection) = sent?;
+        let (response, mut connection) = sent?;
         let (head, body) = response.into_parts();
         let verdict = judge(
             &self.names,
@@ -105,6 +105,14 @@
             }
             Err(_) => return Err(failure(AttemptFailure::TimedOut)),
         };
+        let is_repeatable = prepared.matched.route.route.kind.is_repeatable();
+        let is_final = match verdict {
+            Verdict::Genuine => !(head.status.is_server_error() && is_repeatable),
+            _ => false,
+        };
+        if !is_final {
+            connection.note_repeatable(prepared.id.as_deref(), prepared.deadline.latest);
+        }
         let mut headers = head.headers;
         strip_answer_headers(&prepared.parts.method, &mut headers);
         let body = match collected {
@@ -139,14 +147,13 @@
             Verdict::Misdirected => Err(failure(AttemptFailure::Misdirected)),
             _ => {
                 self.phases.answered(target, &metadata.report);
-                let is_server_error = received.status.is_server_error();
-                if is_server_error && prepared.matched.route.route.kind.is_repeatable() {
-                    return Err(FailedAttempt {
-                        answer: Some(Box::new(received)),
-                        ..failure(AttemptFailure::Failed)
-                    });
+                if is_final {
+                    return Ok(received);
                 }
-                Ok(received)
+                Err(FailedAttempt {
+                    answer: Some(Box::new(received)),
+                    ..failure(AttemptFailure::Failed)
+                })
             }
         }
     }
@@ -201,8 +208,8 @@
         }
     }
 
-    /// Sends the request on an idle connection, or on a new one; after a silent connection
-    /// only on a new one. A request that was not written is sent on the next connection.
+    /// Sends the request on an idle connection that has not carried it before, or on a new one;
+    /// after a silent connection only on a new one. A request that was not written is sent on the next connection.
     async fn send(
         &self,
         prepared: &mut PreparedRequest,
@@ -212,7 +219,7 @@
         let mut request = self.request_for(prepared, target)?;
         loop {
             let idle = match attempts.silent_connection {
-                None => self.pool.take(&target.incarnation),
+                None => self.pool.take(&target.incarnation, prepared.id.as_deref()),
                 Some(_) => None,
             };
             let mut connection = match idle {
--- a/crates/coursestand-proxy/src/exchange/relay.rs
+++ b/crates/coursestand-proxy/src/exchange/relay.rs
@@ -209,7 +209,7 @@
             return RelayResult::Lost;
         };
         let (response, connection) = loop {
-            let connection = match relay.pool.take(&key) {
+            let connection = match relay.pool.take(&key, prepared.id.as_deref()) {
                 Some(connection) => Ok(connection),
                 None => {
                     relay
--- a/crates/coursestand-proxy/src/lib.rs
+++ b/crates/coursestand-proxy/src/lib.rs
@@ -9,6 +9,7 @@
 mod caller_connections;
 pub mod caller_limits;
 mod caller_stream;
+mod carried_requests;
 mod collect;
 pub mod connect;
 pub mod connect_times;
--- a/crates/coursestand-proxy/src/pool.rs
+++ b/crates/coursestand-proxy/src/pool.rs
@@ -28,6 +28,7 @@
 use tokio::task::JoinHandle;
 use tokio::time::Instant;
 
+use crate::carried_requests::CarriedRequests;
 use crate::connect::connect;
 use crate::open_request::OpenRequest;
 use crate::phases::SilentConnection;
@@ -86,6 +87,7 @@
     pub sender: SendRequest<RequestBody>,
     /// Whether it has carried an earlier request.
     pub is_reused: bool,
+    carried: CarriedRequests,
     read_limit: Arc<ReadLimit>,
     open_request: Arc<OpenRequest>,
     driver: Driver,
@@ -109,6 +111,12 @@
         }
     }
 
+    /// Records that the request with this id may be sent again until `ends_at`, which must then be
+    /// done on another connection.
+    pub fn note_repeatable(&mut self, request_id: Option<&str>, ends_at: Instant) {
+        self.carried.note(request_id, ends_at);
+    }
+
     /// Records that the answer to the request is complete: from now on the connection may be closed
     /// in the ordinary way.
     pub fn answer_completed(&self) {
@@ -179,13 +187,19 @@
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes an idle connection to the peer, the most recently used one first.
-    pub fn take(&self, id: &K) -> Option<Connection> {
+    /// Takes an idle connection to the peer, the most recently used one first, which has not
+    /// carried the request with this id.
+    pub fn take(&self, id: &K, request_id: Option<&str>) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle();
         let connections = idle.get_mut(id)?;
-        while let Some(candidate) = connections.pop() {
+        for position in (0..connections.len()).rev() {
+            let candidate = &connections[position];
+            if candidate.connection.carried.include(request_id) {
+                continue;
+            }
             let is_usable = now < candidate.expires_at && candidate.connection.sender.is_ready();
+            let candidate = connections.remove(position);
             if is_usable {
                 return Some(candidate.connection);
             }
@@ -222,6 +236,7 @@
         Ok(Connection {
             sender,
             is_reused: false,
+            carried: CarriedRequests::default(),
             read_limit,
             open_request,
             driver: Driver(driver),
@@ -253,7 +268,8 @@
         connection.answer_completed();
         let answered_at = Instant::now();
         let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
-        if !matches!(ready, Ok(Ok(()))) || connection.driver.0.is_finished() {
+        let is_usable = matches!(ready, Ok(Ok(()))) && !connection.driver.0.is_finished();
+        if !is_usable || connection.carried.is_full() {
             return;
         }
         connection.is_reused = true;
--- a/crates/coursestand-proxy/tests/endless_bytes.rs
+++ b/crates/coursestand-proxy/tests/endless_bytes.rs
@@ -284,7 +284,7 @@
         if let Ok(connection) = pool.open_and_hold(address, limit).await {
             pool.give_back("probed", connection, None).await;
         }
-        expect_that!(pool.take(&"probed").is_none(), eq(true), "{text:?}");
+        expect_that!(pool.take(&"probed", None).is_none(), eq(true), "{text:?}");
         // The back end sees that its connection is closed.
         let ended = timeout(common::TEST_TIMEOUT, sending).await;
         expect_that!(ended.is_ok(), eq(true), "{text:?}");
