Do not believe an answer without the id of its request

A back end that sends an extra refusal without a request id before its answer made a request that must not be repeated run three times (as often as it may be sent), and its caller got 503, the promise that it had not run.

Cause: an id was compared only if there was one, and refusals and 421 were decided without one. Back ends repeat the id in every answer; one without it belongs to no known request.

Change: an answer without the id fails the attempt, and the request counts as one that may have run. A request that came without an id is judged as before. The scripted back end left the id out of its refusals and 421; it repeats it now, as docs/CALLERS.md says.

Evidence: an_answer_without_an_id_proves_nothing fails on for six of seven statuses (it held for 200), passes now. The other tests of the proxy pass.

--- a/crates/coursestand-lab/src/scripted.rs
+++ b/crates/coursestand-lab/src/scripted.rs
@@ -426,7 +426,8 @@
 ) -> std::io::Result<bool> {
     let names = HeaderNames::default();
     let id = head.run.id.clone();
-    let not_executed = format!("{}: 1\r\n", names.not_executed);
+    let id_line = format!("{}: {id}\r\n", names.request_id);
+    let not_executed = format!("{id_line}{}: 1\r\n", names.not_executed);
     let text = match behaviour {
         Behaviour::Answer(status) => answer(&id, *status, ""),
         Behaviour::CrashOn(_) | Behaviour::CrashAfter(..) => answer(&id, 200, ""),
@@ -443,10 +444,14 @@
         }
         Behaviour::AnswerWithHeaders(status, lines) => answer(&id, *status, lines),
         Behaviour::UnprovenRefusalWithHeaders(lines) => {
-            format!("HTTP/1.1 503 X\r\n{lines}content-length: 0\r\n\r\n")
+            format!("HTTP/1.1 503 X\r\n{id_line}{lines}content-length: 0\r\n\r\n")
+        }
+        Behaviour::Misdirected => {
+            format!("HTTP/1.1 421 X\r\n{id_line}content-length: 0\r\n\r\n")
+        }
+        Behaviour::UnprovenRefusal => {
+            format!("HTTP/1.1 503 X\r\n{id_line}content-length: 0\r\n\r\n")
         }
-        Behaviour::Misdirected => "HTTP/1.1 421 X\r\ncontent-length: 0\r\n\r\n".to_owned(),
-        Behaviour::UnprovenRefusal => "HTTP/1.1 503 X\r\ncontent-length: 0\r\n\r\n".to_owned(),
         Behaviour::Slow(pause) => {
             if !stays_open_for(stream, *pause).await {
                 abandoned_sender.send_modify(|abandoned| *abandoned += 1);
--- a/crates/coursestand-proxy/src/verdict.rs
+++ b/crates/coursestand-proxy/src/verdict.rs
@@ -49,8 +49,10 @@
         return Verdict::Foreign("both a length and a transfer coding");
     }
     let echoed = text_of(headers, &names.request_id);
-    if echoed.is_some() && echoed != request_id {
-        return Verdict::Foreign("the id of another request");
+    match (request_id, echoed) {
+        (Some(_), None) => return Verdict::Foreign("no request id"),
+        _ if echoed != request_id => return Verdict::Foreign("the id of another request"),
+        _ => {}
     }
     let is_marked_not_run = headers.contains_key(&names.not_executed);
     if status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/coursestand-proxy/tests/late_refusals.rs
+++ b/crates/coursestand-proxy/tests/late_refusals.rs
@@ -48,6 +48,8 @@
     Idle,
     /// Its first part while the connection is idle, the rest in place of the next answer.
     Split,
+    /// Before the answer to each sending, with this status line and without an id.
+    WithoutId(&'static str),
 }
 
 impl RefusingBackEnd {
@@ -91,6 +93,10 @@
                 };
                 stream.write_all(rest.as_bytes()).await.ok()?;
             }
+            if let Extra::WithoutId(status) = self.extra {
+                let answer = answer_without_id(status);
+                stream.write_all(answer.as_bytes()).await.ok()?;
+            }
             if arrivals > self.refusals {
                 self.runs.fetch_add(1, Ordering::SeqCst);
                 stream.write_all(success(&id).as_bytes()).await.ok()?;
@@ -101,9 +107,8 @@
             stream.write_all(refusal.as_bytes()).await.ok()?;
             refused.insert(id);
             match self.extra {
-                Extra::NextSending => continue,
-                Extra::Idle => sleep(REFUSAL_DELAY / 2).await,
-                Extra::Split => sleep(REFUSAL_DELAY / 2).await,
+                Extra::NextSending | Extra::WithoutId(_) => continue,
+                Extra::Idle | Extra::Split => sleep(REFUSAL_DELAY / 2).await,
             }
             let early = match self.extra {
                 Extra::Split => &refusal[..refusal.len() / 2],
@@ -160,6 +165,14 @@
     )
 }
 
+fn answer_without_id(status: &str) -> String {
+    let names = HeaderNames::default();
+    format!(
+        "HTTP/1.1 {status}\r\n{}: 1\r\n{}: s\r\n{}: 0,0,4\r\ncontent-length: 0\r\n\r\n",
+        names.not_executed, names.signature, names.server_load
+    )
+}
+
 fn success(id: &str) -> String {
     let names = HeaderNames::default();
     format!(
@@ -228,3 +241,20 @@
     expect_that!(back_end.runs(), eq(10));
     expect_that!(back_end.connections(), eq(2));
 }
+
+/// Guards against an extra answer without an id that is believed: a request that must not be
+/// repeated is sent again although it runs, or its caller is told that it has not run.
+#[gtest]
+#[tokio::test]
+async fn an_answer_without_an_id_proves_nothing() {
+    for status in [
+        "429 X", "503 X", "421 X", "400 X", "500 X", "404 X", "200 OK",
+    ] {
+        let back_end = RefusingBackEnd::start(0, Extra::WithoutId(status)).await;
+        let edge = edge_before(&back_end, 3).await;
+        let answer = edge.request("/once/a", "r").await;
+        sleep(CLOSE_TIME).await;
+        expect_that!(back_end.runs(), eq(1), "{status}");
+        expect_that!(answer.status, eq(502), "{status}");
+    }
+}
