Tell which record follows a corrupt one, and how much memory a process takes

Users saw control processes that did not start after a loss of power. Nor did a process say how much memory it takes for its own, which follows from its settings or from the machine.

--- a/crates/coursestand-consensus/src/storage.rs
+++ b/crates/coursestand-consensus/src/storage.rs
@@ -46,7 +46,7 @@
     },
     /// The file is corrupt before its end, so a write that was interrupted by a crash
     /// can't be the cause.
-    #[snafu(display("{}: corrupt at byte {offset}: {what}", path.display()))]
+    #[snafu(display("{}: corrupt at byte {offset}: {what}{}", path.display(), followed_by(*next)))]
     Corrupt {
         /// The file.
         path: PathBuf,
@@ -54,6 +54,8 @@
         offset: u64,
         /// Description of the fault.
         what: &'static str,
+        /// Byte offset of the frame that follows, if the fault is told by there being one.
+        next: Option<u64>,
     },
     /// The log has a gap: entries are missing.
     #[snafu(display(
@@ -151,3 +153,9 @@
         Ok(())
     }
 }
+
+fn followed_by(next: Option<u64>) -> String {
+    next.map_or_else(String::new, |next| {
+        format!("; another record follows at byte {next}")
+    })
+}
--- a/crates/coursestand-consensus/src/wal/frames.rs
+++ b/crates/coursestand-consensus/src/wal/frames.rs
@@ -70,10 +70,10 @@
     }
 }
 
-/// Returns whether a complete frame begins anywhere in `bytes`.
-fn contains_frame(bytes: &[u8]) -> bool {
-    (0..bytes.len()).any(|start| {
-        let rest = &bytes[start..];
+/// Returns the position in `bytes` at which the first complete frame begins, wherever that is.
+fn find_frame(bytes: &[u8]) -> Option<usize> {
+    (0..bytes.len()).find(|start| {
+        let rest = &bytes[*start..];
         let Some(header) = Header::decode(rest) else {
             return false;
         };
@@ -92,7 +92,12 @@
     Incomplete,
     /// The frame does not match its checksums although another one follows, which was written
     /// only after this one had been synced.
-    Corrupt(&'static str),
+    Corrupt {
+        /// Description of the fault.
+        what: &'static str,
+        /// Byte offset at which the next frame begins.
+        next: u64,
+    },
 }
 
 /// Reads the frames of a file, one at a time.
@@ -150,9 +155,12 @@
             // The frame's length is unknown, and the parts of a write that was interrupted may
             // be on the disk in any order.
             let rest = self.read(after_header as usize)?;
-            return Ok(match contains_frame(&rest) {
-                true => FrameRead::Corrupt("header checksum mismatch"),
-                false => FrameRead::Incomplete,
+            return Ok(match find_frame(&rest) {
+                Some(position) => FrameRead::Corrupt {
+                    what: "header checksum mismatch",
+                    next: self.offset + (HEADER_BYTES + position) as u64,
+                },
+                None => FrameRead::Incomplete,
             });
         };
         let length = u64::from(header.length);
@@ -163,7 +171,10 @@
         if !header.matches(&payload) {
             return Ok(match after_header == length {
                 true => FrameRead::Incomplete,
-                false => FrameRead::Corrupt("record checksum mismatch"),
+                false => FrameRead::Corrupt {
+                    what: "record checksum mismatch",
+                    next: self.offset + HEADER_BYTES as u64 + length,
+                },
             });
         }
         self.offset += HEADER_BYTES as u64 + length;
--- a/crates/coursestand-consensus/src/wal/mod.rs
+++ b/crates/coursestand-consensus/src/wal/mod.rs
@@ -383,6 +383,7 @@
         path: disk.folder().join(oldest),
         offset: 0u64,
         what: "no segment begins with the full state",
+        next: None,
     }
     .fail()
 }
--- a/crates/coursestand-consensus/src/wal/replay.rs
+++ b/crates/coursestand-consensus/src/wal/replay.rs
@@ -17,6 +17,7 @@
         path: disk.folder().join(name),
         offset: 0u64,
         what,
+        next: None,
     };
     // A snapshot is renamed only after its sync, so it can't be truncated.
     let FrameRead::Complete(payload) = FrameReader::open(disk, name)?.next()? else {
@@ -78,11 +79,16 @@
         let path = &frames.path().to_owned();
         loop {
             let offset = frames.offset();
-            let corrupt = |what| CorruptSnafu { path, offset, what };
+            let corrupt = |what, next| CorruptSnafu {
+                path,
+                offset,
+                what,
+                next,
+            };
             match frames.next()? {
                 FrameRead::Complete(payload) => {
                     let Ok(record) = postcard::from_bytes::<Record>(&payload) else {
-                        return corrupt("record can't be decoded").fail();
+                        return corrupt("record can't be decoded", None).fail();
                     };
                     drop(payload);
                     self.apply_record(path, record)?;
@@ -96,8 +102,8 @@
                     });
                     return Ok(());
                 }
-                FrameRead::Incomplete => return corrupt("segment ends early").fail(),
-                FrameRead::Corrupt(what) => return corrupt(what).fail(),
+                FrameRead::Incomplete => return corrupt("segment ends early", None).fail(),
+                FrameRead::Corrupt { what, next } => return corrupt(what, Some(next)).fail(),
             }
         }
     }
--- a/crates/coursestand-consensus/tests/wal.rs
+++ b/crates/coursestand-consensus/tests/wal.rs
@@ -195,12 +195,14 @@
 fn corruption_before_the_end_is_reported_with_file_and_offset() {
     for (position, what) in [(2, "header"), (20, "record")] {
         let folder = tempfile::tempdir().expect("a folder");
-        let (segment, frame) = log_with_two_frames(folder.path());
+        let (segment, [frame, second]) = log_with_two_batches(folder.path());
         overwrite(&segment, frame + position, &[0xff, 0x5a]);
         let error = WriteAheadLog::open(folder.path())
             .err()
             .expect("the corruption is reported");
         expect_that!(error.to_string(), contains_substring(what));
+        let follows = format!("another record follows at byte {second}");
+        expect_that!(error.to_string(), contains_substring(follows));
         let StorageError::Corrupt { path, offset, .. } = error else {
             panic!("another error: {error}");
         };
--- a/crates/coursestand-daemon/src/main.rs
+++ b/crates/coursestand-daemon/src/main.rs
@@ -8,7 +8,7 @@
 use coursestand_daemon::Daemon;
 use coursestand_daemon::fleet::Node;
 use coursestand_dialect::{Dialect, Native};
-use coursestand_kernel::logging;
+use coursestand_kernel::{logging, memory_limit_bytes};
 use coursestand_model::fleet::FleetSettings;
 use coursestand_model::load::{Validate, load};
 use coursestand_model::settings::DaemonSettings;
@@ -193,7 +193,8 @@
             return not_started(error);
         }
     };
-    info!(target: LOG, zone = settings.zone.as_str(); "started");
+    info!(target: LOG, zone = settings.zone.as_str(), memory_setting_mb = settings.memory_mb,
+        memory_bytes = memory_limit_bytes(settings.memory_bytes()); "started");
     loop {
         tokio::select! {
             () = stop.next() => break,
