--- a/crates/coursestand-daemon/src/main.rs
+++ b/crates/coursestand-daemon/src/main.rs
@@ -1,8 +1,10 @@
 //! `coursestandd`: the daemon. `--settings FILE` runs a daemon configured by bundles,
 //! `--fleet FILE` runs a process of a fleet configured by the catalog.
 
+use std::num::{NonZeroU64, ParseIntError};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::str::FromStr;
 use std::sync::Arc;
 
 use coursestand_daemon::Daemon;
@@ -37,10 +39,31 @@
     fleet: Option<PathBuf>,
     #[options(help = "API dialect of the fleet: native (default) or platform")]
     dialect: Option<String>,
+    #[options(
+        no_short,
+        help = "memory that a fleet process may use if its settings don't say; empty: unknown",
+        meta = "MEGABYTES"
+    )]
+    memory_mb: Option<MemoryLimit>,
     #[options(help = "check the settings and exit")]
     check: bool,
 }
 
+/// Memory in megabytes, or an empty text if it is unknown.
+#[derive(Clone, Copy, Debug)]
+struct MemoryLimit(Option<NonZeroU64>);
+
+impl FromStr for MemoryLimit {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<MemoryLimit, ParseIntError> {
+        match text {
+            "" => Ok(MemoryLimit(None)),
+            _ => text.parse().map(|megabytes| MemoryLimit(Some(megabytes))),
+        }
+    }
+}
+
 fn main() -> ExitCode {
     let arguments = Arguments::parse_args_default_or_exit();
     match (&arguments.settings, &arguments.fleet) {
@@ -87,10 +110,12 @@
 }
 
 fn run_node(file: &Path, arguments: &Arguments) -> ExitCode {
-    let settings: FleetSettings = match load_settings(file) {
+    let mut settings: FleetSettings = match load_settings(file) {
         Ok(settings) => settings,
         Err(code) => return code,
     };
+    let limit = arguments.memory_mb.and_then(|limit| limit.0);
+    settings.memory_mb = settings.memory_mb.or(limit.map(NonZeroU64::get));
     let dialect: Arc<dyn Dialect> = match arguments.dialect.as_deref() {
         None | Some("native") => Arc::new(Native),
         Some("platform") => Arc::new(Platform),
--- a/crates/coursestand-daemon/tests/program.rs
+++ b/crates/coursestand-daemon/tests/program.rs
@@ -10,6 +10,18 @@
 const EXIT_INVALID_SETTINGS: i32 = 2;
 const EXIT_NOT_STARTED: i32 = 1;
 
+const FLEET_SETTINGS: &str = r#"{
+    "name": "n-1", "zone": "z-1", "region": "r", "zones": {"z-1": "r"}, "ip": "127.0.0.1",
+    "internal_ports": [7540, 7555], "seeds": ["127.0.0.1:8544"], "bootstrap": true,
+    "admin_listen": "127.0.0.1:9464",
+    "edge": {"listen": "127.0.0.1:8548", "ready_listen": "127.0.0.1:8542"},
+    "bounds": {
+        "lost_disks": 2, "heartbeat": "1500ms", "stop": "6s", "lookup_ttl": "5s",
+        "retry_ratio": 0.2, "retry_extra": 64, "retry_window": "10s",
+        "cold_overage": 1.5, "cold_slack": 5
+    }
+}"#;
+
 fn daemon(arguments: &[&str]) -> Output {
     Command::new(env!("CARGO_BIN_EXE_coursestandd"))
         .args(arguments)
@@ -129,3 +141,20 @@
     let text = String::from_utf8_lossy(&missing.stderr).into_owned();
     expect_that!(text, contains_substring("/not/there.json"));
 }
+
+/// Guards against a process that starts with a memory limit other than the one that it was given.
+#[gtest]
+fn the_memory_limit_of_a_fleet_process_is_checked() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("fleet.json").display().to_string();
+    std::fs::write(&file, FLEET_SETTINGS).expect("written");
+    for (limit, code) in [
+        ("--memory-mb=260", 0),
+        ("--memory-mb=", 0),
+        ("--memory-mb=0", EXIT_INVALID_SETTINGS),
+        ("--memory-mb=lots", EXIT_INVALID_SETTINGS),
+    ] {
+        let output = daemon(&["--fleet", &file, "--check", limit]);
+        expect_that!(output.status.code(), eq(Some(code)), "{limit}");
+    }
+}
