Play departures of back ends in the soak

Back ends leave while all processes, or a majority in turn, are killed, lose disks beside power, are suspended and stop as planned, in series and overlapping with the orders; heartbeats sent before an order arrive after it. The back ends judge: no request later than the drain time after an acknowledgement and 4 s after the last disruption.

--- a/crates/coursestand-daemon/tests/soak/main.rs
+++ b/crates/coursestand-daemon/tests/soak/main.rs
@@ -19,6 +19,7 @@
 mod order_calls;
 
 mod callers;
+mod departures;
 mod evacuations;
 mod fatal;
 mod faults;
