Wait for a head that has begun before a connection is closed

A caller whose kept connection was to be closed, because limits on heads grew or to make room before its next request, lost a request of which 30 bytes had arrived: the connection ended without an answer.

Cause: the HTTP library closes a connection between two requests at once when it is asked to shut down, also if the head of the next one has begun; only on a new connection it waits for the head. Now the connection is closed once the request of that head is in progress, that is after its answer, or when the time for the head is over. A connection that is evicted for another one is closed at once, as before.

Not changed: the end of a planned stop closes such a connection at once, too.

--- a/crates/coursestand-proxy/src/idle_timer.rs
+++ b/crates/coursestand-proxy/src/idle_timer.rs
@@ -306,8 +306,12 @@
         }
     }
 
-    fn is_close_requested(&self) -> bool {
-        self.closing_since.is_none() && self.timer.state().is_close_requested
+    /// Returns whether to close the connection now. The HTTP library closes a connection between
+    /// two requests even if the head of the next one has begun, so that one is waited for.
+    fn is_close_due(&self) -> bool {
+        let state = self.timer.state();
+        let waits_for_head = state.head.is_some() && !state.is_evicted;
+        self.closing_since.is_none() && state.is_close_requested && !waits_for_head
     }
 
     /// Polls for the end of the connection's time. To be polled after the connection itself.
@@ -317,7 +321,7 @@
             return Poll::Ready(Expired::Stopped);
         }
         loop {
-            if self.is_close_requested() {
+            if self.is_close_due() {
                 return Poll::Ready(Expired::Idle);
             }
             let limits = self.limits.get();
