Count the heads of calls whose bodies are awaited

Callers who sent heads of 60 kB and stopped in the body took 37,148 KiB of a server whose heads may take 16,640.

Cause: a head counted until it was complete, and not while the body of its call was awaited, although it is kept until the call ends. It counts then too, and such connections give way like those whose head is awaited. With that alone the crowd took 27,584 KiB: the buffer of a head grows by doubling, so that its bytes are counted twice.

--- a/crates/coursestand-kernel/src/open_connections.rs
+++ b/crates/coursestand-kernel/src/open_connections.rs
@@ -18,6 +18,8 @@
 /// Divisor of a limit that gives what is freed at once when it is reached: finding the connections
 /// means a scan of all.
 const EVICTION_DIVISOR: usize = 16;
+/// Bytes kept for each byte of a head: the buffer that holds it grows by doubling.
+const BYTES_PER_HEAD_BYTE: usize = 2;
 /// A response that makes no progress for this long gives way to new connections.
 const MIN_STALL: Duration = Duration::from_secs(1);
 
@@ -43,10 +45,20 @@
     phase: Phase,
     /// Start of the phase; while the response is written, time of the latest progress.
     since: Instant,
-    /// Bytes of the incomplete head.
+    /// Bytes kept for the head of the call in progress.
     head_bytes: usize,
 }
 
+impl Progress {
+    /// Returns the bytes that are kept for a call whose rest is awaited.
+    fn incomplete_bytes(&self) -> usize {
+        match self.phase {
+            Phase::Head | Phase::Body => self.head_bytes,
+            Phase::Idle | Phase::Handling | Phase::Response | Phase::Closed => 0,
+        }
+    }
+}
+
 /// An open connection.
 #[derive(Debug)]
 pub(crate) struct OpenConnection {
@@ -86,7 +98,7 @@
 pub(crate) struct OpenConnections {
     limits: ServerLimits,
     table: Mutex<Table>,
-    /// Bytes of all incomplete heads.
+    /// Bytes of the heads of all calls whose rest is awaited.
     incomplete_bytes: AtomicUsize,
     freed: Notify,
 }
@@ -167,11 +179,12 @@
         }
     }
 
-    /// Closes the connections whose incomplete heads began first, until there is room.
+    /// Closes the connections that have waited longest for the rest of a call, until there is room
+    /// for the heads.
     fn close_oldest_heads(&self) {
         let limit = self.limits.max_incomplete_bytes;
         let target = limit - limit / EVICTION_DIVISOR;
-        for state in self.waiting_longest(|progress, _| progress.phase == Phase::Head) {
+        for state in self.waiting_longest(|progress, _| progress.incomplete_bytes() > 0) {
             if self.incomplete_bytes.load(Ordering::Relaxed) <= target {
                 return;
             }
@@ -206,13 +219,21 @@
     /// Begins a phase other than [`Phase::Head`].
     fn enter(&self, state: &ConnectionState, phase: Phase) {
         let mut progress = state.progress();
-        let released = std::mem::take(&mut progress.head_bytes);
-        if released > 0 {
-            self.incomplete_bytes.fetch_sub(released, Ordering::Relaxed);
+        if progress.phase == Phase::Closed {
+            return;
+        }
+        let before = progress.incomplete_bytes();
+        progress.phase = phase;
+        progress.since = Instant::now();
+        if !matches!(phase, Phase::Body | Phase::Handling) {
+            progress.head_bytes = 0;
         }
-        if progress.phase != Phase::Closed {
-            progress.phase = phase;
-            progress.since = Instant::now();
+        let after = progress.incomplete_bytes();
+        self.incomplete_bytes.fetch_sub(before, Ordering::Relaxed);
+        let total = self.incomplete_bytes.fetch_add(after, Ordering::Relaxed) + after;
+        drop(progress);
+        if after > 0 && total > self.limits.max_incomplete_bytes {
+            self.close_oldest_heads();
         }
     }
 }
@@ -238,9 +259,10 @@
             Phase::Head => {}
             Phase::Body | Phase::Handling | Phase::Response | Phase::Closed => return,
         }
-        progress.head_bytes += length;
+        let kept = length * BYTES_PER_HEAD_BYTE;
+        progress.head_bytes += kept;
         let incomplete = &self.connections.incomplete_bytes;
-        let total = incomplete.fetch_add(length, Ordering::Relaxed) + length;
+        let total = incomplete.fetch_add(kept, Ordering::Relaxed) + kept;
         drop(progress);
         if total > self.connections.limits.max_incomplete_bytes {
             self.connections.close_oldest_heads();
--- a/crates/coursestand-kernel/src/server_limits.rs
+++ b/crates/coursestand-kernel/src/server_limits.rs
@@ -45,8 +45,8 @@
     pub max_connections: usize,
     /// Maximum length of the head of a call in bytes, at least 8 KiB.
     pub max_head_bytes: usize,
-    /// Maximum bytes of all incomplete heads together. Beyond it, the connections whose heads
-    /// began first are closed.
+    /// Maximum bytes kept for the heads of all calls of which the rest of head or body is awaited.
+    /// Beyond it, the connections that have waited longest are closed.
     pub max_incomplete_bytes: usize,
     /// Time for the head of a call to arrive, from its first byte.
     pub head_timeout: Duration,
