Let a large change that is too slow give way to another

One call that announced 16 MiB and stopped after 65 KiB had each other change over 64 KiB refused with 503 for 30 s.

Cause: the bytes of a large body are reserved when it turns out to be large, and are freed when it is answered or its 30 s are over. Now a body that has been arriving for 0.25 s, and would not be complete in time at its rate, is refused (503, it had no effect) if another one needs its room. If that does not make enough room, nobody is displaced.

--- a/crates/coursestand-daemon/src/fleet/call_body.rs
+++ b/crates/coursestand-daemon/src/fleet/call_body.rs
@@ -1,16 +1,16 @@
 //! Bodies of calls, with bounds on the bytes that are held at the same time.
 
 use std::io;
-use std::sync::Arc;
 use std::time::Duration;
 
 use coursestand_kernel::memory_limit_bytes;
 use poem::Body;
 use snafu::{ResultExt, Snafu};
 use tokio::io::{AsyncRead, AsyncReadExt};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::OwnedSemaphorePermit;
 use tokio::time::timeout;
 
+use crate::fleet::large_bodies::{LargeBodies, LargeBody};
 use crate::fleet::small_bodies::{SmallBodies, SmallBody};
 
 /// Maximum length of a body in bytes.
@@ -93,7 +93,7 @@
 /// Reads the bodies of calls.
 pub struct CallBodies {
     small: SmallBodies,
-    large: Arc<Semaphore>,
+    large: LargeBodies,
     limits: BodyLimits,
 }
 
@@ -108,7 +108,7 @@
     pub fn new(limits: BodyLimits) -> CallBodies {
         CallBodies {
             small: SmallBodies::new(limits.small_bytes),
-            large: Arc::new(Semaphore::new(LARGE_BODIES_BYTES)),
+            large: LargeBodies::new(LARGE_BODIES_BYTES, limits.large_timeout),
             limits,
         }
     }
@@ -123,7 +123,7 @@
 
     /// Reads a body. `length` is its announced length; a body without one counts as
     /// [`MAX_BODY_BYTES`] once it turns out to be large. Fails at once if other large bodies
-    /// leave no room for it.
+    /// leave no room for it, unless some of them arrive too slowly.
     pub async fn read(&self, body: Body, length: Option<usize>) -> Result<CallBody, BodyError> {
         if length.is_some_and(|length| length > MAX_BODY_BYTES) {
             return Err(BodyError::TooLong);
@@ -137,16 +137,18 @@
             });
         }
         let reserved = length.unwrap_or(MAX_BODY_BYTES);
-        let share = Arc::clone(&self.large)
-            .try_acquire_many_owned(reserved as u32)
-            .map_err(|_| BodyError::Overloaded)?;
+        let share = self.large.begin(reserved).await;
+        let share = share.ok_or(BodyError::Overloaded)?;
         let limit = self.limits.large_timeout;
-        let bytes = timeout(limit, read_rest(reader, bytes, reserved))
-            .await
-            .map_err(|_| BodyError::TooSlow { limit })??;
+        let bytes = tokio::select! {
+            () = share.displaced() => return Err(BodyError::Overloaded),
+            read = timeout(limit, read_rest(reader, bytes, reserved, &share)) => {
+                read.map_err(|_| BodyError::TooSlow { limit })??
+            }
+        };
         Ok(CallBody {
             bytes,
-            _share: Some(share),
+            _share: share.complete(),
         })
     }
 
@@ -183,8 +185,10 @@
     mut reader: impl AsyncRead + Unpin,
     mut bytes: Vec<u8>,
     limit: usize,
+    share: &LargeBody<'_>,
 ) -> Result<Vec<u8>, BodyError> {
     loop {
+        share.note_received(bytes.len());
         if bytes.len() == bytes.capacity() {
             let target = (bytes.len() * 2).min(limit);
             bytes.reserve_exact(target.saturating_sub(bytes.len()));
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -19,6 +19,7 @@
 pub mod follower_metrics;
 pub mod formation;
 pub mod hub;
+mod large_bodies;
 pub mod listener;
 mod memory;
 pub mod metrics;
