--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -28,7 +28,7 @@
 use crate::fleet::catalog_reads::{CatalogReads, EncodedCatalog, ReadError};
 use crate::fleet::control_service::ControlMesh;
 use crate::fleet::departures::DepartureRecorder;
-use crate::fleet::hub::{Hub, NotReplicated};
+use crate::fleet::hub::{Hub, NotAcknowledged};
 use crate::fleet::memory::process_memory_bytes;
 use crate::fleet::orders::{Order, OrderOutcome, Orders};
 use crate::fleet::proposals::Proposals;
@@ -265,10 +265,10 @@
         }
     }
 
-    fn heartbeat_answer(&self, result: Result<(), NotReplicated>) -> Response {
+    fn heartbeat_answer(&self, result: Result<(), NotAcknowledged>) -> Response {
         match result {
             Ok(()) => respond(StatusCode::OK, self.dialect.heartbeat_accepted(None)),
-            Err(NotReplicated) => unavailable("the control group has not recorded it"),
+            Err(NotAcknowledged) => unavailable("the control group has not recorded it"),
         }
     }
 
--- a/crates/coursestand-daemon/src/fleet/departures.rs
+++ b/crates/coursestand-daemon/src/fleet/departures.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use crate::fleet::control_service::ControlMesh;
-use crate::fleet::hub::{Hub, NotReplicated};
+use crate::fleet::hub::{Hub, NotAcknowledged};
 use crate::fleet::proposals::Proposals;
 use crate::fleet::wire::Answer;
 
@@ -43,7 +43,7 @@
     }
 
     /// Returns once the departure is in force and recorded.
-    pub async fn acknowledge(&self, order: InstanceUpdate) -> Result<(), NotReplicated> {
+    pub async fn acknowledge(&self, order: InstanceUpdate) -> Result<(), NotAcknowledged> {
         let departure = Departure {
             backend: order.instance.id.clone(),
             born: order.instance.born,
@@ -55,7 +55,7 @@
         Ok(())
     }
 
-    async fn record(&self, departure: &Departure) -> Result<(), NotReplicated> {
+    async fn record(&self, departure: &Departure) -> Result<(), NotAcknowledged> {
         if self.is_recorded(departure) {
             return Ok(());
         }
@@ -85,7 +85,7 @@
             Err(reason) => {
                 warn!(target: LOG, instance = departure.backend.as_str(), born = departure.born,
                     took_ms = took_ms; "a departure was not recorded: {reason}");
-                Err(NotReplicated)
+                Err(NotAcknowledged)
             }
         }
     }
--- a/crates/coursestand-daemon/src/fleet/hub/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -42,9 +42,10 @@
 /// much earlier; this only cleans up the table.
 const MAX_MISSED_HEARTBEATS: Millis = 20;
 
-/// The update of a back end did not reach a majority of the control processes.
+/// An order of a back end to leave did not reach a majority of the control processes, or was not
+/// recorded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NotReplicated;
+pub struct NotAcknowledged;
 
 /// Names of entry daemons, shared by all connections that announce them.
 pub type EdgeNames = Arc<BTreeSet<String>>;
@@ -282,13 +283,16 @@
 
     /// Returns once a majority of the control processes has acknowledged the update: every entry
     /// daemon is connected with one of these.
-    pub async fn replicate_to_majority(&self, update: InstanceUpdate) -> Result<(), NotReplicated> {
+    pub async fn replicate_to_majority(
+        &self,
+        update: InstanceUpdate,
+    ) -> Result<(), NotAcknowledged> {
         let members = self.controls.borrow().members.clone();
         let Some(links) = self.links() else {
-            return Err(NotReplicated);
+            return Err(NotAcknowledged);
         };
         if members.is_empty() {
-            return Err(NotReplicated);
+            return Err(NotAcknowledged);
         }
         let needed = members.len() / 2 + 1;
         let mut confirmed = usize::from(members.contains(&self.local_address));
@@ -300,7 +304,7 @@
         while confirmed < needed {
             match others.next().await {
                 Some(is_acknowledged) => confirmed += usize::from(is_acknowledged),
-                None => return Err(NotReplicated),
+                None => return Err(NotAcknowledged),
             }
         }
         Ok(())
