Apply an order to leave of a back end whose clock stepped back

Cause: its second start counted as an earlier incarnation, so that its order was ignored; it was acknowledged for the known incarnation, which was ready. A late order of an earlier incarnation looks the same and must not end a live one.

Change: an order with an earlier start time concerns the known incarnation if its sender's connection is young and open, that is if the sender is alive: two incarnations of one identity don't run at once. Otherwise it is not acknowledged, unless it is on record already.

--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -6,9 +6,10 @@
 use std::time::Duration;
 
 use async_trait::async_trait;
+use coursestand_coordination::order_admission::MAX_UNCONFIRMED_AGE_MS;
 use coursestand_coordination::{Command, OrderFence};
 use coursestand_dialect::{Call, Dialect, Reply};
-use coursestand_discovery::LookupClient;
+use coursestand_discovery::{InstancePhase, LookupClient};
 use coursestand_kernel::connections::CallerConnections;
 use coursestand_kernel::http::{HttpServer, ServerOptions};
 use coursestand_kernel::open_connections::IncomingCall;
@@ -28,7 +29,7 @@
 use crate::fleet::catalog_reads::{CatalogReads, EncodedCatalog, ReadError};
 use crate::fleet::control_service::ControlMesh;
 use crate::fleet::departures::DepartureRecorder;
-use crate::fleet::hub::{Hub, NotAcknowledged};
+use crate::fleet::hub::{HeartbeatEffect, Hub, NotAcknowledged};
 use crate::fleet::memory::process_memory_bytes;
 use crate::fleet::orders::{Order, OrderOutcome, Orders};
 use crate::fleet::proposals::Proposals;
@@ -247,14 +248,15 @@
             Call::ReadCatalog => self.read().await,
             Call::Heartbeat(update) => {
                 self.mesh.metrics.heartbeats.inc();
-                match self.hub.heartbeat(update) {
-                    None => self.heartbeat_answer(Ok(())),
-                    Some(order) => self.heartbeat_answer(self.departures.acknowledge(order).await),
-                }
+                let is_leaving = update.instance.phase != InstancePhase::Ready;
+                let sender_waits = is_leaving && self.is_waiting(connection);
+                self.answer_heartbeat(self.hub.heartbeat(update, sender_waits))
+                    .await
             }
             Call::Deregister { id, born } => {
-                let order = self.hub.deregister(&id, born);
-                self.heartbeat_answer(self.departures.acknowledge(order).await)
+                let sender_waits = self.is_waiting(connection);
+                self.answer_heartbeat(self.hub.deregister(&id, born, sender_waits))
+                    .await
             }
             Call::Lookup { region, zone } => self.lookup(&LookupClient {
                 region: &region,
@@ -265,7 +267,18 @@
         }
     }
 
-    fn heartbeat_answer(&self, result: Result<(), NotAcknowledged>) -> Response {
+    /// Returns whether the caller was alive shortly before, and waits for the answer.
+    fn is_waiting(&self, connection: ConnectionAddresses) -> bool {
+        let found = self.connections.find(connection.local, connection.remote);
+        found.is_some_and(|caller| caller.age_ms() <= MAX_UNCONFIRMED_AGE_MS && caller.is_open())
+    }
+
+    async fn answer_heartbeat(&self, effect: HeartbeatEffect) -> Response {
+        let result = match effect {
+            HeartbeatEffect::Noted => Ok(()),
+            HeartbeatEffect::Leaves(order) => self.departures.acknowledge(order).await,
+            HeartbeatEffect::Unclear => Err(NotAcknowledged),
+        };
         match result {
             Ok(()) => respond(StatusCode::OK, self.dialect.heartbeat_accepted(None)),
             Err(NotAcknowledged) => unavailable("the control group has not recorded it"),
--- a/crates/coursestand-daemon/src/fleet/hub/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -47,6 +47,17 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct NotAcknowledged;
 
+/// What a message of a back end stands for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum HeartbeatEffect {
+    /// The back end is alive.
+    Noted,
+    /// An order to leave, which is to be replicated before it is acknowledged.
+    Leaves(InstanceUpdate),
+    /// An order to leave that may not concern the known incarnation; it is not applied.
+    Unclear,
+}
+
 /// Names of entry daemons, shared by all connections that announce them.
 pub type EdgeNames = Arc<BTreeSet<String>>;
 
@@ -155,27 +166,27 @@
         });
     }
 
-    /// Handles a heartbeat. Returns the order to leave that it stands for, if any, which is to be
-    /// replicated before it is acknowledged.
-    pub fn heartbeat(&self, update: InstanceUpdate) -> Option<InstanceUpdate> {
+    /// Handles a heartbeat from a back end that still waits for the answer, as far as
+    /// `sender_waits` tells.
+    pub fn heartbeat(&self, update: InstanceUpdate, sender_waits: bool) -> HeartbeatEffect {
         let now = self.clock.now();
-        let id = update.instance.id.clone();
-        let is_leaving = update.instance.phase != InstancePhase::Ready;
+        let id = &update.instance.id;
         self.state().heartbeats_received.insert(id.clone());
-        self.merge_and_broadcast(now, vec![update.clone()]);
-        if !is_leaving {
-            return None;
+        if update.instance.phase == InstancePhase::Ready {
+            self.merge_and_broadcast(now, vec![update]);
+            return HeartbeatEffect::Noted;
         }
-        let state = self.state();
-        let known = state.instances.get(&id);
-        // A late order of an earlier incarnation does not concern the known one.
-        let known = known.filter(|entry| !entry.instance.starts_after(&update.instance));
-        Some(known.map_or(update, |entry| entry.to_update(now)))
+        self.order_to_leave(now, update, sender_waits)
     }
 
-    /// Deregisters an incarnation of a back end that stops; `born` is its start, if it reports
-    /// one. Returns the order, which is to be replicated before it is acknowledged.
-    pub fn deregister(&self, id: &BackendId, born: Option<Millis>) -> InstanceUpdate {
+    /// Handles the order to leave of a back end that stops and has sent no heartbeat that says so;
+    /// `born` is its start, if it reports one.
+    pub fn deregister(
+        &self,
+        id: &BackendId,
+        born: Option<Millis>,
+        sender_waits: bool,
+    ) -> HeartbeatEffect {
         let now = self.clock.now();
         let entry = self
             .state()
@@ -185,8 +196,46 @@
         let mut update = entry.unwrap_or_else(|| placeholder_instance(id));
         update.instance.born = born.or(update.instance.born);
         update.instance.phase = InstancePhase::Gone;
-        self.merge_and_broadcast(now, vec![update.clone()]);
-        update
+        self.order_to_leave(now, update, sender_waits)
+    }
+
+    /// Applies an order to leave.
+    ///
+    /// If a later incarnation is known, the order may have been delayed, and then does not concern
+    /// it. But if its sender waits for the answer, it is the one that runs, and its clock has
+    /// stepped back between two starts: the order concerns the known incarnation.
+    fn order_to_leave(
+        &self,
+        now: Millis,
+        update: InstanceUpdate,
+        sender_waits: bool,
+    ) -> HeartbeatEffect {
+        let known = {
+            let state = self.state();
+            let known = state.instances.get(&update.instance.id);
+            let later = known.filter(|entry| entry.instance.starts_after(&update.instance));
+            let concerns_known = later.is_some() && !state.instances.has_departed(&update.instance);
+            match later {
+                Some(_) if concerns_known && !sender_waits => return HeartbeatEffect::Unclear,
+                Some(later) if concerns_known => Some(later.to_update(now)),
+                _ => None,
+            }
+        };
+        let mut order = update;
+        if let Some(known) = known {
+            info!(target: LOG, instance = order.instance.id.as_str(), born = order.instance.born,
+                known_born = known.instance.born, phase:? = order.instance.phase;
+                "a back end whose clock stepped back leaves");
+            let phase = order.instance.phase;
+            order = known;
+            order.instance.phase = phase;
+        }
+        self.merge_and_broadcast(now, vec![order.clone()]);
+        let state = self.state();
+        let known = state.instances.get(&order.instance.id);
+        // A late order of an earlier incarnation does not concern the known one.
+        let known = known.filter(|entry| !entry.instance.starts_after(&order.instance));
+        HeartbeatEffect::Leaves(known.map_or(order, |entry| entry.to_update(now)))
     }
 
     /// Replaces the recorded departures of back ends.
--- a/crates/coursestand-daemon/tests/fleet/departures.rs
+++ b/crates/coursestand-daemon/tests/fleet/departures.rs
@@ -210,3 +210,50 @@
             .await;
     }
 }
+
+/// Guards against an order to leave that is acknowledged and not applied: the clock of the back
+/// end's machine stepped back between two of its starts.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_back_end_whose_clock_stepped_back_leaves() {
+    let mut deployment = form_group(&ALL_CONTROLS).await;
+    expect_that!(deployment.patch(&[1], &first_items()).await, eq(200));
+    deployment.start_edge(EDGE).await;
+    let of_start = |born, sequence, phase| {
+        let mut update = heartbeat(sequence, phase);
+        update.instance.born = Some(born);
+        update
+    };
+    let first = of_start(STARTED_MS, 1, InstancePhase::Ready);
+    expect_that!(deployment.heartbeat(1, &first).await, eq(200));
+    let second = of_start(STARTED_MS - 2_000, 1, InstancePhase::Ready);
+    expect_that!(deployment.heartbeat(2, &second).await, eq(200));
+    deployment
+        .wait_until("the back end is ready", || phase(&deployment) == "Ready")
+        .await;
+    let leaving = of_start(STARTED_MS - 2_000, 2, InstancePhase::Draining);
+    expect_that!(deployment.heartbeat(3, &leaving).await, eq(200));
+    deployment
+        .wait_until("the back end drains", || phase(&deployment) == "Draining")
+        .await;
+}
+
+/// Guards against an order to leave that was delayed, and ends a later incarnation: its sender has
+/// gone, or gave it up.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_delayed_order_of_an_earlier_incarnation_does_not_concern_a_later_one() {
+    let mut deployment = form_group(&ALL_CONTROLS).await;
+    expect_that!(deployment.patch(&[1], &first_items()).await, eq(200));
+    deployment.start_edge(EDGE).await;
+    let mut later = heartbeat(1, InstancePhase::Ready);
+    later.instance.born = Some(STARTED_MS);
+    expect_that!(deployment.heartbeat(1, &later).await, eq(200));
+    let mut delayed = heartbeat(LATE_SEQUENCE, InstancePhase::Draining);
+    delayed.instance.born = Some(STARTED_MS - 60_000);
+    let status = deployment.deliver_on_old_connection(4, &delayed).await;
+    expect_that!(status, starts_with("HTTP/1.1 503"));
+    deployment
+        .wait_until("the back end is ready", || phase(&deployment) == "Ready")
+        .await;
+}
--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -18,6 +18,8 @@
 };
 use coursestand_model::{BackendId, RegionId, ServiceId, Span, ZoneId};
 use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 /// Longer than any step of a test should take.
@@ -354,6 +356,24 @@
         answer.map_or(0, |answer| answer.status().as_u16())
     }
 
+    /// Sends a heartbeat a second after its connection was opened. Returns the status line.
+    pub async fn deliver_on_old_connection(&self, host: u8, update: &InstanceUpdate) -> String {
+        let address = self.address(host, CONTROL);
+        let mut stream = TcpStream::connect(address).await.expect("connected");
+        tokio::time::sleep(Duration::from_secs(1)).await;
+        let mut body = serde_json::to_value(update).expect("JSON");
+        body["born"] = update.instance.born.into();
+        let (id, body) = (&update.instance.id, body.to_string());
+        let length = body.len();
+        let call = format!(
+            "POST /v1/backends/{id} HTTP/1.1\r\nhost: h\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
+        );
+        stream.write_all(call.as_bytes()).await.expect("sent");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("read");
+        answer.lines().next().unwrap_or_default().to_owned()
+    }
+
     pub async fn deregister(&self, host: u8, id: &str) -> u16 {
         let url = format!("{}/v1/backends/{id}", self.control_url(host));
         let answer = self.http.delete(url).send().await;
--- a/crates/coursestand-discovery/src/table.rs
+++ b/crates/coursestand-discovery/src/table.rs
@@ -174,10 +174,15 @@
         changed
     }
 
+    /// Returns whether the order to leave of this incarnation, or of a later one, is on record.
+    pub fn has_departed(&self, instance: &Instance) -> bool {
+        has_departed(&self.departures, instance)
+    }
+
     /// Sets the phase of an instance whose order to leave is on record: its announcement may have
     /// been delayed.
     fn apply_departure(&self, instance: &mut Instance) {
-        if has_departed(&self.departures, instance) {
+        if self.has_departed(instance) {
             instance.phase = instance.phase.max(InstancePhase::Draining);
         }
     }
