--- a/crates/coursestand-daemon/src/fleet/hub/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/hub/mod.rs
@@ -5,18 +5,15 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::Duration;
 
 use bytes::Bytes;
 use coursestand_discovery::{
-    Directory, EdgeIncarnation, EdgeRecord, Evidence, Incarnation, Instance, InstancePhase,
-    InstanceTable, InstanceUpdate, NamedDaemon,
+    Directory, EdgeIncarnation, EdgeRecord, Evidence, InstancePhase, InstanceTable, InstanceUpdate,
+    NamedDaemon,
 };
 use coursestand_kernel::MonotonicClock;
-use coursestand_model::{BackendId, Millis, ServiceId, ZoneId};
+use coursestand_model::{BackendId, Millis};
 use coursestand_transport::frame::encode;
-use futures::StreamExt;
-use futures::stream::FuturesUnordered;
 use log::info;
 use serde_json::{Value, json};
 use tokio::sync::{mpsc, watch};
@@ -26,8 +23,11 @@
 use crash_records::CrashRecords;
 use rate_limits::RateLimits;
 
+pub use heartbeats::{HeartbeatEffect, NotAcknowledged};
+
 mod crash_records;
 mod edges;
+mod heartbeats;
 mod named_edges;
 mod peer_reports;
 mod rate_limits;
@@ -36,28 +36,10 @@
 /// Queue length of an entry daemon. If it is full, the daemon is disconnected and receives the
 /// full state when it reconnects.
 const SUBSCRIBER_QUEUE_FRAMES: usize = 1_024;
-/// Timeout for the other control processes to acknowledge a back end's order to leave.
-const REPLICATION_TIMEOUT: Duration = Duration::from_millis(700);
 /// Heartbeats that a back end may miss before it is removed. Entry daemons detect its failure
 /// much earlier; this only cleans up the table.
 const MAX_MISSED_HEARTBEATS: Millis = 20;
 
-/// An order of a back end to leave did not reach a majority of the control processes, or was not
-/// recorded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct NotAcknowledged;
-
-/// What a message of a back end stands for.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum HeartbeatEffect {
-    /// The back end is alive.
-    Noted,
-    /// An order to leave, which is to be replicated before it is acknowledged.
-    Leaves(InstanceUpdate),
-    /// An order to leave that may not concern the known incarnation; it is not applied.
-    Unclear,
-}
-
 /// Names of entry daemons, shared by all connections that announce them.
 pub type EdgeNames = Arc<BTreeSet<String>>;
 
@@ -166,90 +148,6 @@
         });
     }
 
-    /// Handles a heartbeat from a back end that still waits for the answer, as far as
-    /// `sender_waits` tells.
-    pub fn heartbeat(&self, update: InstanceUpdate, sender_waits: bool) -> HeartbeatEffect {
-        let now = self.clock.now();
-        let id = &update.instance.id;
-        self.state().heartbeats_received.insert(id.clone());
-        if update.instance.phase == InstancePhase::Ready {
-            self.merge_and_broadcast(now, vec![update]);
-            return HeartbeatEffect::Noted;
-        }
-        self.order_to_leave(now, update, sender_waits)
-    }
-
-    /// Handles the order to leave of a back end that stops and has sent no heartbeat that says so;
-    /// `born` is its start, if it reports one.
-    pub fn deregister(
-        &self,
-        id: &BackendId,
-        born: Option<Millis>,
-        sender_waits: bool,
-    ) -> HeartbeatEffect {
-        let now = self.clock.now();
-        let entry = self
-            .state()
-            .instances
-            .get(id)
-            .map(|entry| entry.to_update(now));
-        let mut update = entry.unwrap_or_else(|| placeholder_instance(id));
-        update.instance.born = born.or(update.instance.born);
-        update.instance.phase = InstancePhase::Gone;
-        self.order_to_leave(now, update, sender_waits)
-    }
-
-    /// Applies an order to leave.
-    ///
-    /// If a later incarnation is known, the order may have been delayed, and then does not concern
-    /// it. But if its sender waits for the answer, it is the one that runs, and its clock has
-    /// stepped back between two starts: the order concerns the known incarnation.
-    fn order_to_leave(
-        &self,
-        now: Millis,
-        update: InstanceUpdate,
-        sender_waits: bool,
-    ) -> HeartbeatEffect {
-        let known = {
-            let state = self.state();
-            let known = state.instances.get(&update.instance.id);
-            let later = known.filter(|entry| entry.instance.starts_after(&update.instance));
-            let concerns_known = later.is_some() && !state.instances.has_departed(&update.instance);
-            match later {
-                Some(_) if concerns_known && !sender_waits => return HeartbeatEffect::Unclear,
-                Some(later) if concerns_known => Some(later.to_update(now)),
-                _ => None,
-            }
-        };
-        let mut order = update;
-        if let Some(known) = known {
-            info!(target: LOG, instance = order.instance.id.as_str(), born = order.instance.born,
-                known_born = known.instance.born, phase:? = order.instance.phase;
-                "a back end whose clock stepped back leaves");
-            let phase = order.instance.phase;
-            order = known;
-            order.instance.phase = phase;
-        }
-        self.merge_and_broadcast(now, vec![order.clone()]);
-        let state = self.state();
-        let known = state.instances.get(&order.instance.id);
-        // A late order of an earlier incarnation does not concern the known one.
-        let known = known.filter(|entry| !entry.instance.starts_after(&order.instance));
-        HeartbeatEffect::Leaves(known.map_or(order, |entry| entry.to_update(now)))
-    }
-
-    /// Replaces the recorded departures of back ends.
-    pub fn set_departures(&self, departures: Vec<Incarnation>) {
-        let now = self.clock.now();
-        let changed: Vec<InstanceUpdate> = {
-            let mut state = self.state();
-            let ids = state.instances.set_departures(departures);
-            let entries = ids.iter().filter_map(|id| state.instances.get(id));
-            entries.map(|entry| entry.to_update(now)).collect()
-        };
-        self.publish_changes(&changed);
-    }
-
     /// Merges updates from another control process.
     pub fn merge_peer_updates(&self, updates: Vec<InstanceUpdate>) {
         self.merge(self.clock.now(), updates);
@@ -330,35 +228,6 @@
         }
     }
 
-    /// Returns once a majority of the control processes has acknowledged the update: every entry
-    /// daemon is connected with one of these.
-    pub async fn replicate_to_majority(
-        &self,
-        update: InstanceUpdate,
-    ) -> Result<(), NotAcknowledged> {
-        let members = self.controls.borrow().members.clone();
-        let Some(links) = self.links() else {
-            return Err(NotAcknowledged);
-        };
-        if members.is_empty() {
-            return Err(NotAcknowledged);
-        }
-        let needed = members.len() / 2 + 1;
-        let mut confirmed = usize::from(members.contains(&self.local_address));
-        let mut others: FuturesUnordered<_> = members
-            .iter()
-            .filter(|member| **member != self.local_address)
-            .map(|member| links.send_confirmed(*member, vec![update.clone()], REPLICATION_TIMEOUT))
-            .collect();
-        while confirmed < needed {
-            match others.next().await {
-                Some(is_acknowledged) => confirmed += usize::from(is_acknowledged),
-                None => return Err(NotAcknowledged),
-            }
-        }
-        Ok(())
-    }
-
     /// Records heartbeats that another control process received.
     pub fn note_peer_heartbeats(&self, ids: &[BackendId]) {
         let now = self.clock.now();
@@ -505,22 +374,3 @@
         "reachable_ms": reachable_ms,
     })
 }
-
-/// Returns a placeholder for a back end that deregisters and has no record here.
-fn placeholder_instance(id: &BackendId) -> InstanceUpdate {
-    InstanceUpdate {
-        instance: Instance {
-            id: id.clone(),
-            born: None,
-            service: ServiceId::default(),
-            address: SocketAddr::from(([0, 0, 0, 0], 0)),
-            zone: ZoneId::default(),
-            capacity: 0,
-            software: String::new(),
-            // Lower than the sequence of any heartbeat, so that only the phase counts.
-            sequence: 0,
-            phase: InstancePhase::Gone,
-        },
-        cold_ms: 0,
-    }
-}
--- a/crates/coursestand-proxy/src/exchange/attempt.rs
+++ b/crates/coursestand-proxy/src/exchange/attempt.rs
@@ -209,7 +209,8 @@
     }
 
     /// Sends the request on an idle connection that has not carried it before, or on a new one;
-    /// after a silent connection only on a new one. A request that was not written is sent on the next connection.
+    /// after a silent connection only on a new one. A request that was not written is sent on the
+    /// next connection.
     async fn send(
         &self,
         prepared: &mut PreparedRequest,
