--- a/crates/coursestand-daemon/tests/soak/departures.rs
+++ b/crates/coursestand-daemon/tests/soak/departures.rs
@@ -232,22 +232,7 @@
         let leaving = BackEnd::start(format!("leaves-{round}"), urls).await;
         self.wait_for_service(&leaving, "a new back end").await?;
         leaving.beating.abort();
-        let order = leaving.heartbeat(LATE_SEQUENCE + 1, InstancePhase::Draining);
-        let ordering = order_to_leave(self.urls(), order, self.random.random_bool(0.5));
-        let overlaps = self.random.random_bool(0.3);
-        let acknowledged_at = match overlaps {
-            true => {
-                let ordering = tokio::spawn(ordering);
-                self.disrupt().await;
-                ordering.await.expect("no panic in the order")
-            }
-            false => {
-                let acknowledged_at = ordering.await;
-                self.sleep_ms(300).await;
-                self.disrupt().await;
-                acknowledged_at
-            }
-        };
+        let acknowledged_at = self.leave_beside_a_disruption(&leaving).await;
         let is_acknowledged = acknowledged_at.is_some();
         self.note(format!("{}: acknowledged: {is_acknowledged}", leaving.id));
         self.deliver_late_heartbeat(&leaving).await;
@@ -266,19 +251,25 @@
         self.deliver_late_heartbeat(&leaving).await;
         let from = (acknowledged_at + DRAIN).max(disrupted_until + CONTACT);
         tokio::time::sleep_until(from.into()).await;
-        let (before, served) = (leaving.run_count(), run_count(staying));
-        tokio::time::sleep(OBSERVATION).await;
-        if run_count(staying) == served {
-            return Err("no request was served while arrivals were observed".to_owned());
-        }
-        match leaving.run_count() - before {
-            0 => Ok(true),
-            late => Err(format!(
-                "{late} requests reached {} more than {DRAIN:?} after its departure was \
-                 acknowledged and {CONTACT:?} after the last disruption",
-                leaving.id
-            )),
+        check_arrivals(&leaving, staying).await?;
+        Ok(true)
+    }
+
+    /// Sends an order to leave, and plays a disruption after it or at the same time. Returns when
+    /// the order was acknowledged, if it was.
+    async fn leave_beside_a_disruption(&mut self, leaving: &BackEnd) -> Option<Instant> {
+        let order = leaving.heartbeat(LATE_SEQUENCE + 1, InstancePhase::Draining);
+        let ordering = order_to_leave(self.urls(), order, self.random.random_bool(0.5));
+        let overlaps = self.random.random_bool(0.3);
+        if overlaps {
+            let ordering = tokio::spawn(ordering);
+            self.disrupt().await;
+            return ordering.await.expect("no panic in the order");
         }
+        let acknowledged_at = ordering.await;
+        self.sleep_ms(300).await;
+        self.disrupt().await;
+        acknowledged_at
     }
 
     async fn deliver_late_heartbeat(&mut self, leaving: &BackEnd) {
@@ -425,6 +416,23 @@
     }
 }
 
+/// Checks that for some time requests reach those that stay, and none the one that leaves.
+async fn check_arrivals(leaving: &BackEnd, staying: &[BackEnd]) -> std::result::Result<(), String> {
+    let (before, served) = (leaving.run_count(), run_count(staying));
+    tokio::time::sleep(OBSERVATION).await;
+    if run_count(staying) == served {
+        return Err("no request was served while arrivals were observed".to_owned());
+    }
+    match leaving.run_count() - before {
+        0 => Ok(()),
+        late => Err(format!(
+            "{late} requests reached {} more than {DRAIN:?} after its departure was acknowledged \
+             and {CONTACT:?} after the last disruption",
+            leaving.id
+        )),
+    }
+}
+
 fn run_count(back_ends: &[BackEnd]) -> usize {
     back_ends.iter().map(BackEnd::run_count).sum()
 }
