Tell which replica can't answer, which one lags, and how many disks may go

The record of a group without a leader could not tell its causes apart: a replica that can't answer said nothing, a learner said nothing after it had joined, and the line about a missing leader named the replica's own address as unreachable.

New: a warning and a gauge for consensus messages whose receiver has no known address; a line each second from a replica that follows and does not vote, with the leader, its last entry and the commit index; matched and silence of a replica that the leader removes as lost; a warning and a gauge of the leader while the group can lose fewer disks than it has to, with each incomplete member; votes, members_at and lost_here in the line about a missing leader.

No logic is changed.

--- a/crates/coursestand-consensus/src/message.rs
+++ b/crates/coursestand-consensus/src/message.rs
@@ -58,6 +58,23 @@
     TimeoutNow,
 }
 
+impl Body {
+    /// Returns the name of the kind of message, for logs.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Body::PreVote(_) => "pre-vote",
+            Body::PreVoteAnswer { .. } => "pre-vote-answer",
+            Body::Vote { .. } => "vote",
+            Body::VoteAnswer { .. } => "vote-answer",
+            Body::Append(_) => "append",
+            Body::AppendAnswer(_) => "append-answer",
+            Body::Snapshot(_) => "snapshot",
+            Body::SnapshotAnswer { .. } => "snapshot-answer",
+            Body::TimeoutNow => "timeout-now",
+        }
+    }
+}
+
 /// Term and index of a log entry.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct LogPosition {
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -25,6 +25,7 @@
 use crate::control::proposals::Proposals;
 use crate::control::shared::{ControlShared, LeadingClock, LogExtent, ReplicaStatus};
 use crate::control::status::status_of;
+use crate::control::unaddressed::UnaddressedMessages;
 
 const LOG: &str = "consensus";
 /// Interval between ticks of the consensus core.
@@ -82,6 +83,7 @@
     proposals: Proposals,
     /// When each part of the catalog was last ordered.
     orders: OrderHistory,
+    unaddressed: UnaddressedMessages,
 }
 
 /// A write in progress on the log writer's thread.
@@ -205,6 +207,7 @@
             writing: None,
             proposals: Proposals::default(),
             orders,
+            unaddressed: UnaddressedMessages::default(),
         };
         self.shared.set_log_extent(group.log_extent());
         self.group = Some(group);
@@ -470,10 +473,15 @@
     }
 
     fn send(&mut self, messages: Vec<(ReplicaId, Message)>) {
-        let Some(group) = &self.group else {
+        let Some(group) = &mut self.group else {
             return;
         };
+        if messages.is_empty() {
+            return;
+        }
         let membership = group.replica.membership();
+        let now = self.shared.clock.now();
+        group.unaddressed.note(now, membership, &messages);
         let Identity { cluster, replica } = group.identity;
         self.peers.send(cluster, replica, membership, messages);
     }
@@ -660,8 +668,9 @@
         let log = group.replica.log();
         let (changed_at, membership) = log.membership_up_to(log.last_index());
         self.shared.set_membership(changed_at, membership.clone());
-        self.shared
-            .set_status(status_of(group.identity, &group.replica, now));
+        let unaddressed = group.unaddressed.total();
+        let status = status_of(group.identity, &group.replica, unaddressed, now);
+        self.shared.set_status(status);
     }
 
     fn enter_failed_state(&mut self, failure: &ControlError) {
--- a/crates/coursestand-daemon/src/control/mod.rs
+++ b/crates/coursestand-daemon/src/control/mod.rs
@@ -16,3 +16,4 @@
 pub mod shared;
 pub mod status;
 pub mod tenure;
+mod unaddressed;
--- a/crates/coursestand-daemon/src/control/shared.rs
+++ b/crates/coursestand-daemon/src/control/shared.rs
@@ -38,6 +38,10 @@
     pub snapshot_bytes: usize,
     /// Members of the group.
     pub members: Vec<MemberStatus>,
+    /// Index of the log entry that made them members.
+    pub members_at: u64,
+    /// Consensus messages that were not sent, since this replica knew no address of the receiver.
+    pub unaddressed_messages: u64,
     /// Why the replica stopped, if it failed.
     pub failure: Option<String>,
 }
@@ -75,6 +79,42 @@
     pub silent_ms: Option<u64>,
 }
 
+/// A member that was silent for less than this is alive.
+const ALIVE_WITHIN_MS: Millis = 1_000;
+/// Maximum lag of a complete log, in entries: changes may be under way.
+const MAX_LAG_ENTRIES: u64 = 16;
+
+impl MemberStatus {
+    /// Returns whether the member was heard from lately. The leader reports no silence for itself.
+    pub fn is_alive(&self) -> bool {
+        self.silent_ms.is_none_or(|silent| silent < ALIVE_WITHIN_MS)
+    }
+
+    /// Returns whether the member's log has caught up with `commit`, except for changes under way.
+    pub fn has_caught_up(&self, commit: u64) -> bool {
+        self.matched
+            .is_some_and(|matched| matched > 0 && matched + MAX_LAG_ENTRIES >= commit)
+    }
+
+    /// Returns whether the member is alive and has caught up with `commit`; so is the leader
+    /// itself.
+    pub fn is_complete(&self, commit: u64) -> bool {
+        let is_leader = self.silent_ms.is_none();
+        is_leader || (self.is_alive() && self.has_caught_up(commit))
+    }
+
+    /// Describes the member in one line of a log.
+    pub fn describe(&self) -> String {
+        let kind = if self.voter { "voter" } else { "learner" };
+        let matched = self.matched.unwrap_or_default();
+        let silent_ms = self.silent_ms.unwrap_or_default();
+        format!(
+            "{kind} {} at {}: matched {matched}, silent for {silent_ms} ms",
+            self.replica, self.address
+        )
+    }
+}
+
 /// The extent of a voter's log.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, serde::Deserialize)]
 pub struct LogExtent {
--- a/crates/coursestand-daemon/src/control/status.rs
+++ b/crates/coursestand-daemon/src/control/status.rs
@@ -7,7 +7,12 @@
 use crate::control::shared::{MemberStatus, ReplicaStatus};
 
 /// Returns the status of a replica that has joined a group.
-pub fn status_of(identity: Identity, replica: &Replica, now: Millis) -> ReplicaStatus {
+pub fn status_of(
+    identity: Identity,
+    replica: &Replica,
+    unaddressed_messages: u64,
+    now: Millis,
+) -> ReplicaStatus {
     let role = match replica.role() {
         Role::Leader(_) => "leader",
         Role::Follower { .. } => "follower",
@@ -40,6 +45,8 @@
         log_bytes: replica.log().bytes(),
         snapshot_bytes: replica.log().snapshot().data.len(),
         members,
+        members_at: replica.log().membership_up_to(replica.log().last_index()).0,
+        unaddressed_messages,
         failure: None,
     }
 }
--- a/crates/coursestand-daemon/src/fleet/formation.rs
+++ b/crates/coursestand-daemon/src/fleet/formation.rs
@@ -26,7 +26,8 @@
 
 use crate::control::handle::ControlHandle;
 use crate::control::identity::Identity;
-use crate::control::shared::{MemberStatus, ReplicaStatus};
+use crate::control::shared::ReplicaStatus;
+use crate::fleet::group_watch::GroupWatch;
 use crate::fleet::hub::Hub;
 use crate::fleet::peer_links::PeerLinks;
 use crate::fleet::wire::{Answer, ControlGroup, LeaveAnswer, Question};
@@ -40,16 +41,10 @@
 const LEAVE_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// How long a request to join is valid.
 const JOIN_REQUEST_TTL_MS: Millis = 4_000;
-/// A member that was silent for less than this is alive.
-const ALIVE_WITHIN_MS: Millis = 1_000;
 /// A voter that was silent for longer than this may be removed if enough others are alive.
 const LOST_AFTER_MS: Millis = 3_000;
 /// A replica without a leader for longer than this requests to rejoin, in case it was removed.
 const LEADERLESS_LIMIT_MS: Millis = 2_000;
-/// Time without a leader after which that is logged, and logged again.
-const LEADERLESS_LOG_INTERVAL_MS: Millis = 5_000;
-/// Maximum lag of a learner, in log entries, when it is promoted to voter.
-const MAX_LEARNER_LAG_ENTRIES: u64 = 16;
 
 /// Settings of the group's formation.
 #[derive(Clone, Debug)]
@@ -215,21 +210,13 @@
 
     /// Runs until it is dropped.
     pub async fn run(self: Arc<Self>) {
-        let mut leaderless_since = self.clock.now();
-        let mut logged_at = leaderless_since;
+        let rules = &self.rules;
+        let mut watch = GroupWatch::new(self.clock.now(), rules.local_address, rules.lost_disks);
         loop {
             self.maintain_links();
             let status = self.control.shared.status();
-            if status.leader.is_some() {
-                leaderless_since = self.clock.now();
-                logged_at = leaderless_since;
-            }
-            let now = self.clock.now();
-            let leaderless_ms = now.saturating_sub(leaderless_since);
-            if now.saturating_sub(logged_at) >= LEADERLESS_LOG_INTERVAL_MS {
-                logged_at = now;
-                self.log_missing_leader(&status, leaderless_ms);
-            }
+            let links = self.links().map(Arc::as_ref);
+            let leaderless_ms = watch.note(self.clock.now(), &status, links);
             let is_leaving = self.is_leaving.load(Ordering::Relaxed);
             match status.role {
                 "leader" => self.change_group_if_due(&status).await,
@@ -243,32 +230,6 @@
         }
     }
 
-    /// Logs which voters this process is connected with: a group with too few of them can't elect
-    /// a leader.
-    fn log_missing_leader(&self, status: &ReplicaStatus, leaderless_ms: Millis) {
-        let own_replica = status.identity.as_ref().map(|identity| identity.replica);
-        let voters = status.members.iter().filter(|member| member.voter);
-        let (reachable, unreachable): (Vec<_>, Vec<_>) = voters.partition(|member| {
-            let address = member.address.parse();
-            Some(member.replica) == own_replica
-                || address.is_ok_and(|address| self.is_connected(address))
-        });
-        let voters = reachable.len() + unreachable.len();
-        let unreachable: Vec<&str> = unreachable
-            .iter()
-            .map(|member| member.address.as_str())
-            .collect();
-        warn!(target: LOG, leaderless_ms = leaderless_ms, role = status.role, term = status.term,
-            last = status.last, voters = voters, reachable = reachable.len(),
-            needed = voters / 2 + 1, unreachable:? = unreachable;
-            "this replica knows no leader");
-    }
-
-    fn is_connected(&self, address: SocketAddr) -> bool {
-        self.links()
-            .is_some_and(|links| links.is_connected(address))
-    }
-
     fn member_addresses(&self) -> BTreeSet<SocketAddr> {
         self.group().members
     }
@@ -431,22 +392,13 @@
         .fold(0, |hash, seed| combine(hash, replica_of(seed)))
 }
 
-fn is_alive(member: &MemberStatus) -> bool {
-    // The leader reports no silence for itself.
-    member
-        .silent_ms
-        .is_none_or(|silent| silent < ALIVE_WITHIN_MS)
-}
-
 /// Promotes a learner that has caught up to voter; before that, removes the earlier replica at
 /// its address, which lost its disk and can't return.
 pub fn promote_or_replace(status: &ReplicaStatus, membership: &Membership) -> Option<Membership> {
-    let learner = status.members.iter().find(|member| {
-        let has_caught_up = member.matched.is_some_and(|matched| {
-            matched > 0 && matched + MAX_LEARNER_LAG_ENTRIES >= status.commit
-        });
-        !member.voter && is_alive(member) && has_caught_up
-    })?;
+    let learner = status
+        .members
+        .iter()
+        .find(|member| !member.voter && member.is_alive() && member.has_caught_up(status.commit))?;
     let mut next = membership.clone();
     let predecessor = status
         .members
@@ -470,7 +422,7 @@
         .members
         .iter()
         .filter(|member| member.voter && member.replica != replica);
-    others.filter(|member| is_alive(member)).count() > 2 * lost_disks
+    others.filter(|member| member.is_alive()).count() > 2 * lost_disks
 }
 
 /// Removes a silent voter if the remaining ones tolerate the loss of `lost_disks` disks without
@@ -487,7 +439,9 @@
         let is_removable = !member.voter || is_dispensable(status, member.replica, lost_disks);
         is_lost && is_removable
     })?;
-    info!(target: LOG, replica = lost.replica, address = lost.address; "removing a lost replica");
+    info!(target: LOG, replica = lost.replica, address = lost.address, voter = lost.voter,
+        matched = lost.matched, silent_ms = lost.silent_ms, commit = status.commit;
+        "removing a lost replica");
     let mut next = membership.clone();
     next.members.remove(&lost.replica);
     Some(next)
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -4,6 +4,7 @@
 use prometheus::{GaugeVec, IntCounter, IntGauge, IntGaugeVec, Opts, Registry};
 
 use crate::control::shared::ReplicaStatus;
+use crate::fleet::group_watch::tolerated_losses;
 use crate::fleet::orders::OrderOutcome;
 
 /// Metrics of a control process.
@@ -12,6 +13,8 @@
     term: IntGauge,
     committed: IntGauge,
     members: IntGauge,
+    tolerated_losses: IntGauge,
+    unaddressed_messages: IntGauge,
     catalog: IntGauge,
     evacuated_zones: IntGauge,
     log_bytes: IntGauge,
@@ -115,6 +118,14 @@
                 "Index of the last committed log entry",
             )?,
             members: gauge("coursestand_control_voters", "Voters of the control group")?,
+            tolerated_losses: gauge(
+                "coursestand_control_tolerated_losses",
+                "Disks that the group can lose now, as the leader sees it; -1 elsewhere",
+            )?,
+            unaddressed_messages: gauge(
+                "coursestand_control_unaddressed_messages",
+                "Consensus messages since the replica began whose receiver has no known address",
+            )?,
             catalog: gauge("coursestand_catalog_version", "Newest catalog version")?,
             evacuated_zones: gauge("coursestand_evacuated_zones", "Evacuated zones")?,
             log_bytes: gauge(
@@ -189,6 +200,11 @@
         self.term.set(counts.status.term as i64);
         self.committed.set(counts.status.commit as i64);
         self.members.set(voters.count() as i64);
+        let tolerated = tolerated_losses(&counts.status);
+        self.tolerated_losses
+            .set(tolerated.map_or(-1, |tolerated| tolerated as i64));
+        self.unaddressed_messages
+            .set(counts.status.unaddressed_messages as i64);
         self.catalog.set(counts.catalog as i64);
         self.evacuated_zones.set(counts.evacuated_zones as i64);
         self.log_bytes.set(counts.status.log_bytes as i64);
--- a/crates/coursestand-daemon/src/fleet/mod.rs
+++ b/crates/coursestand-daemon/src/fleet/mod.rs
@@ -18,6 +18,7 @@
 pub mod edge_service;
 pub mod follower_metrics;
 pub mod formation;
+pub mod group_watch;
 pub mod hub;
 mod large_bodies;
 pub mod listener;
