Show that a replica can't catch up with a leader that its log does not name

Real processes, 320 changes of one entry each. Callers see: no read is answered after two disks are lost (two_disks_may_be_lost_again_after_a_long_history, which gives the users' picture), and none by a replica that came back with an empty disk or after it was away while the leader joined.

--- /dev/null
+++ b/crates/coursestand-daemon/tests/lost_disks/group.rs
@@ -0,0 +1,219 @@
+//! Five control processes whose disks are lost.
+
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use serde_json::Value;
+
+use crate::deployment::{Deployment, TEST_TIMEOUT, first_items, key_of, one_route};
+use crate::processes::Processes;
+
+pub const CONTROLS: [u8; 5] = [1, 2, 3, 4, 5];
+/// Control processes whose addresses all processes are told.
+const SEEDS: [u8; 3] = [1, 2, 3];
+/// Number of control processes that may be lost at the same time.
+const LOST_DISKS: usize = 2;
+/// Time for which a control process counts as lost after it is back.
+pub const CATCH_UP: Duration = Duration::from_secs(4);
+/// Time after which a read is answered once all processes are back.
+pub const RECOVERY: Duration = Duration::from_secs(15);
+/// Time between the end of a process and its next start.
+const DOWNTIME: Duration = Duration::from_millis(500);
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Keys and versions of items.
+pub type Versions = BTreeMap<String, u64>;
+
+/// Five control processes.
+pub struct Group {
+    /// Dropped before `deployment`, which releases the network.
+    processes: Processes,
+    deployment: Deployment,
+    /// Changes so far.
+    changes: u64,
+}
+
+impl Group {
+    /// Starts the processes and waits until all of them vote.
+    pub async fn start() -> Group {
+        let mut deployment = Deployment::new(&SEEDS);
+        let logs = deployment.folder.path().join("processes");
+        if std::env::var_os("COURSESTAND_KEEP_LOGS").is_some() {
+            deployment.folder.disable_cleanup(true);
+            println!("logs in {}", logs.display());
+        }
+        let mut group = Group {
+            processes: Processes::new(&logs),
+            deployment,
+            changes: 0,
+        };
+        for host in CONTROLS {
+            group.start_process(host, true);
+        }
+        assert_eq!(group.deployment.patch(&SEEDS, &first_items()).await, 200);
+        group.wait_for_members(TEST_TIMEOUT).await;
+        group
+    }
+
+    fn start_process(&mut self, host: u8, bootstrap: bool) {
+        let mut settings = self.deployment.control_settings(host, bootstrap);
+        settings.bounds.lost_disks = LOST_DISKS;
+        self.processes.start(host, &settings);
+    }
+
+    pub fn start_processes(&mut self, hosts: &[u8]) {
+        for host in hosts {
+            self.start_process(*host, false);
+        }
+    }
+
+    pub fn kill(&mut self, hosts: &[u8]) {
+        self.processes.kill_at_once(hosts);
+    }
+
+    /// Makes changes one after another and returns what was acknowledged.
+    pub async fn change(&mut self, count: u64) -> Versions {
+        let mut acknowledged = Versions::new();
+        for _ in 0..count {
+            self.changes += 1;
+            let name = format!("r-{}", self.changes);
+            let change = one_route(&name, 1);
+            assert_eq!(self.deployment.patch(&CONTROLS, &change).await, 200);
+            acknowledged.insert(key_of(&name), 1);
+        }
+        acknowledged
+    }
+
+    fn empty_disks(&self, hosts: &[u8]) {
+        for host in hosts {
+            std::fs::remove_dir_all(self.deployment.data_folder(*host)).expect("removed");
+        }
+    }
+
+    /// Kills processes, empties their disks and starts them again.
+    pub async fn lose_disks(&mut self, hosts: &[u8]) {
+        self.kill(hosts);
+        self.empty_disks(hosts);
+        tokio::time::sleep(DOWNTIME).await;
+        self.start_processes(hosts);
+    }
+
+    /// Kills all processes, empties some of their disks and starts all again.
+    pub async fn lose_power_and_disks(&mut self, lost_disks: &[u8]) {
+        self.kill(&CONTROLS);
+        self.empty_disks(lost_disks);
+        tokio::time::sleep(DOWNTIME).await;
+        self.start_processes(&CONTROLS);
+    }
+
+    /// Kills the process that leads until `wanted` does.
+    pub async fn make_leader(&mut self, wanted: u8) {
+        let began_at = Instant::now();
+        loop {
+            assert!(began_at.elapsed() < TEST_TIMEOUT, "{wanted} does not lead");
+            let Some(leader) = self.leader().await else {
+                tokio::time::sleep(POLL_INTERVAL).await;
+                continue;
+            };
+            if leader == wanted {
+                return;
+            }
+            self.kill(&[leader]);
+            tokio::time::sleep(DOWNTIME).await;
+            while self.leader().await.is_none() && began_at.elapsed() < TEST_TIMEOUT {
+                tokio::time::sleep(POLL_INTERVAL).await;
+            }
+            self.start_processes(&[leader]);
+        }
+    }
+
+    /// Returns a part of the state dump of a process, or `None` if it does not answer.
+    async fn dump(&self, host: u8, part: &str) -> Option<Value> {
+        let address = self.deployment.control_settings(host, false).admin_listen;
+        let answer = self.deployment.http.get(format!("http://{address}/state"));
+        let text = answer.send().await.ok()?.text().await.ok()?;
+        let dump: Value = serde_json::from_str(&text).ok()?;
+        dump.pointer(part).cloned()
+    }
+
+    async fn leader(&self) -> Option<u8> {
+        for host in CONTROLS {
+            let term = self.dump(host, "/hub/leading_term").await;
+            if term.is_some_and(|term| !term.is_null()) {
+                return Some(host);
+            }
+        }
+        None
+    }
+
+    /// Returns the hosts that vote by their own logs and know no other voters than these five.
+    async fn complete_members(&self) -> Vec<u8> {
+        let mut complete = Vec::new();
+        for host in CONTROLS {
+            let Some(replica) = self.dump(host, "/hub/replica").await else {
+                continue;
+            };
+            let members = replica["members"].as_array().cloned().unwrap_or_default();
+            let own = &replica["identity"]["replica"];
+            let is_voter = |member: &&Value| member["voter"] == true;
+            let votes = members
+                .iter()
+                .filter(is_voter)
+                .any(|it| it["replica"] == *own);
+            let voters = members.iter().filter(is_voter).count();
+            if votes && voters == CONTROLS.len() && members.len() == CONTROLS.len() {
+                complete.push(host);
+            }
+        }
+        complete
+    }
+
+    /// Expects that all five processes become voters within `limit`.
+    pub async fn wait_for_members(&self, limit: Duration) {
+        let began_at = Instant::now();
+        let mut complete = self.complete_members().await;
+        while complete.len() < CONTROLS.len() && began_at.elapsed() < limit {
+            tokio::time::sleep(POLL_INTERVAL).await;
+            complete = self.complete_members().await;
+        }
+        println!("members after {:?}: {complete:?}", began_at.elapsed());
+        expect_that!(complete, eq(&CONTROLS.to_vec()), "voters after {limit:?}");
+    }
+
+    /// Expects that each host answers a read within `limit`, with everything acknowledged.
+    pub async fn expect_read(&self, hosts: &[u8], acknowledged: &Versions, limit: Duration) {
+        let began_at = Instant::now();
+        let mut waiting = hosts.to_vec();
+        while !waiting.is_empty() && began_at.elapsed() < limit {
+            for host in waiting.clone() {
+                let Some(found) = self.read(host).await else {
+                    continue;
+                };
+                waiting.retain(|it| *it != host);
+                let after = began_at.elapsed();
+                println!("read at {host} after {after:?}");
+                let missing = acknowledged
+                    .iter()
+                    .filter(|(key, version)| found.get(*key).is_none_or(|found| found < version));
+                expect_that!(missing.count(), eq(0), "items missing at {host}");
+            }
+        }
+        expect_that!(waiting, is_empty(), "no read answered within {limit:?}");
+    }
+
+    async fn read(&self, host: u8) -> Option<Versions> {
+        let url = format!("{}/v1/catalog", self.deployment.control_url(host));
+        let answer = self.deployment.http.get(url).send().await.ok()?;
+        if answer.status() != 200 {
+            return None;
+        }
+        let value: Value = serde_json::from_str(&answer.text().await.ok()?).ok()?;
+        let items = value["items"].as_array()?;
+        let versions = items.iter().map(|item| {
+            let version = item["version"].as_u64().unwrap_or_default();
+            (item["key"].to_string(), version)
+        });
+        Some(versions.collect())
+    }
+}
--- /dev/null
+++ b/crates/coursestand-daemon/tests/lost_disks/main.rs
@@ -0,0 +1,100 @@
+//! Control processes lose their disks, two at a time and more than once, after any number of
+//! changes and whichever replica leads. Real processes.
+#![allow(missing_docs)]
+
+#[path = "../fleet/deployment.rs"]
+#[allow(dead_code)]
+mod deployment;
+#[path = "../soak/processes.rs"]
+#[allow(dead_code)]
+mod processes;
+
+mod group;
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use group::{CATCH_UP, CONTROLS, Group, RECOVERY};
+
+/// More changes than one message of the log carries to a replica.
+const LONG_HISTORY: u64 = 320;
+/// Fewer changes than that.
+const SHORT_HISTORY: u64 = 100;
+
+/// Two disks are lost, and then two others while a replica leads that had lost its disk. Then power
+/// fails everywhere, and the first two are lost again.
+async fn lose_two_disks_three_times(changes: u64) {
+    let mut group = Group::start().await;
+    let mut acknowledged = group.change(changes).await;
+    group.lose_disks(&[1, 2]).await;
+    group.wait_for_members(CATCH_UP).await;
+    group.make_leader(1).await;
+    group.lose_disks(&[3, 4]).await;
+    group.wait_for_members(CATCH_UP).await;
+    acknowledged.extend(group.change(1).await);
+    group.lose_power_and_disks(&[2, 5]).await;
+    group.expect_read(&CONTROLS, &acknowledged, RECOVERY).await;
+}
+
+/// Guards against a group without a leader after the loss of two disks: replicas that had lost their
+/// disks before held only the first message of the log, since they could not answer a leader which
+/// that part of the log does not name.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn two_disks_may_be_lost_again_after_a_long_history() {
+    lose_two_disks_three_times(LONG_HISTORY).await;
+}
+
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn two_disks_may_be_lost_again_after_a_short_history() {
+    lose_two_disks_three_times(SHORT_HISTORY).await;
+}
+
+/// Guards against a replica with an empty disk that never catches up with a leader which the first
+/// message of the log does not name.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_catches_up_with_a_leader_that_had_lost_its_disk() {
+    let mut group = Group::start().await;
+    let acknowledged = group.change(LONG_HISTORY).await;
+    group.lose_disks(&[4]).await;
+    group.wait_for_members(CATCH_UP).await;
+    group.make_leader(4).await;
+    group.lose_disks(&[5]).await;
+    group.expect_read(&[5], &acknowledged, RECOVERY).await;
+    group.wait_for_members(RECOVERY).await;
+}
+
+/// Guards against a replica with its disk whole that never catches up with a leader which joined
+/// while it was away.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_was_away_catches_up_with_a_leader_that_joined_meanwhile() {
+    let mut group = Group::start().await;
+    group.kill(&[5]);
+    let acknowledged = group.change(LONG_HISTORY).await;
+    group.lose_disks(&[4]).await;
+    tokio::time::sleep(CATCH_UP).await;
+    group.make_leader(4).await;
+    group.start_processes(&[5]);
+    group.expect_read(&[5], &acknowledged, RECOVERY).await;
+    group.wait_for_members(RECOVERY).await;
+}
+
+/// Two replicas vote for a candidate that joined while they were away.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn replicas_that_were_away_elect_one_that_joined_meanwhile() {
+    let mut group = Group::start().await;
+    group.kill(&[5]);
+    let acknowledged = group.change(LONG_HISTORY).await;
+    group.lose_disks(&[4]).await;
+    tokio::time::sleep(CATCH_UP).await;
+    group.make_leader(4).await;
+    group.kill(&[1, 2, 3, 4]);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    // Of the replicas that know the newest change of the group, only the one that joined is back.
+    group.start_processes(&[4, 5, 1]);
+    group.expect_read(&[4, 5, 1], &acknowledged, RECOVERY).await;
+}
