Answer a replica at the address that it sends from

Callers saw: after two disks are lost, no control process answers the read of the configuration, and nothing acknowledged is in force for good. A replica that came back, with an empty disk or with its own, never caught up.

Cause: the address of an answer was looked up in the membership of the answering replica's own log. A replica with an empty disk gets the log in messages of 256 entries; with the first one its membership becomes that of entry 256. A leader that joined after that entry has no address in it, so the answer was dropped, the leader counted the learner as silent and removed it after 3 s. The voters whose disks were lost kept counting, and the next two losses were the third and the fourth. The same lookup decides where a follower finds its leader for reads and orders, and whom a voter can tell its vote.

Change: each message carries the address at which its sender is reached. Answers, and everything else for that replica, go there; the membership is used for replicas that were not heard from. The status has the leader's address from the same place, so followers reach a leader that their log does not name. The field is the last one: older processes ignore it, and their messages read as without.

--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -21,7 +21,8 @@
 use crate::control::event::{Committed, Event, ProposalReply};
 use crate::control::identity::{self, Identity};
 use crate::control::log_writer::{Job, LogWriter};
-use crate::control::peers::PeerSender;
+use crate::control::peer_addresses::PeerAddresses;
+use crate::control::peers::{OutgoingMessage, PeerSender};
 use crate::control::proposals::Proposals;
 use crate::control::shared::{ControlShared, LeadingClock, LogExtent, ReplicaStatus};
 use crate::control::status::status_of;
@@ -83,6 +84,7 @@
     proposals: Proposals,
     /// When each part of the catalog was last ordered.
     orders: OrderHistory,
+    addresses: PeerAddresses,
     unaddressed: UnaddressedMessages,
 }
 
@@ -207,6 +209,7 @@
             writing: None,
             proposals: Proposals::default(),
             orders,
+            addresses: PeerAddresses::default(),
             unaddressed: UnaddressedMessages::default(),
         };
         self.shared.set_log_extent(group.log_extent());
@@ -293,9 +296,16 @@
 
     fn handle_event(&mut self, event: Event) -> Result<(), ControlError> {
         match event {
-            Event::Message { from, message } => {
+            Event::Message {
+                from,
+                reply_to,
+                message,
+            } => {
                 let now = self.shared.clock.now();
                 if let Some(group) = &mut self.group {
+                    if let Some(address) = reply_to {
+                        group.addresses.note(from, address);
+                    }
                     group.replica.step(now, from, message);
                 }
             }
@@ -479,11 +489,17 @@
         if messages.is_empty() {
             return;
         }
-        let membership = group.replica.membership();
         let now = self.shared.clock.now();
-        group.unaddressed.note(now, membership, &messages);
+        let membership = group.replica.membership();
+        let outgoing = messages.into_iter().map(|(to, message)| OutgoingMessage {
+            to,
+            address: group.addresses.find(membership, to),
+            message,
+        });
+        let outgoing: Vec<OutgoingMessage> = outgoing.collect();
+        group.unaddressed.note(now, &outgoing);
         let Identity { cluster, replica } = group.identity;
-        self.peers.send(cluster, replica, membership, messages);
+        self.peers.send(cluster, replica, outgoing);
     }
 
     fn start_write(&mut self, job: Job, work: WriteKind) {
@@ -668,8 +684,12 @@
         let log = group.replica.log();
         let (changed_at, membership) = log.membership_up_to(log.last_index());
         self.shared.set_membership(changed_at, membership.clone());
-        let unaddressed = group.unaddressed.total();
-        let status = status_of(group.identity, &group.replica, unaddressed, now);
+        let leader = group.replica.leader();
+        let status = ReplicaStatus {
+            leader_address: leader.and_then(|leader| group.addresses.find(membership, leader)),
+            unaddressed_messages: group.unaddressed.total(),
+            ..status_of(group.identity, &group.replica, now)
+        };
         self.shared.set_status(status);
     }
 
--- a/crates/coursestand-daemon/src/control/event.rs
+++ b/crates/coursestand-daemon/src/control/event.rs
@@ -1,5 +1,7 @@
 //! Events that the driver of a replica handles.
 
+use std::net::SocketAddr;
+
 use coursestand_consensus::{LogIndex, Membership, Message, ReplicaId};
 use coursestand_coordination::{Command, CommandAnswer, OrderFence};
 use tokio::sync::oneshot;
@@ -25,6 +27,8 @@
     Message {
         /// The sender.
         from: ReplicaId,
+        /// Address at which the sender is reached, if it told.
+        reply_to: Option<SocketAddr>,
         /// The message.
         message: Message,
     },
--- a/crates/coursestand-daemon/src/control/exchange.rs
+++ b/crates/coursestand-daemon/src/control/exchange.rs
@@ -27,13 +27,7 @@
 
     /// Returns a redirect to the last known leader.
     fn not_leader(&self) -> ControlReply {
-        let leader = self.control.shared.status().leader;
-        let address = leader.and_then(|leader| {
-            let membership = self.control.shared.membership();
-            let member = membership.members.get(&leader)?;
-            member.address.parse().ok()
-        });
-        ControlReply::NotLeader(address)
+        ControlReply::NotLeader(self.control.shared.leader_address())
     }
 
     async fn follow(&self, request: FollowRequest) -> ControlReply {
@@ -162,6 +156,7 @@
         }
         let delivered = self.control.deliver(Event::Message {
             from: envelope.from,
+            reply_to: envelope.reply_to,
             message: envelope.message,
         });
         match delivered {
--- a/crates/coursestand-daemon/src/control/peers.rs
+++ b/crates/coursestand-daemon/src/control/peers.rs
@@ -6,11 +6,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use coursestand_consensus::{Membership, Message, ReplicaId};
+use coursestand_consensus::{Message, ReplicaId};
 use coursestand_coordination::wire::{ControlReply, ControlRequest};
 use coursestand_transport::Client;
 use log::{debug, warn};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
 use tokio::runtime::Handle;
 use tokio::sync::Semaphore;
 
@@ -32,6 +32,27 @@
     pub to: ReplicaId,
     /// The message.
     pub message: Message,
+    /// Address at which the sender is reached. Must stay the last field: older processes ignore
+    /// it, and a message of an older process reads as no address.
+    #[serde(deserialize_with = "deserialize_trailing_address")]
+    pub reply_to: Option<SocketAddr>,
+}
+
+fn deserialize_trailing_address<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<SocketAddr>, D::Error> {
+    Ok(Option::deserialize(deserializer).unwrap_or_default())
+}
+
+/// A consensus message to another replica.
+#[derive(Clone, Debug)]
+pub struct OutgoingMessage {
+    /// The receiver.
+    pub to: ReplicaId,
+    /// Its address, if it is known.
+    pub address: Option<SocketAddr>,
+    /// The message.
+    pub message: Message,
 }
 
 struct Peer {
@@ -42,37 +63,29 @@
 /// Sends consensus messages to other replicas without blocking. The consensus core recovers
 /// from lost messages.
 pub trait PeerSender: Send {
-    /// Sends messages of the replica `from` to the addresses in `membership`.
-    fn send(
-        &mut self,
-        cluster: u64,
-        from: ReplicaId,
-        membership: &Membership,
-        messages: Vec<(ReplicaId, Message)>,
-    );
+    /// Sends messages of the replica `from`, except those without an address.
+    fn send(&mut self, cluster: u64, from: ReplicaId, messages: Vec<OutgoingMessage>);
 }
 
-/// Encodes each message with its envelope, and pairs it with the receiver's address.
+/// Encodes each message that has an address with its envelope, and pairs it with that address.
+/// `reply_to` is the address at which the sender is reached.
 pub fn envelopes(
     cluster: u64,
     from: ReplicaId,
-    membership: &Membership,
-    messages: Vec<(ReplicaId, Message)>,
+    reply_to: SocketAddr,
+    messages: Vec<OutgoingMessage>,
 ) -> Vec<(SocketAddr, Vec<u8>)> {
     let mut encoded = Vec::new();
-    for (to, message) in messages {
-        let address = membership
-            .members
-            .get(&to)
-            .and_then(|member| member.address.parse().ok());
-        let Some(address) = address else {
+    for outgoing in messages {
+        let Some(address) = outgoing.address else {
             continue;
         };
         let envelope = Envelope {
             cluster,
             from,
-            to,
-            message,
+            to: outgoing.to,
+            message: outgoing.message,
+            reply_to: Some(reply_to),
         };
         match postcard::to_stdvec(&envelope) {
             Ok(bytes) => encoded.push((address, bytes)),
@@ -86,14 +99,17 @@
 /// use.
 pub struct Peers {
     runtime: Handle,
+    local_address: SocketAddr,
     peers: BTreeMap<SocketAddr, Peer>,
 }
 
 impl Peers {
-    /// Returns a sender without connections that sends on `runtime`.
-    pub fn new(runtime: Handle) -> Peers {
+    /// Returns a sender without connections that sends on `runtime`. Other replicas reach this one
+    /// at `local_address`.
+    pub fn new(runtime: Handle, local_address: SocketAddr) -> Peers {
         Peers {
             runtime,
+            local_address,
             peers: BTreeMap::new(),
         }
     }
@@ -127,14 +143,8 @@
 }
 
 impl PeerSender for Peers {
-    fn send(
-        &mut self,
-        cluster: u64,
-        from: ReplicaId,
-        membership: &Membership,
-        messages: Vec<(ReplicaId, Message)>,
-    ) {
-        for (address, bytes) in envelopes(cluster, from, membership, messages) {
+    fn send(&mut self, cluster: u64, from: ReplicaId, messages: Vec<OutgoingMessage>) {
+        for (address, bytes) in envelopes(cluster, from, self.local_address, messages) {
             self.send_to(address, bytes);
         }
     }
--- a/crates/coursestand-daemon/src/control/replica.rs
+++ b/crates/coursestand-daemon/src/control/replica.rs
@@ -73,7 +73,7 @@
         let handle = Arc::new(ControlHandle::new(Arc::clone(&shared), events));
         let driver = Driver::open(
             shared,
-            Box::new(Peers::new(Handle::current())),
+            Box::new(Peers::new(Handle::current(), self.settings.listen)),
             self.settings.data_folder.clone(),
             NO_MIN_COPIES,
         )
--- a/crates/coursestand-daemon/src/control/shared.rs
+++ b/crates/coursestand-daemon/src/control/shared.rs
@@ -26,6 +26,8 @@
     pub role: &'static str,
     /// The leader, if this replica has learned of one.
     pub leader: Option<u64>,
+    /// Address of the leader, if it is known.
+    pub leader_address: Option<SocketAddr>,
     /// Highest committed index.
     pub commit: u64,
     /// Last index of the log.
@@ -217,9 +219,7 @@
 
     /// Returns the address of the leader, if this replica has learned of one.
     pub fn leader_address(&self) -> Option<SocketAddr> {
-        let leader = self.status().leader?;
-        let membership = self.membership();
-        membership.members.get(&leader)?.address.parse().ok()
+        self.status().leader_address
     }
 
     /// Returns the members of the group, and the log index of the change that made them
--- a/crates/coursestand-daemon/src/control/status.rs
+++ b/crates/coursestand-daemon/src/control/status.rs
@@ -6,13 +6,9 @@
 use crate::control::identity::Identity;
 use crate::control::shared::{MemberStatus, ReplicaStatus};
 
-/// Returns the status of a replica that has joined a group.
-pub fn status_of(
-    identity: Identity,
-    replica: &Replica,
-    unaddressed_messages: u64,
-    now: Millis,
-) -> ReplicaStatus {
+/// Returns the status of a replica that has joined a group, without what its consensus core does
+/// not know.
+pub fn status_of(identity: Identity, replica: &Replica, now: Millis) -> ReplicaStatus {
     let role = match replica.role() {
         Role::Leader(_) => "leader",
         Role::Follower { .. } => "follower",
@@ -46,7 +42,6 @@
         snapshot_bytes: replica.log().snapshot().data.len(),
         members,
         members_at: replica.log().membership_up_to(replica.log().last_index()).0,
-        unaddressed_messages,
-        failure: None,
+        ..ReplicaStatus::default()
     }
 }
--- a/crates/coursestand-daemon/src/control/unaddressed.rs
+++ b/crates/coursestand-daemon/src/control/unaddressed.rs
@@ -1,9 +1,10 @@
 //! Consensus messages whose receiver has no known address.
 
-use coursestand_consensus::{Membership, Message, ReplicaId};
 use coursestand_model::Millis;
 use log::warn;
 
+use crate::control::peers::OutgoingMessage;
+
 const LOG: &str = "consensus";
 /// Minimum time between two lines about such messages.
 const LOG_INTERVAL_MS: Millis = 1_000;
@@ -23,23 +24,18 @@
         self.total
     }
 
-    /// Counts those of `messages` whose receiver is not a member.
-    pub fn note(
-        &mut self,
-        now: Millis,
-        membership: &Membership,
-        messages: &[(ReplicaId, Message)],
-    ) {
-        let unaddressed = messages
+    /// Counts those of `messages` that have no address.
+    pub fn note(&mut self, now: Millis, messages: &[OutgoingMessage]) {
+        for outgoing in messages
             .iter()
-            .filter(|(to, _)| !membership.members.contains_key(to));
-        for (to, message) in unaddressed {
+            .filter(|outgoing| outgoing.address.is_none())
+        {
             self.total += 1;
-            self.log_if_due(now, *to, message);
+            self.log_if_due(now, outgoing);
         }
     }
 
-    fn log_if_due(&mut self, now: Millis, to: ReplicaId, message: &Message) {
+    fn log_if_due(&mut self, now: Millis, outgoing: &OutgoingMessage) {
         let is_due = self
             .logged_at
             .is_none_or(|logged_at| now >= logged_at + LOG_INTERVAL_MS);
@@ -49,7 +45,8 @@
         let count = self.total - self.logged_total;
         self.logged_at = Some(now);
         self.logged_total = self.total;
-        warn!(target: LOG, receiver = to, kind = message.body.name(), term = message.term,
+        warn!(target: LOG, receiver = outgoing.to, kind = outgoing.message.body.name(),
+            term = outgoing.message.term,
             messages = count;
             "a message was not sent: the address of its receiver is not known");
     }
--- a/crates/coursestand-daemon/src/fleet/formation.rs
+++ b/crates/coursestand-daemon/src/fleet/formation.rs
@@ -114,7 +114,9 @@
     pub fn admit(&self, address: SocketAddr, replica: u64) -> Answer {
         if self.control.shared.leading_term().is_none() {
             // The seeds of the joining process may not include the leader.
-            return Answer::AskThese(self.member_addresses().into_iter().collect());
+            let mut known = self.member_addresses();
+            known.extend(self.control.shared.leader_address());
+            return Answer::AskThese(known.into_iter().collect());
         }
         let membership = self.control.shared.membership();
         let identity = self.control.shared.status().identity;
--- a/crates/coursestand-daemon/src/fleet/peer_connection.rs
+++ b/crates/coursestand-daemon/src/fleet/peer_connection.rs
@@ -187,6 +187,7 @@
         // Fails only if the driver has stopped.
         let _ = control.deliver(Event::Message {
             from: envelope.from,
+            reply_to: envelope.reply_to,
             message: envelope.message,
         });
     }
--- a/crates/coursestand-daemon/src/fleet/peer_links.rs
+++ b/crates/coursestand-daemon/src/fleet/peer_links.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use coursestand_consensus::{Membership, Message, ReplicaId};
+use coursestand_consensus::ReplicaId;
 use coursestand_discovery::{ConnectionDigest, EdgeRecord, InstanceUpdate};
 use coursestand_kernel::Tasks;
 use coursestand_transport::frame::encode;
@@ -17,7 +17,7 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::control::peers::{PeerSender, envelopes};
+use crate::control::peers::{OutgoingMessage, PeerSender, envelopes};
 use crate::fleet::wire::{
     Answer, PeerMessage, PeerReply, Question, StartTimes, ToControl, TrailingDigest,
 };
@@ -379,14 +379,8 @@
 pub struct PeerLinkSender(pub Arc<PeerLinks>);
 
 impl PeerSender for PeerLinkSender {
-    fn send(
-        &mut self,
-        cluster: u64,
-        from: ReplicaId,
-        membership: &Membership,
-        messages: Vec<(ReplicaId, Message)>,
-    ) {
-        for (address, bytes) in envelopes(cluster, from, membership, messages) {
+    fn send(&mut self, cluster: u64, from: ReplicaId, messages: Vec<OutgoingMessage>) {
+        for (address, bytes) in envelopes(cluster, from, self.0.local_address, messages) {
             self.0.send_to(address, PeerMessage::Consensus(bytes));
         }
     }
--- a/crates/coursestand-daemon/tests/refusing_disk.rs
+++ b/crates/coursestand-daemon/tests/refusing_disk.rs
@@ -5,10 +5,10 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use coursestand_consensus::wal::WriteAheadLog;
-use coursestand_consensus::{Membership, Message, ReplicaId, StorageError};
+use coursestand_consensus::{ReplicaId, StorageError};
 use coursestand_daemon::control::driver::Driver;
 use coursestand_daemon::control::identity::{self, Identity};
-use coursestand_daemon::control::peers::PeerSender;
+use coursestand_daemon::control::peers::{OutgoingMessage, PeerSender};
 use coursestand_daemon::control::shared::ControlShared;
 use coursestand_kernel::MonotonicClock;
 use googletest::prelude::*;
@@ -16,7 +16,7 @@
 struct NoPeers;
 
 impl PeerSender for NoPeers {
-    fn send(&mut self, _: u64, _: ReplicaId, _: &Membership, _: Vec<(ReplicaId, Message)>) {}
+    fn send(&mut self, _: u64, _: ReplicaId, _: Vec<OutgoingMessage>) {}
 }
 
 /// Guards against a process that ends at each start while its disk refuses writes: a replica whose
--- a/crates/coursestand-daemon/tests/slow_disk/group.rs
+++ b/crates/coursestand-daemon/tests/slow_disk/group.rs
@@ -8,15 +8,14 @@
 use std::time::{Duration, Instant};
 
 use coursestand_consensus::{
-    Batch, Entry, HardState, Membership, Message, ReplicaId, Restored, Snapshot, Storage,
-    StorageError,
+    Batch, Entry, HardState, ReplicaId, Restored, Snapshot, Storage, StorageError,
 };
 use coursestand_coordination::Command;
 use coursestand_daemon::control::driver::Driver;
 use coursestand_daemon::control::event::Event;
 use coursestand_daemon::control::handle::ControlHandle;
 use coursestand_daemon::control::identity::Identity;
-use coursestand_daemon::control::peers::PeerSender;
+use coursestand_daemon::control::peers::{OutgoingMessage, PeerSender};
 use coursestand_daemon::control::shared::ControlShared;
 use coursestand_kernel::MonotonicClock;
 use coursestand_model::ZoneId;
@@ -90,18 +89,16 @@
 struct Loopback(Events);
 
 impl PeerSender for Loopback {
-    fn send(
-        &mut self,
-        _cluster: u64,
-        from: ReplicaId,
-        _membership: &Membership,
-        messages: Vec<(ReplicaId, Message)>,
-    ) {
+    fn send(&mut self, _cluster: u64, from: ReplicaId, messages: Vec<OutgoingMessage>) {
         let events = self.0.lock().unwrap_or_else(PoisonError::into_inner);
-        for (to, message) in messages {
-            if let Some(receiver) = events.get(&to) {
+        for outgoing in messages {
+            if let Some(receiver) = events.get(&outgoing.to) {
                 // Fails if the replica has stopped.
-                let _ = receiver.send(Event::Message { from, message });
+                let _ = receiver.send(Event::Message {
+                    from,
+                    reply_to: None,
+                    message: outgoing.message,
+                });
             }
         }
     }
