Forget the leader of a replica that does not vote and hears no more from it

Callers saw: a process that the group had removed answered nothing and never came back; it logged no missing leader, and its reads waited for a leader that led another group by then.

Cause: the election timer of a replica that does not vote by its own log returned before it changed the role, so the replica believed in its last leader for ever. Only a replica that knows no leader for two seconds asks to join again.

Change: the timer makes it a follower without a leader, as it does for voters.

--- a/crates/coursestand-consensus/src/replica/election.rs
+++ b/crates/coursestand-consensus/src/replica/election.rs
@@ -161,6 +161,8 @@
         self.election_due = now + retry + self.random_jitter(retry);
         let local_id = self.id();
         if !self.membership().is_voter(local_id) {
+            // Whoever asks this replica must not be sent to a leader that is gone.
+            self.role = Role::Follower { leader: None };
             return;
         }
         self.role = Role::PreCandidate {
