Refuse reads and orders at once while a group has no leader

Callers saw: silence. A process of a group without a leader held each read of the configuration and each order for 2.46 s, longer than operators wait, and then answered 503 without a Retry-After.

Cause: both wait for a leader until their own deadline, also when there has been none for longer than an election takes.

Change: a process notes when it last knew a leader. An order that was refused for this reason has its own outcome, since it is known that it was not carried out.

--- a/crates/coursestand-daemon/src/fleet/catalog_reads.rs
+++ b/crates/coursestand-daemon/src/fleet/catalog_reads.rs
@@ -157,8 +157,8 @@
         }
     }
 
-    /// Returns the encoded catalog. Fails at once if too many reads are in progress, and at the
-    /// deadline if no leader answers.
+    /// Returns the encoded catalog. Fails at once if too many reads are in progress or there has
+    /// been no leader for longer than an election takes, and at the deadline if no leader answers.
     pub async fn read(&self, deadline: Instant) -> Result<EncodedCatalog, ReadError> {
         let Ok(_slot) = self.slots.try_acquire() else {
             return Err(ReadError::Overloaded);
@@ -169,7 +169,8 @@
             {
                 return Ok(encoded);
             }
-            if Instant::now() + RETRY_DELAY >= deadline {
+            let may_wait = self.control.shared.may_wait_for_leader();
+            if !may_wait || Instant::now() + RETRY_DELAY >= deadline {
                 return Err(ReadError::NoLeader);
             }
             tokio::time::sleep(RETRY_DELAY).await;
--- a/crates/coursestand-daemon/src/fleet/control_api.rs
+++ b/crates/coursestand-daemon/src/fleet/control_api.rs
@@ -42,6 +42,9 @@
 const READ_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// Time after which a call that was refused for others in progress may be repeated.
 const OVERLOAD_RETRY_AFTER: Duration = Duration::from_secs(1);
+/// Time after which a call that was refused for lack of a leader may be repeated: by then, an
+/// election has usually ended.
+const ELECTION_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Divisor of the time of a planned stop: clients may use a look-up for three times its
 /// lifetime, and requests need time to finish.
 const STOP_TTL_DIVISOR: Millis = 3;
@@ -193,8 +196,19 @@
     respond(StatusCode::OK, Reply::json(&json!({})))
 }
 
-/// Answers that the outcome is unknown or that there is no leader: the caller may retry
-/// elsewhere.
+/// Refuses a call that had no effect and may be repeated after some time.
+fn refuse_for(time: Duration, reason: &str) -> Response {
+    let mut response = unavailable(reason);
+    let seconds = HeaderValue::from(time.as_secs());
+    response.headers_mut().insert(RETRY_AFTER, seconds);
+    response
+}
+
+fn refuse_without_leader() -> Response {
+    refuse_for(ELECTION_RETRY_AFTER, "no leader is known")
+}
+
+/// Answers that the outcome is unknown: the caller may retry elsewhere.
 fn unavailable(reason: &str) -> Response {
     refuse(StatusCode::SERVICE_UNAVAILABLE, reason)
 }
@@ -320,6 +334,7 @@
             OrderOutcome::Done { .. } => done(),
             OrderOutcome::Refused(reason) => refuse(StatusCode::BAD_REQUEST, reason),
             OrderOutcome::CallerLeft => unavailable("the caller has closed the connection"),
+            OrderOutcome::NoLeader => refuse_without_leader(),
             OrderOutcome::Unavailable(reason) => unavailable(&reason),
             OrderOutcome::Unconfirmed(revision) => {
                 self.redirect_to_confirm(&order.command, revision, connection)
@@ -355,6 +370,7 @@
                 .status(StatusCode::OK)
                 .content_type(content_type)
                 .body(body),
+            Err(ReadError::NoLeader) => refuse_without_leader(),
             Err(error @ ReadError::Overloaded) => self.refuse_overload(&error.to_string()),
             Err(error) => unavailable(&error.to_string()),
         }
@@ -371,10 +387,7 @@
     /// Refuses a call because of others in progress. It had no effect.
     fn refuse_overload(&self, reason: &str) -> Response {
         self.mesh.metrics.overloaded.inc();
-        let mut response = unavailable(reason);
-        let seconds = HeaderValue::from(OVERLOAD_RETRY_AFTER.as_secs());
-        response.headers_mut().insert(RETRY_AFTER, seconds);
-        response
+        refuse_for(OVERLOAD_RETRY_AFTER, reason)
     }
 }
 
--- a/crates/coursestand-daemon/src/fleet/metrics.rs
+++ b/crates/coursestand-daemon/src/fleet/metrics.rs
@@ -189,7 +189,7 @@
             OrderOutcome::Done { .. } => self.orders.inc(),
             OrderOutcome::CallerLeft => self.abandoned_orders.inc(),
             OrderOutcome::Unconfirmed(_) => self.unconfirmed_orders.inc(),
-            OrderOutcome::Refused(_) | OrderOutcome::Unavailable(_) => {}
+            OrderOutcome::Refused(_) | OrderOutcome::NoLeader | OrderOutcome::Unavailable(_) => {}
         }
     }
 
--- a/crates/coursestand-daemon/src/fleet/orders.rs
+++ b/crates/coursestand-daemon/src/fleet/orders.rs
@@ -53,6 +53,8 @@
     CallerLeft,
     /// The caller must confirm the order for this revision; it has no effect so far.
     Unconfirmed(OrderFence),
+    /// It was not carried out: there is no leader. The caller may send it again.
+    NoLeader,
     /// It was not carried out, or it is unknown whether it was. The caller may send it again.
     Unavailable(String),
 }
@@ -130,7 +132,11 @@
                     return OrderOutcome::Refused(reason);
                 }
                 Answer::Unknown(reason) => return OrderOutcome::Unavailable(reason),
-                Answer::NotLeader => "no leader is known",
+                Answer::NotLeader if self.may_wait_for_leader(deadline) => {
+                    tokio::time::sleep(RETRY_DELAY).await;
+                    continue;
+                }
+                Answer::NotLeader => return OrderOutcome::NoLeader,
                 Answer::Superseded { applied } => match admission.superseded(applied) {
                     AfterSuperseded::TryAgain if Instant::now() < deadline => continue,
                     AfterSuperseded::TryAgain | AfterSuperseded::TryLater => {
@@ -150,6 +156,11 @@
         }
     }
 
+    fn may_wait_for_leader(&self, deadline: Instant) -> bool {
+        let shared = &self.proposals.control.shared;
+        shared.may_wait_for_leader() && Instant::now() + RETRY_DELAY < deadline
+    }
+
     /// Returns the index up to which this replica has applied the log. A replica that is not a
     /// voter learns it from the leader.
     fn applied(&self) -> u64 {
--- a/crates/coursestand-daemon/tests/lost_disks/group.rs
+++ b/crates/coursestand-daemon/tests/lost_disks/group.rs
@@ -18,6 +18,8 @@
 pub const CATCH_UP: Duration = Duration::from_secs(4);
 /// Time after which a read is answered once all processes are back.
 pub const RECOVERY: Duration = Duration::from_secs(15);
+/// A refusal within this time needs no wait for a leader.
+pub const AT_ONCE: Duration = Duration::from_millis(500);
 /// Time between the end of a process and its next start.
 const DOWNTIME: Duration = Duration::from_millis(500);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -216,4 +218,29 @@
         });
         Some(versions.collect())
     }
+
+    /// Returns the time until a read at a host is refused.
+    pub async fn time_of_refused_read(&self, host: u8) -> Duration {
+        let url = format!("{}/v1/catalog", self.deployment.control_url(host));
+        time_of_refusal(self.deployment.http.get(url)).await
+    }
+
+    /// Returns the time until an order at a host is refused.
+    pub async fn time_of_refused_order(&self, host: u8) -> Duration {
+        let url = format!("{}/v1/catalog", self.deployment.control_url(host));
+        let change = serde_json::to_string(&one_route("late", 1)).expect("JSON");
+        time_of_refusal(self.deployment.http.post(url).body(change)).await
+    }
+}
+
+/// Expects that a call is refused with the time after which it may be repeated, and returns how
+/// long that took.
+async fn time_of_refusal(call: reqwest::RequestBuilder) -> Duration {
+    let began_at = Instant::now();
+    let answer = call.send().await;
+    let took = began_at.elapsed();
+    let answer = answer.expect("an answer");
+    expect_that!(answer.status().as_u16(), eq(503));
+    expect_that!(answer.headers().get("retry-after"), some(anything()));
+    took
 }
--- a/crates/coursestand-daemon/tests/lost_disks/main.rs
+++ b/crates/coursestand-daemon/tests/lost_disks/main.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use group::{CATCH_UP, CONTROLS, Group, RECOVERY};
+use group::{AT_ONCE, CATCH_UP, CONTROLS, Group, RECOVERY};
 
 /// More changes than one message of the log carries to a replica.
 const LONG_HISTORY: u64 = 320;
@@ -98,3 +98,27 @@
     group.start_processes(&[4, 5, 1]);
     group.expect_read(&[4, 5, 1], &acknowledged, RECOVERY).await;
 }
+
+/// Guards against operators who get no answer from a group without a leader: a call that can't be
+/// served is refused at once, with the time after which it may be repeated.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_group_without_a_leader_refuses_reads_and_orders_at_once() {
+    let mut group = Group::start().await;
+    group.change(1).await;
+    group.kill(&[1, 2, 3]);
+    // Longer than an election takes.
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for host in [4, 5] {
+        expect_that!(
+            group.time_of_refused_read(host).await,
+            lt(AT_ONCE),
+            "{host}"
+        );
+        expect_that!(
+            group.time_of_refused_order(host).await,
+            lt(AT_ONCE),
+            "{host}"
+        );
+    }
+}
