Move the addresses of replicas into the consensus crate

Where a replica answers belongs to the protocol, and its simulation has to play the same rule as the daemon. The code and its tests are unchanged.

--- a/crates/coursestand-daemon/src/control/peer_addresses.rs
+++ b/crates/coursestand-consensus/src/addresses.rs
@@ -3,7 +3,8 @@
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
-use coursestand_consensus::{Membership, ReplicaId};
+use crate::ids::ReplicaId;
+use crate::membership::Membership;
 
 /// Number of replicas whose addresses are remembered. Larger than any group, so that it bounds the
 /// memory for replicas that have left.
--- a/crates/coursestand-consensus/src/lib.rs
+++ b/crates/coursestand-consensus/src/lib.rs
@@ -6,6 +6,7 @@
 //! [`Ready`] contains. Supports pre-vote, check-quorum, leader leases, learners,
 //! single-server membership changes, leadership transfer and chunked snapshots.
 
+pub mod addresses;
 pub mod config;
 pub mod ids;
 pub mod log;
@@ -18,6 +19,7 @@
 pub mod types;
 pub mod wal;
 
+pub use addresses::PeerAddresses;
 pub use config::Config;
 pub use ids::{LogIndex, ReplicaId, Term};
 pub use membership::{Member, Membership};
--- a/crates/coursestand-consensus/src/membership.rs
+++ b/crates/coursestand-consensus/src/membership.rs
@@ -9,7 +9,7 @@
 /// A member of the group.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Member {
-    /// Network address; not interpreted by this crate.
+    /// Network address; only [`PeerAddresses`](crate::PeerAddresses) interprets it.
     pub address: String,
     /// Whether the member votes; a learner only receives the log.
     pub is_voter: bool,
--- a/crates/coursestand-daemon/src/control/driver.rs
+++ b/crates/coursestand-daemon/src/control/driver.rs
@@ -8,8 +8,8 @@
 
 use coursestand_consensus::wal::WriteAheadLog;
 use coursestand_consensus::{
-    Batch, Config, Entry, HardState, LogIndex, Membership, Message, Payload, Ready, Replica,
-    ReplicaId, Restored, Snapshot, Storage, StorageError,
+    Batch, Config, Entry, HardState, LogIndex, Membership, Message, Payload, PeerAddresses, Ready,
+    Replica, ReplicaId, Restored, Snapshot, Storage, StorageError,
 };
 use coursestand_coordination::command::StampedCommand;
 use coursestand_coordination::{Command, CommandAnswer, ControlState, OrderFence, OrderHistory};
@@ -21,7 +21,6 @@
 use crate::control::event::{Committed, Event, ProposalReply};
 use crate::control::identity::{self, Identity};
 use crate::control::log_writer::{Job, LogWriter};
-use crate::control::peer_addresses::PeerAddresses;
 use crate::control::peers::{OutgoingMessage, PeerSender};
 use crate::control::proposals::Proposals;
 use crate::control::shared::{ControlShared, LeadingClock, LogExtent, ReplicaStatus};
--- a/crates/coursestand-daemon/src/control/mod.rs
+++ b/crates/coursestand-daemon/src/control/mod.rs
@@ -9,7 +9,6 @@
 pub mod leader;
 mod log_writer;
 pub mod operators;
-pub mod peer_addresses;
 pub mod peers;
 pub mod platform;
 mod proposals;
--- a/crates/coursestand-daemon/tests/peer_addresses.rs
+++ b/crates/coursestand-daemon/tests/peer_addresses.rs
@@ -4,8 +4,7 @@
 use std::net::SocketAddr;
 
 use coursestand_consensus::message::{Body, Message};
-use coursestand_consensus::{Membership, ReplicaId};
-use coursestand_daemon::control::peer_addresses::PeerAddresses;
+use coursestand_consensus::{Membership, PeerAddresses, ReplicaId};
 use coursestand_daemon::control::peers::{Envelope, OutgoingMessage, envelopes};
 use googletest::prelude::*;
 
