Answer an older process at the address that its connection told

While one version replaces another, a learner of this version did not catch up with a leader of the version before that had lost its disk: the leader's messages tell no address, and the learner's log does not name it.

A process tells its address when it connects, in either version; it is used where the message has none.

--- a/crates/coursestand-daemon/src/fleet/peer_connection.rs
+++ b/crates/coursestand-daemon/src/fleet/peer_connection.rs
@@ -95,7 +95,7 @@
                         ToControl::Peer(PeerMessage::Edges(connected)) => {
                             context.hub.set_peer_report(self.peer, self.number, &connected);
                         }
-                        ToControl::Peer(message) => handle_peer_message(message, context, &replies),
+                        ToControl::Peer(message) => handle_peer_message(self.peer, message, context, &replies),
                         _ => return Err(StreamError::Ended),
                     }
                 }
@@ -143,12 +143,13 @@
 }
 
 fn handle_peer_message(
+    peer: SocketAddr,
     message: PeerMessage,
     context: &Arc<ConnectionContext>,
     replies: &mpsc::Sender<PeerReply>,
 ) {
     match message {
-        PeerMessage::Consensus(bytes) => deliver_consensus(&context.control, &bytes),
+        PeerMessage::Consensus(bytes) => deliver_consensus(peer, &context.control, &bytes),
         PeerMessage::Instances {
             updates,
             receipt,
@@ -175,7 +176,7 @@
     }
 }
 
-fn deliver_consensus(control: &ControlHandle, bytes: &[u8]) {
+fn deliver_consensus(peer: SocketAddr, control: &ControlHandle, bytes: &[u8]) {
     let Ok(envelope) = postcard::from_bytes::<Envelope>(bytes) else {
         return;
     };
@@ -187,7 +188,8 @@
         // Fails only if the driver has stopped.
         let _ = control.deliver(Event::Message {
             from: envelope.from,
-            reply_to: envelope.reply_to,
+            // Older processes tell their address only when they connect.
+            reply_to: envelope.reply_to.or(Some(peer)),
             message: envelope.message,
         });
     }
