Show that a voter which was away elects replicas that joined meanwhile

Callers saw: after two disks were replaced while one process was away, a loss of power, and two processes that stay down, no read is answered.

Real processes, 21 changes: all three that are back are needed, and only the two that joined while the third was away have the newest log.

--- a/crates/coursestand-daemon/tests/lost_disks/main.rs
+++ b/crates/coursestand-daemon/tests/lost_disks/main.rs
@@ -99,6 +99,26 @@
     group.expect_read(&[4, 5, 1], &acknowledged, RECOVERY).await;
 }
 
+/// Guards against a group without a leader for good, since a voter could not tell its vote to
+/// candidates that its log does not name: all three are needed, and only the two that joined while
+/// the third was away have the newest log.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_was_away_votes_for_one_that_joined_meanwhile() {
+    let mut group = Group::start().await;
+    group.kill(&[5]);
+    let mut acknowledged = group.change(20).await;
+    group.lose_disks(&[4]).await;
+    tokio::time::sleep(CATCH_UP).await;
+    group.lose_disks(&[2]).await;
+    tokio::time::sleep(CATCH_UP).await;
+    acknowledged.extend(group.change(1).await);
+    group.kill(&CONTROLS);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    group.start_processes(&[2, 4, 5]);
+    group.expect_read(&[2, 4, 5], &acknowledged, RECOVERY).await;
+}
+
 /// Guards against operators who get no answer from a group without a leader: a call that can't be
 /// served is refused at once, with the time after which it may be repeated.
 #[gtest]
