Do not count a suspension as time without a leader

Found by a review.

Cause: the time without a leader was counted from the last publication of the status that named one, and a suspended process publishes nothing.

Change: it is counted from the publication that names none. Until then calls wait.

--- a/crates/coursestand-daemon/src/control/mod.rs
+++ b/crates/coursestand-daemon/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod handle;
 pub mod identity;
 pub mod leader;
+pub mod leaderless;
 mod log_writer;
 pub mod operators;
 pub mod peers;
--- a/crates/coursestand-daemon/src/control/shared.rs
+++ b/crates/coursestand-daemon/src/control/shared.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 
 use crate::control::identity::Identity;
+use crate::control::leaderless::LeaderlessSince;
 use crate::fleet::catalog_updates::CatalogUpdates;
 
 /// Status of a replica.
@@ -149,10 +150,6 @@
     }
 }
 
-/// Time without a known leader within which an election usually ends: a group whose processes all
-/// restart has a leader after 0.4 to 0.9 s.
-const ELECTION_TIME_MS: Millis = 1_000;
-
 /// State shared by the parts of a control replica.
 pub struct ControlShared {
     /// Clock of the process.
@@ -164,8 +161,7 @@
     leading_clock: RwLock<Option<LeadingClock>>,
     lease_end: AtomicU64,
     term: AtomicU64,
-    /// When this replica last knew a leader, or when the process started.
-    leader_known_at: AtomicU64,
+    leaderless_since: LeaderlessSince,
     log_extent: Mutex<Option<LogExtent>>,
     version: watch::Sender<ControlVersion>,
     catalog_version: watch::Sender<ControlVersion>,
@@ -181,7 +177,6 @@
     /// Returns the state of a blank replica.
     pub fn new(clock: MonotonicClock) -> ControlShared {
         ControlShared {
-            leader_known_at: AtomicU64::new(clock.now()),
             clock,
             state: RwLock::default(),
             status: RwLock::default(),
@@ -189,6 +184,7 @@
             leading_clock: RwLock::default(),
             lease_end: AtomicU64::new(0),
             term: AtomicU64::new(0),
+            leaderless_since: LeaderlessSince::default(),
             log_extent: Mutex::default(),
             version: watch::Sender::new(0),
             catalog_version: watch::Sender::new(0),
@@ -216,18 +212,15 @@
     }
 
     pub(crate) fn set_status(&self, status: ReplicaStatus) {
-        if status.leader.is_some() {
-            self.leader_known_at
-                .store(self.clock.now(), Ordering::Relaxed);
-        }
+        self.leaderless_since
+            .note(self.clock.now(), status.leader.is_some());
         *self.status.write().unwrap_or_else(PoisonError::into_inner) = status;
     }
 
-    /// Returns whether a call that needs the leader should wait for one: a leader is known, or an
-    /// election may be in progress. Otherwise the call can't be served and is refused at once.
+    /// Returns whether a call that needs the leader should wait for one, see
+    /// [`LeaderlessSince::may_wait`].
     pub fn may_wait_for_leader(&self) -> bool {
-        let known_at = self.leader_known_at.load(Ordering::Relaxed);
-        self.clock.now() < known_at + ELECTION_TIME_MS
+        self.leaderless_since.may_wait(self.clock.now())
     }
 
     /// Returns the members of the group.
--- a/crates/coursestand-daemon/src/fleet/orders.rs
+++ b/crates/coursestand-daemon/src/fleet/orders.rs
@@ -53,7 +53,7 @@
     CallerLeft,
     /// The caller must confirm the order for this revision; it has no effect so far.
     Unconfirmed(OrderFence),
-    /// It was not carried out: there is no leader. The caller may send it again.
+    /// It was not carried out: no leader is known or reached. The caller may send it again.
     NoLeader,
     /// It was not carried out, or it is unknown whether it was. The caller may send it again.
     Unavailable(String),
--- a/crates/coursestand-daemon/tests/lost_disks/main.rs
+++ b/crates/coursestand-daemon/tests/lost_disks/main.rs
@@ -94,7 +94,6 @@
     group.make_leader(4).await;
     group.kill(&[1, 2, 3, 4]);
     tokio::time::sleep(Duration::from_millis(500)).await;
-    // Of the replicas that know the newest change of the group, only the one that joined is back.
     group.start_processes(&[4, 5, 1]);
     group.expect_read(&[4, 5, 1], &acknowledged, RECOVERY).await;
 }
