Join as soon as the leader admits, however long others take to answer

Callers saw: with one control process suspended, a process whose disk was lost did not vote again within the 4 s it is given. Two lost machines are within the tolerance.

Cause: a request to join goes to all processes, and its answers were awaited together, up to 1.5 s for one that is connected and silent. It takes two requests, so a replica that was admitted learned of it after 3 s at the earliest; by then the leader had counted it as silent for 3 s and removed it as lost.

Change: the answer of the leader counts when it arrives, and a request is repeated after half a second.

Evidence: daemon/tests/lost_disks, real processes behind relays of 35 ms one way and 280 Mbit/s, one suspended, one disk lost.

--- a/crates/coursestand-daemon/src/fleet/formation.rs
+++ b/crates/coursestand-daemon/src/fleet/formation.rs
@@ -20,6 +20,8 @@
 use coursestand_kernel::MonotonicClock;
 use coursestand_model::Millis;
 use coursestand_routing::hash::{combine, hash_of};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use log::{info, warn};
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -35,6 +37,9 @@
 const LOG: &str = "formation";
 /// Time between two checks of the group.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Timeout for an answer to a request to join, longer than a round trip between any two regions. A
+/// process that does not answer must not delay the next request for long.
+const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
 /// Timeout for an answer or a membership change.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Delay before a request to leave is sent again.
@@ -321,17 +326,16 @@
             address: self.rules.local_address,
             replica,
         };
-        let requests = links
+        let mut answers: FuturesUnordered<_> = links
             .addresses()
             .into_iter()
-            .map(|address| links.ask(address, question.clone(), REQUEST_TIMEOUT));
-        let answers = futures::future::join_all(requests).await;
-        let mut joined = None;
+            .map(|address| links.ask(address, question.clone(), JOIN_TIMEOUT))
+            .collect();
         // A process that did not answer is asked again in the next round.
-        for answer in answers.into_iter().flatten() {
+        while let Some(answer) = answers.next().await {
             match answer {
-                Answer::Joined { cluster, voters } => joined = Some((cluster, voters)),
-                Answer::AskThese(members) => {
+                Ok(Answer::Joined { cluster, voters }) => return Some((cluster, voters)),
+                Ok(Answer::AskThese(members)) => {
                     for member in members {
                         links.ensure_link(member);
                     }
@@ -339,7 +343,7 @@
                 _ => {}
             }
         }
-        joined
+        None
     }
 
     /// Makes one membership change, if one is due.
--- a/crates/coursestand-daemon/tests/lost_disks/group.rs
+++ b/crates/coursestand-daemon/tests/lost_disks/group.rs
@@ -7,7 +7,8 @@
 use serde_json::Value;
 
 use crate::deployment::{Deployment, TEST_TIMEOUT, first_items, key_of, one_route};
-use crate::processes::Processes;
+use crate::links::DistantLink;
+use crate::processes::{Processes, Signal};
 
 pub const CONTROLS: [u8; 5] = [1, 2, 3, 4, 5];
 /// Control processes whose addresses all processes are told.
@@ -32,6 +33,8 @@
     /// Dropped before `deployment`, which releases the network.
     processes: Processes,
     deployment: Deployment,
+    /// Relays before the processes, if these are far from each other.
+    links: BTreeMap<u8, DistantLink>,
     /// Changes so far.
     changes: u64,
 }
@@ -39,28 +42,52 @@
 impl Group {
     /// Starts the processes and waits until all of them vote.
     pub async fn start() -> Group {
+        let mut group = Group::new();
+        group.start_group().await;
+        group
+    }
+
+    /// Like [`Self::start`], with processes that are in regions far from each other.
+    pub async fn start_distant() -> Group {
+        let mut group = Group::new();
+        for host in CONTROLS {
+            let address = group.deployment.internal(host);
+            let mut target = address;
+            target.set_ip(group.deployment.hidden_ip(host));
+            let link = DistantLink::start(address, target).await;
+            group.links.insert(host, link);
+        }
+        group.start_group().await;
+        group
+    }
+
+    fn new() -> Group {
         let mut deployment = Deployment::new(&SEEDS);
         let logs = deployment.folder.path().join("processes");
         if std::env::var_os("COURSESTAND_KEEP_LOGS").is_some() {
             deployment.folder.disable_cleanup(true);
             println!("logs in {}", logs.display());
         }
-        let mut group = Group {
+        Group {
             processes: Processes::new(&logs),
             deployment,
+            links: BTreeMap::new(),
             changes: 0,
-        };
+        }
+    }
+
+    async fn start_group(&mut self) {
         for host in CONTROLS {
-            group.start_process(host, true);
+            self.start_process(host, true);
         }
-        assert_eq!(group.deployment.patch(&SEEDS, &first_items()).await, 200);
-        group.wait_for_members(TEST_TIMEOUT).await;
-        group
+        assert_eq!(self.deployment.patch(&SEEDS, &first_items()).await, 200);
+        self.wait_for_members(TEST_TIMEOUT).await;
     }
 
     fn start_process(&mut self, host: u8, bootstrap: bool) {
         let mut settings = self.deployment.control_settings(host, bootstrap);
         settings.bounds.lost_disks = LOST_DISKS;
+        settings.listen_ip = self.links.get(&host).map(DistantLink::target_ip);
         self.processes.start(host, &settings);
     }
 
@@ -139,7 +166,8 @@
         dump.pointer(part).cloned()
     }
 
-    async fn leader(&self) -> Option<u8> {
+    /// Returns the host that leads, if one does.
+    pub async fn leader(&self) -> Option<u8> {
         for host in CONTROLS {
             let term = self.dump(host, "/hub/leading_term").await;
             if term.is_some_and(|term| !term.is_null()) {
@@ -183,6 +211,31 @@
         expect_that!(complete, eq(&CONTROLS.to_vec()), "voters after {limit:?}");
     }
 
+    /// Expects that a process with a new identity becomes a voter within `limit`.
+    pub async fn wait_for_vote(&self, host: u8, limit: Duration) {
+        let began_at = Instant::now();
+        while !self.votes(host).await && began_at.elapsed() < limit {
+            tokio::time::sleep(POLL_INTERVAL).await;
+        }
+        println!("vote of {host} after {:?}", began_at.elapsed());
+        expect_that!(began_at.elapsed(), lt(limit), "no vote of {host}");
+    }
+
+    async fn votes(&self, host: u8) -> bool {
+        let Some(replica) = self.dump(host, "/hub/replica").await else {
+            return false;
+        };
+        let members = replica["members"].as_array().cloned().unwrap_or_default();
+        let own = &replica["identity"]["replica"];
+        let mut voters = members.iter().filter(|member| member["voter"] == true);
+        voters.any(|voter| voter["replica"] == *own)
+    }
+
+    /// Suspends a process, whose connections stay open.
+    pub fn suspend(&self, host: u8) {
+        self.processes.signal(host, Signal::Stop);
+    }
+
     /// Expects that each host answers a read within `limit`, with everything acknowledged.
     pub async fn expect_read(&self, hosts: &[u8], acknowledged: &Versions, limit: Duration) {
         let began_at = Instant::now();
--- a/crates/coursestand-daemon/tests/lost_disks/main.rs
+++ b/crates/coursestand-daemon/tests/lost_disks/main.rs
@@ -10,6 +10,7 @@
 mod processes;
 
 mod group;
+mod links;
 
 use std::time::Duration;
 
@@ -21,6 +22,9 @@
 /// Fewer changes than that.
 const SHORT_HISTORY: u64 = 100;
 
+/// Few enough that they take little time between distant regions.
+const FEW_CHANGES: u64 = 10;
+
 /// Two disks are lost, and then two others while a replica leads that had lost its disk. Then power
 /// fails everywhere, and the first two are lost again.
 async fn lose_two_disks_three_times(changes: u64) {
@@ -141,3 +145,21 @@
         );
     }
 }
+
+/// Guards against a replica with an empty disk that waits for an answer of a suspended process
+/// before it joins: its leader took it as lost again meanwhile.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_suspended_process_does_not_delay_the_return_of_a_lost_disk() {
+    let mut group = Group::start_distant().await;
+    group.change(FEW_CHANGES).await;
+    let leader = group.leader().await.expect("a leader");
+    let mut followers = CONTROLS.into_iter().filter(|host| *host != leader);
+    let (suspended, lost) = (
+        followers.next().expect("one"),
+        followers.next().expect("one"),
+    );
+    group.suspend(suspended);
+    group.lose_disks(&[lost]).await;
+    group.wait_for_vote(lost, CATCH_UP).await;
+}
