Change the members of the group without pauses while replicas join

Callers saw: two disks that are lost at once are replaced after 2.0 to 2.3 s in a group whose regions are 35 ms apart, with hardly any log to send; 4 s are given for everything. Where the time goes, by the log of the leader: six changes of the members of 275 to 285 ms each, of which a commit takes 75 and the pause until the next check 200.

Change: the next change is made as soon as the driver has published the last one, and checks are 50 ms apart while a replica joins or learns; a request to join wakes the leader. It is still one member at a time.

Without the pause a change could be made on what the group was before: the driver answers a proposer before it publishes the members, and publishes members and status one after the other. So a change is made only if both are of the same log index, and not older than the last change that this process made.

Evidence: daemon/tests/lost_disks behind relays of 35 ms one way, two lost disks three times. A log of 4 MB is sent more than once and takes as long as before; that is another fault.

--- a/crates/coursestand-daemon/src/fleet/formation.rs
+++ b/crates/coursestand-daemon/src/fleet/formation.rs
@@ -12,7 +12,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::time::Duration;
 
@@ -23,7 +23,7 @@
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use log::{info, warn};
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use crate::control::handle::ControlHandle;
@@ -37,6 +37,10 @@
 const LOG: &str = "formation";
 /// Time between two checks of the group.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
+/// Time between two checks while a replica joins or learns.
+const CHANGING_INTERVAL: Duration = Duration::from_millis(50);
+/// Time for which the driver may not have published a change that it has confirmed.
+const PUBLICATION_TIME: Duration = Duration::from_millis(5);
 /// Timeout for an answer to a request to join, longer than a round trip between any two regions. A
 /// process that does not answer must not delay the next request for long.
 const JOIN_TIMEOUT: Duration = Duration::from_millis(500);
@@ -78,6 +82,10 @@
     joins: Mutex<BTreeMap<SocketAddr, JoinRequest>>,
     /// Identity under which this process requests to join while it has none.
     new_replica: u64,
+    /// Wakes a leader when a replica requests to join.
+    new_join: Notify,
+    /// Log index of the last membership change that this process made.
+    confirmed_change: AtomicU64,
     /// Whether this process stops as planned, and must not join again.
     is_leaving: AtomicBool,
 }
@@ -100,6 +108,8 @@
             seeds,
             joins: Mutex::default(),
             new_replica: rand::random(),
+            new_join: Notify::new(),
+            confirmed_change: AtomicU64::new(0),
             is_leaving: AtomicBool::new(false),
         }
     }
@@ -141,10 +151,11 @@
             replica,
             received_at: self.clock.now(),
         };
-        self.joins
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .insert(address, request);
+        let mut joins = self.joins.lock().unwrap_or_else(PoisonError::into_inner);
+        let earlier = joins.insert(address, request);
+        if earlier.is_none_or(|earlier| earlier.replica != replica) {
+            self.new_join.notify_one();
+        }
         Answer::AskThese(Vec::new())
     }
 
@@ -225,15 +236,19 @@
             let links = self.links().map(Arc::as_ref);
             let leaderless_ms = watch.note(self.clock.now(), &status, links);
             let is_leaving = self.is_leaving.load(Ordering::Relaxed);
+            let mut interval = interval_of(&status);
             match status.role {
-                "leader" => self.change_group_if_due(&status).await,
-                "failed" => {}
+                "leader" if self.change_group_if_due(&status).await => interval = PUBLICATION_TIME,
+                "leader" | "failed" => {}
                 _ if is_leaving => {}
                 "blank" => self.join_as_blank().await,
                 _ if leaderless_ms > LEADERLESS_LIMIT_MS => self.request_rejoin(&status).await,
                 _ => {}
             }
-            tokio::time::sleep(CHECK_INTERVAL).await;
+            tokio::select! {
+                () = tokio::time::sleep(interval) => {}
+                () = self.new_join.notified() => {}
+            }
         }
     }
 
@@ -346,18 +361,31 @@
         None
     }
 
-    /// Makes one membership change, if one is due.
-    async fn change_group_if_due(&self, status: &ReplicaStatus) {
-        let membership = self.control.shared.membership();
+    /// Makes one membership change, if one is due. Returns whether it was committed, so that the
+    /// next one may be due.
+    async fn change_group_if_due(&self, status: &ReplicaStatus) -> bool {
+        let (changed_at, membership) = self.control.shared.membership_and_index();
+        // The driver publishes them one after the other, and an earlier change may have been
+        // confirmed before both.
+        let is_current = status.members_at == changed_at
+            && changed_at >= self.confirmed_change.load(Ordering::Relaxed);
+        if !is_current {
+            return false;
+        }
         let Some(next) = self.next_change(status, &membership) else {
-            return;
+            return false;
         };
         let change = self.control.change_members(next);
         match tokio::time::timeout(REQUEST_TIMEOUT, change).await {
-            Ok(Ok(_)) => {}
+            Ok(Ok(committed)) => {
+                let index = committed.index.unwrap_or_default();
+                self.confirmed_change.store(index, Ordering::Relaxed);
+                return true;
+            }
             Ok(Err(error)) => info!(target: LOG, "membership change failed: {error}"),
             Err(_) => info!(target: LOG, "membership change was not committed within the timeout"),
         }
+        false
     }
 
     fn next_change(&self, status: &ReplicaStatus, membership: &Membership) -> Option<Membership> {
@@ -385,6 +413,16 @@
     }
 }
 
+/// Returns the time until the next check of a group with this status.
+fn interval_of(status: &ReplicaStatus) -> Duration {
+    let has_learner = status.members.iter().any(|member| !member.voter);
+    if status.role == "blank" || (status.role == "leader" && has_learner) {
+        CHANGING_INTERVAL
+    } else {
+        CHECK_INTERVAL
+    }
+}
+
 /// Returns the identity of the first replica at an address.
 pub fn replica_of(address: SocketAddr) -> u64 {
     hash_of(&address.to_string()).max(1)
--- a/crates/coursestand-daemon/tests/lost_disks/main.rs
+++ b/crates/coursestand-daemon/tests/lost_disks/main.rs
@@ -163,3 +163,17 @@
     group.lose_disks(&[lost]).await;
     group.wait_for_vote(lost, CATCH_UP).await;
 }
+
+/// Guards against changes of the members that each wait for the next check: two lost disks then took
+/// more than half of the time that the group is given, also with a short log.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn distant_replicas_replace_two_lost_disks_without_pauses() {
+    let mut group = Group::start_distant().await;
+    group.change(FEW_CHANGES).await;
+    for lost in [[1, 2], [3, 4], [2, 5]] {
+        group.lose_disks(&lost).await;
+        group.wait_for_members(CATCH_UP / 2).await;
+        group.wait_for_members(RECOVERY).await;
+    }
+}
