Judge the return of lost disks apart from the disk of the machine

A review saw a change of 12 s and a replica that voted after 15 s in tests of lost disks; the log of every process said that its disk took up to 12 s to sync, while builds ran beside them.

The tests of lost disks kill processes and empty folders, which a file system in memory shows as well, and their bounds are those of the group.

--- a/crates/coursestand-daemon/tests/fleet/deployment.rs
+++ b/crates/coursestand-daemon/tests/fleet/deployment.rs
@@ -96,11 +96,16 @@
 
 impl Deployment {
     pub fn new(seeds: &[u8]) -> Deployment {
+        Deployment::in_folder(seeds, tempfile::tempdir().expect("a folder"))
+    }
+
+    /// Like [`Self::new`], with all files in `folder`.
+    pub fn in_folder(seeds: &[u8], folder: tempfile::TempDir) -> Deployment {
         Deployment {
             network: Network::acquire(),
             ports: free_ports(),
             seeds: seeds.to_vec(),
-            folder: tempfile::tempdir().expect("a folder"),
+            folder,
             nodes: BTreeMap::new(),
             http: reqwest::Client::builder()
                 .timeout(Duration::from_secs(3))
--- a/crates/coursestand-daemon/tests/lost_disks/group.rs
+++ b/crates/coursestand-daemon/tests/lost_disks/group.rs
@@ -28,6 +28,13 @@
 /// Keys and versions of items.
 pub type Versions = BTreeMap<String, u64>;
 
+/// Returns a folder in memory, where there is such a file system: times are judged, not the disk of
+/// the machine.
+fn folder_in_memory() -> tempfile::TempDir {
+    let folder = tempfile::tempdir_in("/dev/shm").or_else(|_| tempfile::tempdir());
+    folder.expect("a folder")
+}
+
 /// Five control processes.
 pub struct Group {
     /// Dropped before `deployment`, which releases the network.
@@ -62,7 +69,7 @@
     }
 
     fn new() -> Group {
-        let mut deployment = Deployment::new(&SEEDS);
+        let mut deployment = Deployment::in_folder(&SEEDS, folder_in_memory());
         let logs = deployment.folder.path().join("processes");
         if std::env::var_os("COURSESTAND_KEEP_LOGS").is_some() {
             deployment.folder.disable_cleanup(true);
