--- a/crates/coursestand-daemon/tests/lost_disks/group.rs
+++ b/crates/coursestand-daemon/tests/lost_disks/group.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use coursestand_catalog::{Patch, RouteKind};
+use coursestand_lab::items;
 use googletest::prelude::*;
 use serde_json::Value;
 
@@ -108,6 +110,55 @@
         self.processes.kill_at_once(hosts);
     }
 
+    pub fn deployment(&self) -> &Deployment {
+        &self.deployment
+    }
+
+    /// Starts entry daemons.
+    pub fn start_edges(&mut self, hosts: &[u8]) {
+        for host in hosts {
+            let settings = self.deployment.edge_settings(*host);
+            self.processes.start(*host, &settings);
+        }
+    }
+
+    /// Starts a process at the address of `host` with the disk of another one.
+    pub fn start_with_disk_of(&mut self, host: u8, other: u8) {
+        let mut settings = self.deployment.control_settings(host, false);
+        settings.bounds.lost_disks = LOST_DISKS;
+        let control = settings.control.as_mut().expect("a control process");
+        control.data_folder = self.deployment.data_folder(other);
+        self.processes.start(host, &settings);
+    }
+
+    /// Returns whether a process has logged `text` since its latest start.
+    pub fn has_logged(&self, host: u8, text: &str) -> bool {
+        self.processes.log_end(host, usize::MAX).contains(text)
+    }
+
+    /// Adds the routes that callers use.
+    pub async fn change_routes_of_callers(&mut self) {
+        let route = |name: &str, kind| {
+            let route = items::route(name, "s", kind, 2_000);
+            items::route_item(name, 1, route)
+        };
+        let change = Patch {
+            upserts: vec![
+                route("safe", RouteKind::Repeatable),
+                route("once", RouteKind::Once),
+            ],
+            removals: Vec::new(),
+        };
+        assert_eq!(self.deployment.patch(&CONTROLS, &change).await, 200);
+    }
+
+    /// Returns the time until a request at an entry daemon is refused.
+    pub async fn time_of_refused_request(&self, host: u8) -> Duration {
+        let url = format!("http://{}/safe/0", self.deployment.front(host));
+        let call = self.deployment.http.get(url).header("host", "h.example");
+        time_of_refusal(call).await
+    }
+
     /// Makes changes one after another and returns what was acknowledged.
     pub async fn change(&mut self, count: u64) -> Versions {
         let mut acknowledged = Versions::new();
--- a/crates/coursestand-daemon/tests/lost_disks/main.rs
+++ b/crates/coursestand-daemon/tests/lost_disks/main.rs
@@ -2,6 +2,9 @@
 //! changes and whichever replica leads. Real processes.
 #![allow(missing_docs)]
 
+#[path = "../partition/callers.rs"]
+#[allow(dead_code)]
+mod callers;
 #[path = "../fleet/deployment.rs"]
 #[allow(dead_code)]
 mod deployment;
@@ -11,14 +14,25 @@
 
 mod group;
 mod links;
+mod service;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 use group::{AT_ONCE, CATCH_UP, CONTROLS, Group, RECOVERY};
+use service::Served;
 
 /// More changes than one message of the log carries to a replica.
 const LONG_HISTORY: u64 = 320;
+/// Time for which an ordinary restart takes a process away.
+const RESTART_TIME: Duration = Duration::from_secs(3);
+/// Time after which the leader has warned of lost replicas.
+const WARNING_TIME: Duration = Duration::from_secs(8);
+const TRAFFIC_TIME: Duration = Duration::from_secs(15);
+/// Time until a process that was started accepts connections.
+const START_TIME: Duration = Duration::from_secs(1);
+const RUNNING_EDGE: u8 = 11;
+const RESTARTED_EDGE: u8 = 12;
 /// Fewer changes than that.
 const SHORT_HISTORY: u64 = 100;
 
@@ -177,3 +191,94 @@
         group.wait_for_members(RECOVERY).await;
     }
 }
+
+/// Guards against a replica that the leader does not reach at its new address: the log of the group
+/// names the one with which it joined.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_replica_that_returns_with_its_disk_at_another_address_catches_up() {
+    let mut group = Group::start().await;
+    group.kill(&[5]);
+    let mut acknowledged = group.change(LONG_HISTORY).await;
+    group.start_with_disk_of(6, 5);
+    group.expect_read(&[6], &acknowledged, RECOVERY).await;
+    // Its copy and its vote count.
+    group.kill(&[1, 2]);
+    acknowledged.extend(group.change(1).await);
+    group.expect_read(&[6], &acknowledged, RECOVERY).await;
+}
+
+const WARNING: &str = "the control group tolerates the loss of too few disks";
+
+/// Guards against operators who are not told that the group can't bear its losses any more, and
+/// against a warning at each restart.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn the_leader_warns_of_lost_replicas_but_not_of_a_restart() {
+    let mut group = Group::start().await;
+    group.change(1).await;
+    let leader = group.leader().await.expect("a leader");
+    let others: Vec<u8> = CONTROLS
+        .into_iter()
+        .filter(|host| *host != leader)
+        .collect();
+    for host in &others[..2] {
+        group.kill(&[*host]);
+        tokio::time::sleep(RESTART_TIME).await;
+        group.start_processes(&[*host]);
+        group.wait_for_members(CATCH_UP).await;
+    }
+    expect_that!(group.has_logged(leader, WARNING), eq(false));
+    group.kill(&others[..2]);
+    tokio::time::sleep(WARNING_TIME).await;
+    expect_that!(group.leader().await, some(eq(leader)));
+    expect_that!(group.has_logged(leader, WARNING), eq(true));
+}
+
+/// Guards against requests without an answer at entry daemons whose control group has no leader: one
+/// keeps running, and one starts again and has no catalog.
+#[gtest]
+#[tokio::test(flavor = "multi_thread")]
+async fn requests_are_answered_while_the_group_has_no_leader() {
+    let mut group = Group::start().await;
+    group.change_routes_of_callers().await;
+    let _backends = service::start_backends(&group).await;
+    group.start_edges(&[RUNNING_EDGE, RESTARTED_EDGE]);
+    service::wait_for_service(&group, RUNNING_EDGE).await;
+    service::wait_for_service(&group, RESTARTED_EDGE).await;
+    let calls = service::call_daemons(&group, &[RUNNING_EDGE, RESTARTED_EDGE], TRAFFIC_TIME);
+    tokio::time::sleep(RESTART_TIME).await;
+    group.kill(&[1, 2, 3]);
+    tokio::time::sleep(RESTART_TIME).await;
+    let killed_at = Instant::now();
+    group.kill(&[RESTARTED_EDGE]);
+    tokio::time::sleep(RESTART_TIME).await;
+    group.start_edges(&[RESTARTED_EDGE]);
+    tokio::time::sleep(START_TIME).await;
+    let started_at = Instant::now();
+    let refusal = group.time_of_refused_request(RESTARTED_EDGE).await;
+    println!("refused after {refusal:?}");
+    expect_that!(refusal, lt(AT_ONCE));
+    let answers = calls.await.expect("no panic").all();
+    let at = |host| answers.iter().filter(move |answer| answer.host == host);
+    let running = Served::of(at(RUNNING_EDGE));
+    println!("running daemon: {running:?}");
+    expect_that!(
+        running.statuses.get(&0),
+        none(),
+        "requests without an answer"
+    );
+    let before = Served::of(at(RESTARTED_EDGE).filter(|it| it.sent_at + it.took < killed_at));
+    let after = Served::of(at(RESTARTED_EDGE).filter(|it| it.sent_at > started_at));
+    println!("restarted daemon: before {before:?}, after {after:?}");
+    expect_that!(
+        before.statuses.get(&0),
+        none(),
+        "requests without an answer"
+    );
+    expect_that!(
+        after.statuses.keys().collect::<Vec<_>>(),
+        elements_are![eq(&&503)]
+    );
+    expect_that!(after.slowest, lt(AT_ONCE));
+}
