Play each answer to a replica that the log does not name

The class behind the incident: a receiver's own, possibly old, view of the group decides whom it can talk to.

No other fault was found; no logic is changed.

Only one returned voter at a time can lack the candidate: the entry that adds a learner is on a majority of the voters before the learner is promoted, and when two of five disks are lost then, two of the three left are the candidate and one that has that entry.

--- a/crates/coursestand-consensus/tests/simulation/main.rs
+++ b/crates/coursestand-consensus/tests/simulation/main.rs
@@ -16,6 +16,7 @@
 //! last fault, the group accepts commands, every process votes, and all apply the same entries.
 #![allow(missing_docs)]
 
+mod directed;
 mod faults;
 mod formation;
 mod group;
