Run the consensus simulation in the soak again

The soak selected the tests by a name that none has, so it passed with 0 runs (0 passed, 13 filtered out).

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	cargo bench --workspace
 
 soak: setup
-	COURSESTAND_RUNS=200000 cargo test --release -p coursestand-consensus --test simulation group_equals
+	COURSESTAND_RUNS=200000 cargo test --release -p coursestand-consensus --test simulation group_matches
 
 # Runs real processes under injected faults. Seeds and duration can be set:
 # make fault-soak SEEDS=100..150 SECONDS=8
