Share outages, traffic and reads of the configuration among the soaks

A soak of lost disks needs them too. How outages of processes end moves out of the evacuations, back ends and callers, reads and their check, and the wait for service out of the losses of power; the folder in memory moves beside the processes. A disk is now emptied when its process starts again, not when it is killed.

--- a/crates/coursestand-daemon/tests/lost_disks/group.rs
+++ b/crates/coursestand-daemon/tests/lost_disks/group.rs
@@ -10,7 +10,7 @@
 
 use crate::deployment::{Deployment, TEST_TIMEOUT, first_items, key_of, one_route};
 use crate::links::DistantLink;
-use crate::processes::{Processes, Signal};
+use crate::processes::{Processes, Signal, folder_in_memory};
 
 pub const CONTROLS: [u8; 5] = [1, 2, 3, 4, 5];
 /// Control processes whose addresses all processes are told.
@@ -30,13 +30,6 @@
 /// Keys and versions of items.
 pub type Versions = BTreeMap<String, u64>;
 
-/// Returns a folder in memory, where there is such a file system: times are judged, not the disk of
-/// the machine.
-fn folder_in_memory() -> tempfile::TempDir {
-    let folder = tempfile::tempdir_in("/dev/shm").or_else(|_| tempfile::tempdir());
-    folder.expect("a folder")
-}
-
 /// Five control processes.
 pub struct Group {
     /// Dropped before `deployment`, which releases the network.
--- a/crates/coursestand-daemon/tests/soak/evacuations/faults.rs
+++ b/crates/coursestand-daemon/tests/soak/evacuations/faults.rs
@@ -2,7 +2,6 @@
 //! lose their disks, two at a time at most and also in series; at times all of them are killed
 //! at once. Entry daemons restart and are suspended meanwhile.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use coursestand_catalog::RouteKind;
@@ -12,12 +11,9 @@
 use rand::seq::IndexedRandom;
 
 use super::{CONTROLS, LOST_DISKS, REFUSED_ROUTE, SERVICE, System};
+use crate::outages::{Outages, Recovery};
 use crate::processes::Signal;
 
-/// Time for which a control process counts as lost after it is back.
-const CATCH_UP_TIME: Duration = Duration::from_secs(4);
-/// Maximum time of a planned stop.
-const STOP_LIMIT: Duration = Duration::from_secs(20);
 const MIN_PAUSE_MS: u64 = 50;
 const MAX_PAUSE_MS: u64 = 3_000;
 /// Pause after which the group counts as stable and a late change would have shown.
@@ -26,30 +22,12 @@
 const MAX_LONG_SUSPENSION_MS: u64 = 20_000;
 const MIN_DOWNTIME_MS: u64 = 200;
 const MAX_DOWNTIME_MS: u64 = 4_000;
-const MAX_EDGE_FAULT_MS: u64 = 5_000;
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
-/// How a fault of a process ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Recovery {
-    Continue,
-    Start,
-    StartOnceExited,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Fault {
-    began_at: Instant,
-    ends_at: Instant,
-    recovery: Recovery,
-}
-
 /// Generates random faults, and ends them when they are due.
 pub struct Faults {
     random: StdRng,
-    faults: BTreeMap<u8, Fault>,
-    /// When each control process that is back stops to count as lost.
-    caught_up_at: BTreeMap<u8, Instant>,
+    outages: Outages,
     version: u64,
 }
 
@@ -57,8 +35,7 @@
     pub fn new(random: StdRng) -> Faults {
         Faults {
             random,
-            faults: BTreeMap::new(),
-            caught_up_at: BTreeMap::new(),
+            outages: Outages::default(),
             version: 1,
         }
     }
@@ -71,7 +48,7 @@
         };
         let end = Instant::now() + Duration::from_millis(pause_ms);
         while Instant::now() < end {
-            self.recover_due(system, Instant::now())?;
+            self.outages.recover_due(system, Instant::now())?;
             tokio::time::sleep(POLL_INTERVAL).await;
         }
         match self.random.random_range(0..30) {
@@ -80,7 +57,7 @@
             20..22 => self.kill_control(system, true).await,
             22 => self.stop_control(system).await,
             23 => self.kill_all_controls(system),
-            24..27 => self.inject_edge_fault(system),
+            24..27 => self.outages.inject_edge_fault(&mut self.random, system),
             _ => self.send_refused_change(system).await,
         }
         Ok(())
@@ -88,57 +65,7 @@
 
     /// Ends all faults.
     pub async fn recover_all(&mut self, system: &mut System) -> Result<(), String> {
-        while let Some(last) = self.faults.values().map(|fault| fault.ends_at).max() {
-            self.recover_due(system, last)?;
-            tokio::time::sleep(POLL_INTERVAL).await;
-        }
-        Ok(())
-    }
-
-    fn recover_due(&mut self, system: &mut System, now: Instant) -> Result<(), String> {
-        let due: Vec<(u8, Fault)> = self
-            .faults
-            .iter()
-            .filter(|(_, fault)| fault.ends_at <= now)
-            .map(|(host, fault)| (*host, *fault))
-            .collect();
-        for (host, fault) in due {
-            match fault.recovery {
-                Recovery::Continue => {
-                    system.processes.signal(host, Signal::Continue);
-                    system.record.note_process(host, true);
-                }
-                Recovery::StartOnceExited if !system.processes.has_exited(host) => {
-                    if fault.began_at.elapsed() > STOP_LIMIT {
-                        return Err(format!("process {host} does not exit after SIGTERM"));
-                    }
-                    continue;
-                }
-                Recovery::Start | Recovery::StartOnceExited => system.start(host, false),
-            }
-            self.faults.remove(&host);
-            system.record.note(format!("process {host} runs again"));
-            if CONTROLS.contains(&host) {
-                let caught_up_at = Instant::now() + CATCH_UP_TIME;
-                self.caught_up_at.insert(host, caught_up_at);
-            }
-        }
-        Ok(())
-    }
-
-    fn begin(&mut self, system: &System, host: u8, what: &str, time_ms: u64, recovery: Recovery) {
-        let began_at = Instant::now();
-        let ends_at = began_at + Duration::from_millis(time_ms);
-        system.record.note_process(host, false);
-        system
-            .record
-            .note(format!("process {host} is {what} for {time_ms} ms"));
-        let fault = Fault {
-            began_at,
-            ends_at,
-            recovery,
-        };
-        self.faults.insert(host, fault);
+        self.outages.recover_all(system).await
     }
 
     fn downtime_ms(&mut self) -> u64 {
@@ -147,12 +74,7 @@
 
     /// Returns a control process that may fail now, often the leader.
     async fn choose_control(&mut self, system: &System) -> Option<u8> {
-        let now = Instant::now();
-        self.caught_up_at
-            .retain(|_, caught_up_at| *caught_up_at > now);
-        let is_lost =
-            |host: &u8| self.faults.contains_key(host) || self.caught_up_at.contains_key(host);
-        let sound: Vec<u8> = CONTROLS.into_iter().filter(|host| !is_lost(host)).collect();
+        let sound = self.outages.sound_controls();
         if CONTROLS.len() - sound.len() >= LOST_DISKS {
             return None;
         }
@@ -172,7 +94,8 @@
         let time_ms = self.random.random_range(200..max_ms);
         if let Some(host) = self.choose_control(system).await {
             system.processes.signal(host, Signal::Stop);
-            self.begin(system, host, "suspended", time_ms, Recovery::Continue);
+            self.outages
+                .begin(system, host, "suspended", time_ms, Recovery::Continue);
         }
     }
 
@@ -182,15 +105,11 @@
             return;
         };
         system.processes.kill(host);
-        let what = match loses_disk {
-            true => {
-                let folder = system.deployment.data_folder(host);
-                std::fs::remove_dir_all(folder).expect("removed");
-                "killed without its disk"
-            }
-            false => "killed",
+        let (what, recovery) = match loses_disk {
+            true => ("killed without its disk", Recovery::StartWithoutDisk),
+            false => ("killed", Recovery::Start),
         };
-        self.begin(system, host, what, time_ms, Recovery::Start);
+        self.outages.begin(system, host, what, time_ms, recovery);
     }
 
     async fn stop_control(&mut self, system: &System) {
@@ -199,7 +118,8 @@
             && system.processes.handles_signals(host)
         {
             system.processes.signal(host, Signal::Terminate);
-            self.begin(system, host, "stopped", time_ms, Recovery::StartOnceExited);
+            self.outages
+                .begin(system, host, "stopped", time_ms, Recovery::StartOnceExited);
         }
     }
 
@@ -207,32 +127,10 @@
     fn kill_all_controls(&mut self, system: &mut System) {
         let time_ms = self.random.random_range(MIN_DOWNTIME_MS..1_000);
         for host in CONTROLS {
-            if !self.faults.contains_key(&host) {
-                system.processes.kill(host);
-                self.begin(system, host, "killed with all", time_ms, Recovery::Start);
-            }
-        }
-    }
-
-    fn inject_edge_fault(&mut self, system: &mut System) {
-        let host = *system.edges.choose(&mut self.random).expect("a daemon");
-        let time_ms = self.random.random_range(20..MAX_EDGE_FAULT_MS);
-        let kind = self.random.random_range(0..3);
-        if self.faults.contains_key(&host) {
-            return;
-        }
-        match kind {
-            0 => {
-                system.processes.signal(host, Signal::Stop);
-                self.begin(system, host, "suspended", time_ms, Recovery::Continue);
-            }
-            1 if system.processes.handles_signals(host) => {
-                system.processes.signal(host, Signal::Terminate);
-                self.begin(system, host, "stopped", time_ms, Recovery::StartOnceExited);
-            }
-            _ => {
+            if !self.outages.contains(host) {
                 system.processes.kill(host);
-                self.begin(system, host, "killed", time_ms, Recovery::Start);
+                self.outages
+                    .begin(system, host, "killed with all", time_ms, Recovery::Start);
             }
         }
     }
@@ -242,7 +140,7 @@
     async fn send_refused_change(&mut self, system: &System) {
         self.version += 1;
         let host = *CONTROLS.choose(&mut self.random).expect("a process");
-        if self.faults.contains_key(&host) {
+        if self.outages.contains(host) {
             return;
         }
         let refused = items::route(REFUSED_ROUTE, SERVICE, RouteKind::Repeatable, 1_000);
--- a/crates/coursestand-daemon/tests/soak/main.rs
+++ b/crates/coursestand-daemon/tests/soak/main.rs
@@ -27,6 +27,7 @@
 mod heartbeats;
 mod look_ups;
 mod operators;
+mod outages;
 mod power_losses;
 mod process_history;
 #[allow(dead_code)]
--- a/crates/coursestand-daemon/tests/soak/power_losses/operators.rs
+++ b/crates/coursestand-daemon/tests/soak/power_losses/operators.rs
@@ -41,9 +41,7 @@
         let tasks = (0..OPERATORS).map(|number| {
             let operator = Operator {
                 number,
-                urls: CONTROLS
-                    .map(|host| format!("{}/v1/catalog", deployment.control_url(host)))
-                    .to_vec(),
+                urls: catalog_urls(deployment),
                 client: client(),
                 ledger: Arc::clone(ledger),
                 random: StdRng::seed_from_u64(random.random()),
@@ -89,7 +87,8 @@
     async fn run(mut self) {
         while !self.is_over.load(Ordering::Relaxed) {
             let patch = self.next_change();
-            self.change(&patch).await;
+            let (client, random) = (&self.client, &mut self.random);
+            change(client, &self.urls, &self.ledger, random, &patch).await;
             let rest = Duration::from_millis(self.random.random_range(0..MAX_REST_MS));
             tokio::time::sleep(rest).await;
         }
@@ -121,22 +120,34 @@
         let route = items::route(&name, "s", RouteKind::Repeatable, 2_000);
         items::route_item(&name, self.version, route)
     }
+}
 
-    /// Sends a change to one process after another until it is acknowledged or given up.
-    async fn change(&mut self, patch: &Patch) {
-        let body = serde_json::to_string(patch).expect("JSON");
-        let began_at = Instant::now();
-        while began_at.elapsed() < MAX_TIME_TO_REPEAT {
-            let url = self.urls.choose(&mut self.random).expect("a process");
-            let call = self.ledger.begin_call().await;
-            self.ledger.send(patch);
-            let sent = self.client.post(url).body(body.clone()).send().await;
-            if sent.is_ok_and(|answer| answer.status() == 200) {
-                self.ledger.acknowledge(patch);
-                return;
-            }
-            drop(call);
-            tokio::time::sleep(PAUSE_AFTER_FAILURE).await;
+/// Sends a change to one process after another until it is acknowledged or given up.
+pub async fn change(
+    client: &Client,
+    urls: &[String],
+    ledger: &Ledger,
+    random: &mut StdRng,
+    patch: &Patch,
+) {
+    let body = serde_json::to_string(patch).expect("JSON");
+    let began_at = Instant::now();
+    while began_at.elapsed() < MAX_TIME_TO_REPEAT {
+        let url = urls.choose(random).expect("a process");
+        let call = ledger.begin_call().await;
+        ledger.send(patch);
+        let sent = client.post(url).body(body.clone()).send().await;
+        if sent.is_ok_and(|answer| answer.status() == 200) {
+            ledger.acknowledge(patch);
+            return;
         }
+        drop(call);
+        tokio::time::sleep(PAUSE_AFTER_FAILURE).await;
     }
 }
+
+/// Returns where operators send changes.
+pub fn catalog_urls(deployment: &Deployment) -> Vec<String> {
+    let urls = CONTROLS.map(|host| format!("{}/v1/catalog", deployment.control_url(host)));
+    urls.to_vec()
+}
--- a/crates/coursestand-daemon/tests/soak/process_history.rs
+++ b/crates/coursestand-daemon/tests/soak/process_history.rs
@@ -33,7 +33,7 @@
         last.is_some_and(|event| event.runs)
     }
 
-    fn has_event_in(&self, host: u8, from: Instant, to: Instant) -> bool {
+    pub fn has_event_in(&self, host: u8, from: Instant, to: Instant) -> bool {
         self.events_of(host)
             .any(|event| event.at >= from && event.at <= to)
     }
--- a/crates/coursestand-daemon/tests/soak/processes.rs
+++ b/crates/coursestand-daemon/tests/soak/processes.rs
@@ -28,6 +28,13 @@
     override_path.map_or_else(|| env!("CARGO_BIN_EXE_coursestandd").into(), PathBuf::from)
 }
 
+/// Returns a folder in memory, where there is such a file system: times are judged, not the disk of
+/// the machine.
+pub fn folder_in_memory() -> tempfile::TempDir {
+    let folder = tempfile::tempdir_in("/dev/shm").or_else(|_| tempfile::tempdir());
+    folder.expect("a folder")
+}
+
 /// Returns the settings as JSON without unset fields, some of which earlier versions
 /// reject.
 fn settings_json(settings: &FleetSettings) -> String {
