Play the loss of two disks again and again in a soak

No soak drew more than a message of the log, then two losses with a change of the leader between them, so none found the group without a leader.

Operators read and change the configuration at each process all along, and callers use entry daemons that restart and reload. A control process counts as lost while it is away and for four seconds more, and never more than two are.

Judged: reads hold all that was acknowledged; the group is whole, reads are answered and requests served 15 s after all are back; a process that lost its disk votes within 4 s in a group that nothing disturbs; no process ends by itself; a process that runs answers within 3 s.

--- a/crates/coursestand-daemon/tests/soak/main.rs
+++ b/crates/coursestand-daemon/tests/soak/main.rs
@@ -26,6 +26,7 @@
 mod hangup;
 mod heartbeats;
 mod look_ups;
+mod lost_disks;
 mod operators;
 mod outages;
 mod power_losses;
