Tell no address of a replica that listens on all of its machine

By reading (a review of the class): a replica steered by bundles whose listen address is 0.0.0.0, which no check refuses, told that as the address to answer at, since answers go where a message says. Others would have answered themselves, where they had used the membership before.

Such a replica tells no address now, and the membership serves as before. Fleet processes have a concrete address and are not concerned.

Evidence: tests/peer_addresses.rs; the sender told its listen address as it is before.

--- a/crates/coursestand-daemon/src/control/peers.rs
+++ b/crates/coursestand-daemon/src/control/peers.rs
@@ -68,11 +68,11 @@
 }
 
 /// Encodes each message that has an address with its envelope, and pairs it with that address.
-/// `reply_to` is the address at which the sender is reached.
+/// `reply_to` is the address at which the sender is reached, if it knows.
 pub fn envelopes(
     cluster: u64,
     from: ReplicaId,
-    reply_to: SocketAddr,
+    reply_to: Option<SocketAddr>,
     messages: Vec<OutgoingMessage>,
 ) -> Vec<(SocketAddr, Vec<u8>)> {
     let mut encoded = Vec::new();
@@ -85,7 +85,7 @@
             from,
             to: outgoing.to,
             message: outgoing.message,
-            reply_to: Some(reply_to),
+            reply_to,
         };
         match postcard::to_stdvec(&envelope) {
             Ok(bytes) => encoded.push((address, bytes)),
@@ -95,21 +95,28 @@
     encoded
 }
 
+/// Returns the address at which others reach a process that listens at `listen`; `None` if that
+/// stands for all addresses of its machine.
+pub fn reachable_address(listen: SocketAddr) -> Option<SocketAddr> {
+    (!listen.ip().is_unspecified()).then_some(listen)
+}
+
 /// Sends consensus messages through the messaging library. Connections are opened on first
 /// use.
 pub struct Peers {
     runtime: Handle,
-    local_address: SocketAddr,
+    /// `None` if the replica listens on all addresses of its machine.
+    local_address: Option<SocketAddr>,
     peers: BTreeMap<SocketAddr, Peer>,
 }
 
 impl Peers {
-    /// Returns a sender without connections that sends on `runtime`. Other replicas reach this one
-    /// at `local_address`.
-    pub fn new(runtime: Handle, local_address: SocketAddr) -> Peers {
+    /// Returns a sender without connections that sends on `runtime`, for a replica that listens at
+    /// `listen`.
+    pub fn new(runtime: Handle, listen: SocketAddr) -> Peers {
         Peers {
             runtime,
-            local_address,
+            local_address: reachable_address(listen),
             peers: BTreeMap::new(),
         }
     }
--- a/crates/coursestand-daemon/src/fleet/peer_links.rs
+++ b/crates/coursestand-daemon/src/fleet/peer_links.rs
@@ -380,7 +380,8 @@
 
 impl PeerSender for PeerLinkSender {
     fn send(&mut self, cluster: u64, from: ReplicaId, messages: Vec<OutgoingMessage>) {
-        for (address, bytes) in envelopes(cluster, from, self.0.local_address, messages) {
+        let reply_to = Some(self.0.local_address);
+        for (address, bytes) in envelopes(cluster, from, reply_to, messages) {
             self.0.send_to(address, PeerMessage::Consensus(bytes));
         }
     }
--- a/crates/coursestand-daemon/tests/peer_addresses.rs
+++ b/crates/coursestand-daemon/tests/peer_addresses.rs
@@ -5,7 +5,7 @@
 
 use coursestand_consensus::message::{Body, Message};
 use coursestand_consensus::{Membership, PeerAddresses, ReplicaId};
-use coursestand_daemon::control::peers::{Envelope, OutgoingMessage, envelopes};
+use coursestand_daemon::control::peers::{Envelope, OutgoingMessage, envelopes, reachable_address};
 use googletest::prelude::*;
 
 const CLUSTER: u64 = 1;
@@ -79,7 +79,7 @@
         address: Some(address(2)),
         message: message(),
     };
-    let sent = envelopes(CLUSTER, 1, address(1), vec![outgoing]);
+    let sent = envelopes(CLUSTER, 1, Some(address(1)), vec![outgoing]);
     expect_that!(sent.len(), eq(1));
     let envelope: Envelope = postcard::from_bytes(&sent[0].1).expect("decoded");
     expect_that!(envelope.reply_to, some(eq(address(1))));
@@ -95,3 +95,11 @@
     expect_that!(envelope.from, eq(1));
     expect_that!(envelope.reply_to, none());
 }
+
+/// Guards against answers that a replica sends to itself, since the other one tells 0.0.0.0.
+#[gtest]
+fn a_replica_that_listens_on_all_addresses_tells_none() {
+    let all = SocketAddr::from(([0, 0, 0, 0], 7540));
+    expect_that!(reachable_address(all), none());
+    expect_that!(reachable_address(address(1)), some(eq(address(1))));
+}
